--- /dev/null
+++ b/crates/caller/src/lib.rs
@@ -0,0 +1,1 @@
+//! Listener for callers: OpenAI-style HTTP interface, limits, refusals.
--- /dev/null
+++ b/crates/core/src/capacity.rs
@@ -0,0 +1,1 @@
+//! Capacity of an engine, estimated from what the sidecar observes.
--- /dev/null
+++ b/crates/core/src/estimate.rs
@@ -0,0 +1,1 @@
+//! Estimates of output length from streaming quantiles.
--- /dev/null
+++ b/crates/core/src/generation.rs
@@ -0,0 +1,1 @@
+//! Rules for configuration generations and their spread.
--- /dev/null
+++ b/crates/core/src/membership.rs
@@ -0,0 +1,1 @@
+//! Membership of processes: a SWIM-style failure detector with dissemination.
--- /dev/null
+++ b/crates/core/src/pool.rs
@@ -0,0 +1,1 @@
+//! Admission for work that cannot be preempted.
--- /dev/null
+++ b/crates/core/src/retry.rs
@@ -0,0 +1,1 @@
+//! Retry decisions and the retry budget of each tier.
--- /dev/null
+++ b/crates/core/src/routing.rs
@@ -0,0 +1,1 @@
+//! Choice of a backend server at the entry.
--- /dev/null
+++ b/crates/core/src/straggler.rs
@@ -0,0 +1,1 @@
+//! Detection, ejection and trial of slow backend servers.
--- /dev/null
+++ b/crates/core/src/subset.rs
@@ -0,0 +1,1 @@
+//! Deterministic subset of each pool for each entry.
--- /dev/null
+++ b/crates/core/src/suspect.rs
@@ -0,0 +1,1 @@
+//! Suspicion table of request fingerprints that crash backend servers.
--- /dev/null
+++ b/crates/engine/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client for model engines.
--- /dev/null
+++ b/crates/gossip/src/lib.rs
@@ -0,0 +1,1 @@
+//! UDP transport of membership and spread of configuration.
--- /dev/null
+++ b/crates/node/src/config_feed.rs
@@ -0,0 +1,1 @@
+//! Supplies the configuration in force and keeps it up to date.
--- /dev/null
+++ b/crates/operator/src/lib.rs
@@ -0,0 +1,1 @@
+//! Listener and file checks for operators.
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,3 @@
+//! Platform services: key-value service, VM list and weight store.
+
+pub mod kv;
--- /dev/null
+++ b/crates/service/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client for plain services.
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for engine, plain service and platform.
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! Command line of the router; dispatches to the commands in `cmd`.
+
+fn main() {}
