Carry model requests and service calls from callers through entry and sidecar to backend servers

Adds the HTTP listener on hyper with one thread per connection, the authenticated links, the clients for engines and plain services, stand-ins for both, and the runtimes of entry and sidecar with a thin choice of servers and a fixed limit in place of admission.

--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -1,1 +1,6 @@
-//! Listener for callers: OpenAI-style HTTP interface, limits, refusals.
+//! Callers' side of the entry: the OpenAI-style interface, refusals and limits.
+
+pub mod class_gate;
+pub mod headers;
+pub mod openai;
+pub mod refusal;
--- /dev/null
+++ b/crates/engine/src/error.rs
@@ -0,0 +1,51 @@
+//! Errors of calls to an engine.
+
+use std::fmt;
+
+/// Why a call to an engine failed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum EngineError {
+    /// No connection could be made, so the engine never saw the request.
+    Unreachable,
+    /// The engine refused the request with this HTTP status and body.
+    Refused {
+        /// HTTP status.
+        status: u16,
+        /// Body of the answer.
+        body: String,
+    },
+    /// The connection was lost after the request was sent.
+    Lost,
+    /// The engine's answer is malformed.
+    Malformed,
+}
+
+impl fmt::Display for EngineError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Unreachable => formatter.write_str("cannot connect to the engine"),
+            Self::Refused { status, .. } => {
+                write!(formatter, "engine refused the request with status {status}")
+            }
+            Self::Lost => formatter.write_str("connection to the engine was lost"),
+            Self::Malformed => formatter.write_str("engine sent a malformed answer"),
+        }
+    }
+}
+
+impl std::error::Error for EngineError {}
+
+impl From<ureq::Error> for EngineError {
+    fn from(error: ureq::Error) -> Self {
+        match error {
+            ureq::Error::ConnectionFailed | ureq::Error::HostNotFound => Self::Unreachable,
+            ureq::Error::Timeout(ureq::Timeout::Connect | ureq::Timeout::Resolve) => {
+                Self::Unreachable
+            }
+            ureq::Error::Io(error) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
+                Self::Unreachable
+            }
+            _ => Self::Lost,
+        }
+    }
+}
--- /dev/null
+++ b/crates/engine/src/sse.rs
@@ -0,0 +1,89 @@
+//! Reads server-sent events (WHATWG HTML, section 9.2) as raw blocks, so that they can be relayed unchanged.
+
+use std::io::{BufRead, BufReader, Read};
+
+use crate::error::EngineError;
+
+/// Largest event; a larger one is taken for a malformed answer.
+const MAX_EVENT_BYTES: usize = 1024 * 1024;
+
+/// Payload of the event that ends an OpenAI-style stream.
+const DONE: &[u8] = b"[DONE]";
+
+/// Reader of server-sent events.
+#[derive(Debug)]
+pub struct EventReader<R> {
+    source: BufReader<R>,
+}
+
+/// One server-sent event.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Event {
+    /// The event as sent, with its empty last line.
+    pub raw: Vec<u8>,
+    /// Value of the `data` field.
+    pub data: Vec<u8>,
+}
+
+impl Event {
+    /// Returns whether this event ends the stream.
+    #[must_use]
+    pub fn is_done(&self) -> bool {
+        self.data == DONE
+    }
+}
+
+impl<R: Read> EventReader<R> {
+    /// Creates a reader of events from `source`.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// let mut reader = tanagerford_engine::EventReader::new(&b"data: hello\n\n"[..]);
+    /// let event = reader.read().unwrap().unwrap();
+    /// assert_eq!(event.data, b"hello");
+    /// assert!(reader.read().unwrap().is_none());
+    /// ```
+    pub fn new(source: R) -> Self {
+        Self {
+            source: BufReader::new(source),
+        }
+    }
+
+    /// Reads the next event; `None` at the end of the stream.
+    ///
+    /// # Errors
+    ///
+    /// [`EngineError::Lost`] when the stream fails or ends inside an event, [`EngineError::Malformed`] when an event is
+    /// too large.
+    pub fn read(&mut self) -> Result<Option<Event>, EngineError> {
+        let mut event = Event {
+            raw: Vec::new(),
+            data: Vec::new(),
+        };
+        loop {
+            let start = event.raw.len();
+            let room = (MAX_EVENT_BYTES - start) as u64;
+            let read = (&mut self.source)
+                .take(room)
+                .read_until(b'\n', &mut event.raw);
+            match read {
+                Ok(0) if room == 0 => return Err(EngineError::Malformed),
+                Ok(0) if start == 0 => return Ok(None),
+                Ok(0) | Err(_) => return Err(EngineError::Lost),
+                Ok(_) => {}
+            }
+            let line = event.raw[start..].trim_ascii_end();
+            if line.is_empty() {
+                if start == 0 {
+                    event.raw.clear();
+                    continue;
+                }
+                return Ok(Some(event));
+            }
+            if let Some(data) = line.strip_prefix(b"data:") {
+                event.data.extend_from_slice(data.trim_ascii_start());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/http/src/connection.rs
@@ -0,0 +1,141 @@
+//! One connection: reads requests, calls the handler and writes replies.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::{SocketAddr, TcpStream};
+use std::pin::pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use async_io::{Async, Timer};
+use bytes::Bytes;
+use futures_lite::future;
+use http::{HeaderMap, Method, StatusCode, Uri};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use smol_hyper::rt::{FuturesIo, SmolTimer};
+
+use crate::body::Body;
+use crate::listener::{Handler, Limits};
+
+/// Reply to a request.
+pub type Reply = http::Response<Body>;
+
+/// Request with its whole body.
+#[derive(Debug)]
+pub struct Request {
+    /// Method.
+    pub method: Method,
+    /// Target.
+    pub uri: Uri,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Whole body.
+    pub body: Bytes,
+    /// Address of the peer.
+    pub peer: SocketAddr,
+}
+
+/// State that all connections of a listener share.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pub(crate) limits: Limits,
+    /// Closed when the listener stops; idle connections then end and busy ones end after their reply.
+    pub(crate) stopped: async_channel::Receiver<()>,
+    pub(crate) open: AtomicUsize,
+}
+
+/// Counts a connection as open while it lives.
+pub(crate) struct OpenGuard(pub(crate) Arc<Shared>);
+
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        self.0.open.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// Serves one connection until it ends or the listener stops.
+pub(crate) fn serve(
+    stream: TcpStream,
+    peer: SocketAddr,
+    guard: &OpenGuard,
+    handler: &impl Handler,
+) {
+    let shared = &guard.0;
+    let result = async_io::block_on(drive(stream, peer, shared, handler));
+    if let Err(error) = result {
+        tracing::debug!(%peer, %error, "connection ended with an error");
+    }
+}
+
+async fn drive(
+    stream: TcpStream,
+    peer: SocketAddr,
+    shared: &Shared,
+    handler: &impl Handler,
+) -> Result<(), Box<dyn std::error::Error + Send + Sync>> {
+    stream.set_nodelay(true)?;
+    let io = FuturesIo::new(Async::new(stream)?);
+    let service = service_fn(|request| async move {
+        Ok::<_, Infallible>(answer(request, peer, &shared.limits, handler).await)
+    });
+    let connection = http1::Builder::new()
+        .timer(SmolTimer::new())
+        .header_read_timeout(shared.limits.idle_timeout)
+        .max_buf_size(shared.limits.max_header_bytes)
+        .serve_connection(io, service);
+    let mut connection = pin!(connection);
+    let stopped = async {
+        let _ = shared.stopped.recv().await;
+        None
+    };
+    let finished = async { Some(connection.as_mut().await) };
+    if let Some(result) = future::or(finished, stopped).await {
+        result?;
+    } else {
+        connection.as_mut().graceful_shutdown();
+        connection.await?;
+    }
+    Ok(())
+}
+
+async fn answer(
+    request: http::Request<Incoming>,
+    peer: SocketAddr,
+    limits: &Limits,
+    handler: &impl Handler,
+) -> Reply {
+    let (parts, body) = request.into_parts();
+    let read = read_body(body, limits.max_body_bytes);
+    let body = match within(limits.body_timeout, read).await {
+        Some(Ok(body)) => body,
+        Some(Err(status)) => return handler.rejected(status),
+        None => return handler.rejected(StatusCode::REQUEST_TIMEOUT),
+    };
+    let request = Request {
+        method: parts.method,
+        uri: parts.uri,
+        headers: parts.headers,
+        body,
+        peer,
+    };
+    handler.handle(request).await
+}
+
+async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, StatusCode> {
+    match Limited::new(body, max_bytes).collect().await {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => Err(StatusCode::PAYLOAD_TOO_LARGE),
+        Err(_) => Err(StatusCode::BAD_REQUEST),
+    }
+}
+
+async fn within<T>(timeout: std::time::Duration, future: impl Future<Output = T>) -> Option<T> {
+    let expired = async {
+        Timer::after(timeout).await;
+        None
+    };
+    future::or(async { Some(future.await) }, expired).await
+}
--- /dev/null
+++ b/crates/node/src/entry/handler.rs
@@ -0,0 +1,189 @@
+//! Answers callers.
+
+use std::sync::Arc;
+
+use http::{HeaderName, HeaderValue, Method, StatusCode, header};
+use tanagerford_caller::headers;
+use tanagerford_caller::openai::{self, Assembler, Interface};
+use tanagerford_caller::refusal::{Code, Refusal};
+use tanagerford_http::{Body, Handler, Reply, Request};
+use tanagerford_link::message;
+
+use crate::links::LinkPool;
+
+use super::call::{self, Call, Kind};
+use super::relay::{Relay, Start, Step};
+use super::state::{EntryState, FrameHandler};
+
+/// Handler of the callers' listener.
+pub(crate) struct CallerHandler {
+    state: Arc<EntryState>,
+    links: Arc<LinkPool<FrameHandler>>,
+}
+
+impl CallerHandler {
+    pub(crate) fn new(state: Arc<EntryState>, links: Arc<LinkPool<FrameHandler>>) -> Self {
+        Self { state, links }
+    }
+
+    async fn answer(&self, request: Request, request_id: &str) -> Result<Reply, Refusal> {
+        let configuration = self.state.configuration();
+        let path = request.uri.path();
+        if request.method == Method::GET && path == "/v1/models" {
+            call::authenticate(&configuration, &request.headers)?;
+            let names = configuration.models.iter().map(|model| model.name.clone());
+            return Ok(json_reply(openai::model_list(names)));
+        }
+        let call = match Interface::of_path(path) {
+            Some(interface) if request.method == Method::POST => {
+                call::prepare_model(&configuration, &request, interface, request_id.to_owned())?
+            }
+            Some(_) => return Err(Refusal::new(Code::NotFound, "this path takes POST only")),
+            None => call::prepare_service(&configuration, &request, request_id.to_owned())?,
+        };
+        self.run(call).await
+    }
+
+    async fn run(&self, call: Call) -> Result<Reply, Refusal> {
+        let (class, tier) = (call.class.name.clone(), call.tier);
+        let place = self
+            .state
+            .class_gate
+            .enter(&class, tier, call.class.max_in_flight)
+            .ok_or_else(|| {
+                Refusal::new(
+                    Code::ClassFull,
+                    format!("class {class} has no place left at this entry"),
+                )
+                .retry_after(std::time::Duration::from_millis(250))
+            });
+        let result = match place {
+            Ok(place) => {
+                let relay = Relay::new(
+                    Arc::clone(&self.state),
+                    Arc::clone(&self.links),
+                    call,
+                    place,
+                );
+                answer_call(relay).await
+            }
+            Err(refusal) => Err(refusal),
+        };
+        if let Err(refusal) = &result {
+            self.state
+                .metrics
+                .count_request(&class, tier, refusal.code.as_str());
+        }
+        result
+    }
+}
+
+impl Handler for CallerHandler {
+    async fn handle(&self, request: Request) -> Reply {
+        let request_id = headers::text(&request.headers, headers::REQUEST_ID)
+            .map_or_else(|| self.state.new_request_id(), str::to_owned);
+        let mut reply = match self.answer(request, &request_id).await {
+            Ok(reply) => reply,
+            Err(refusal) => {
+                tracing::info!(
+                    request_id,
+                    code = refusal.code.as_str(),
+                    "refused a request"
+                );
+                refusal.to_reply(&request_id)
+            }
+        };
+        if let Ok(value) = HeaderValue::from_str(&request_id) {
+            reply.headers_mut().insert(headers::REQUEST_ID, value);
+        }
+        if self.state.stopping.is_raised() {
+            let close = HeaderValue::from_static("close");
+            reply.headers_mut().insert(header::CONNECTION, close);
+        }
+        reply
+    }
+
+    fn rejected(&self, status: StatusCode) -> Reply {
+        let code = match status {
+            StatusCode::PAYLOAD_TOO_LARGE => Code::BodyTooLarge,
+            StatusCode::REQUEST_TIMEOUT => Code::RequestTimeout,
+            _ => Code::InvalidRequest,
+        };
+        let request_id = self.state.new_request_id();
+        Refusal::new(code, "the body could not be read").to_reply(&request_id)
+    }
+}
+
+async fn answer_call(mut relay: Relay) -> Result<Reply, Refusal> {
+    let start = relay.start().await?;
+    match &relay.call().kind {
+        Kind::Model { request, .. } if request.stream => Ok(streamed(relay, start)),
+        Kind::Model { request, .. } => {
+            let (interface, model) = (request.interface, request.model.clone());
+            let prompt_tokens = request.prompt_tokens;
+            assemble(relay, start, interface, &model, prompt_tokens).await
+        }
+        Kind::Service => Ok(streamed(relay, start)),
+    }
+}
+
+/// Relays the answer part by part; a failure aborts the transfer, so that a cut answer never looks whole.
+fn streamed(relay: Relay, start: Start) -> Reply {
+    let mut reply = Reply::new(Body::whole(""));
+    copy_head(&start.head, &mut reply);
+    *reply.body_mut() = Body::streamed(relay.into_parts(start.first));
+    reply
+}
+
+async fn assemble(
+    mut relay: Relay,
+    start: Start,
+    interface: Interface,
+    model: &str,
+    prompt_tokens: u32,
+) -> Result<Reply, Refusal> {
+    if start.head.status != u32::from(StatusCode::OK.as_u16()) {
+        return Ok(streamed(relay, start));
+    }
+    let mut assembler = Assembler::default();
+    add_events(&mut assembler, &start.first);
+    loop {
+        match relay.next_step().await {
+            Step::Data(data) => add_events(&mut assembler, &data),
+            Step::Complete => break,
+            Step::Failed(refusal) => return Err(refusal),
+        }
+    }
+    Ok(json_reply(assembler.finish(
+        interface,
+        model,
+        prompt_tokens,
+    )))
+}
+
+fn add_events(assembler: &mut Assembler, raw: &[u8]) {
+    for line in raw.split(|byte| *byte == b'\n') {
+        if let Some(data) = line.strip_prefix(b"data:") {
+            assembler.add(data);
+        }
+    }
+}
+
+fn copy_head(head: &message::Head, reply: &mut Reply) {
+    let status = u16::try_from(head.status).unwrap_or(502);
+    *reply.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+    for message::Header { name, value } in &head.headers {
+        let name = HeaderName::from_bytes(name.as_bytes());
+        let value = HeaderValue::from_bytes(value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            reply.headers_mut().append(name, value);
+        }
+    }
+}
+
+fn json_reply(json: String) -> Reply {
+    let mut reply = Reply::new(Body::whole(json));
+    let json_type = HeaderValue::from_static("application/json");
+    reply.headers_mut().insert(header::CONTENT_TYPE, json_type);
+    reply
+}
--- /dev/null
+++ b/crates/node/src/entry/state.rs
@@ -0,0 +1,77 @@
+//! State of an entry, shared by its threads.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, RwLock};
+
+use tanagerford_caller::class_gate::ClassGate;
+use tanagerford_core::config::Configuration;
+use tanagerford_link::message::{Frame, frame};
+use tanagerford_link::{Link, LinkHandler};
+
+use crate::attempts::Attempts;
+use crate::links::EntryLinks;
+use crate::metrics::Metrics;
+use crate::sync::Flag;
+
+use super::servers::Servers;
+
+/// State of an entry.
+pub(crate) struct EntryState {
+    pub(crate) attempts: Arc<Attempts>,
+    pub(crate) class_gate: Arc<ClassGate>,
+    pub(crate) servers: Servers,
+    pub(crate) metrics: Metrics,
+    pub(crate) stopping: Flag,
+    pub(crate) next_request: AtomicU64,
+    configuration: RwLock<Arc<Configuration>>,
+}
+
+impl EntryState {
+    pub(crate) fn new(configuration: Configuration) -> Self {
+        Self {
+            attempts: Arc::default(),
+            class_gate: Arc::default(),
+            servers: Servers::default(),
+            metrics: Metrics::default(),
+            stopping: Flag::default(),
+            next_request: AtomicU64::new(1),
+            configuration: RwLock::new(Arc::new(configuration)),
+        }
+    }
+
+    /// Returns the configuration in force.
+    pub(crate) fn configuration(&self) -> Arc<Configuration> {
+        let configuration = self.configuration.read();
+        Arc::clone(&configuration.unwrap_or_else(std::sync::PoisonError::into_inner))
+    }
+
+    /// Returns a new request id.
+    pub(crate) fn new_request_id(&self) -> String {
+        let number = self.next_request.fetch_add(1, Ordering::Relaxed);
+        format!("{:08x}-{number}", rand::random::<u32>())
+    }
+}
+
+/// Delivers the frames of all links to their attempts.
+pub(crate) struct FrameHandler(pub(crate) Arc<EntryState>);
+
+impl LinkHandler for FrameHandler {
+    fn on_frame(&self, link: &Link, frame: Frame) {
+        if let Some(body) = frame.body {
+            if matches!(body, frame::Body::Leaving(_)) {
+                self.0.servers.set_leaving(&link.peer().process_id);
+            }
+            self.0.attempts.deliver(link, body);
+        }
+    }
+
+    fn on_lost(&self, link: &Link) {
+        self.0.attempts.on_link_lost(link);
+    }
+}
+
+impl EntryLinks for FrameHandler {
+    fn is_idle(&self, link: &Link) -> bool {
+        self.0.attempts.is_idle(link)
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,4 +1,11 @@
 //! Runtimes of the entry and the sidecar, which connect the decision core with the peers.
 
+pub mod attempts;
 pub mod config_feed;
+pub mod entry;
+pub mod links;
+pub mod metrics;
 pub mod orders;
+pub mod sidecar;
+pub mod sync;
+pub mod workers;
--- /dev/null
+++ b/crates/node/tests/path.rs
@@ -0,0 +1,155 @@
+//! The whole path: caller, entry, sidecar, backend server.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Fleet, KEY, agent, chat_body, configuration, expected_text, read_line, wait_until};
+use tanagerford_standin::engine::Behaviour;
+
+/// Behaviour without pauses, for tests that do not look at single tokens.
+fn fast() -> Behaviour {
+    Behaviour {
+        first_token: Duration::ZERO,
+        cached_first_token: Duration::ZERO,
+        token_gap: Duration::ZERO,
+        token_gap_per_request: Duration::ZERO,
+        ..Behaviour::default()
+    }
+}
+
+/// Guards against answers that lose, add or mix up text on the way.
+#[test]
+fn a_whole_answer_has_exactly_the_text_of_the_engine() {
+    let fleet = Fleet::start(2, &fast(), configuration());
+    let answer = fleet
+        .post(
+            "/v1/chat/completions",
+            &[],
+            &chat_body("ticket 1", 12, false),
+        )
+        .expect("answer arrives");
+    assert_eq!(answer.status, 200, "{}", answer.text);
+    let json = answer.json();
+    assert_eq!(
+        json["choices"][0]["message"]["content"],
+        expected_text("ticket 1", 12)
+    );
+    assert_eq!(json["usage"]["completion_tokens"], 12);
+}
+
+/// Guards against answers that reach the wrong caller when many share the links.
+#[test]
+fn concurrent_callers_each_get_their_own_answer() {
+    let fleet = Fleet::start(2, &fast(), configuration());
+    std::thread::scope(|scope| {
+        for caller in 0..64 {
+            let fleet = &fleet;
+            scope.spawn(move || {
+                let content = format!("ticket of caller {caller}");
+                let body = chat_body(&content, 20 + caller, false);
+                let answer = fleet
+                    .post("/v1/chat/completions", &[], &body)
+                    .expect("answer arrives");
+                assert_eq!(answer.status, 200, "{}", answer.text);
+                let text = &answer.json()["choices"][0]["message"]["content"];
+                assert_eq!(*text, expected_text(&content, 20 + caller));
+            });
+        }
+    });
+}
+
+/// Guards against buffering: the first token must arrive while the engine still has tokens to generate. The engine never
+/// generates its last token here, so a path that buffers the stream would never deliver the first one.
+#[test]
+fn the_first_token_arrives_before_the_last_is_generated() {
+    let behaviour = Behaviour {
+        token_gap: Duration::from_hours(1),
+        ..fast()
+    };
+    let fleet = Fleet::start(1, &behaviour, configuration());
+    let response = agent()
+        .post(fleet.url("/v1/chat/completions"))
+        .header("Authorization", format!("Bearer {KEY}"))
+        .send(chat_body("ticket", 2, true))
+        .expect("stream begins");
+    let mut reader = response.into_body().into_reader();
+    let line = read_line(&mut reader);
+    assert!(line.starts_with("data: "), "{line}");
+    assert_eq!(fleet.engines[0].generated_tokens(), 1);
+}
+
+/// Guards against a cut stream that looks complete when the engine dies.
+#[test]
+fn a_crash_in_mid_stream_aborts_the_transfer() {
+    let behaviour = Behaviour {
+        token_gap: Duration::from_millis(20),
+        ..fast()
+    };
+    let fleet = Fleet::start(1, &behaviour, configuration());
+    let response = agent()
+        .post(fleet.url("/v1/chat/completions"))
+        .header("Authorization", format!("Bearer {KEY}"))
+        .send(chat_body("ticket", 10_000, true))
+        .expect("stream begins");
+    let mut reader = response.into_body().into_reader();
+    read_line(&mut reader);
+    fleet.engines[0].crash();
+    let mut rest = String::new();
+    let result = std::io::Read::read_to_string(&mut reader, &mut rest);
+    assert!(result.is_err(), "the transfer must fail, got {rest:?}");
+    assert!(!rest.contains("[DONE]"));
+}
+
+/// Guards against engines that go on generating for callers that are gone.
+#[test]
+fn a_caller_that_disconnects_cancels_its_stream() {
+    let behaviour = Behaviour {
+        token_gap: Duration::from_millis(20),
+        ..fast()
+    };
+    let fleet = Fleet::start(1, &behaviour, configuration());
+    let response = agent()
+        .post(fleet.url("/v1/chat/completions"))
+        .header("Authorization", format!("Bearer {KEY}"))
+        .send(chat_body("ticket", 100_000, true))
+        .expect("stream begins");
+    let mut reader = response.into_body().into_reader();
+    read_line(&mut reader);
+    assert_eq!(fleet.engines[0].running(), 1);
+    drop(reader);
+    wait_until(|| fleet.engines[0].running() == 0);
+}
+
+/// Guards against a plain call that loses its path, body, status or headers.
+#[test]
+fn a_plain_call_reaches_its_service() {
+    let fleet = Fleet::start(1, &fast(), configuration());
+    let mut response = agent()
+        .get(fleet.url("/plates/ink/cyan?paper=news"))
+        .header("Authorization", format!("Bearer {KEY}"))
+        .call()
+        .expect("answer arrives");
+    assert_eq!(response.status().as_u16(), 200);
+    let text = response.body_mut().read_to_string().expect("body arrives");
+    assert_eq!(text, r#"{"path":"/ink/cyan"}"#);
+}
+
+/// Guards against refusals without a stable code or without the outcome.
+#[test]
+fn refusals_name_code_and_outcome() {
+    let fleet = Fleet::start(1, &fast(), configuration());
+    let unknown_model = r#"{"model": "none", "messages": [{"role": "user", "content": "x"}]}"#;
+    let cases = [
+        ("/v1/chat/completions", "{}", 400, "invalid_request"),
+        ("/v1/chat/completions", unknown_model, 404, "unknown_model"),
+        ("/nowhere/x", "", 404, "not_found"),
+        ("/plates/orders", "order", 400, "idempotency_key_required"),
+    ];
+    for (path, body, status, code) in cases {
+        let answer = fleet.post(path, &[], body).expect("refusal arrives");
+        assert_eq!(answer.status, status, "{}", answer.text);
+        assert_eq!(answer.json()["error"]["code"], code);
+        assert_eq!(answer.headers["tanagerford-outcome"], "not-run");
+    }
+}
--- /dev/null
+++ b/crates/service/src/error.rs
@@ -0,0 +1,42 @@
+//! Errors of calls to a plain service.
+
+use std::fmt;
+
+/// Why a call to a plain service failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ServiceError {
+    /// No connection could be made, so the service never saw the call.
+    Unreachable,
+    /// The call is malformed and was not sent.
+    Invalid,
+    /// The connection was lost or timed out after the call was sent; its effect is unknown.
+    Lost,
+}
+
+impl fmt::Display for ServiceError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Self::Unreachable => "cannot connect to the service",
+            Self::Invalid => "call is malformed and was not sent",
+            Self::Lost => "connection to the service was lost",
+        })
+    }
+}
+
+impl std::error::Error for ServiceError {}
+
+impl From<ureq::Error> for ServiceError {
+    fn from(error: ureq::Error) -> Self {
+        match error {
+            ureq::Error::ConnectionFailed | ureq::Error::HostNotFound => Self::Unreachable,
+            ureq::Error::Timeout(ureq::Timeout::Connect | ureq::Timeout::Resolve) => {
+                Self::Unreachable
+            }
+            ureq::Error::Io(error) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
+                Self::Unreachable
+            }
+            ureq::Error::BadUri(_) => Self::Invalid,
+            _ => Self::Lost,
+        }
+    }
+}
--- a/crates/service/src/lib.rs
+++ b/crates/service/src/lib.rs
@@ -1,1 +1,7 @@
 //! Client for plain services.
+
+mod client;
+mod error;
+
+pub use client::{Answer, Call, Header, ServiceClient};
+pub use error::ServiceError;
--- /dev/null
+++ b/crates/standin/src/engine.rs
@@ -0,0 +1,389 @@
+//! Stand-in for a model engine: deterministic text, seeded timing, prefix cache, lagging load report, crash on demand.
+
+use std::collections::VecDeque;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use http::StatusCode;
+use serde::Deserialize;
+use serde_json::json;
+use tanagerford_http::{
+    Body, Handler, Limits, Listener, ListenerHandle, Reply, Request, StreamSender,
+};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Tokens of an answer whose request names no limit.
+const DEFAULT_TOKENS: u32 = 16;
+
+/// Bytes of the prompt's start that make up a cached prefix.
+const PREFIX_BYTES: usize = 512;
+
+/// Parts that wait for a slow reader.
+const STREAM_CAPACITY: usize = 1_024;
+
+/// How a stand-in engine behaves.
+#[derive(Debug, Clone)]
+pub struct Behaviour {
+    /// Time to the first token without a cached prefix.
+    pub first_token: Duration,
+    /// Time to the first token with a cached prefix.
+    pub cached_first_token: Duration,
+    /// Time between tokens with one request in the batch.
+    pub token_gap: Duration,
+    /// Time that each further request in the batch adds between tokens.
+    pub token_gap_per_request: Duration,
+    /// Largest batch; further requests are refused with status 429.
+    pub max_batch: u32,
+    /// Prefixes that the cache holds.
+    pub cached_prefixes: usize,
+    /// Age of the load report.
+    pub load_report_lag: Duration,
+    /// A request whose body contains this text crashes the engine.
+    pub crash_on: Option<String>,
+    /// Time that the engine is down after a crash.
+    pub restart_after: Duration,
+}
+
+impl Default for Behaviour {
+    fn default() -> Self {
+        Self {
+            first_token: Duration::from_millis(20),
+            cached_first_token: Duration::from_millis(5),
+            token_gap: Duration::from_millis(5),
+            token_gap_per_request: Duration::from_micros(50),
+            max_batch: 64,
+            cached_prefixes: 32,
+            load_report_lag: Duration::from_millis(500),
+            crash_on: None,
+            restart_after: Duration::from_millis(200),
+        }
+    }
+}
+
+/// Running stand-in engine.
+#[derive(Debug)]
+pub struct Engine {
+    state: Arc<State>,
+    listener: ListenerHandle,
+}
+
+#[derive(Debug)]
+struct State {
+    behaviour: Mutex<Behaviour>,
+    running: AtomicU32,
+    /// Rises with each crash; a stream of an older epoch is cut.
+    epoch: AtomicU64,
+    down_until: Mutex<Option<Instant>>,
+    prefixes: Mutex<VecDeque<u64>>,
+    reports: Mutex<VecDeque<(Instant, u32)>>,
+    generated_tokens: AtomicU64,
+    requests: AtomicU64,
+}
+
+#[derive(Debug, Deserialize)]
+struct GenerateBody {
+    #[serde(default)]
+    max_tokens: Option<u32>,
+    #[serde(default)]
+    messages: serde_json::Value,
+    #[serde(default)]
+    prompt: serde_json::Value,
+}
+
+/// Returns token `index` of the answer to `prompt`, the JSON text of the request's `messages` or `prompt`.
+///
+/// # Examples
+///
+/// ```
+/// use tanagerford_standin::engine::token;
+///
+/// assert_eq!(token("[]", 3), token("[]", 3));
+/// assert_ne!(token("[]", 3), token("[]", 4));
+/// ```
+#[must_use]
+pub fn token(prompt: &str, index: u32) -> String {
+    let hash = xxh3_64_with_seed(prompt.as_bytes(), u64::from(index));
+    format!("{:04x} ", hash & 0xffff)
+}
+
+impl Engine {
+    /// Starts a stand-in engine on a port that the system picks.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no port can be bound.
+    pub fn start(behaviour: Behaviour) -> io::Result<Self> {
+        Self::start_at(SocketAddr::from(([127, 0, 0, 1], 0)), behaviour)
+    }
+
+    /// Starts a stand-in engine at `address`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address cannot be bound.
+    pub fn start_at(address: SocketAddr, behaviour: Behaviour) -> io::Result<Self> {
+        let state = Arc::new(State {
+            behaviour: Mutex::new(behaviour),
+            running: AtomicU32::new(0),
+            epoch: AtomicU64::new(0),
+            down_until: Mutex::default(),
+            prefixes: Mutex::default(),
+            reports: Mutex::default(),
+            generated_tokens: AtomicU64::new(0),
+            requests: AtomicU64::new(0),
+        });
+        let listener =
+            Listener::bind(address, Limits::default())?.start(EngineHandler(Arc::clone(&state)))?;
+        Ok(Self { state, listener })
+    }
+
+    /// Returns the engine's address.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.listener.address()
+    }
+
+    /// Returns the count of requests that the engine accepted.
+    #[must_use]
+    pub fn requests(&self) -> u64 {
+        self.state.requests.load(Ordering::Acquire)
+    }
+
+    /// Returns the count of tokens that the engine generated.
+    #[must_use]
+    pub fn generated_tokens(&self) -> u64 {
+        self.state.generated_tokens.load(Ordering::Acquire)
+    }
+
+    /// Returns the count of requests that run now.
+    #[must_use]
+    pub fn running(&self) -> u32 {
+        self.state.running.load(Ordering::Acquire)
+    }
+
+    /// Returns how often the engine has crashed.
+    #[must_use]
+    pub fn crashes(&self) -> u64 {
+        self.state.epoch.load(Ordering::Acquire)
+    }
+
+    /// Cuts all streams and refuses work until the engine has restarted.
+    pub fn crash(&self) {
+        self.state.crash();
+    }
+
+    /// Changes the behaviour for later tokens and requests.
+    pub fn set_behaviour(&self, behaviour: Behaviour) {
+        *lock(&self.state.behaviour) = behaviour;
+    }
+}
+
+/// Answers the HTTP requests of one engine.
+struct EngineHandler(Arc<State>);
+
+impl Handler for EngineHandler {
+    async fn handle(&self, request: Request) -> Reply {
+        if self.0.is_down() {
+            return plain(StatusCode::SERVICE_UNAVAILABLE, "engine restarts");
+        }
+        match request.uri.path() {
+            "/health" => plain(StatusCode::OK, "ok"),
+            "/load" => self.0.load_report(),
+            "/v1/chat/completions" | "/v1/completions" => self.0.generate(&request),
+            _ => plain(StatusCode::NOT_FOUND, "no such path"),
+        }
+    }
+
+    fn rejected(&self, status: StatusCode) -> Reply {
+        plain(status, "bad request")
+    }
+}
+
+impl State {
+    fn crash(&self) {
+        let restart_after = lock(&self.behaviour).restart_after;
+        *lock(&self.down_until) = Some(Instant::now() + restart_after);
+        self.epoch.fetch_add(1, Ordering::AcqRel);
+        lock(&self.prefixes).clear();
+    }
+
+    fn is_down(&self) -> bool {
+        lock(&self.down_until).is_some_and(|until| Instant::now() < until)
+    }
+
+    fn load_report(&self) -> Reply {
+        let lag = lock(&self.behaviour).load_report_lag;
+        let now = Instant::now();
+        let mut reports = lock(&self.reports);
+        reports.push_back((now, self.running.load(Ordering::Acquire)));
+        while reports.len() > 1 && reports[1].0 + lag <= now {
+            reports.pop_front();
+        }
+        let (taken_at, running) = reports[0];
+        let age_ms = now.duration_since(taken_at).as_millis();
+        let max_batch = lock(&self.behaviour).max_batch;
+        let report =
+            json!({"running": running, "waiting": 0, "max_batch": max_batch, "age_ms": age_ms});
+        plain(StatusCode::OK, &report.to_string())
+    }
+
+    fn generate(self: &Arc<Self>, request: &Request) -> Reply {
+        let Ok(body) = serde_json::from_slice::<GenerateBody>(&request.body) else {
+            return plain(StatusCode::BAD_REQUEST, "body is not a generate request");
+        };
+        let behaviour = lock(&self.behaviour).clone();
+        if let Some(text) = &behaviour.crash_on
+            && String::from_utf8_lossy(&request.body).contains(text)
+        {
+            self.crash();
+        }
+        if self.running.fetch_add(1, Ordering::AcqRel) >= behaviour.max_batch {
+            self.running.fetch_sub(1, Ordering::AcqRel);
+            return plain(StatusCode::TOO_MANY_REQUESTS, "batch is full");
+        }
+        self.requests.fetch_add(1, Ordering::AcqRel);
+        let chat = request.uri.path() == "/v1/chat/completions";
+        let prompt = if chat { body.messages } else { body.prompt }.to_string();
+        let generation = Generation {
+            id: header(request, "x-request-id")
+                .unwrap_or("standin")
+                .to_owned(),
+            chat,
+            first_index: header(request, "x-resume-from-tokens")
+                .and_then(|value| value.parse().ok())
+                .unwrap_or(0),
+            tokens: body.max_tokens.unwrap_or(DEFAULT_TOKENS),
+            epoch: self.epoch.load(Ordering::Acquire),
+            prompt,
+        };
+        let (sender, stream) = tanagerford_http::stream(STREAM_CAPACITY);
+        let state = Arc::clone(self);
+        thread::spawn(move || {
+            generation.run(&state, sender);
+            state.running.fetch_sub(1, Ordering::AcqRel);
+        });
+        let mut reply = Reply::new(stream);
+        let content_type = http::HeaderValue::from_static("text/event-stream");
+        reply
+            .headers_mut()
+            .insert(http::header::CONTENT_TYPE, content_type);
+        reply
+    }
+
+    /// Returns whether the prefix of `prompt` was cached, and caches it.
+    fn touch_prefix(&self, prompt: &str) -> bool {
+        let prefix = &prompt.as_bytes()[..prompt.len().min(PREFIX_BYTES)];
+        let hash = xxh3_64_with_seed(prefix, 0);
+        let capacity = lock(&self.behaviour).cached_prefixes;
+        let mut prefixes = lock(&self.prefixes);
+        let cached = prefixes.iter().any(|cached| *cached == hash);
+        prefixes.retain(|cached| *cached != hash);
+        prefixes.push_back(hash);
+        while prefixes.len() > capacity {
+            prefixes.pop_front();
+        }
+        cached
+    }
+
+    fn token_gap(&self) -> Duration {
+        let behaviour = lock(&self.behaviour);
+        let others = self.running.load(Ordering::Acquire).saturating_sub(1);
+        behaviour.token_gap + behaviour.token_gap_per_request * others
+    }
+
+    fn first_token(&self, cached: bool) -> Duration {
+        let behaviour = lock(&self.behaviour);
+        if cached {
+            behaviour.cached_first_token
+        } else {
+            behaviour.first_token
+        }
+    }
+}
+
+/// One answer in progress.
+#[derive(Debug)]
+struct Generation {
+    id: String,
+    chat: bool,
+    prompt: String,
+    first_index: u32,
+    tokens: u32,
+    epoch: u64,
+}
+
+impl Generation {
+    /// Sends the tokens; returns early, which aborts the transfer, when the engine crashes or the reader is gone.
+    fn run(&self, state: &State, sender: StreamSender) {
+        pause(state.first_token(state.touch_prefix(&self.prompt)));
+        for index in self.first_index..self.tokens {
+            if index > self.first_index {
+                pause(state.token_gap());
+            }
+            if state.epoch.load(Ordering::Acquire) != self.epoch {
+                return;
+            }
+            state.generated_tokens.fetch_add(1, Ordering::AcqRel);
+            if sender.send_blocking(self.event(index)).is_err() {
+                return;
+            }
+        }
+        let finished = sender.send_blocking(self.last_event());
+        if finished.is_ok() && sender.send_blocking("data: [DONE]\n\n").is_ok() {
+            let _ = sender.end();
+        }
+    }
+
+    fn event(&self, index: u32) -> String {
+        let text = token(&self.prompt, index);
+        let choice = if self.chat {
+            json!({"index": 0, "delta": {"content": text}, "finish_reason": null})
+        } else {
+            json!({"index": 0, "text": text, "finish_reason": null})
+        };
+        self.wrap(&choice)
+    }
+
+    fn last_event(&self) -> String {
+        let choice = if self.chat {
+            json!({"index": 0, "delta": {}, "finish_reason": "length"})
+        } else {
+            json!({"index": 0, "text": "", "finish_reason": "length"})
+        };
+        self.wrap(&choice)
+    }
+
+    fn wrap(&self, choice: &serde_json::Value) -> String {
+        let object = if self.chat {
+            "chat.completion.chunk"
+        } else {
+            "text_completion"
+        };
+        let chunk = json!({"id": self.id, "object": object, "choices": [choice]});
+        format!("data: {chunk}\n\n")
+    }
+}
+
+fn pause(duration: Duration) {
+    if !duration.is_zero() {
+        thread::sleep(duration);
+    }
+}
+
+fn header<'request>(request: &'request Request, name: &str) -> Option<&'request str> {
+    request.headers.get(name)?.to_str().ok()
+}
+
+fn plain(status: StatusCode, text: &str) -> Reply {
+    let mut reply = Reply::new(Body::whole(text.to_owned()));
+    *reply.status_mut() = status;
+    reply
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,4 @@
-//! Stand-ins for engine, plain service and platform.
+//! Stand-ins for the backend servers and the platform, shared by the tests and the `standalone` command.
+
+pub mod engine;
+pub mod service;
