--- /dev/null
+++ b/src/cmd/mod.rs
@@ -0,0 +1,5 @@
+//! Commands, one module each.
+
+pub mod check;
+pub mod config;
+pub mod sheet;
--- /dev/null
+++ b/src/error.rs
@@ -0,0 +1,60 @@
+//! The one error type of the command line.
+
+use std::io::Write;
+use std::process::ExitCode;
+
+/// Why a command did not do its work.
+#[derive(Debug)]
+pub enum Error {
+    /// The user asked for the usage text.
+    Help(&'static str),
+    /// The arguments are wrong.
+    Usage {
+        /// What is wrong.
+        message: String,
+        /// Usage text of the command.
+        usage: &'static str,
+    },
+    /// The command was refused or failed.
+    Failed(String),
+}
+
+impl Error {
+    /// Reports wrong arguments of the command with this usage text.
+    pub fn usage(message: impl Into<String>, usage: &'static str) -> Self {
+        Self::Usage {
+            message: message.into(),
+            usage,
+        }
+    }
+
+    /// Reports a refusal or failure.
+    pub fn failed(message: impl Into<String>) -> Self {
+        Self::Failed(message.into())
+    }
+
+    /// Prints the error and returns the exit code of the process.
+    pub fn report(&self) -> ExitCode {
+        // A closed output leaves nowhere to report to; the exit code still tells the outcome.
+        match self {
+            Self::Help(usage) => {
+                let _ = write!(std::io::stdout(), "{usage}");
+                ExitCode::SUCCESS
+            }
+            Self::Usage { message, usage } => {
+                let _ = write!(std::io::stderr(), "tanagerford: {message}\n\n{usage}");
+                ExitCode::from(2)
+            }
+            Self::Failed(message) => {
+                let _ = writeln!(std::io::stderr(), "tanagerford: {message}");
+                ExitCode::FAILURE
+            }
+        }
+    }
+}
+
+impl From<std::io::Error> for Error {
+    fn from(error: std::io::Error) -> Self {
+        Self::Failed(error.to_string())
+    }
+}
