--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -2,10 +2,12 @@
 
 mod call;
 mod handler;
+mod operations;
 mod relay;
 mod servers;
 mod state;
 
+use std::marker::PhantomData;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
@@ -15,11 +17,13 @@
 use tanagerford_core::ids::ZoneId;
 use tanagerford_http::{Limits, Listener, ListenerHandle};
 use tanagerford_link::{FleetKey, Identity, LinkOptions};
+use tanagerford_operator::listener::Operated;
 
 use crate::links::{LinkPool, Target};
-use crate::metrics::Metrics;
+use crate::stop::StopSignal;
 
 use handler::CallerHandler;
+use operations::EntryOperations;
 use state::{EntryState, FrameHandler};
 
 /// Settings of an entry.
@@ -39,15 +43,24 @@
     pub balancer_notice: Duration,
 }
 
-/// Running entry that accepts callers.
-pub struct Entry {
+/// Phase in which an entry accepts callers.
+#[derive(Debug)]
+pub struct Serving;
+
+/// Phase in which an entry is not ready any more and finishes what is in flight.
+#[derive(Debug)]
+pub struct Draining;
+
+/// Running entry. Its life cycle is [`Serving`], then [`Draining`], then gone.
+pub struct Entry<Phase = Serving> {
     state: Arc<EntryState>,
     links: Arc<LinkPool<FrameHandler>>,
     listener: ListenerHandle,
     balancer_notice: Duration,
+    phase: PhantomData<Phase>,
 }
 
-impl Entry {
+impl Entry<Serving> {
     /// Starts an entry.
     ///
     /// # Errors
@@ -55,8 +68,9 @@
     /// Fails when the listener cannot be bound or a thread cannot be started.
     pub fn start(settings: EntrySettings, configuration: Configuration) -> std::io::Result<Self> {
         let generation = Arc::new(AtomicU64::new(configuration.generation));
+        let identity = settings.identity.clone();
         let options = LinkOptions::new(settings.identity, settings.fleet_key, generation);
-        let state = Arc::new(EntryState::new(configuration));
+        let state = Arc::new(EntryState::new(identity, configuration));
         let frames = Arc::new(FrameHandler(Arc::clone(&state)));
         let links = LinkPool::start(options, frames)?;
         let handler = CallerHandler::new(Arc::clone(&state), Arc::clone(&links));
@@ -66,44 +80,64 @@
             links,
             listener,
             balancer_notice: settings.balancer_notice,
+            phase: PhantomData,
         })
     }
 
-    /// Returns the address of the callers' listener.
-    #[must_use]
-    pub fn address(&self) -> SocketAddr {
-        self.listener.address()
-    }
-
     /// Replaces the sidecars that the entry uses.
     pub fn set_targets(&self, targets: impl IntoIterator<Item = Target>) {
         self.links.set_targets(targets);
     }
 
-    /// Returns the entry's metrics.
+    /// Returns what the entry offers to its operators; a drain raises `stop`.
     #[must_use]
-    pub fn metrics(&self) -> &Metrics {
-        &self.state.metrics
+    pub fn operations(&self, stop: StopSignal) -> Arc<dyn Operated> {
+        Arc::new(EntryOperations {
+            state: Arc::clone(&self.state),
+            links: Arc::clone(&self.links),
+            stop,
+        })
     }
 
-    /// Returns the count of servers with an open link.
+    /// Turns readiness off. The entry goes on accepting, since the balancer still sends callers.
     #[must_use]
-    pub fn open_links(&self) -> usize {
-        self.links
-            .targets()
-            .iter()
-            .filter(|(_, open)| *open)
-            .count()
+    pub fn drain(self) -> Entry<Draining> {
+        self.state.stopping.raise();
+        tracing::info!("entry is draining");
+        Entry {
+            state: self.state,
+            links: self.links,
+            listener: self.listener,
+            balancer_notice: self.balancer_notice,
+            phase: PhantomData,
+        }
     }
+}
 
-    /// Stops gracefully: turns readiness off, goes on accepting until the balancer has noticed, finishes every request
-    /// in flight. Returns whether all had ended when `timeout` passed.
+impl Entry<Draining> {
+    /// Goes on accepting until the balancer has noticed, then finishes every request in flight. Returns whether all had
+    /// ended when `timeout` passed.
     #[must_use]
-    pub fn stop(mut self, timeout: Duration) -> bool {
-        self.state.stopping.raise();
+    pub fn finish(mut self, timeout: Duration) -> bool {
         std::thread::sleep(self.balancer_notice);
         let finished = self.listener.stop(timeout);
         self.links.stop();
+        tracing::info!(finished, "entry has stopped");
         finished
     }
 }
+
+impl<Phase> Entry<Phase> {
+    /// Returns the address of the callers' listener.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.listener.address()
+    }
+
+    /// Returns the count of servers with an open link.
+    #[must_use]
+    pub fn open_links(&self) -> usize {
+        let targets = self.links.targets();
+        targets.iter().filter(|(_, open)| *open).count()
+    }
+}
--- /dev/null
+++ b/crates/node/src/entry/operations.rs
@@ -0,0 +1,72 @@
+//! What an entry offers to its operators.
+
+use std::sync::Arc;
+
+use serde_json::{Value, json};
+use tanagerford_operator::listener::Operated;
+
+use crate::links::LinkPool;
+use crate::stop::StopSignal;
+
+use super::state::{EntryState, FrameHandler};
+
+/// Operators' view of an entry.
+pub(crate) struct EntryOperations {
+    pub(crate) state: Arc<EntryState>,
+    pub(crate) links: Arc<LinkPool<FrameHandler>>,
+    pub(crate) stop: StopSignal,
+}
+
+impl Operated for EntryOperations {
+    fn state(&self) -> Value {
+        let state = &self.state;
+        let servers: Vec<_> = self
+            .links
+            .targets()
+            .into_iter()
+            .map(|(target, open)| {
+                json!({
+                    "server": target.server,
+                    "pool": target.pool,
+                    "availability_zone": target.zone,
+                    "address": target.address.to_string(),
+                    "link_open": open,
+                })
+            })
+            .collect();
+        let classes: Vec<_> = state
+            .class_gate
+            .by_class()
+            .into_iter()
+            .map(|(class, in_flight)| json!({"class": class, "in_flight": in_flight}))
+            .collect();
+        json!({
+            "role": "entry",
+            "process_id": state.identity.process_id,
+            "incarnation": state.identity.incarnation,
+            "availability_zone": state.identity.availability_zone,
+            "config_generation": state.configuration().generation,
+            "draining": state.stopping.is_raised(),
+            "attempts_in_flight": state.attempts.in_flight(),
+            "late_frames": state.attempts.late_frames(),
+            "classes": classes,
+            "servers": servers,
+        })
+    }
+
+    fn metrics(&self) -> String {
+        let metrics = &self.state.metrics;
+        metrics
+            .generation
+            .set(self.state.configuration().generation);
+        metrics.encode()
+    }
+
+    fn is_ready(&self) -> bool {
+        !self.state.stopping.is_raised() && self.state.configuration().generation > 0
+    }
+
+    fn drain(&self) {
+        self.stop.raise();
+    }
+}
--- a/crates/node/src/entry/state.rs
+++ b/crates/node/src/entry/state.rs
@@ -6,7 +6,7 @@
 use tanagerford_caller::class_gate::ClassGate;
 use tanagerford_core::config::Configuration;
 use tanagerford_link::message::{Frame, frame};
-use tanagerford_link::{Link, LinkHandler};
+use tanagerford_link::{Identity, Link, LinkHandler};
 
 use crate::attempts::Attempts;
 use crate::links::EntryLinks;
@@ -17,6 +17,7 @@
 
 /// State of an entry.
 pub(crate) struct EntryState {
+    pub(crate) identity: Identity,
     pub(crate) attempts: Arc<Attempts>,
     pub(crate) class_gate: Arc<ClassGate>,
     pub(crate) servers: Servers,
@@ -27,8 +28,9 @@
 }
 
 impl EntryState {
-    pub(crate) fn new(configuration: Configuration) -> Self {
+    pub(crate) fn new(identity: Identity, configuration: Configuration) -> Self {
         Self {
+            identity,
             attempts: Arc::default(),
             class_gate: Arc::default(),
             servers: Servers::default(),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod metrics;
 pub mod orders;
 pub mod sidecar;
+pub mod stop;
 pub mod sync;
 pub mod workers;
--- a/crates/node/src/sidecar/mod.rs
+++ b/crates/node/src/sidecar/mod.rs
@@ -1,18 +1,22 @@
 //! Runtime of the sidecar.
 
 mod model;
+mod operations;
 mod service;
 mod state;
 
+use std::marker::PhantomData;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::time::{Duration, Instant};
 
 use tanagerford_link::{FleetKey, Identity, LinkOptions, LinkServer, LinkServerHandle};
+use tanagerford_operator::listener::Operated;
 
-use crate::metrics::Metrics;
+use crate::stop::StopSignal;
 
+use operations::SidecarOperations;
 use state::{SidecarState, SubmitHandler};
 
 /// Kind of the backend server beside a sidecar.
@@ -42,10 +46,19 @@
     pub backend: Backend,
 }
 
-/// Running sidecar.
-pub struct Sidecar {
+/// Phase in which a sidecar takes new work.
+#[derive(Debug)]
+pub struct Serving;
+
+/// Phase in which a sidecar refuses new work and finishes what runs.
+#[derive(Debug)]
+pub struct Draining;
+
+/// Running sidecar. Its life cycle is [`Serving`], then [`Draining`], then gone.
+pub struct Sidecar<Phase = Serving> {
     state: Arc<SidecarState>,
     server: LinkServerHandle,
+    phase: PhantomData<Phase>,
 }
 
 /// Interval at which a stopping sidecar looks whether work is still in flight.
@@ -54,7 +67,7 @@
 /// Time that last frames get to reach the entries.
 const FLUSH_TIMEOUT: Duration = Duration::from_secs(2);
 
-impl Sidecar {
+impl Sidecar<Serving> {
     /// Starts a sidecar.
     ///
     /// # Errors
@@ -70,26 +83,37 @@
         let state = Arc::new(SidecarState::new(settings));
         let handler = Arc::new(SubmitHandler(Arc::clone(&state)));
         let server = LinkServer::bind(settings.listen)?.start(options, handler)?;
-        Ok(Self { state, server })
+        Ok(Self {
+            state,
+            server,
+            phase: PhantomData,
+        })
     }
 
-    /// Returns the address of the link listener.
+    /// Returns what the sidecar offers to its operators; a drain raises `stop`.
     #[must_use]
-    pub fn address(&self) -> SocketAddr {
-        self.server.address()
+    pub fn operations(&self, stop: StopSignal) -> Arc<dyn Operated> {
+        let state = Arc::clone(&self.state);
+        Arc::new(SidecarOperations { state, stop })
     }
 
-    /// Returns the sidecar's metrics.
+    /// Refuses new work from now on and tells the entries.
     #[must_use]
-    pub fn metrics(&self) -> &Metrics {
-        &self.state.metrics
+    pub fn drain(self) -> Sidecar<Draining> {
+        self.state.leave();
+        tracing::info!("sidecar is draining");
+        Sidecar {
+            state: self.state,
+            server: self.server,
+            phase: PhantomData,
+        }
     }
+}
 
-    /// Stops gracefully: refuses new work, tells the entries, and finishes what runs. Returns whether all had ended when
-    /// `timeout` passed.
+impl Sidecar<Draining> {
+    /// Finishes what runs. Returns whether all had ended when `timeout` passed.
     #[must_use]
-    pub fn stop(mut self, timeout: Duration) -> bool {
-        self.state.leave();
+    pub fn finish(mut self, timeout: Duration) -> bool {
         let deadline = Instant::now() + timeout;
         let mut finished = true;
         while self.state.in_flight() > 0 {
@@ -101,6 +125,15 @@
         }
         self.server.stop();
         self.state.close_links(FLUSH_TIMEOUT);
+        tracing::info!(finished, "sidecar has stopped");
         finished
     }
 }
+
+impl<Phase> Sidecar<Phase> {
+    /// Returns the address of the link listener.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+}
--- a/crates/node/src/sidecar/state.rs
+++ b/crates/node/src/sidecar/state.rs
@@ -6,7 +6,7 @@
 
 use tanagerford_engine::{CancelHandle, EngineClient};
 use tanagerford_link::message::{self, Frame, Outcome, Submit, frame};
-use tanagerford_link::{Link, LinkHandler};
+use tanagerford_link::{Identity, Link, LinkHandler};
 use tanagerford_service::ServiceClient;
 
 use crate::metrics::Metrics;
@@ -26,6 +26,7 @@
 
 /// State of a sidecar.
 pub(crate) struct SidecarState {
+    pub(crate) identity: Identity,
     pub(crate) backend: BackendClient,
     pub(crate) metrics: Metrics,
     leaving: Flag,
@@ -107,6 +108,7 @@
             }
         };
         Self {
+            identity: settings.identity.clone(),
             backend,
             metrics: Metrics::default(),
             leaving: Flag::default(),
@@ -121,6 +123,16 @@
         lock(&self.table).running.len()
     }
 
+    /// Returns whether new work is refused.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.leaving.is_raised()
+    }
+
+    /// Returns the count of open links.
+    pub(crate) fn open_links(&self) -> usize {
+        lock(&self.links).len()
+    }
+
     /// Refuses new work from now on and tells all entries.
     pub(crate) fn leave(&self) {
         self.leaving.raise();
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -48,10 +48,12 @@
 
 pub fn key_sha256(key: &str) -> String {
     use sha2::Digest;
-    sha2::Sha256::digest(key)
-        .iter()
-        .map(|byte| format!("{byte:02x}"))
-        .collect()
+    use std::fmt::Write;
+    let mut text = String::new();
+    for byte in sha2::Sha256::digest(key) {
+        write!(text, "{byte:02x}").expect("writing to a string succeeds");
+    }
+    text
 }
 
 pub fn configuration() -> Configuration {
--- a/src/error.rs
+++ b/src/error.rs
@@ -58,3 +58,15 @@
         Self::Failed(error.to_string())
     }
 }
+
+impl From<serde_json::Error> for Error {
+    fn from(error: serde_json::Error) -> Self {
+        Self::Failed(error.to_string())
+    }
+}
+
+impl From<ureq::Error> for Error {
+    fn from(error: ureq::Error) -> Self {
+        Self::Failed(format!("request failed: {error}"))
+    }
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -14,6 +14,9 @@
 Commands:
   check FILE...              check settings, configurations and tier sheets
   sheet load FILE            load a tier sheet
+  standalone                 run everything with stand-ins in one process
+  state ADDRESS              print the state of a process
+  drain ADDRESS              begin the graceful stop of a process
   config show|apply|status   show, apply or follow the configuration
 
 Options:
@@ -36,6 +39,9 @@
     match command.as_str() {
         "check" => cmd::check::run(rest),
         "config" => cmd::config::run(rest),
+        "drain" => cmd::drain::run(rest),
+        "standalone" => cmd::standalone::run(rest),
+        "state" => cmd::state::run(rest),
         "sheet" => cmd::sheet::run(rest),
         "-h" | "--help" => Err(Error::Help(USAGE)),
         unknown => Err(Error::usage(format!("unknown command: {unknown}"), USAGE)),
