Eject slow and failing backend servers, and bring them back by trials

Cause: choices took no account of a server's pace, and a server that fails fast looked idle.

The pace of a token is compared with the pool's median for about the same batch size, or with an upper bound derived from other batch sizes, so a server is not called slow for its batch. Each tier's view judges by its own samples. A cache event could also name a leaving server; the choice now checks that, with a test.

--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -23,6 +23,7 @@
 use std::time::Duration;
 
 use crate::ids::{Incarnation, PoolId, ServerId, TierId, ZoneId};
+use crate::straggler::PaceSample;
 use pool::Pool;
 
 /// Settings of a [`Router`].
@@ -70,11 +71,13 @@
     CacheHint,
     /// Rendezvous hashing of the prefix named the server.
     Affinity,
+    /// Trial request for a server that was ejected as slow or failing.
+    Trial,
     /// Better of two random servers of the own availability zone.
     LeastLoaded,
     /// Better of two random servers of the other availability zones.
     OtherZone,
-    /// Only slow servers that were ejected remain.
+    /// Only servers that were ejected as slow or failing remain.
     LastResort,
 }
 
@@ -119,6 +122,8 @@
     pub load: Option<LoadHint>,
     /// Time until the first token, or until the whole answer of a call without tokens.
     pub first_token: Option<Duration>,
+    /// Speed of the answer.
+    pub pace: Option<PaceSample>,
     /// Size of the prompt in tokens. Latencies are compared only among requests of about the same size.
     pub prompt_tokens: u32,
 }
@@ -210,7 +215,7 @@
     /// ```
     pub fn set_leaving(&mut self, pool: &str, server: &str) {
         if let Some(pool) = self.index.get(pool).map(|&index| &mut self.pools[index]) {
-            pool.set_leaving(&self.settings, server);
+            pool.set_leaving(server);
         }
     }
 
@@ -246,7 +251,7 @@
     )]
     pub fn on_answer(&mut self, now: Duration, attempt: Attempt, answer: &Answer) {
         let pool = &mut self.pools[attempt.pool];
-        pool.on_answer(now, &self.settings, &attempt, answer);
+        pool.on_answer(now, &attempt, answer);
     }
 
     /// Records the end of an attempt that the sidecar refused, with the load that came with the refusal.
@@ -272,8 +277,49 @@
         self.on_answer(now, attempt, &answer);
     }
 
-    /// Records the end of an attempt that has no answer: the link was lost, or the request was cancelled or never
-    /// sent.
+    /// Records the end of an attempt that failed at its server: the link was lost, or the server failed or crashed.
+    /// A server that fails several attempts in a row receives no requests for a while.
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// # use tanagerford_core::routing::{ChoiceReason, RouteRequest, Router, RouterSettings, Server};
+    /// # let settings = RouterSettings { tiers: 1, zone: "a".into(), region_zones: Vec::new(), seed: 1 };
+    /// # let mut router = Router::new(settings);
+    /// # let servers = ["m1", "m2", "m3"].map(|id| {
+    /// #     Server { id: id.into(), zone: "a".into(), incarnation: 1, leaving: false }
+    /// # });
+    /// # router.set_servers(Duration::ZERO, "chat", servers);
+    /// let request = RouteRequest { pool: "chat", tier: 0, prefix_hash: None };
+    /// let others = ["m2".to_owned(), "m3".to_owned()];
+    /// for _ in 0..3 {
+    ///     let choice = router.choose(Duration::ZERO, &request, &others).unwrap();
+    ///     router.on_failure(Duration::ZERO, choice.attempt);
+    /// }
+    /// let choice = router.choose(Duration::ZERO, &request, &others).unwrap();
+    /// assert_eq!(choice.reason, ChoiceReason::LastResort);
+    /// ```
+    pub fn on_failure(&mut self, now: Duration, attempt: Attempt) {
+        self.pools[attempt.pool].on_failure(now, &attempt);
+        self.on_ended(now, attempt);
+    }
+
+    /// Ejects slow servers and makes trial requests due. To be called about once a second; its cost grows with the
+    /// servers, unlike that of the other functions.
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// # use tanagerford_core::routing::{Router, RouterSettings};
+    /// # let settings = RouterSettings { tiers: 1, zone: "a".into(), region_zones: Vec::new(), seed: 1 };
+    /// # let mut router = Router::new(settings);
+    /// router.on_tick(Duration::from_secs(1));
+    /// ```
+    pub fn on_tick(&mut self, now: Duration) {
+        for pool in &mut self.pools {
+            pool.on_tick(now);
+        }
+    }
+
+    /// Records the end of an attempt that tells nothing about its server: the request was cancelled or never sent.
     ///
     /// ```
     /// # use std::time::Duration;
--- a/crates/core/src/routing/choose.rs
+++ b/crates/core/src/routing/choose.rs
@@ -5,9 +5,10 @@
 use rand_pcg::rand_core::Rng;
 
 use super::ChoiceReason;
-use super::pool::Slot;
+use super::pool::{Distance, Slot};
 use super::ring::{Ring, scale};
 use super::view::View;
+use crate::straggler::SpeedState;
 
 /// A server within affinity may carry this much more than the mean load; 1.25 keeps most prefixes in place while no
 /// server exceeds the mean by more than a quarter.
@@ -48,15 +49,35 @@
     pub(super) slots: &'a [Slot],
     pub(super) rings: &'a Rings,
     pub(super) exclude: &'a [usize],
+    pub(super) allow_ejected: bool,
     pub(super) view: &'a mut View,
 }
 
 impl Chooser<'_> {
     pub(super) fn choose(&mut self, prefix_hash: Option<u64>) -> Option<(usize, ChoiceReason)> {
+        if let Some(slot) = self.trial() {
+            return Some((slot, ChoiceReason::Trial));
+        }
         if let Some(found) = prefix_hash.and_then(|prefix_hash| self.by_prefix(prefix_hash)) {
             return Some(found);
         }
-        self.by_load()
+        if let Some(found) = self.by_load() {
+            return Some(found);
+        }
+        self.allow_ejected = true;
+        let (slot, _) = self.by_load()?;
+        Some((slot, ChoiceReason::LastResort))
+    }
+
+    /// A server due for a trial. A request that was already tried elsewhere is not put at risk again.
+    fn trial(&mut self) -> Option<usize> {
+        if !self.exclude.is_empty() {
+            return None;
+        }
+        let slot = self.view.speed.take_trial()?;
+        let usable =
+            self.slots[slot].takes_work() && self.slots[slot].distance != Distance::OtherRegion;
+        (usable && self.view.in_flight(slot) == 0).then_some(slot)
     }
 
     fn by_prefix(&mut self, prefix_hash: u64) -> Option<(usize, ChoiceReason)> {
@@ -77,7 +98,8 @@
 
     fn cached_at(&self, prefix_hash: u64) -> Option<usize> {
         let (slot, epoch) = self.view.cached_at(self.now, prefix_hash)?;
-        let known = self.slots[slot].epoch == epoch && self.slots[slot].in_own_zone;
+        let known =
+            self.slots[slot].epoch == epoch && self.slots[slot].distance == Distance::OwnZone;
         (known && self.is_usable(slot)).then_some(slot)
     }
 
@@ -139,7 +161,8 @@
     }
 
     fn is_usable(&self, slot: usize) -> bool {
-        !self.exclude.contains(&slot)
+        let is_active = self.allow_ejected || self.view.speed.state(slot) == SpeedState::Active;
+        is_active && self.slots[slot].takes_work() && !self.exclude.contains(&slot)
     }
 
     fn cost(&self, slot: usize) -> f64 {
@@ -149,11 +172,18 @@
     }
 
     fn weight(&self, slot: usize) -> f64 {
-        let Some(fresh_since) = self.slots[slot].fresh_since else {
-            return 1.0;
-        };
-        let elapsed = self.now.saturating_sub(fresh_since).as_secs_f64();
-        let progress = (elapsed / SLOW_START.as_secs_f64()).min(1.0);
-        SLOW_START_WEIGHT + (1.0 - SLOW_START_WEIGHT) * progress
+        let fresh_since = self.slots[slot]
+            .fresh_since
+            .max(self.view.speed.restored_at(slot));
+        self.view.speed.weight(slot) * slow_start_weight(self.now, fresh_since)
     }
 }
+
+fn slow_start_weight(now: Duration, fresh_since: Option<Duration>) -> f64 {
+    let Some(fresh_since) = fresh_since else {
+        return 1.0;
+    };
+    let elapsed = now.saturating_sub(fresh_since).as_secs_f64();
+    let progress = (elapsed / SLOW_START.as_secs_f64()).min(1.0);
+    SLOW_START_WEIGHT + (1.0 - SLOW_START_WEIGHT) * progress
+}
--- a/crates/core/src/routing/pool.rs
+++ b/crates/core/src/routing/pool.rs
@@ -18,7 +18,34 @@
     pub(super) epoch: u64,
     /// When the server joined a pool that already had servers.
     pub(super) fresh_since: Option<Duration>,
-    pub(super) in_own_zone: bool,
+    pub(super) distance: Distance,
+}
+
+impl Slot {
+    /// Whether the slot has a server that takes new work.
+    pub(super) fn takes_work(&self) -> bool {
+        self.is_used && !self.server.leaving
+    }
+}
+
+/// Distance of a server's availability zone from the entry's.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Distance {
+    OwnZone,
+    OwnRegion,
+    OtherRegion,
+}
+
+impl Distance {
+    fn new(settings: &RouterSettings, server: &Server) -> Self {
+        if server.zone == settings.zone {
+            Self::OwnZone
+        } else if settings.region_zones.is_empty() || settings.region_zones.contains(&server.zone) {
+            Self::OwnRegion
+        } else {
+            Self::OtherRegion
+        }
+    }
 }
 
 #[derive(Debug)]
@@ -71,7 +98,7 @@
             self.upsert(server, settings, fresh_since);
         }
         self.remove_unlisted(&listed);
-        self.rebuild_rings(settings);
+        self.on_members_changed();
     }
 
     fn upsert(&mut self, server: Server, settings: &RouterSettings, fresh_since: Option<Duration>) {
@@ -85,7 +112,7 @@
         }
         let restarted = server.incarnation > known.server.incarnation;
         let leaving = server.leaving || (known.server.leaving && !restarted);
-        known.in_own_zone = server.zone == settings.zone;
+        known.distance = Distance::new(settings, &server);
         known.server = Server { leaving, ..server };
         if restarted {
             known.fresh_since = fresh_since;
@@ -97,7 +124,7 @@
         let slot = self.free.pop().unwrap_or(self.slots.len());
         self.by_id.insert(server.id.clone(), slot);
         let entry = Slot {
-            in_own_zone: server.zone == settings.zone,
+            distance: Distance::new(settings, &server),
             server,
             is_used: true,
             epoch: self.slots.get(slot).map_or(0, |old| old.epoch),
@@ -131,29 +158,37 @@
         }
     }
 
-    fn rebuild_rings(&mut self, settings: &RouterSettings) {
-        let has_far_zones = !settings.region_zones.is_empty();
-        let is_far =
-            |slot: &Slot| has_far_zones && !settings.region_zones.contains(&slot.server.zone);
-        self.rings.own = self.ring(|slot| slot.in_own_zone);
-        self.rings.near = self.ring(|slot| !slot.in_own_zone && !is_far(slot));
-        self.rings.far = self.ring(|slot| !slot.in_own_zone && is_far(slot));
+    fn on_members_changed(&mut self) {
+        self.rings.own = self.ring(Distance::OwnZone);
+        self.rings.near = self.ring(Distance::OwnRegion);
+        self.rings.far = self.ring(Distance::OtherRegion);
+        let slots = self.slots.iter().enumerate();
+        let working = slots.filter(|(_, slot)| slot.takes_work());
+        let working: Vec<usize> = working.map(|(index, _)| index).collect();
+        for view in &mut self.views {
+            view.speed.set_pool(working.clone());
+        }
     }
 
-    fn ring(&self, belongs: impl Fn(&Slot) -> bool) -> Ring {
-        let usable = |slot: &Slot| slot.is_used && !slot.server.leaving;
+    fn ring(&self, distance: Distance) -> Ring {
         let slots = self.slots.iter().enumerate();
-        let members = slots.filter(|(_, slot)| usable(slot) && belongs(slot));
+        let members = slots.filter(|(_, slot)| slot.takes_work() && slot.distance == distance);
         Ring::new(members.map(|(index, slot)| (slot.server.id.as_str(), index)))
     }
 
-    pub(super) fn set_leaving(&mut self, settings: &RouterSettings, server: &str) {
+    pub(super) fn on_tick(&mut self, now: Duration) {
+        for view in &mut self.views {
+            view.speed.on_tick(now);
+        }
+    }
+
+    pub(super) fn set_leaving(&mut self, server: &str) {
         let Some(&slot) = self.by_id.get(server) else {
             return;
         };
         if !self.slots[slot].server.leaving {
             self.slots[slot].server.leaving = true;
-            self.rebuild_rings(settings);
+            self.on_members_changed();
         }
     }
 
@@ -173,6 +208,7 @@
             slots: &self.slots,
             rings: &self.rings,
             exclude: &exclude,
+            allow_ejected: false,
             view: &mut self.views[usize::from(tier)],
         };
         let (slot, reason) = chooser.choose(prefix_hash)?;
@@ -182,13 +218,7 @@
         Some((slot, reason))
     }
 
-    pub(super) fn on_answer(
-        &mut self,
-        now: Duration,
-        settings: &RouterSettings,
-        attempt: &Attempt,
-        answer: &Answer,
-    ) {
+    pub(super) fn on_answer(&mut self, now: Duration, attempt: &Attempt, answer: &Answer) {
         let Attempt {
             slot, epoch, tier, ..
         } = *attempt;
@@ -200,7 +230,16 @@
         }
         if answer.load.as_ref().is_some_and(|load| load.leaving) {
             let id = self.slots[slot].server.id.clone();
-            self.set_leaving(settings, &id);
+            self.set_leaving(&id);
+        }
+    }
+
+    pub(super) fn on_failure(&mut self, now: Duration, attempt: &Attempt) {
+        if self.slots[attempt.slot].epoch != attempt.epoch {
+            return;
+        }
+        for view in &mut self.views[usize::from(attempt.tier)..] {
+            view.speed.on_failure(now, attempt.slot);
         }
     }
 
--- a/crates/core/src/routing/view.rs
+++ b/crates/core/src/routing/view.rs
@@ -8,6 +8,7 @@
 use super::hint::{FadingMean, Hint};
 use super::{Answer, LoadHint};
 use crate::ids::TierId;
+use crate::straggler::SpeedTable;
 
 /// Classes of request sizes: powers of two of the prompt's tokens.
 const SIZE_CLASSES: usize = 24;
@@ -43,6 +44,7 @@
 pub(super) struct View {
     tier: TierId,
     pub(super) rng: Pcg64Mcg,
+    pub(super) speed: SpeedTable,
     servers: Vec<ServerView>,
     in_flight: u64,
     others: FadingMean,
@@ -56,6 +58,7 @@
         Self {
             tier,
             rng: Pcg64Mcg::seed_from_u64(seed.wrapping_add(u64::from(tier))),
+            speed: SpeedTable::default(),
             servers: Vec::new(),
             in_flight: 0,
             others: FadingMean::default(),
@@ -72,6 +75,7 @@
         }
         self.in_flight -= u64::from(self.servers[slot].in_flight);
         self.servers[slot] = ServerView::default();
+        self.speed.reset(slot);
     }
 
     pub(super) fn on_sent(&mut self, slot: usize) {
@@ -87,6 +91,10 @@
         }
         if let Some(latency) = answer.first_token {
             self.on_latency(slot, latency, answer.prompt_tokens);
+            self.speed.on_success(now, slot);
+        }
+        if let Some(pace) = &answer.pace {
+            self.speed.on_sample(now, slot, pace);
         }
     }
 
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -6,8 +6,10 @@
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use tanagerford_core::routing::{
-    Answer, Choice, LoadHint, RouteRequest, Router, RouterSettings, Server,
+    Answer, CacheEvent, Choice, ChoiceReason, LoadHint, RouteRequest, Router, RouterSettings,
+    Server,
 };
+use tanagerford_core::straggler::PaceSample;
 
 const POOL: &str = "chat";
 const TIERS: u8 = 4;
@@ -70,6 +72,14 @@
     }
 }
 
+fn pace(seconds: u32) -> PaceSample {
+    PaceSample::Tokens {
+        tokens: 100,
+        elapsed: Duration::from_secs(u64::from(seconds)),
+        batch: 4,
+    }
+}
+
 /// One event of a trace; a failed test prints it.
 #[derive(Debug, Clone)]
 struct Step {
@@ -100,6 +110,7 @@
     let mut chosen = Vec::new();
     for step in steps {
         now += Duration::from_millis(step.gap_ms);
+        router.on_tick(now);
         if step.tier > lowest {
             continue;
         }
@@ -110,6 +121,7 @@
                 load: Some(load(&busy)),
                 first_token: (!refused).then(|| Duration::from_millis(100 + u64::from(busy[3]))),
                 prompt_tokens: 100,
+                pace: (!refused).then(|| pace(busy[2])),
             };
             router.on_answer(now, attempt, &answer);
         }
@@ -317,3 +329,70 @@
     }
     assert_eq!(tried.len(), 3);
 }
+
+/// Guards against a cache event that sends work to a leaving server, to another availability zone, or beyond the load
+/// bound.
+#[test]
+fn cache_events_are_only_hints() {
+    let mut router = router(8, 2, 1);
+    let now = Duration::ZERO;
+    let by_hint = |router: &mut Router, server: &str| {
+        router.on_cache_event(now, POOL, server, 0, 3, CacheEvent::Stored);
+        let choice = choose(router, now, 0, Some(3)).unwrap();
+        (choice.reason == ChoiceReason::CacheHint).then_some(choice.server)
+    };
+    assert_eq!(by_hint(&mut router, "m2"), Some("m2".into()));
+    assert_eq!(by_hint(&mut router, "m1"), None);
+    assert_eq!(by_hint(&mut router, "m9"), None);
+    let hits = (0..50).filter_map(|_| by_hint(&mut router, "m4")).count();
+    assert!((1..30).contains(&hits), "{hits} of 50 followed the hint");
+    router.set_leaving(POOL, "m6");
+    assert_eq!(by_hint(&mut router, "m6"), None);
+}
+
+/// Guards against a slow server that keeps its share, one that never gets another chance, and trials that go to several
+/// requests at once.
+#[test]
+fn straggler_is_avoided_and_tried_again() {
+    let mut router = router(9, 1, 1);
+    let mut reasons = Vec::new();
+    for second in 0..60 {
+        let now = Duration::from_secs(second);
+        router.on_tick(now);
+        let choices: Vec<Choice> = (0..36)
+            .filter_map(|_| choose(&mut router, now, 1, None))
+            .collect();
+        for choice in choices {
+            let is_slow = choice.server == "m4" && second < 15;
+            if choice.server == "m4" {
+                reasons.push((second, choice.reason));
+            }
+            let pace = Some(pace(if is_slow { 20 } else { 4 }));
+            router.on_answer(
+                now,
+                choice.attempt,
+                &Answer {
+                    pace,
+                    ..Answer::default()
+                },
+            );
+        }
+    }
+    let during = |from, to| {
+        reasons
+            .iter()
+            .filter(move |(second, _)| (from..to).contains(second))
+    };
+    assert_eq!(during(4, 10).count(), 0, "{reasons:?}");
+    let trials: Vec<u64> = reasons
+        .iter()
+        .filter(|(_, reason)| *reason == ChoiceReason::Trial)
+        .map(|(at, _)| *at)
+        .collect();
+    assert!(
+        trials.windows(2).all(|pair| pair[0] < pair[1]),
+        "{trials:?}"
+    );
+    assert!((3..=6).contains(&trials.len()), "{trials:?}");
+    assert!(during(50, 60).count() > 10, "{reasons:?}");
+}
