Add admission of model requests with per-tier estimates and capacity

Tiers are settled from the highest to the lowest with constant reserved places for lower tiers, so no decision of a tier depends on lower tiers. Waiting requests start earliest deadline first among workspaces with a positive deficit; a class that is passed over gains credit. A property test with fixed seeds compares all decisions of higher tiers with and without lower-tier work; further tests cover the wait bound, preemption order and immediate refusal.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -1,1 +1,487 @@
 //! Admission of model requests at the sidecar: queueing, start, preemption and load shedding by tier.
+//!
+//! Tiers are settled from the highest to the lowest. A tier may use the places of the batch that higher tiers leave,
+//! less the places that are kept for lower tiers, and at least the places that are kept for itself. Neither number
+//! depends on the work of lower tiers, and every estimate is kept per tier, so the starts, preemptions and refusals of
+//! a tier are a function of the events of that tier and of higher ones.
+//!
+//! In a batch every running request gets one token per step, so a place is a fixed share of the engine's tokens, and
+//! the places kept for a tier are its reserved share of tokens. Inside a tier, deficit round robin over tokens divides
+//! the places (M. Shreedhar, G. Varghese: Efficient Fair Queuing Using Deficit Round Robin, 1996).
+
+mod queue;
+mod settings;
+mod tier;
+mod types;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+pub use settings::{AdmissionSettings, ClassSettings};
+pub use types::{Action, FinishKind, Load, LoadReport, RefuseReason, Request};
+
+use crate::estimate::{EstimateKey, OutputEstimator};
+use crate::ids::{AttemptId, TierId};
+use queue::{Hopeless, Waiting};
+use tier::{Running, Tier};
+
+/// Interval at which the runtime calls [`Admission::on_tick`] while there is work.
+pub const TICK: Duration = Duration::from_millis(20);
+
+/// Shortest retry advice.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
+
+/// Longest retry advice.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(30);
+
+/// Shortest time between two predictions for all waiting requests of a tier.
+const REVIEW_INTERVAL: Duration = Duration::from_millis(20);
+
+/// A request between offer and end.
+#[derive(Debug)]
+struct Entry {
+    request: Request,
+    tier: usize,
+    generated: u32,
+    running: bool,
+}
+
+impl Entry {
+    fn key(&self) -> EstimateKey<'_> {
+        EstimateKey {
+            tier: TierId::try_from(self.tier).unwrap_or(TierId::MAX),
+            class: &self.request.class,
+            model: &self.request.model,
+            workspace: &self.request.workspace,
+        }
+    }
+}
+
+/// Admission of one model engine.
+///
+/// The runtime passes every event in and carries out the returned actions in their order.
+///
+/// ```
+/// use std::time::Duration;
+/// use tanagerford_core::admission::{Action, Admission, AdmissionSettings, FinishKind, Request};
+///
+/// let mut admission = Admission::new(AdmissionSettings::default());
+/// let request = Request {
+///     id: 7,
+///     tier: 0,
+///     class: "chat".to_owned(),
+///     workspace: "acme".to_owned(),
+///     model: "small".to_owned(),
+///     prompt_tokens: 100,
+///     max_tokens: 500,
+///     wait_limit: Duration::from_secs(2),
+///     deadline: Duration::from_secs(60),
+///     resumable: true,
+///     alone: false,
+/// };
+/// assert_eq!(admission.offer(Duration::ZERO, request), [Action::Start { id: 7 }]);
+/// assert!(admission.on_token(Duration::from_millis(80), 7, 1).is_empty());
+/// assert!(admission.on_finish(Duration::from_millis(90), 7, FinishKind::Complete).is_empty());
+/// assert_eq!(admission.load().running, 0);
+/// ```
+#[derive(Debug)]
+pub struct Admission {
+    settings: AdmissionSettings,
+    tiers: Vec<Tier>,
+    entries: BTreeMap<AttemptId, Entry>,
+    estimator: OutputEstimator,
+    leaving: bool,
+}
+
+impl Admission {
+    /// Returns an admission without work.
+    #[must_use]
+    pub fn new(settings: AdmissionSettings) -> Self {
+        let estimator = OutputEstimator::new(settings.prior_tokens, settings.estimate_keys);
+        let tiers = (0..settings.tiers())
+            .map(|_| Tier::new(&settings))
+            .collect();
+        Self {
+            settings,
+            tiers,
+            entries: BTreeMap::new(),
+            estimator,
+            leaving: false,
+        }
+    }
+
+    /// Takes over new settings. Requests keep the tier that they were offered with; requests of removed tiers move to
+    /// the lowest tier that is left.
+    pub fn set_configuration(&mut self, now: Duration, settings: AdmissionSettings) -> Vec<Action> {
+        let tiers = settings.tiers();
+        while self.tiers.len() < tiers {
+            self.tiers.push(Tier::new(&settings));
+        }
+        self.settings = settings;
+        for removed in self.tiers.split_off(tiers) {
+            self.adopt(removed);
+        }
+        for tier in &mut self.tiers {
+            tier.set_settings(&self.settings);
+        }
+        self.on_tick(now)
+    }
+
+    /// Offers a request. The same call may start it, refuse it, or preempt and refuse others.
+    pub fn offer(&mut self, now: Duration, request: Request) -> Vec<Action> {
+        let id = request.id;
+        if self.leaving {
+            return vec![refusal(id, RefuseReason::Leaving, MIN_RETRY_AFTER)];
+        }
+        let tier = usize::from(request.tier).min(self.tiers.len() - 1);
+        let entry = Entry {
+            request,
+            tier,
+            generated: 0,
+            running: false,
+        };
+        let waiting = self.waiting(now, &entry);
+        self.tiers[tier].count_offer(now, waiting.tokens);
+        let mut actions = Vec::new();
+        let priority = waiting.priority;
+        self.entries.insert(id, entry);
+        self.tiers[tier]
+            .queue
+            .insert(waiting, self.settings.quantum_tokens);
+        self.settle(now, tier, &mut actions);
+        self.shed_overflow(tier, priority, &mut actions);
+        self.shed_for(now, id, &mut actions);
+        self.review(now, tier, &mut actions);
+        actions
+    }
+
+    /// Reports tokens that the engine generated for a request.
+    pub fn on_token(&mut self, now: Duration, id: AttemptId, tokens: u32) -> Vec<Action> {
+        let Some(entry) = self.entries.get_mut(&id).filter(|entry| entry.running) else {
+            return Vec::new();
+        };
+        entry.generated = entry.generated.saturating_add(tokens);
+        let tier = entry.tier;
+        let class = entry.request.class.clone();
+        let Some(gap) = self.tiers[tier].token_gap(now, id, &class, tokens) else {
+            return Vec::new();
+        };
+        self.observe_gap(tier, gap);
+        Vec::new()
+    }
+
+    /// Reports that a started request has ended.
+    pub fn on_finish(&mut self, now: Duration, id: AttemptId, how: FinishKind) -> Vec<Action> {
+        let Some(entry) = self.entries.remove(&id) else {
+            return Vec::new();
+        };
+        let tier = entry.tier;
+        self.tiers[tier].queue.remove(id);
+        if let Some(running) = self.tiers[tier].running.remove(&id) {
+            let queue = &mut self.tiers[tier].queue;
+            queue.settle_tokens(&entry.request.workspace, running.expected, entry.generated);
+            if how == FinishKind::Complete {
+                self.estimator.record(entry.key(), entry.generated);
+                self.tiers[tier].count_finish(now, &running, entry.generated);
+            }
+        }
+        let mut actions = Vec::new();
+        self.settle(now, tier, &mut actions);
+        self.review(now, tier, &mut actions);
+        actions
+    }
+
+    /// Reports that the caller has gone. The runtime stops the request at the engine if it was started.
+    pub fn on_cancel(&mut self, now: Duration, id: AttemptId) -> Vec<Action> {
+        self.on_finish(now, id, FinishKind::Failed)
+    }
+
+    /// Takes in the engine's own report, which lags. It includes the work of all tiers, so it corrects only the lowest
+    /// tier's estimate.
+    pub fn on_load_report(&mut self, now: Duration, report: LoadReport) -> Vec<Action> {
+        let lowest = self.tiers.len() - 1;
+        if report.running > 0 {
+            self.tiers[lowest]
+                .capacity
+                .correct(report.running, report.token_gap);
+        }
+        let mut actions = Vec::new();
+        self.settle(now, lowest, &mut actions);
+        actions
+    }
+
+    /// Refuses what waited too long and starts what has become possible.
+    pub fn on_tick(&mut self, now: Duration) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.settle(now, 0, &mut actions);
+        actions
+    }
+
+    /// Takes no new work from now on and refuses what waits and never ran.
+    pub fn leave(&mut self, now: Duration) -> Vec<Action> {
+        self.leaving = true;
+        let mut actions = Vec::new();
+        for id in self
+            .tiers
+            .iter()
+            .flat_map(|tier| tier.queue.ids())
+            .collect::<Vec<_>>()
+        {
+            if self
+                .entries
+                .get(&id)
+                .is_some_and(|entry| entry.generated == 0)
+            {
+                self.refuse(id, RefuseReason::Leaving, MIN_RETRY_AFTER, &mut actions);
+            }
+        }
+        self.settle(now, 0, &mut actions);
+        actions
+    }
+
+    /// Returns the load for hints to entries.
+    #[must_use]
+    pub fn load(&self) -> Load {
+        let running: usize = self.tiers.iter().map(|tier| tier.running.len()).sum();
+        let waiting: usize = self.tiers.iter().map(|tier| tier.queue.len()).sum();
+        let lowest = &self.tiers[self.tiers.len() - 1];
+        let busy = self
+            .tiers
+            .iter()
+            .map(|tier| tier.running.len() + tier.queue.len());
+        Load {
+            running: to_u32(running),
+            waiting: to_u32(waiting),
+            batch_limit: lowest.capacity.limit(),
+            token_gap: lowest.capacity.token_gap(to_u32(running)),
+            busy_by_tier: busy.map(to_u32).collect(),
+            leaving: self.leaving,
+        }
+    }
+
+    /// Returns the time at which [`Admission::on_tick`] has to be called next; `None` while nothing waits.
+    #[must_use]
+    pub fn next_wakeup(&self) -> Option<Duration> {
+        self.tiers
+            .iter()
+            .filter_map(|tier| tier.queue.next_expiry())
+            .min()
+    }
+
+    /// Returns whether nothing runs or waits.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Brings all tiers from `first` downward into the state that the places allow. Higher tiers are not affected by
+    /// what happened, so they are left alone.
+    fn settle(&mut self, now: Duration, first: usize, actions: &mut Vec<Action>) {
+        let mut above: u32 = self.tiers[..first].iter().map(Tier::running).sum();
+        for tier in first..self.tiers.len() {
+            self.expire(now, tier, actions);
+            let places = self.places(tier, above);
+            while self.tiers[tier].running() > places {
+                self.preempt_one(now, tier, actions);
+            }
+            while self.tiers[tier].running() < places && self.start_one(now, tier, actions) {}
+            above += self.tiers[tier].running();
+        }
+    }
+
+    /// Returns the places that a tier may use when higher tiers use `above` places.
+    fn places(&self, tier: usize, above: u32) -> u32 {
+        let limit = self.tiers[tier].capacity.limit();
+        let kept_below = self.settings.reserved_below(tier, limit);
+        let left = limit.saturating_sub(kept_below).saturating_sub(above);
+        left.max(self.settings.reserved_places(tier, limit)).max(1)
+    }
+
+    fn start_one(&mut self, now: Duration, tier: usize, actions: &mut Vec<Action>) -> bool {
+        let state = &mut self.tiers[tier];
+        let Some(waiting) = state.queue.pop(now, self.settings.quantum_tokens) else {
+            return false;
+        };
+        if let Some(entry) = self.entries.get_mut(&waiting.id) {
+            entry.running = true;
+        }
+        let running = Running::new(now, waiting.tokens, waiting.preempted);
+        state.running.insert(waiting.id, running);
+        actions.push(Action::Start { id: waiting.id });
+        true
+    }
+
+    /// Preempts the running request of a tier that wastes least.
+    fn preempt_one(&mut self, now: Duration, tier: usize, actions: &mut Vec<Action>) {
+        let cost = |id: &AttemptId| {
+            let entry = &self.entries[id];
+            let lost = !entry.request.resumable && entry.generated > 0;
+            (lost, entry.generated, std::cmp::Reverse(*id))
+        };
+        let Some(id) = self.tiers[tier].running.keys().copied().min_by_key(cost) else {
+            return;
+        };
+        self.tiers[tier].running.remove(&id);
+        let entry = &self.entries[&id];
+        let requeued = entry.request.resumable || entry.generated == 0;
+        actions.push(Action::Preempt { id, requeued });
+        if !requeued {
+            self.entries.remove(&id);
+            return;
+        }
+        let mut waiting = self.waiting(now, entry);
+        waiting.preempted = true;
+        waiting.start_by = entry.request.deadline;
+        if let Some(entry) = self.entries.get_mut(&id) {
+            entry.running = false;
+        }
+        self.tiers[tier]
+            .queue
+            .insert(waiting, self.settings.quantum_tokens);
+    }
+
+    fn expire(&mut self, now: Duration, tier: usize, actions: &mut Vec<Action>) {
+        let advice = self.backlog_time(tier);
+        for waiting in self.tiers[tier].queue.expire(now) {
+            let generated = self
+                .entries
+                .remove(&waiting.id)
+                .map_or(0, |entry| entry.generated);
+            let reason = if generated > 0 {
+                RefuseReason::PreemptedTooLong
+            } else {
+                RefuseReason::WaitPassed
+            };
+            actions.push(refusal(waiting.id, reason, advice));
+        }
+    }
+
+    /// Refuses the least important request of a tier when its waiting places are exceeded.
+    fn shed_overflow(&mut self, tier: usize, priority: u8, actions: &mut Vec<Action>) {
+        while self.tiers[tier].queue.len() > self.settings.max_waiting {
+            let queue = &self.tiers[tier].queue;
+            let Some(id) = queue.least_important(priority).or_else(|| queue.newest()) else {
+                return;
+            };
+            let advice = self.backlog_time(tier);
+            self.refuse(id, RefuseReason::QueueFull, advice, actions);
+        }
+    }
+
+    /// Refuses a request that was just offered if it cannot start in time. Waiting requests of less important classes
+    /// make room first.
+    fn shed_for(&mut self, now: Duration, id: AttemptId, actions: &mut Vec<Action>) {
+        while let Some(entry) = self.entries.get(&id).filter(|entry| !entry.running) {
+            let tier = entry.tier;
+            let hopeless = self.hopeless(now, tier);
+            let Some(found) = hopeless.into_iter().find(|hopeless| hopeless.id == id) else {
+                return;
+            };
+            let victim = self.tiers[tier]
+                .queue
+                .least_important(found.priority)
+                .unwrap_or(id);
+            self.refuse(victim, RefuseReason::WaitTooLong, found.excess, actions);
+        }
+    }
+
+    /// Refuses what can no longer start in time in a tier and the tiers below it.
+    fn review(&mut self, now: Duration, first: usize, actions: &mut Vec<Action>) {
+        for tier in first..self.tiers.len() {
+            let state = &mut self.tiers[tier];
+            if now.saturating_sub(state.reviewed_at) < REVIEW_INTERVAL {
+                continue;
+            }
+            state.reviewed_at = now;
+            for found in self.hopeless(now, tier) {
+                self.refuse(found.id, RefuseReason::WaitTooLong, found.excess, actions);
+            }
+        }
+    }
+
+    fn hopeless(&self, now: Duration, tier: usize) -> Vec<Hopeless> {
+        let above = self.tiers[..tier].iter().map(Tier::running).sum();
+        let rate = self.tiers[tier].rate(self.places(tier, above));
+        self.tiers[tier]
+            .queue
+            .hopeless(now, rate, self.settings.quantum_tokens)
+    }
+
+    fn refuse(
+        &mut self,
+        id: AttemptId,
+        reason: RefuseReason,
+        advice: Duration,
+        actions: &mut Vec<Action>,
+    ) {
+        if let Some(entry) = self.entries.remove(&id) {
+            self.tiers[entry.tier].queue.remove(id);
+            actions.push(refusal(id, reason, advice));
+        }
+    }
+
+    /// Returns the time that the tier needs for its waiting work, as retry advice.
+    fn backlog_time(&self, tier: usize) -> Duration {
+        let above = self.tiers[..tier].iter().map(Tier::running).sum();
+        let rate = self.tiers[tier].rate(self.places(tier, above));
+        self.tiers[tier].queue.drain_time(rate)
+    }
+
+    fn observe_gap(&mut self, tier: usize, gap: Duration) {
+        let mut batch: u32 = self.tiers[..tier].iter().map(Tier::running).sum();
+        for lower in tier..self.tiers.len() {
+            batch += self.tiers[lower].running();
+            let limit = self.tiers[lower].capacity.limit();
+            // A sample counts for a tier only when that tier and higher ones fill much of their places. Then lower
+            // tiers have at most the places kept for them, which are taken as filled whether or not they are.
+            let filled = batch + self.settings.reserved_below(lower, limit);
+            if filled * 2 >= limit && (lower + 1 == self.tiers.len() || filled * 10 >= limit * 9) {
+                self.tiers[lower].capacity.observe(filled, gap);
+            }
+        }
+    }
+
+    fn waiting(&self, now: Duration, entry: &Entry) -> Waiting {
+        let request = &entry.request;
+        let class = self.settings.class(&request.class);
+        let tokens = self
+            .estimator
+            .remaining(entry.key(), entry.generated, request.max_tokens);
+        let start_by = now + request.wait_limit.min(class.longest_wait);
+        let first_token = self.tiers[entry.tier].first_token(&request.class);
+        Waiting {
+            id: request.id,
+            workspace: request.workspace.clone(),
+            class: request.class.clone(),
+            priority: class.priority,
+            on_time_until: now + class.first_token.saturating_sub(first_token),
+            start_by: start_by.min(request.deadline),
+            tokens,
+            preempted: false,
+        }
+    }
+
+    fn adopt(&mut self, removed: Tier) {
+        let lowest = self.tiers.len() - 1;
+        let target = &mut self.tiers[lowest];
+        target.running.extend(removed.running);
+        for waiting in removed.queue.into_waiting() {
+            target.queue.insert(waiting, self.settings.quantum_tokens);
+        }
+        for entry in self.entries.values_mut() {
+            entry.tier = entry.tier.min(lowest);
+        }
+    }
+}
+
+fn refusal(id: AttemptId, reason: RefuseReason, advice: Duration) -> Action {
+    Action::Refuse {
+        id,
+        reason,
+        retry_after: advice.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER),
+    }
+}
+
+fn to_u32(count: usize) -> u32 {
+    u32::try_from(count).unwrap_or(u32::MAX)
+}
--- a/crates/core/src/estimate.rs
+++ b/crates/core/src/estimate.rs
@@ -1,1 +1,278 @@
 //! Estimates of output length from streaming quantiles.
+//!
+//! Lengths are kept per (tier, class, model, workspace) with a fallback per (tier, class, model) and a configured prior.
+//! The tier is part of every key, and every tier has its own bound on memory, so no estimate used for one tier depends
+//! on the work of another tier. Quantiles are kept in `hdrhistogram` histograms of two alternating generations, so old
+//! samples are forgotten.
+
+use std::collections::BTreeMap;
+use std::hash::Hasher;
+
+use hdrhistogram::Histogram;
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::ids::TierId;
+
+/// Largest output length that a histogram tells apart, in tokens.
+const LONGEST_TOKENS: u64 = 1 << 17;
+
+/// Samples after which a histogram starts a new generation.
+const SAMPLES_PER_GENERATION: u64 = 256;
+
+/// Samples from which an estimate is trusted over the next fallback.
+const ENOUGH_SAMPLES: u64 = 12;
+
+/// What an estimate is asked for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EstimateKey<'a> {
+    /// Tier of the request.
+    pub tier: TierId,
+    /// Class of the request.
+    pub class: &'a str,
+    /// Model of the request.
+    pub model: &'a str,
+    /// Workspace of the request.
+    pub workspace: &'a str,
+}
+
+impl EstimateKey<'_> {
+    fn exact(&self) -> u64 {
+        hash_parts(&[self.class, self.model, self.workspace])
+    }
+
+    fn fallback(&self) -> u64 {
+        hash_parts(&[self.class, self.model])
+    }
+}
+
+fn hash_parts(parts: &[&str]) -> u64 {
+    let mut hasher = Xxh3::new();
+    for part in parts {
+        hasher.write(part.as_bytes());
+        hasher.write_u8(0xff);
+    }
+    hasher.write_usize(parts.len());
+    hasher.finish()
+}
+
+/// Two generations of samples of one key.
+#[derive(Debug)]
+struct Lengths {
+    young: Histogram<u32>,
+    old: Histogram<u32>,
+    young_sum: u64,
+    old_sum: u64,
+    used: u64,
+}
+
+impl Lengths {
+    fn new() -> Self {
+        Self {
+            young: empty_histogram(),
+            old: empty_histogram(),
+            young_sum: 0,
+            old_sum: 0,
+            used: 0,
+        }
+    }
+
+    fn record(&mut self, tokens: u64) {
+        if self.young.len() >= SAMPLES_PER_GENERATION {
+            self.old = std::mem::replace(&mut self.young, empty_histogram());
+            self.old_sum = std::mem::take(&mut self.young_sum);
+        }
+        let tokens = tokens.clamp(1, LONGEST_TOKENS);
+        self.young.saturating_record(tokens);
+        self.young_sum += tokens;
+    }
+
+    fn samples(&self) -> u64 {
+        self.young.len() + self.old.len()
+    }
+
+    fn mean(&self) -> u64 {
+        (self.young_sum + self.old_sum) / self.samples().max(1)
+    }
+
+    /// Mean length of the samples that are longer than `tokens`; `None` when there is none.
+    fn mean_above(&self, tokens: u64) -> Option<u64> {
+        let mut count = 0;
+        let mut sum = 0;
+        for histogram in [&self.young, &self.old] {
+            for value in histogram.iter_recorded() {
+                if value.value_iterated_to() > tokens {
+                    count += value.count_at_value().into_u64();
+                    sum += value.count_at_value().into_u64() * value.value_iterated_to();
+                }
+            }
+        }
+        (count > 0).then(|| sum / count)
+    }
+
+    fn quantile(&self, quantile: f64) -> u64 {
+        let mut both = self.young.clone();
+        if both.add(&self.old).is_err() {
+            return self.mean();
+        }
+        both.value_at_quantile(quantile)
+    }
+}
+
+/// Conversion of histogram counters, which are `u32` here.
+trait IntoU64 {
+    fn into_u64(self) -> u64;
+}
+
+impl IntoU64 for u32 {
+    fn into_u64(self) -> u64 {
+        u64::from(self)
+    }
+}
+
+fn empty_histogram() -> Histogram<u32> {
+    // The bounds and the precision are constants inside the range that the library documents.
+    Histogram::new_with_bounds(1, LONGEST_TOKENS, 1).expect("constant histogram bounds are valid")
+}
+
+/// Streaming estimates of output lengths with bounded memory.
+///
+/// ```
+/// use tanagerford_core::estimate::{EstimateKey, OutputEstimator};
+///
+/// let mut estimator = OutputEstimator::new(200, 64);
+/// let key = EstimateKey { tier: 0, class: "chat", model: "small", workspace: "acme" };
+/// assert_eq!(estimator.expected(key, 1_000), 200);
+/// for _ in 0..50 {
+///     estimator.record(key, 40);
+/// }
+/// assert_eq!(estimator.expected(key, 1_000), 40);
+/// ```
+#[derive(Debug)]
+pub struct OutputEstimator {
+    prior_tokens: u32,
+    keys_per_tier: usize,
+    exact: BTreeMap<TierId, BTreeMap<u64, Lengths>>,
+    fallback: BTreeMap<TierId, BTreeMap<u64, Lengths>>,
+}
+
+impl OutputEstimator {
+    /// Returns an estimator that answers `prior_tokens` until it has samples and keeps at most `keys_per_tier` keys of
+    /// each kind in each tier.
+    #[must_use]
+    pub fn new(prior_tokens: u32, keys_per_tier: usize) -> Self {
+        Self {
+            prior_tokens,
+            keys_per_tier: keys_per_tier.max(1),
+            exact: BTreeMap::new(),
+            fallback: BTreeMap::new(),
+        }
+    }
+
+    /// Records the length of a complete answer.
+    pub fn record(&mut self, key: EstimateKey<'_>, tokens: u32) {
+        let limit = self.keys_per_tier;
+        record_in(
+            self.exact.entry(key.tier).or_default(),
+            key.exact(),
+            limit,
+            tokens,
+        );
+        record_in(
+            self.fallback.entry(key.tier).or_default(),
+            key.fallback(),
+            limit,
+            tokens,
+        );
+    }
+
+    /// Returns the expected length of an answer that has at most `max_tokens` tokens.
+    #[must_use]
+    pub fn expected(&self, key: EstimateKey<'_>, max_tokens: u32) -> u32 {
+        let tokens = self
+            .lengths(key)
+            .map_or(u64::from(self.prior_tokens), Lengths::mean);
+        clamp_tokens(tokens, max_tokens)
+    }
+
+    /// Returns the length that the given share of answers does not exceed.
+    ///
+    /// ```
+    /// use tanagerford_core::estimate::{EstimateKey, OutputEstimator};
+    ///
+    /// let mut estimator = OutputEstimator::new(200, 64);
+    /// let key = EstimateKey { tier: 0, class: "chat", model: "small", workspace: "acme" };
+    /// (1..=100).for_each(|tokens| estimator.record(key, tokens));
+    /// assert!((88..=96).contains(&estimator.quantile(key, 0.9, 1_000)));
+    /// ```
+    #[must_use]
+    pub fn quantile(&self, key: EstimateKey<'_>, quantile: f64, max_tokens: u32) -> u32 {
+        let tokens = self
+            .lengths(key)
+            .map_or(u64::from(self.prior_tokens), |lengths| {
+                lengths.quantile(quantile)
+            });
+        clamp_tokens(tokens, max_tokens)
+    }
+
+    /// Returns the tokens that are expected to follow when `generated` tokens have been produced.
+    #[must_use]
+    pub fn remaining(&self, key: EstimateKey<'_>, generated: u32, max_tokens: u32) -> u32 {
+        let left = max_tokens.saturating_sub(generated).max(1);
+        let generated = u64::from(generated);
+        let total = self
+            .lengths(key)
+            .and_then(|lengths| lengths.mean_above(generated))
+            // Beyond all samples, half as much again is expected, as for a long tail.
+            .unwrap_or_else(|| u64::from(self.prior_tokens).max(generated + generated / 2));
+        clamp_tokens(total.saturating_sub(generated), left)
+    }
+
+    /// Returns the number of keys that are kept.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        let exact: usize = self.exact.values().map(BTreeMap::len).sum();
+        let fallback: usize = self.fallback.values().map(BTreeMap::len).sum();
+        exact + fallback
+    }
+
+    /// Returns whether nothing has been recorded.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    fn lengths(&self, key: EstimateKey<'_>) -> Option<&Lengths> {
+        let exact = self
+            .exact
+            .get(&key.tier)
+            .and_then(|keys| keys.get(&key.exact()));
+        let fallback = self
+            .fallback
+            .get(&key.tier)
+            .and_then(|keys| keys.get(&key.fallback()));
+        exact
+            .filter(|lengths| lengths.samples() >= ENOUGH_SAMPLES)
+            .or_else(|| fallback.filter(|lengths| lengths.samples() >= ENOUGH_SAMPLES))
+    }
+}
+
+fn record_in(keys: &mut BTreeMap<u64, Lengths>, key: u64, limit: usize, tokens: u32) {
+    let newest = keys.values().map(|lengths| lengths.used).max().unwrap_or(0);
+    if keys.len() >= limit && !keys.contains_key(&key) {
+        let oldest = keys
+            .iter()
+            .min_by_key(|(_, lengths)| lengths.used)
+            .map(|(key, _)| *key);
+        if let Some(oldest) = oldest {
+            keys.remove(&oldest);
+        }
+    }
+    let lengths = keys.entry(key).or_insert_with(Lengths::new);
+    lengths.record(u64::from(tokens));
+    lengths.used = newest + 1;
+}
+
+fn clamp_tokens(tokens: u64, max_tokens: u32) -> u32 {
+    let tokens = u32::try_from(tokens).unwrap_or(u32::MAX);
+    tokens.clamp(1, max_tokens.max(1))
+}
--- /dev/null
+++ b/crates/core/tests/admission.rs
@@ -0,0 +1,276 @@
+//! Tests of admission against a fake engine on a virtual clock.
+
+mod admission_engine;
+
+use std::time::Duration;
+
+use admission_engine::{Job, jobs, run};
+use proptest::prelude::*;
+use proptest::test_runner::{RngAlgorithm, TestRng, TestRunner};
+use tanagerford_core::admission::{
+    Action, Admission, AdmissionSettings, ClassSettings, FinishKind, RefuseReason, Request,
+};
+
+const TIERS: u8 = 4;
+
+fn settings() -> AdmissionSettings {
+    AdmissionSettings {
+        reserved_permille: vec![0, 100, 50, 50],
+        prior_batch: 8,
+        max_batch: 8,
+        token_gap: Duration::from_millis(10),
+        ..AdmissionSettings::default()
+    }
+}
+
+fn request(id: u64, tier: u8) -> Request {
+    Request {
+        id,
+        tier,
+        class: "chat".to_owned(),
+        workspace: "acme".to_owned(),
+        model: "small".to_owned(),
+        prompt_tokens: 10,
+        max_tokens: 1_000,
+        wait_limit: Duration::from_secs(5),
+        deadline: Duration::from_mins(10),
+        resumable: true,
+        alone: false,
+    }
+}
+
+fn started(actions: &[Action]) -> Vec<u64> {
+    let ids = actions.iter().filter_map(|action| match action {
+        Action::Start { id } => Some(*id),
+        _ => None,
+    });
+    ids.collect()
+}
+
+/// Guards against a preemption that picks a request with more lost work than necessary, or from a higher tier.
+#[test]
+fn preempts_the_lowest_tier_and_the_least_work() {
+    let now = Duration::from_millis(1);
+    let mut admission = Admission::new(settings());
+    for id in 0..8 {
+        assert_eq!(
+            started(&admission.offer(Duration::ZERO, request(id, 3))),
+            [id]
+        );
+        admission.on_token(now, id, 20 - u32::try_from(id).unwrap_or(0));
+    }
+    let actions = admission.offer(now, request(100, 0));
+    assert_eq!(
+        actions,
+        [
+            Action::Start { id: 100 },
+            Action::Preempt {
+                id: 7,
+                requeued: true
+            }
+        ]
+    );
+}
+
+/// Guards against a lost attempt: one that cannot be resumed must not wait for a second start.
+#[test]
+fn a_preempted_stream_that_cannot_resume_ends() {
+    let now = Duration::from_millis(1);
+    let mut admission = Admission::new(settings());
+    for id in 0..8 {
+        let request = Request {
+            resumable: false,
+            ..request(id, 3)
+        };
+        admission.offer(Duration::ZERO, request);
+        admission.on_token(now, id, 5);
+    }
+    let actions = admission.offer(now, request(100, 0));
+    assert!(actions.contains(&Action::Preempt {
+        id: 7,
+        requeued: false
+    }));
+    assert_eq!(admission.load().waiting, 0);
+}
+
+/// Guards against refusals that are held back until the longest wait has passed.
+#[test]
+fn refuses_at_once_what_cannot_start_in_time() {
+    let mut admission = Admission::new(settings());
+    let mut refused = Vec::new();
+    for id in 0..400 {
+        for action in admission.offer(Duration::ZERO, request(id, 0)) {
+            if let Action::Refuse {
+                reason,
+                retry_after,
+                ..
+            } = action
+            {
+                assert_eq!(reason, RefuseReason::WaitTooLong);
+                assert!(retry_after >= Duration::from_millis(100));
+                refused.push(id);
+            }
+        }
+    }
+    // 5 places, 200 tokens of 10 ms each: about 2.5 requests start per second, so about 12 fit into 5 s.
+    assert!(
+        (370..395).contains(&refused.len()),
+        "{} refused",
+        refused.len()
+    );
+}
+
+/// Guards against a request that neither starts nor is refused when its longest wait passes.
+#[test]
+fn refuses_when_the_longest_wait_has_passed() {
+    let mut admission = Admission::new(settings());
+    let ids: Vec<u64> = (0..7).collect();
+    let waiting = ids
+        .into_iter()
+        .filter(|id| started(&admission.offer(Duration::ZERO, request(*id, 0))).is_empty());
+    let waiting: Vec<u64> = waiting.collect();
+    let wakeup = admission.next_wakeup().expect("requests wait");
+    let refused: Vec<u64> = admission
+        .on_tick(wakeup)
+        .into_iter()
+        .filter_map(|action| match action {
+            Action::Refuse { id, reason, .. } => (reason == RefuseReason::WaitPassed).then_some(id),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(refused, waiting);
+    assert_eq!(admission.next_wakeup(), None);
+}
+
+/// Guards against new work after a sidecar has begun to leave, and against interrupted work.
+#[test]
+fn leaving_refuses_new_and_waiting_work_only() {
+    let mut admission = Admission::new(settings());
+    for id in 0..8 {
+        admission.offer(Duration::ZERO, request(id, 0));
+    }
+    let running = admission.load().running;
+    let refused = admission.leave(Duration::ZERO);
+    assert_eq!(refused.len(), 8 - running as usize);
+    assert_eq!(admission.load().running, running);
+    let actions = admission.offer(Duration::ZERO, request(50, 0));
+    assert!(matches!(
+        actions[..],
+        [Action::Refuse {
+            reason: RefuseReason::Leaving,
+            ..
+        }]
+    ));
+}
+
+/// Guards against a configuration change that loses requests of a tier that is removed.
+#[test]
+fn requests_of_a_removed_tier_are_kept() {
+    let mut admission = Admission::new(settings());
+    for id in 0..12 {
+        admission.offer(Duration::ZERO, request(id, 3));
+    }
+    let before = admission.load();
+    let smaller = AdmissionSettings {
+        reserved_permille: vec![0, 100],
+        ..settings()
+    };
+    admission.set_configuration(Duration::ZERO, smaller);
+    let after = admission.load();
+    assert_eq!(
+        after.running + after.waiting,
+        before.running + before.waiting
+    );
+    for id in 0..12 {
+        admission.on_finish(Duration::ZERO, id, FinishKind::Complete);
+    }
+    assert!(admission.is_idle());
+}
+
+/// Guards against starvation: with reserved share `s` of `R` tokens/s and `B` tokens of work ahead in the tier, the
+/// wait is at most `B / (s * R)` plus one longest running request, however much work higher tiers have.
+#[test]
+fn the_lowest_tier_waits_no_longer_than_its_bound() {
+    let tokens = 50;
+    let flood = (0..4_000).map(|n| Job::new(n, 0, n * 5, tokens));
+    let late = (0..20).map(|n| Job::new(10_000 + n, 3, 1_000, tokens));
+    let mut trace: Vec<Job> = flood.chain(late).collect();
+    trace.sort_by_key(|job| (job.at_ms, job.id));
+    let patient = ClassSettings {
+        first_token: Duration::from_mins(10),
+        longest_wait: Duration::from_mins(10),
+        priority: 0,
+    };
+    let settings = AdmissionSettings {
+        classes: [("chat".to_owned(), patient)].into(),
+        ..settings()
+    };
+    let outcome = run(&settings, &trace, |request| {
+        request.wait_limit = Duration::from_mins(10);
+    });
+    let starts = outcome.starts(3);
+    assert_eq!(starts.len(), 20);
+    let share = 0.05;
+    let tokens_per_ms = 8.0 / 10.0;
+    for (ahead, (_, at_ms)) in (0_u32..).zip(&starts) {
+        let bound_ms = f64::from(ahead) * 50.0 / (share * tokens_per_ms) + 50.0 * 10.0;
+        let waited_ms = f64::from(u32::try_from(at_ms - 1_000).expect("short test"));
+        assert!(
+            waited_ms <= bound_ms,
+            "waited {waited_ms} ms, bound {bound_ms} ms"
+        );
+    }
+}
+
+/// Guards against a class that is never served because others in its tier always have earlier deadlines.
+#[test]
+fn every_class_of_a_tier_is_served() {
+    let chat = (0..4_000).map(|n| Job::new(n, 0, n * 5, 50));
+    let batch = (0..20).map(|n| Job::new(10_000 + n, 0, n * 900, 50).class("batch"));
+    let mut trace: Vec<Job> = chat.chain(batch).collect();
+    trace.sort_by_key(|job| (job.at_ms, job.id));
+    let outcome = run(&settings(), &trace, |_| {});
+    let batch_starts = outcome
+        .starts(0)
+        .iter()
+        .filter(|(id, _)| *id >= 10_000)
+        .count();
+    assert!(batch_starts >= 3, "{batch_starts} of 20 started");
+}
+
+/// Guards against a workspace that crowds out another one of the same tier.
+#[test]
+fn workspaces_of_a_tier_share_fairly() {
+    let flood = (0..4_000).map(|n| Job::new(n, 0, n * 5, 50));
+    let small = (0..40).map(|n| Job::new(10_000 + n, 0, 500 + n * 450, 50).workspace("small"));
+    let mut trace: Vec<Job> = flood.chain(small).collect();
+    trace.sort_by_key(|job| (job.at_ms, job.id));
+    let outcome = run(&settings(), &trace, |_| {});
+    let started = outcome
+        .starts(0)
+        .iter()
+        .filter(|(id, _)| *id >= 10_000)
+        .count();
+    assert!(started >= 38, "{started} of 40 started");
+}
+
+/// Guards against lower-tier work that influences a start, a preemption or a refusal of a higher tier.
+#[test]
+fn lower_tiers_change_no_decision_of_higher_tiers() {
+    let config = ProptestConfig {
+        cases: 96,
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let strategy = (jobs(TIERS, 250), 1..TIERS);
+    let result = runner.run(&strategy, |(trace, cut)| {
+        let higher: Vec<Job> = trace.iter().filter(|job| job.tier < cut).cloned().collect();
+        let with = run(&settings(), &trace, |_| {});
+        let without = run(&settings(), &higher, |_| {});
+        prop_assert_eq!(with.decisions_above(cut), without.decisions_above(cut));
+        Ok(())
+    });
+    assert!(result.is_ok(), "{result:?}");
+}
