--- /dev/null
+++ b/crates/core/src/order/key.rs
@@ -0,0 +1,169 @@
+//! Keys, bodies and owners of orders.
+
+use std::fmt;
+use std::str::FromStr;
+
+use sha2::{Digest, Sha256};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::ids::{Incarnation, ServerId};
+
+/// Digest that tells two bodies of the same key apart.
+pub type BodyDigest = u64;
+
+/// Identifies an order: a hash of the workspace and its idempotency key.
+///
+/// 128 bits keep accidental collisions out of reach; a workspace cannot reach another workspace's keys because the
+/// name of the workspace is part of the hashed text.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct OrderKey([u8; 16]);
+
+impl OrderKey {
+    /// Length of the binary form in bytes.
+    pub const BYTES: usize = 16;
+
+    /// Returns the key of the order that `workspace` names with `idempotency_key`.
+    ///
+    /// ```
+    /// use tanagerford_core::order::OrderKey;
+    ///
+    /// let key = OrderKey::new("north", "burn-17");
+    /// assert_eq!(key, OrderKey::new("north", "burn-17"));
+    /// assert_ne!(key, OrderKey::new("nort", "hburn-17"));
+    /// assert_eq!(key.to_string().parse(), Ok(key));
+    /// ```
+    #[must_use]
+    pub fn new(workspace: &str, idempotency_key: &str) -> Self {
+        let mut hash = Sha256::new();
+        hash.update((workspace.len() as u64).to_le_bytes());
+        hash.update(workspace);
+        hash.update(idempotency_key);
+        Self(first_bytes(&hash.finalize()))
+    }
+
+    /// Returns the key with this binary form, or `None` if the length is wrong.
+    ///
+    /// ```
+    /// use tanagerford_core::order::OrderKey;
+    ///
+    /// let key = OrderKey::new("north", "burn-17");
+    /// assert_eq!(OrderKey::from_bytes(key.as_bytes()), Some(key));
+    /// assert_eq!(OrderKey::from_bytes(b"short"), None);
+    /// ```
+    #[must_use]
+    pub fn from_bytes(bytes: &[u8]) -> Option<Self> {
+        bytes.try_into().ok().map(Self)
+    }
+
+    /// Returns the binary form.
+    #[must_use]
+    pub fn as_bytes(&self) -> &[u8] {
+        &self.0
+    }
+
+    /// Returns the shard of the key among `shards` shards.
+    ///
+    /// ```
+    /// use tanagerford_core::order::OrderKey;
+    ///
+    /// assert!(OrderKey::new("north", "burn-17").shard(16) < 16);
+    /// ```
+    #[must_use]
+    pub fn shard(&self, shards: u32) -> u32 {
+        let [a, b, c, d, ..] = self.0;
+        u32::from_le_bytes([a, b, c, d]) % shards.max(1)
+    }
+}
+
+impl fmt::Display for OrderKey {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0
+            .iter()
+            .try_for_each(|byte| write!(formatter, "{byte:02x}"))
+    }
+}
+
+/// The text is not an order key of 32 hexadecimal digits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ParseOrderKey;
+
+impl fmt::Display for ParseOrderKey {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("an order key has 32 hexadecimal digits")
+    }
+}
+
+impl std::error::Error for ParseOrderKey {}
+
+impl FromStr for OrderKey {
+    type Err = ParseOrderKey;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        if text.len() != 2 * Self::BYTES || !text.bytes().all(|byte| byte.is_ascii_hexdigit()) {
+            return Err(ParseOrderKey);
+        }
+        let value = u128::from_str_radix(text, 16).map_err(|_| ParseOrderKey)?;
+        Ok(Self(value.to_be_bytes()))
+    }
+}
+
+/// Returns the digest of a call that is compared when a key is used again.
+///
+/// ```
+/// use tanagerford_core::order::body_digest;
+///
+/// assert_ne!(body_digest("POST", "/burn", b"plate 1"), body_digest("POST", "/burn", b"plate 2"));
+/// ```
+#[must_use]
+pub fn body_digest(method: &str, path: &str, body: &[u8]) -> BodyDigest {
+    let mut hash = Sha256::new();
+    for part in [method.as_bytes(), path.as_bytes(), body] {
+        hash.update((part.len() as u64).to_le_bytes());
+        hash.update(part);
+    }
+    u64::from_le_bytes(first_bytes(&hash.finalize()))
+}
+
+fn first_bytes<const N: usize>(bytes: &[u8]) -> [u8; N] {
+    std::array::from_fn(|index| bytes[index])
+}
+
+/// One run of a sidecar process.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Owner {
+    /// Server beside which the sidecar runs.
+    pub server: ServerId,
+    /// Tells restarts of the sidecar apart.
+    pub incarnation: Incarnation,
+}
+
+/// One claim of an order. Each new claim of a key has a higher attempt.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ClaimId {
+    /// Sidecar that claimed the order.
+    pub owner: Owner,
+    /// Number of the claim among the claims of its key; the first is 1.
+    pub attempt: u32,
+}
+
+/// Returns the sidecar that owns `shard` of `pool` by rendezvous hashing, or `None` without sidecars.
+///
+/// All processes that know the same sidecars name the same owner. When they differ, compare-and-swap keeps the shard
+/// correct.
+///
+/// ```
+/// use tanagerford_core::order::shard_owner;
+///
+/// let owner = shard_owner("plates", 3, ["a", "b", "c"]);
+/// assert_eq!(owner, shard_owner("plates", 3, ["c", "a", "b"]));
+/// ```
+pub fn shard_owner<'a>(
+    pool: &str,
+    shard: u32,
+    sidecars: impl IntoIterator<Item = &'a str>,
+) -> Option<&'a str> {
+    let seed = xxh3_64_with_seed(pool.as_bytes(), u64::from(shard));
+    sidecars
+        .into_iter()
+        .max_by_key(|server| (xxh3_64_with_seed(server.as_bytes(), seed), *server))
+}
