--- a/crates/core/src/order/gate.rs
+++ b/crates/core/src/order/gate.rs
@@ -216,20 +216,20 @@
             .is_some_and(|entry| entry.phase == Phase::Done)
     }
 
-    /// Returns whether the request was given up while its claim was being written.
+    /// Returns whether the claim waits for its write and was not given up.
     #[must_use]
-    pub fn is_withdrawn(&self, key: &OrderKey) -> bool {
+    pub fn is_claiming(&self, key: &OrderKey) -> bool {
         self.entries
             .get(key)
-            .is_some_and(|entry| entry.phase == Phase::Withdrawn)
+            .is_some_and(|entry| entry.phase == Phase::Claiming)
     }
 
-    /// Returns whether the key was claimed by this incarnation and did not run, so that its claim may be replaced.
+    /// Returns whether the request was given up while its claim was being written.
     #[must_use]
-    pub fn is_abandoned(&self, key: &OrderKey) -> bool {
+    pub fn is_withdrawn(&self, key: &OrderKey) -> bool {
         self.entries
             .get(key)
-            .is_some_and(|entry| entry.phase == Phase::Abandoned)
+            .is_some_and(|entry| entry.phase == Phase::Withdrawn)
     }
 
     /// Returns whether the order is being claimed or runs.
--- a/crates/core/src/order/pacer.rs
+++ b/crates/core/src/order/pacer.rs
@@ -102,6 +102,12 @@
         self.completions_due_at = None;
     }
 
+    /// Notes that nothing waits any more although nothing was written, for example after a read.
+    pub fn clear(&mut self) {
+        self.claims_due_at = None;
+        self.completions_due_at = None;
+    }
+
     /// Notes that a call succeeded.
     pub fn succeed(&mut self) {
         self.failures = 0;
--- /dev/null
+++ b/crates/node/tests/support/mod.rs
@@ -0,0 +1,220 @@
+//! Small fake of the key-value service with faults, and a virtual clock.
+
+#![allow(dead_code, reason = "each test binary uses a part of the fakes")]
+
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use tanagerford_core::order::{OrderKey, Owner};
+use tanagerford_node::orders::{
+    KeptAnswer, OrderBook, OrderClock, OrderRequest, OrderSettings, StepHook,
+};
+use tanagerford_platform::kv::{
+    Call, Commit, KeyValue, Kv, LeaseId, Refusal, Revision, Transaction, WatchEvent, Write,
+};
+
+/// What happens to the next call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum KvFault {
+    /// The call takes effect and its answer is lost.
+    LoseAnswer,
+    /// The call is lost on its way.
+    LoseCall,
+    /// The call is delayed: it takes effect after the next call.
+    Delay,
+    /// The service refuses the call.
+    Refuse,
+}
+
+#[derive(Debug, Default)]
+struct Store {
+    values: BTreeMap<String, (Vec<u8>, Revision)>,
+    revision: Revision,
+    next_fault: Option<KvFault>,
+    delayed: Option<Transaction>,
+    down: bool,
+    calls: u64,
+}
+
+/// Fake key-value service.
+#[derive(Debug, Default)]
+pub struct FakeKv {
+    store: Mutex<Store>,
+}
+
+impl FakeKv {
+    pub fn fail_next(&self, fault: KvFault) {
+        self.store.lock().unwrap().next_fault = Some(fault);
+    }
+
+    pub fn set_down(&self, down: bool) {
+        self.store.lock().unwrap().down = down;
+    }
+
+    pub fn calls(&self) -> u64 {
+        self.store.lock().unwrap().calls
+    }
+
+    pub fn put(&self, key: &str, value: Vec<u8>) {
+        let mut store = self.store.lock().unwrap();
+        store.revision += 1;
+        let revision = store.revision;
+        store.values.insert(key.to_owned(), (value, revision));
+    }
+
+    fn call<T>(&self, run: impl Fn(&mut Store) -> T, delayed: Option<&Transaction>) -> Call<T> {
+        let mut store = self.store.lock().unwrap();
+        store.calls += 1;
+        if store.down {
+            return Call::Refused(Refusal::Unreachable);
+        }
+        let late = store.delayed.take();
+        let call = match store.next_fault.take() {
+            None => Call::Done(run(&mut store)),
+            Some(KvFault::Refuse) => Call::Refused(Refusal::Rejected("rate limit".to_owned())),
+            Some(KvFault::LoseCall) => Call::Unknown,
+            Some(KvFault::LoseAnswer) => {
+                run(&mut store);
+                Call::Unknown
+            }
+            Some(KvFault::Delay) => {
+                store.delayed = delayed.cloned();
+                Call::Unknown
+            }
+        };
+        if let Some(late) = late {
+            store.commit(&late);
+        }
+        call
+    }
+}
+
+impl Store {
+    fn commit(&mut self, transaction: &Transaction) -> Commit {
+        let revision_of = |key: &String| self.values.get(key).map_or(0, |(_, revision)| *revision);
+        if transaction
+            .compares
+            .iter()
+            .any(|compare| revision_of(&compare.key) != compare.mod_revision)
+        {
+            return Commit::Conflict;
+        }
+        self.revision += 1;
+        for write in &transaction.writes {
+            match write {
+                Write::Put { key, value, .. } => {
+                    self.values
+                        .insert(key.clone(), (value.clone(), self.revision));
+                }
+                Write::Delete { key } => {
+                    self.values.remove(key);
+                }
+            }
+        }
+        Commit::Applied(self.revision)
+    }
+
+    fn read(&self, key: &str) -> Option<KeyValue> {
+        let (value, mod_revision) = self.values.get(key)?;
+        Some(KeyValue {
+            key: key.to_owned(),
+            value: value.clone(),
+            mod_revision: *mod_revision,
+        })
+    }
+}
+
+impl Kv for FakeKv {
+    fn get(&self, key: &str, _timeout: Duration) -> Call<Option<KeyValue>> {
+        self.call(|store| store.read(key), None)
+    }
+
+    fn list(&self, prefix: &str, _timeout: Duration) -> Call<Vec<KeyValue>> {
+        let list = |store: &mut Store| {
+            let keys = store.values.keys().filter(|key| key.starts_with(prefix));
+            keys.filter_map(|key| store.read(key)).collect()
+        };
+        self.call(list, None)
+    }
+
+    fn commit(&self, transaction: &Transaction, _timeout: Duration) -> Call<Commit> {
+        self.call(|store| store.commit(transaction), Some(transaction))
+    }
+
+    fn grant_lease(&self, _ttl: Duration, _timeout: Duration) -> Call<LeaseId> {
+        Call::Refused(Refusal::Unreachable)
+    }
+
+    fn renew_lease(&self, _lease: LeaseId, _timeout: Duration) -> Call<Duration> {
+        Call::Refused(Refusal::Unreachable)
+    }
+
+    fn revoke_lease(&self, _lease: LeaseId, _timeout: Duration) -> Call<()> {
+        Call::Refused(Refusal::Unreachable)
+    }
+
+    fn watch(&self, _prefix: &str, _from: Revision, _timeout: Duration) -> Call<Vec<WatchEvent>> {
+        Call::Refused(Refusal::Unreachable)
+    }
+}
+
+/// Virtual clock.
+#[derive(Debug, Clone, Default)]
+pub struct VirtualClock {
+    now_ms: Arc<AtomicU64>,
+}
+
+impl VirtualClock {
+    pub fn advance(&self, time: Duration) {
+        self.now_ms
+            .fetch_add(u64::try_from(time.as_millis()).unwrap(), Ordering::SeqCst);
+    }
+
+    pub fn now(&self) -> Duration {
+        Duration::from_millis(self.now_ms.load(Ordering::SeqCst))
+    }
+
+    pub fn order_clock(&self) -> OrderClock {
+        let clock = self.clone();
+        OrderClock::from_fn(move || clock.now(), Duration::from_secs(1_700_000_000))
+    }
+}
+
+pub fn owner(server: &str, incarnation: u64) -> Owner {
+    Owner {
+        server: server.to_owned(),
+        incarnation,
+    }
+}
+
+pub fn book(
+    kv: &Arc<FakeKv>,
+    clock: &VirtualClock,
+    owner: Owner,
+    hook: Option<StepHook>,
+) -> OrderBook {
+    let settings = OrderSettings {
+        hook,
+        shards: 1,
+        ..OrderSettings::new("plates", owner)
+    };
+    OrderBook::new(kv.clone(), settings, clock.order_clock())
+}
+
+pub fn order(name: &str) -> OrderRequest {
+    OrderRequest {
+        key: OrderKey::new("north", name),
+        body: 1,
+        released: None,
+    }
+}
+
+pub fn answer(text: &'static str) -> KeptAnswer {
+    KeptAnswer {
+        status: 200,
+        headers: Vec::new(),
+        body: text.into(),
+    }
+}
