Check, cut and index the configuration and add the generation's rules

Operators need all faults of a file at once, so the decoder reads a tree that keeps duplicate fields and goes on after each fault.

--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -1,4 +1,14 @@
 //! Configuration of the router: tiers, classes, workspaces, models and services.
+//!
+//! [`decode`] reads a configuration from text and reports all findings together, [`section`] cuts it into the sections
+//! that processes exchange, and [`active`] indexes it for the request path.
+
+pub mod active;
+pub mod check;
+pub mod decode;
+pub mod document;
+pub mod finding;
+pub mod section;
 
 use serde::{Deserialize, Serialize};
 
