--- a/crates/core/src/membership.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Membership of processes: a SWIM-style failure detector with dissemination.
--- /dev/null
+++ b/crates/core/src/membership/detector.rs
@@ -0,0 +1,447 @@
+//! The failure detector: state, time and incoming messages.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use super::budget::ByteBudget;
+use super::health::LocalHealth;
+use super::item::{Item, ItemError, ItemStore};
+use super::member::{Member, MemberKey, MemberState, Profile, Standing, member_key};
+use super::merge::Mode;
+use super::message::{Body, Header, Message, Update};
+use super::output::{Action, Counters, Event, StateDump};
+use super::params::Params;
+use super::probe::{Probe, Relay};
+use super::queue::SpreadQueue;
+use super::spread::REQUEST_REPEAT;
+use super::table::{Record, Table};
+use crate::ids::{Generation, Incarnation};
+
+/// Time between two passes that forget old members and items.
+const PURGE_PERIOD: Duration = Duration::from_secs(5);
+
+/// Membership as one process sees it.
+#[derive(Debug)]
+pub struct Membership {
+    pub(super) params: Params,
+    pub(super) key: MemberKey,
+    pub(super) profile: Arc<Profile>,
+    pub(super) standing: Standing,
+    pub(super) generation: Generation,
+    pub(super) rng: Pcg64Mcg,
+    pub(super) table: Table,
+    pub(super) updates: SpreadQueue<Update>,
+    pub(super) health: LocalHealth,
+    pub(super) budget: ByteBudget,
+    pub(super) counters: Counters,
+    pub(super) probe: Option<Probe>,
+    pub(super) probe_order: Vec<MemberKey>,
+    pub(super) next_probe_at: Duration,
+    pub(super) relays: BTreeMap<u64, Relay>,
+    pub(super) disputes: VecDeque<MemberKey>,
+    pub(super) seeds: Vec<SocketAddr>,
+    pub(super) join_at: Duration,
+    pub(super) join_attempts: u32,
+    pub(super) sync_at: Duration,
+    pub(super) reconnect_at: Duration,
+    pub(super) out: Vec<Action>,
+    pub(super) wanted: Vec<MemberKey>,
+    pub(super) items: ItemStore,
+    pub(super) item_queue: SpreadQueue<Item>,
+    /// Members that the current datagram added or changed.
+    pub(super) changes: usize,
+    pub(super) requested_at: BTreeMap<MemberKey, Duration>,
+    pub(super) generation_sends_left: u32,
+    pub(super) generation_reported: (Generation, Duration),
+    pub(super) gossip_at: Duration,
+    purge_at: Duration,
+    is_superseded: bool,
+}
+
+impl Membership {
+    /// Creates the membership of a process that knows no other member yet.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use tanagerford_core::membership::{Membership, Params, Profile, Role};
+    /// let address = "127.0.0.1:7000".parse().unwrap();
+    /// let profile = Profile {
+    ///     process_id: "entry-1".into(),
+    ///     role: Role::Entry,
+    ///     pool: String::new(),
+    ///     availability_zone: "a".into(),
+    ///     region: "north".into(),
+    ///     link_address: address,
+    ///     gossip_address: address,
+    /// };
+    /// let mut membership = Membership::new(Duration::ZERO, profile, 1, Params::default(), 42);
+    /// membership.set_seeds(vec!["127.0.0.1:7001".parse().unwrap()]);
+    /// let actions = membership.tick(Duration::from_secs(1));
+    /// assert_eq!(actions.len(), 1);
+    /// ```
+    #[must_use]
+    pub fn new(
+        now: Duration,
+        profile: Profile,
+        incarnation: Incarnation,
+        params: Params,
+        seed: u64,
+    ) -> Self {
+        let key = member_key(&profile.process_id);
+        let mut rng = Pcg64Mcg::seed_from_u64(seed ^ key ^ incarnation);
+        let standing = Standing {
+            incarnation,
+            refutation: 0,
+            state: MemberState::Alive,
+        };
+        let mut membership = Self {
+            key,
+            profile: Arc::new(profile),
+            standing,
+            generation: 0,
+            table: Table::new(),
+            updates: SpreadQueue::new(),
+            health: LocalHealth::default(),
+            budget: ByteBudget::new(params.send_bytes_per_second, params.burst_bytes),
+            counters: Counters::default(),
+            probe: None,
+            probe_order: Vec::new(),
+            next_probe_at: now + jitter(&mut rng, params.probe_period),
+            relays: BTreeMap::new(),
+            disputes: VecDeque::new(),
+            seeds: Vec::new(),
+            join_at: now + rng.random_range(Duration::ZERO..params.probe_period / 2),
+            join_attempts: 0,
+            sync_at: now + jitter(&mut rng, params.sync_period),
+            reconnect_at: now + jitter(&mut rng, params.reconnect_period),
+            out: Vec::new(),
+            wanted: Vec::new(),
+            items: ItemStore::default(),
+            item_queue: SpreadQueue::new(),
+            changes: 0,
+            requested_at: BTreeMap::new(),
+            generation_sends_left: 0,
+            generation_reported: (0, now),
+            gossip_at: now + rng.random_range(Duration::ZERO..params.gossip_period),
+            purge_at: now + PURGE_PERIOD,
+            is_superseded: false,
+            rng,
+            params,
+        };
+        membership.budget.refill(now);
+        membership.announce_self(true);
+        membership
+    }
+
+    /// Replaces the seeds: gossip addresses from the settings and from the VM list.
+    pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
+        self.seeds = seeds;
+    }
+
+    /// Sets the configuration generation that this process uses; a lower one than before is ignored.
+    pub fn set_generation(&mut self, generation: Generation) {
+        if generation > self.generation {
+            self.generation = generation;
+            self.generation_sends_left = self.transmit_limit();
+        }
+    }
+
+    /// Announces that this process leaves and takes no new work; it stays a member until [`depart`](Self::depart).
+    pub fn leave(&mut self, now: Duration) -> Vec<Action> {
+        self.end(now, MemberState::Leaving)
+    }
+
+    /// Announces that this process has stopped.
+    pub fn depart(&mut self, now: Duration) -> Vec<Action> {
+        self.end(now, MemberState::Dead)
+    }
+
+    /// Spreads an opaque item to all members.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the item was not accepted.
+    pub fn publish(&mut self, now: Duration, item: Item) -> Result<(), ItemError> {
+        if item.value.len() > self.params.item_bytes {
+            return Err(ItemError::TooLong);
+        }
+        let expires_at = now + self.params.item_retention;
+        self.items
+            .put(item.clone(), expires_at, self.params.max_items)?;
+        self.item_queue.push(item.key, item);
+        Ok(())
+    }
+
+    /// Does everything that is due at `now`.
+    pub fn tick(&mut self, now: Duration) -> Vec<Action> {
+        self.budget.refill(now);
+        self.join(now);
+        self.run_probe(now);
+        self.expire_relays(now);
+        self.expire_suspicions(now);
+        self.run_gossip(now);
+        self.run_sync(now);
+        self.run_reconnect(now);
+        self.purge(now);
+        std::mem::take(&mut self.out)
+    }
+
+    /// Returns the latest time of the next [`tick`](Self::tick).
+    #[must_use]
+    pub fn next_tick_at(&self) -> Duration {
+        let probe_at = self
+            .probe
+            .as_ref()
+            .map_or(self.next_probe_at, |probe| probe.next_at);
+        self.gossip_at.min(probe_at)
+    }
+
+    /// Handles a datagram that passed authentication.
+    pub fn on_message(&mut self, now: Duration, from: SocketAddr, message: Message) -> Vec<Action> {
+        self.budget.refill(now);
+        self.counters.received_messages += 1;
+        let header = message.header;
+        if header.sender == self.key {
+            self.check_superseded(header.incarnation);
+            return std::mem::take(&mut self.out);
+        }
+        let mode = match message.body {
+            Body::Entries => Mode::Exchange,
+            _ => Mode::Spread,
+        };
+        self.changes = 0;
+        let mut newer_here = Vec::new();
+        for update in message.updates {
+            self.apply(now, update, mode, &mut newer_here);
+        }
+        self.on_header(now, header);
+        for item in message.items {
+            self.on_item(now, item);
+        }
+        let tell = self.doubt_about(header);
+        self.on_body(now, from, header.sender, message.body, tell.as_ref());
+        self.send_newer(from, &newer_here);
+        self.request_wanted(now, from);
+        std::mem::take(&mut self.out)
+    }
+
+    /// Returns this process as a member.
+    #[must_use]
+    pub fn own(&self) -> Member {
+        Member {
+            profile: Arc::clone(&self.profile),
+            standing: self.standing,
+            generation: self.generation,
+        }
+    }
+
+    /// Returns all other known members in the order of their keys.
+    pub fn members(&self) -> impl Iterator<Item = Member> {
+        self.table.iter().map(|(_, record)| record.to_member())
+    }
+
+    /// Returns another member.
+    #[must_use]
+    pub fn member(&self, key: MemberKey) -> Option<Member> {
+        self.table.get(key).map(Record::to_member)
+    }
+
+    /// Returns the count of other members that are not dead.
+    #[must_use]
+    pub fn live_count(&self) -> usize {
+        self.table.live().len()
+    }
+
+    /// Returns the counts since the start.
+    #[must_use]
+    pub fn counters(&self) -> Counters {
+        self.counters
+    }
+
+    /// Returns the state for operators.
+    #[must_use]
+    pub fn dump(&self) -> StateDump {
+        StateDump {
+            own: self.own(),
+            members: self.members().collect(),
+            health_factor: self.health.factor(),
+            queued_updates: self.updates.len(),
+            items: self.items.len(),
+            counters: self.counters,
+        }
+    }
+
+    /// Share of members that fail, compared as `failing * parts >= known * of`.
+    pub(super) fn failing_at_least(&self, of: usize, parts: usize) -> bool {
+        let failing = self.table.failing();
+        failing > 1 && failing * parts >= self.table.len() * of
+    }
+
+    /// Shortest suspicion timeout. It grows with the logarithm of the fleet, because a refutation needs that many
+    /// rounds, and while many members seem to fail, because then the network is the likelier cause.
+    pub(super) fn shortest_suspicion(&self) -> Duration {
+        let periods = (self.table.live().len() + 1).ilog2();
+        let slowdown = if self.failing_at_least(2, 3) {
+            8
+        } else if self.failing_at_least(1, 3) {
+            4
+        } else {
+            1
+        };
+        self.params.probe_period * periods.max(self.params.suspicion_min_periods) * slowdown
+    }
+
+    pub(super) fn notify(&mut self, event: Event) {
+        self.out.push(Action::Notify(event));
+    }
+
+    fn end(&mut self, now: Duration, state: MemberState) -> Vec<Action> {
+        self.budget.refill(now);
+        if self.standing.state < state {
+            self.standing.state = state;
+            self.standing.refutation += 1;
+            self.announce_self(false);
+            let targets = self
+                .table
+                .pick(&mut self.rng, self.params.leave_fanout, None);
+            self.gossip_to(&targets);
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    pub(super) fn check_superseded(&mut self, incarnation: Incarnation) {
+        if incarnation > self.standing.incarnation && !self.is_superseded {
+            self.is_superseded = true;
+            self.notify(Event::Superseded { incarnation });
+        }
+    }
+
+    /// Learns from the sender of a datagram what it says about itself.
+    fn on_header(&mut self, now: Duration, header: Header) {
+        let state = if header.is_leaving {
+            MemberState::Leaving
+        } else {
+            MemberState::Alive
+        };
+        let standing = Standing {
+            incarnation: header.incarnation,
+            refutation: header.refutation,
+            state,
+        };
+        let update = Update {
+            key: header.sender,
+            standing,
+            reporter: 0,
+            profile: None,
+        };
+        self.apply(now, update, Mode::Spread, &mut Vec::new());
+        self.table.touch(header.sender, |record| {
+            record.generation = record.generation.max(header.generation);
+        });
+        self.report_generation(now, header);
+    }
+
+    /// Returns the suspicion or death of the sender that it has not refuted yet, to tell it at once.
+    fn doubt_about(&self, header: Header) -> Option<Update> {
+        let record = self.table.get(header.sender)?;
+        let is_doubted = matches!(
+            record.standing.state,
+            MemberState::Suspect | MemberState::Dead
+        );
+        let is_current = record.standing.incarnation == header.incarnation;
+        (is_doubted && is_current).then(|| record.to_update(header.sender, false))
+    }
+
+    fn on_body(
+        &mut self,
+        now: Duration,
+        from: SocketAddr,
+        sender: MemberKey,
+        body: Body,
+        tell: Option<&Update>,
+    ) {
+        match body {
+            Body::Ping { probe, target } => self.on_ping(from, probe, target, tell),
+            Body::Ack { probe } => self.on_ack(probe),
+            Body::Nack { probe } => self.on_nack(probe),
+            Body::PingRequest {
+                probe,
+                target,
+                address,
+            } => self.on_ping_request(now, from, probe, target, address),
+            Body::Sync { digests } => self.on_sync(from, sender, &digests),
+            Body::Request { keys } => self.on_request(from, &keys),
+            Body::Entries => self.on_entries(now, self.changes),
+            Body::Gossip => self.on_gossip(from, tell),
+        }
+    }
+
+    fn expire_suspicions(&mut self, now: Duration) {
+        if self.table.failing() == 0 && self.probe.is_none() {
+            return;
+        }
+        let min = self.shortest_suspicion();
+        let ratio = self.params.suspicion_max_ratio;
+        let is_over = |record: &Record| {
+            let suspicion = record.suspicion.as_ref();
+            suspicion.is_some_and(|suspicion| now >= suspicion.deadline(min, ratio))
+        };
+        let expired: Vec<MemberKey> = self
+            .table
+            .iter()
+            .filter(|(_, record)| is_over(record))
+            .map(|(key, _)| key)
+            .collect();
+        for key in expired {
+            self.declare_dead(now, key);
+        }
+    }
+
+    fn declare_dead(&mut self, now: Duration, key: MemberKey) {
+        let Some(record) = self.table.get(key) else {
+            return;
+        };
+        let mut update = record.to_update(key, false);
+        update.standing.state = MemberState::Dead;
+        self.counters.declared_dead += 1;
+        self.adopt(now, update, Mode::Spread);
+        // A process that reaches almost nobody is likelier to be cut off itself; its view must not spread.
+        if self.failing_at_least(2, 3) {
+            self.updates.remove(key);
+        }
+    }
+
+    fn purge(&mut self, now: Duration) {
+        if now < self.purge_at {
+            return;
+        }
+        self.purge_at = now + PURGE_PERIOD;
+        self.items.expire(now);
+        self.requested_at.retain(|_, at| now < *at + REQUEST_REPEAT);
+        let retention = self.params.dead_retention;
+        let old: Vec<MemberKey> = self
+            .table
+            .iter()
+            .filter(|(_, record)| record.is_dead() && now >= record.changed_at + retention)
+            .map(|(key, _)| key)
+            .collect();
+        for key in old {
+            if let Some(record) = self.table.get(key) {
+                let profile = Arc::clone(&record.profile);
+                self.notify(Event::Forgotten(profile));
+            }
+            self.table.remove(key);
+            self.updates.remove(key);
+        }
+    }
+}
+
+/// Returns a random time from half to one and a half times `mean`.
+pub(super) fn jitter(rng: &mut Pcg64Mcg, mean: Duration) -> Duration {
+    rng.random_range(mean / 2..=mean + mean / 2)
+}
--- /dev/null
+++ b/crates/core/src/membership/sync.rs
@@ -0,0 +1,210 @@
+//! Join, anti-entropy and attempts to reach members that were declared dead.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::RngExt;
+use rand::seq::IndexedRandom;
+
+use super::detector::{Membership, jitter};
+use super::member::MemberKey;
+use super::message::{Body, Packer};
+use super::table::{Record, SYNC_BUCKETS, bucket_of, digest};
+
+/// Count of seeds asked at once while no member is known.
+const JOIN_FANOUT: usize = 3;
+
+/// Longest mean time between attempts to join, in probe periods.
+const MAX_JOIN_PERIODS: u32 = 10;
+
+/// Count of changes in one exchange that shows that the table is far behind.
+const FAR_BEHIND: usize = 8;
+
+impl Membership {
+    /// Asks seeds for the members while none is known, with growing and jittered delays.
+    pub(super) fn join(&mut self, now: Duration) {
+        if now < self.join_at || !self.table.live().is_empty() || self.seeds.is_empty() {
+            return;
+        }
+        let periods = (1 << self.join_attempts.min(4)).min(MAX_JOIN_PERIODS);
+        self.join_attempts += 1;
+        self.join_at = now + jitter(&mut self.rng, self.params.probe_period * periods);
+        let seeds: Vec<SocketAddr> = self
+            .seeds
+            .sample(&mut self.rng, JOIN_FANOUT)
+            .copied()
+            .collect();
+        for seed in seeds {
+            self.send_sync(seed);
+        }
+    }
+
+    pub(super) fn run_sync(&mut self, now: Duration) {
+        if now < self.sync_at {
+            return;
+        }
+        self.sync_at = now + jitter(&mut self.rng, self.params.sync_period);
+        if !self.budget.is_open() {
+            self.counters.throttled += 1;
+            return;
+        }
+        for peer in self.table.pick(&mut self.rng, 1, None) {
+            if let Some(record) = self.table.get(peer) {
+                self.send_sync(record.profile.gossip_address);
+            }
+        }
+    }
+
+    /// Tries to reach a member that was declared dead and a seed that is no live member. This joins the two sides of a
+    /// healed partition.
+    pub(super) fn run_reconnect(&mut self, now: Duration) {
+        if now < self.reconnect_at {
+            return;
+        }
+        self.reconnect_at = now + jitter(&mut self.rng, self.params.reconnect_period);
+        if !self.budget.is_open() || self.table.live().is_empty() {
+            return;
+        }
+        let is_lost = |record: &Record| record.is_dead() && !record.is_departed;
+        let lost: Vec<MemberKey> = self
+            .table
+            .iter()
+            .filter(|(_, record)| is_lost(record))
+            .map(|(key, _)| key)
+            .collect();
+        if let Some(key) = lost.choose(&mut self.rng).copied() {
+            let number = self.rng.random();
+            self.ping(key, number);
+        }
+        let known: BTreeSet<SocketAddr> = self
+            .table
+            .iter()
+            .filter(|(_, record)| !record.is_dead())
+            .map(|(_, record)| record.profile.gossip_address)
+            .collect();
+        let own_address = self.profile.gossip_address;
+        let unknown = self
+            .seeds
+            .iter()
+            .filter(|seed| **seed != own_address && !known.contains(*seed));
+        let unknown: Vec<SocketAddr> = unknown.copied().collect();
+        if let Some(seed) = unknown.choose(&mut self.rng).copied() {
+            self.send_sync(seed);
+        }
+    }
+
+    /// Answers with the members of the buckets whose digests differ, in random order and as far as the byte budget
+    /// goes; the peer asks again if it needs more.
+    pub(super) fn on_sync(&mut self, from: SocketAddr, sender: MemberKey, digests: &[u64]) {
+        let own_digests = self.own_digests();
+        let is_newcomer = digests.len() != SYNC_BUCKETS;
+        if is_newcomer {
+            self.queue_items_for(from);
+        }
+        let first = self.rng.random_range(0..SYNC_BUCKETS);
+        let mut updates = Vec::new();
+        for offset in 0..SYNC_BUCKETS {
+            let bucket = (first + offset) % SYNC_BUCKETS;
+            let theirs = digests.get(bucket).copied().unwrap_or(0);
+            if !is_newcomer && theirs == own_digests[bucket] {
+                continue;
+            }
+            let with_profiles = is_newcomer || theirs == 0;
+            if bucket == bucket_of(self.key) {
+                updates.push(self.own_update(with_profiles));
+            }
+            for (key, record) in self.table.bucket(bucket) {
+                let is_useful = key != sender && !(with_profiles && record.is_dead());
+                if is_useful {
+                    updates.push(record.to_update(key, with_profiles));
+                }
+            }
+        }
+        self.send_entries(from, &updates);
+    }
+
+    /// Answers a request for profiles.
+    pub(super) fn on_request(&mut self, from: SocketAddr, keys: &[MemberKey]) {
+        let mut updates = Vec::new();
+        for key in keys {
+            if *key == self.key {
+                updates.push(self.own_update(true));
+            } else if let Some(record) = self.table.get(*key).filter(|record| !record.is_dead()) {
+                updates.push(record.to_update(*key, true));
+            }
+        }
+        self.send_entries(from, &updates);
+    }
+
+    /// Asks again soon while an exchange brings many changes.
+    pub(super) fn on_entries(&mut self, now: Duration, changes: usize) {
+        if changes >= FAR_BEHIND {
+            let soon = now + jitter(&mut self.rng, self.params.fast_sync_period);
+            self.sync_at = self.sync_at.min(soon);
+        }
+    }
+
+    /// Answers older claims of an exchange with the newer ones.
+    pub(super) fn send_newer(&mut self, to: SocketAddr, keys: &[MemberKey]) {
+        let records = keys
+            .iter()
+            .filter_map(|key| Some((*key, self.table.get(*key)?)));
+        let updates: Vec<_> = records
+            .map(|(key, record)| record.to_update(key, false))
+            .collect();
+        self.send_entries(to, &updates);
+    }
+
+    fn send_sync(&mut self, to: SocketAddr) {
+        let digests = if self.table.len() == 0 {
+            Vec::new()
+        } else {
+            self.own_digests().to_vec()
+        };
+        let own_update = self.own_update(digests.is_empty());
+        self.send(to, Body::Sync { digests }, Some(&own_update));
+    }
+
+    /// Digests of the table with this process in it, as the peers hold it.
+    fn own_digests(&self) -> [u64; SYNC_BUCKETS] {
+        let mut digests = *self.table.digests();
+        digests[bucket_of(self.key)] ^= digest(self.key, self.standing);
+        digests
+    }
+
+    fn send_entries(&mut self, to: SocketAddr, updates: &[super::Update]) {
+        let mut updates = updates.iter().peekable();
+        for _ in 0..self.params.sync_datagrams {
+            if updates.peek().is_none() {
+                return;
+            }
+            if !self.budget.is_open() {
+                self.counters.throttled += 1;
+                return;
+            }
+            let mut packer = Packer::new(&Body::Entries, usize::MAX);
+            while updates
+                .next_if(|update| packer.add_update(update))
+                .is_some()
+            {}
+            self.dispatch(to, Body::Entries, packer);
+        }
+    }
+
+    /// Sends the stored items to a process that has just started.
+    fn queue_items_for(&mut self, to: SocketAddr) {
+        let mut items = self
+            .items
+            .iter()
+            .cloned()
+            .collect::<Vec<_>>()
+            .into_iter()
+            .peekable();
+        while items.peek().is_some() && self.budget.is_open() {
+            let mut packer = Packer::new(&Body::Gossip, usize::MAX);
+            while items.next_if(|item| packer.add_item(item)).is_some() {}
+            self.dispatch(to, Body::Gossip, packer);
+        }
+    }
+}
