Add admission for plain services with headroom per tier

Calls are not preempted, so lower tiers together leave headroom for each tier, and kept slots or turns prevent starvation. The queue, its deadline order and its fairness are shared with model admission.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -9,7 +9,7 @@
 //! the places kept for a tier are its reserved share of tokens. Inside a tier, deficit round robin over tokens divides
 //! the places (M. Shreedhar, G. Varghese: Efficient Fair Queuing Using Deficit Round Robin, 1996).
 
-mod queue;
+pub(crate) mod queue;
 mod settings;
 mod tier;
 mod types;
@@ -474,7 +474,7 @@
     }
 }
 
-fn refusal(id: AttemptId, reason: RefuseReason, advice: Duration) -> Action {
+pub(crate) fn refusal(id: AttemptId, reason: RefuseReason, advice: Duration) -> Action {
     Action::Refuse {
         id,
         reason,
@@ -482,6 +482,6 @@
     }
 }
 
-fn to_u32(count: usize) -> u32 {
+pub(crate) fn to_u32(count: usize) -> u32 {
     u32::try_from(count).unwrap_or(u32::MAX)
 }
--- a/crates/core/src/admission/queue.rs
+++ b/crates/core/src/admission/queue.rs
@@ -24,7 +24,7 @@
 
 /// A request that waits.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub(super) struct Waiting {
+pub(crate) struct Waiting {
     pub id: AttemptId,
     pub workspace: WorkspaceId,
     pub class: ClassId,
@@ -41,7 +41,7 @@
 
 /// Speed at which a tier's waiting work is served.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub(super) struct ServiceRate {
+pub(crate) struct ServiceRate {
     /// Places of the batch that the tier can use.
     pub places: u32,
     /// Seconds that one request takes per token of its answer.
@@ -68,7 +68,7 @@
 
 /// A waiting request whose predicted start is too late.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub(super) struct Hopeless {
+pub(crate) struct Hopeless {
     pub id: AttemptId,
     pub priority: u8,
     /// How much earlier than predicted the request would have to start.
@@ -95,7 +95,7 @@
 }
 
 #[derive(Debug, Default)]
-pub(super) struct TierQueue {
+pub(crate) struct TierQueue {
     positions: BTreeMap<AttemptId, Position>,
     waiting: BTreeMap<Position, Waiting>,
     workspaces: BTreeMap<WorkspaceId, Account>,
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -1,1 +1,533 @@
 //! Admission for work that cannot be preempted.
+//!
+//! A plain service runs a bounded number of calls. A running call is never interrupted, so higher tiers are protected by
+//! headroom instead of preemption: the tiers below a tier together never occupy the slots that are headroom of that tier
+//! and of higher ones. In the other direction, each tier has slots that higher tiers leave free, whether or not it has
+//! work. Slots that are neither go to the highest tier that waits. Inside a tier, calls start earliest deadline first
+//! among workspaces that are kept fair by deficit round robin over expected call time.
+//!
+//! A call is refused at its offer when its start is predicted too late; the prediction for a tier uses that tier and
+//! higher ones only.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::admission::queue::{ServiceRate, TierQueue, Waiting};
+use crate::admission::{
+    Action, AdmissionSettings, ClassSettings, Load, RefuseReason, refusal, to_u32,
+};
+use crate::config::Configuration;
+use crate::ids::{AttemptId, ClassId, TierId, WorkspaceId};
+
+/// Weight of one sample in the moving averages.
+const SAMPLE_WEIGHT: f64 = 0.05;
+
+/// Duration of a call that is assumed until there are observations.
+const PRIOR_CALL_MS: f64 = 200.0;
+
+/// Time constant of the average of offered call time.
+const OFFER_WINDOW_SECS: f64 = 5.0;
+
+/// Call time by which one workspace may get ahead of another in the same tier, in milliseconds.
+const QUANTUM_MS: u32 = 500;
+
+/// Part of the slots, as a divisor, that is divided among the tiers as headroom. The rest is shared.
+const HEADROOM_DIVISOR: u32 = 2;
+
+/// Part of the starts, as a divisor, that a tier without a slot of its own gets when it is passed over.
+const TURN_DIVISOR: u32 = 20;
+
+/// A call of a plain service that is offered to a sidecar.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Call {
+    /// Number of the attempt.
+    pub id: AttemptId,
+    /// Tier of the workspace.
+    pub tier: TierId,
+    /// Class of the call.
+    pub class: ClassId,
+    /// Workspace of the caller.
+    pub workspace: WorkspaceId,
+    /// Time from the offer within which the call has to start; at most the class's longest wait.
+    pub wait_limit: Duration,
+    /// Time, on the clock of `now`, at which the caller gives up.
+    pub deadline: Duration,
+}
+
+/// Settings of [`Pool`].
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PoolSettings {
+    /// Calls that the backend server runs at the same time.
+    pub concurrency: u32,
+    /// Weight of each tier in the division of the headroom, highest tier first.
+    pub weights: Vec<u32>,
+    /// Share of the slots that is kept for each tier, in thousandths, highest tier first.
+    pub reserved_permille: Vec<u32>,
+    /// Classes by name.
+    pub classes: BTreeMap<ClassId, ClassSettings>,
+    /// Calls that may wait in each tier.
+    pub max_waiting: usize,
+}
+
+impl PoolSettings {
+    /// Returns the settings that follow from a configuration and the concurrency of a service.
+    #[must_use]
+    pub fn from_configuration(configuration: &Configuration, concurrency: u32) -> Self {
+        let admission = AdmissionSettings::from_configuration(configuration);
+        Self {
+            concurrency,
+            weights: configuration.tiers.iter().map(|tier| tier.weight).collect(),
+            reserved_permille: admission.reserved_permille,
+            classes: admission.classes,
+            max_waiting: admission.max_waiting,
+        }
+    }
+
+    fn tiers(&self) -> usize {
+        self.reserved_permille.len().max(1)
+    }
+
+    /// Returns the slots that no higher tier occupies.
+    ///
+    /// ```
+    /// use tanagerford_core::pool::PoolSettings;
+    ///
+    /// let settings = PoolSettings {
+    ///     concurrency: 8,
+    ///     weights: vec![8, 4, 2, 1],
+    ///     reserved_permille: vec![0, 50, 50, 50],
+    ///     classes: [].into(),
+    ///     max_waiting: 100,
+    /// };
+    /// assert_eq!((0..4).map(|tier| settings.kept(tier)).collect::<Vec<_>>(), [0, 1, 1, 1]);
+    /// assert_eq!((0..4).map(|tier| settings.headroom(tier)).collect::<Vec<_>>(), [3, 5, 6, 7]);
+    /// ```
+    #[must_use]
+    pub fn kept(&self, tier: usize) -> u32 {
+        // With fewer slots than tiers there is none to keep; turns take their place.
+        if tier == 0 || self.concurrency < to_u32(self.tiers()) {
+            return 0;
+        }
+        let permille = self.reserved_permille.get(tier).copied().unwrap_or(0);
+        let share = u64::from(self.concurrency) * u64::from(permille) / 1_000;
+        to_u32(usize::try_from(share).unwrap_or(usize::MAX)).clamp(1, self.spare().max(1))
+    }
+
+    /// Returns the slots that the tiers below `tier` never occupy.
+    #[must_use]
+    pub fn headroom(&self, tier: usize) -> u32 {
+        let tiers = to_u32(self.tiers());
+        if self.concurrency < tiers {
+            return 0;
+        }
+        let total: u32 = self.weights.iter().sum();
+        let divided = self.concurrency.div_ceil(HEADROOM_DIVISOR);
+        let share = |weight: &u32| (divided * weight).div_ceil(total.max(1)).max(1);
+        let slots: u32 = self.weights.iter().take(tier + 1).map(share).sum();
+        let below = tiers.saturating_sub(to_u32(tier) + 1);
+        slots.min(self.concurrency - below)
+    }
+
+    /// Returns the slots that one tier may keep at most, so that all kept slots together leave one free.
+    fn spare(&self) -> u32 {
+        (self.concurrency - 1) / to_u32(self.tiers()).saturating_sub(1).max(1)
+    }
+
+    fn class(&self, name: &str) -> ClassSettings {
+        self.classes.get(name).copied().unwrap_or_default()
+    }
+}
+
+#[derive(Debug, Clone, Copy)]
+struct RunningCall {
+    started_at: Duration,
+    expected_ms: u32,
+}
+
+#[derive(Debug)]
+struct Entry {
+    call: Call,
+    tier: usize,
+    running: Option<RunningCall>,
+}
+
+#[derive(Debug, Default)]
+struct Tier {
+    queue: TierQueue,
+    running: u32,
+    call_ms: BTreeMap<ClassId, f64>,
+    offered_at: Duration,
+    offered_ms_per_sec: f64,
+    /// Starts of other tiers while this one waited.
+    passed_over: u32,
+}
+
+impl Tier {
+    fn expected_ms(&self, class: &str) -> u32 {
+        let mean = self.call_ms.get(class).copied().unwrap_or(PRIOR_CALL_MS);
+        to_u32(
+            usize::try_from(Duration::from_secs_f64(mean / 1_000.0).as_millis())
+                .unwrap_or(usize::MAX),
+        )
+        .max(1)
+    }
+
+    fn mean_ms(&self) -> f64 {
+        let known = self.call_ms.values().fold(0.0, |sum, mean| sum + mean);
+        let count = f64::from(to_u32(self.call_ms.len()));
+        if count > 0.0 {
+            known / count
+        } else {
+            PRIOR_CALL_MS
+        }
+    }
+
+    fn count_offer(&mut self, now: Duration, expected_ms: u32) {
+        let passed = now.saturating_sub(self.offered_at).as_secs_f64();
+        self.offered_at = now;
+        let kept = self.offered_ms_per_sec * (-passed / OFFER_WINDOW_SECS).exp();
+        self.offered_ms_per_sec = kept + f64::from(expected_ms) / OFFER_WINDOW_SECS;
+    }
+}
+
+/// Admission of one backend server of a plain service.
+///
+/// ```
+/// use std::time::Duration;
+/// use tanagerford_core::admission::Action;
+/// use tanagerford_core::pool::{Call, Pool, PoolSettings};
+///
+/// let settings = PoolSettings {
+///     concurrency: 1,
+///     weights: vec![1],
+///     reserved_permille: vec![0],
+///     classes: [].into(),
+///     max_waiting: 100,
+/// };
+/// let call = |id| Call {
+///     id,
+///     tier: 0,
+///     class: "lookup".to_owned(),
+///     workspace: "acme".to_owned(),
+///     wait_limit: Duration::from_secs(2),
+///     deadline: Duration::from_secs(60),
+/// };
+/// let mut pool = Pool::new(settings);
+/// assert_eq!(pool.offer(Duration::ZERO, call(1)), [Action::Start { id: 1 }]);
+/// assert_eq!(pool.offer(Duration::ZERO, call(2)), []);
+/// assert_eq!(pool.on_finish(Duration::from_millis(90), 1), [Action::Start { id: 2 }]);
+/// ```
+#[derive(Debug)]
+pub struct Pool {
+    settings: PoolSettings,
+    tiers: Vec<Tier>,
+    entries: BTreeMap<AttemptId, Entry>,
+    leaving: bool,
+}
+
+impl Pool {
+    /// Returns a pool without work.
+    #[must_use]
+    pub fn new(settings: PoolSettings) -> Self {
+        let tiers = (0..settings.tiers()).map(|_| Tier::default()).collect();
+        Self {
+            settings,
+            tiers,
+            entries: BTreeMap::new(),
+            leaving: false,
+        }
+    }
+
+    /// Takes over new settings. Calls of removed tiers move to the lowest tier that is left.
+    pub fn set_configuration(&mut self, now: Duration, settings: PoolSettings) -> Vec<Action> {
+        let tiers = settings.tiers();
+        self.tiers
+            .resize_with(self.tiers.len().max(tiers), Tier::default);
+        self.settings = settings;
+        for removed in self.tiers.split_off(tiers) {
+            let lowest = &mut self.tiers[tiers - 1];
+            lowest.running += removed.running;
+            for waiting in removed.queue.into_waiting() {
+                lowest.queue.insert(waiting, QUANTUM_MS);
+            }
+        }
+        for entry in self.entries.values_mut() {
+            entry.tier = entry.tier.min(tiers - 1);
+        }
+        self.on_tick(now)
+    }
+
+    /// Offers a call. The same call may start it or refuse calls.
+    pub fn offer(&mut self, now: Duration, call: Call) -> Vec<Action> {
+        let id = call.id;
+        if self.leaving {
+            return vec![refusal(id, RefuseReason::Leaving, Duration::ZERO)];
+        }
+        let tier = usize::from(call.tier).min(self.tiers.len() - 1);
+        let waiting = self.waiting(now, tier, &call);
+        let priority = waiting.priority;
+        self.tiers[tier].count_offer(now, waiting.tokens);
+        self.tiers[tier].queue.insert(waiting, QUANTUM_MS);
+        let entry = Entry {
+            call,
+            tier,
+            running: None,
+        };
+        self.entries.insert(id, entry);
+        let mut actions = self.on_tick(now);
+        if self.tiers[tier].queue.len() > self.settings.max_waiting {
+            let queue = &self.tiers[tier].queue;
+            let victim = queue.least_important(priority).unwrap_or(id);
+            let advice = queue.drain_time(self.rate(tier));
+            self.refuse(victim, RefuseReason::QueueFull, advice, &mut actions);
+        }
+        self.shed_for(now, id, &mut actions);
+        actions
+    }
+
+    /// Reports that a started call has ended.
+    pub fn on_finish(&mut self, now: Duration, id: AttemptId) -> Vec<Action> {
+        if let Some(entry) = self.entries.remove(&id) {
+            self.tiers[entry.tier].queue.remove(id);
+            if let Some(running) = entry.running {
+                self.count_finish(now, &entry, running);
+            }
+        }
+        self.on_tick(now)
+    }
+
+    /// Reports that the caller has gone. A call that was started continues, since its effect is not undone.
+    pub fn on_cancel(&mut self, now: Duration, id: AttemptId) -> Vec<Action> {
+        let waits = self
+            .entries
+            .get(&id)
+            .is_some_and(|entry| entry.running.is_none());
+        if waits {
+            self.on_finish(now, id)
+        } else {
+            Vec::new()
+        }
+    }
+
+    /// Refuses what waited too long and starts what has become possible.
+    pub fn on_tick(&mut self, now: Duration) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for tier in 0..self.tiers.len() {
+            self.expire(now, tier, &mut actions);
+        }
+        while let Some(tier) = self.next_tier() {
+            if !self.start_one(now, tier, &mut actions) {
+                break;
+            }
+        }
+        actions
+    }
+
+    /// Takes no new work from now on and refuses what waits.
+    pub fn leave(&mut self) -> Vec<Action> {
+        self.leaving = true;
+        let mut actions = Vec::new();
+        for id in self
+            .tiers
+            .iter()
+            .flat_map(|tier| tier.queue.ids())
+            .collect::<Vec<_>>()
+        {
+            self.refuse(id, RefuseReason::Leaving, Duration::ZERO, &mut actions);
+        }
+        actions
+    }
+
+    /// Returns the load for hints to entries.
+    #[must_use]
+    pub fn load(&self) -> Load {
+        let waiting: usize = self.tiers.iter().map(|tier| tier.queue.len()).sum();
+        let busy = self
+            .tiers
+            .iter()
+            .map(|tier| tier.running + to_u32(tier.queue.len()));
+        Load {
+            running: self.running_from(0),
+            waiting: to_u32(waiting),
+            batch_limit: self.settings.concurrency,
+            token_gap: Duration::ZERO,
+            busy_by_tier: busy.collect(),
+            leaving: self.leaving,
+        }
+    }
+
+    /// Returns the time at which [`Pool::on_tick`] has to be called next; `None` while nothing waits.
+    #[must_use]
+    pub fn next_wakeup(&self) -> Option<Duration> {
+        self.tiers
+            .iter()
+            .filter_map(|tier| tier.queue.next_expiry())
+            .min()
+    }
+
+    /// Returns whether nothing runs or waits.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Returns the tier that starts a call next, if any may.
+    fn next_tier(&self) -> Option<usize> {
+        if self.running_from(0) >= self.settings.concurrency {
+            return None;
+        }
+        let waits = |tier: &usize| self.tiers[*tier].queue.len() > 0;
+        let owed = |tier: &usize| self.tiers[*tier].passed_over >= TURN_DIVISOR;
+        let mut turns = (0..self.tiers.len())
+            .filter(|tier| self.settings.kept(*tier) == 0 && waits(tier) && owed(tier));
+        let first = (0..self.tiers.len()).find(|tier| waits(tier) && self.may_start(*tier));
+        turns.next().or(first)
+    }
+
+    fn may_start(&self, tier: usize) -> bool {
+        let below = self.unused_below(tier);
+        if self.running_from(0) + below >= self.settings.concurrency {
+            return false;
+        }
+        (0..tier).all(|higher| {
+            let slots = self.settings.concurrency - self.settings.headroom(higher);
+            self.running_from(higher + 1) + below < slots
+        })
+    }
+
+    /// Returns the slots kept for lower tiers that they do not use.
+    fn unused_below(&self, tier: usize) -> u32 {
+        let unused = |lower: usize| {
+            self.settings
+                .kept(lower)
+                .saturating_sub(self.tiers[lower].running)
+        };
+        (tier + 1..self.tiers.len()).map(unused).sum()
+    }
+
+    fn running_from(&self, first: usize) -> u32 {
+        self.tiers[first..].iter().map(|tier| tier.running).sum()
+    }
+
+    fn start_one(&mut self, now: Duration, tier: usize, actions: &mut Vec<Action>) -> bool {
+        let Some(waiting) = self.tiers[tier].queue.pop(now, QUANTUM_MS) else {
+            return false;
+        };
+        if let Some(entry) = self.entries.get_mut(&waiting.id) {
+            entry.running = Some(RunningCall {
+                started_at: now,
+                expected_ms: waiting.tokens,
+            });
+        }
+        for (index, other) in self.tiers.iter_mut().enumerate() {
+            if index == tier {
+                other.passed_over = 0;
+            } else if other.queue.len() > 0 {
+                other.passed_over += 1;
+            }
+        }
+        self.tiers[tier].running += 1;
+        actions.push(Action::Start { id: waiting.id });
+        true
+    }
+
+    fn count_finish(&mut self, now: Duration, entry: &Entry, running: RunningCall) {
+        let took = now.saturating_sub(running.started_at);
+        let known = self.settings.classes.contains_key(&entry.call.class);
+        let tier = &mut self.tiers[entry.tier];
+        tier.running -= 1;
+        let took_ms = to_u32(usize::try_from(took.as_millis()).unwrap_or(usize::MAX));
+        tier.queue
+            .settle_tokens(&entry.call.workspace, running.expected_ms, took_ms);
+        // Only classes of the configuration have an average, so the map is bounded.
+        if known {
+            let mean = tier
+                .call_ms
+                .entry(entry.call.class.clone())
+                .or_insert(PRIOR_CALL_MS);
+            *mean += (f64::from(took_ms) - *mean) * SAMPLE_WEIGHT;
+        }
+    }
+
+    fn expire(&mut self, now: Duration, tier: usize, actions: &mut Vec<Action>) {
+        let advice = self.tiers[tier].queue.drain_time(self.rate(tier));
+        for waiting in self.tiers[tier].queue.expire(now) {
+            self.entries.remove(&waiting.id);
+            actions.push(refusal(waiting.id, RefuseReason::WaitPassed, advice));
+        }
+    }
+
+    /// Refuses a call that was just offered if it cannot start in time. Waiting calls of less important classes make
+    /// room first.
+    fn shed_for(&mut self, now: Duration, id: AttemptId, actions: &mut Vec<Action>) {
+        while let Some(entry) = self
+            .entries
+            .get(&id)
+            .filter(|entry| entry.running.is_none())
+        {
+            let tier = entry.tier;
+            let hopeless = self.tiers[tier]
+                .queue
+                .hopeless(now, self.rate(tier), QUANTUM_MS);
+            let Some(found) = hopeless.into_iter().find(|hopeless| hopeless.id == id) else {
+                return;
+            };
+            let victim = self.tiers[tier]
+                .queue
+                .least_important(found.priority)
+                .unwrap_or(id);
+            self.refuse(victim, RefuseReason::WaitTooLong, found.excess, actions);
+        }
+    }
+
+    fn refuse(
+        &mut self,
+        id: AttemptId,
+        reason: RefuseReason,
+        advice: Duration,
+        actions: &mut Vec<Action>,
+    ) {
+        if let Some(entry) = self.entries.remove(&id) {
+            self.tiers[entry.tier].queue.remove(id);
+            actions.push(refusal(id, reason, advice));
+        }
+    }
+
+    /// Returns the speed at which a tier's calls are served as if lower tiers had no work.
+    fn rate(&self, tier: usize) -> ServiceRate {
+        let kept: u32 = (tier + 1..self.tiers.len())
+            .map(|lower| self.settings.kept(lower))
+            .sum();
+        let above: u32 = self.tiers[..tier].iter().map(|tier| tier.running).sum();
+        let places = self.settings.concurrency.saturating_sub(kept + above);
+        let places = places.max(self.settings.kept(tier)).max(1);
+        let state = &self.tiers[tier];
+        ServiceRate {
+            places,
+            secs_per_token: 0.001,
+            residual_tokens: if places > state.running {
+                0.0
+            } else {
+                state.mean_ms()
+            },
+            utilisation: state.offered_ms_per_sec / (1_000.0 * f64::from(places)),
+        }
+    }
+
+    fn waiting(&self, now: Duration, tier: usize, call: &Call) -> Waiting {
+        let class = self.settings.class(&call.class);
+        let expected_ms = self.tiers[tier].expected_ms(&call.class);
+        let start_by = now + call.wait_limit.min(class.longest_wait);
+        let call_time = Duration::from_millis(u64::from(expected_ms));
+        Waiting {
+            id: call.id,
+            workspace: call.workspace.clone(),
+            class: call.class.clone(),
+            priority: class.priority,
+            on_time_until: now + class.first_token.saturating_sub(call_time),
+            start_by: start_by.min(call.deadline),
+            tokens: expected_ms,
+            preempted: false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/tests/pool.rs
@@ -0,0 +1,164 @@
+//! Tests of admission for work that cannot be preempted.
+
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use tanagerford_core::admission::{Action, RefuseReason};
+use tanagerford_core::pool::{Call, Pool, PoolSettings};
+
+fn settings(concurrency: u32) -> PoolSettings {
+    PoolSettings {
+        concurrency,
+        weights: vec![8, 4, 2, 1],
+        reserved_permille: vec![0, 50, 50, 50],
+        classes: [].into(),
+        max_waiting: 100,
+    }
+}
+
+fn call(id: u64, tier: u8) -> Call {
+    Call {
+        id,
+        tier,
+        class: "lookup".to_owned(),
+        workspace: "acme".to_owned(),
+        wait_limit: Duration::from_secs(5),
+        deadline: Duration::from_mins(10),
+    }
+}
+
+fn starts(actions: &[Action]) -> usize {
+    let is_start = |action: &&Action| matches!(action, Action::Start { .. });
+    actions.iter().filter(is_start).count()
+}
+
+/// Guards against low-tier calls in the slots that are headroom of higher tiers.
+#[test]
+fn lower_tiers_leave_headroom() {
+    for concurrency in [4, 8, 16, 50] {
+        let settings = settings(concurrency);
+        for lowest in 1..4_u8 {
+            let mut pool = Pool::new(settings.clone());
+            for id in 0..60 {
+                pool.offer(Duration::ZERO, call(id, lowest));
+            }
+            let higher = usize::from(lowest) - 1;
+            let running = pool.load().running;
+            assert!(running <= concurrency - settings.headroom(higher));
+            // The slots of the highest tier are free however much lower tiers have to do.
+            let actions: Vec<Action> = (100..150)
+                .flat_map(|id| pool.offer(Duration::ZERO, call(id, 0)))
+                .collect();
+            assert!(
+                starts(&actions) >= settings.headroom(0) as usize,
+                "concurrency {concurrency}"
+            );
+        }
+    }
+}
+
+/// Guards against a tier that never runs because higher tiers always have work.
+#[test]
+fn every_tier_runs_beside_a_flood_of_the_highest() {
+    for concurrency in [1, 2, 4, 8] {
+        let mut pool = Pool::new(settings(concurrency));
+        let mut running: Vec<u64> = Vec::new();
+        let mut first_starts = [None; 4];
+        for step in 0..600_u64 {
+            let now = Duration::from_millis(step * 50);
+            let mut actions = Vec::new();
+            for id in std::mem::take(&mut running) {
+                actions.extend(pool.on_finish(now, id));
+            }
+            for flood in 0..10 {
+                actions.extend(pool.offer(now, call(step * 100 + flood * 4, 0)));
+            }
+            for tier in 1..4_u8 {
+                actions.extend(pool.offer(now, call(step * 100 + 40 + u64::from(tier), tier)));
+            }
+            for action in actions {
+                if let Action::Start { id } = action {
+                    let tier = (id % 100).saturating_sub(40) as usize;
+                    first_starts[tier].get_or_insert(step);
+                    running.push(id);
+                }
+            }
+        }
+        assert!(
+            first_starts.iter().all(Option::is_some),
+            "concurrency {concurrency}: {first_starts:?}"
+        );
+    }
+}
+
+/// Guards against more calls at the backend server than it takes, lost calls and calls with two ends.
+#[test]
+fn every_call_has_exactly_one_end_and_slots_are_bounded() {
+    let mut rng = Pcg64Mcg::seed_from_u64(3);
+    for concurrency in [1, 3, 8] {
+        let mut pool = Pool::new(settings(concurrency));
+        let mut running: Vec<u64> = Vec::new();
+        let mut ended = 0;
+        for id in 0..3_000_u64 {
+            let now = Duration::from_millis(id * 20);
+            let mut actions = pool.offer(now, call(id, rng.random_range(0..4)));
+            if !running.is_empty() && rng.random_bool(0.6) {
+                let done = running.swap_remove(rng.random_range(0..running.len()));
+                ended += 1;
+                actions.extend(pool.on_finish(now, done));
+            }
+            for action in actions {
+                match action {
+                    Action::Start { id } => running.push(id),
+                    Action::Refuse { .. } => ended += 1,
+                    Action::Preempt { .. } => panic!("plain calls are never preempted"),
+                }
+            }
+            assert!(running.len() <= concurrency as usize);
+            assert_eq!(pool.load().running as usize, running.len());
+        }
+        let left = pool.load();
+        assert_eq!(ended + left.running + left.waiting, 3_000);
+    }
+}
+
+/// Guards against a cancelled caller that frees the slot of a call which still runs.
+#[test]
+fn a_cancelled_call_keeps_its_slot_until_it_ends() {
+    let mut pool = Pool::new(settings(1));
+    pool.offer(Duration::ZERO, call(1, 0));
+    pool.offer(Duration::ZERO, call(2, 0));
+    assert_eq!(pool.on_cancel(Duration::ZERO, 1), []);
+    assert_eq!(pool.load().running, 1);
+    pool.on_cancel(Duration::ZERO, 2);
+    assert_eq!(pool.on_finish(Duration::ZERO, 1), []);
+    assert!(pool.is_idle());
+}
+
+/// Guards against work that is accepted after the sidecar has begun to leave.
+#[test]
+fn leaving_refuses_waiting_and_new_calls() {
+    let mut pool = Pool::new(settings(1));
+    pool.offer(Duration::ZERO, call(1, 0));
+    pool.offer(Duration::ZERO, call(2, 0));
+    let refused = pool.leave();
+    assert!(matches!(
+        refused[..],
+        [Action::Refuse {
+            id: 2,
+            reason: RefuseReason::Leaving,
+            ..
+        }]
+    ));
+    let refused = pool.offer(Duration::ZERO, call(3, 0));
+    assert!(matches!(
+        refused[..],
+        [Action::Refuse {
+            id: 3,
+            reason: RefuseReason::Leaving,
+            ..
+        }]
+    ));
+    assert_eq!(pool.load().running, 1);
+}
