--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -91,6 +91,7 @@
     entries: BTreeMap<AttemptId, Entry>,
     estimator: OutputEstimator,
     leaving: bool,
+    down: bool,
 }
 
 impl Admission {
@@ -107,6 +108,7 @@
             entries: BTreeMap::new(),
             estimator,
             leaving: false,
+            down: false,
         }
     }
 
@@ -130,8 +132,8 @@
     /// Offers a request. The same call may start it, refuse it, or preempt and refuse others.
     pub fn offer(&mut self, now: Duration, request: Request) -> Vec<Action> {
         let id = request.id;
-        if self.leaving {
-            return vec![refusal(id, RefuseReason::Leaving, MIN_RETRY_AFTER)];
+        if let Some(reason) = self.closed() {
+            return vec![refusal(id, reason, MIN_RETRY_AFTER)];
         }
         let tier = usize::from(request.tier).min(self.tiers.len() - 1);
         let entry = Entry {
@@ -221,24 +223,33 @@
     pub fn leave(&mut self, now: Duration) -> Vec<Action> {
         self.leaving = true;
         let mut actions = Vec::new();
-        for id in self
-            .tiers
-            .iter()
-            .flat_map(|tier| tier.queue.ids())
-            .collect::<Vec<_>>()
-        {
-            if self
-                .entries
-                .get(&id)
-                .is_some_and(|entry| entry.generated == 0)
-            {
-                self.refuse(id, RefuseReason::Leaving, MIN_RETRY_AFTER, &mut actions);
-            }
-        }
+        self.refuse_waiting(
+            RefuseReason::Leaving,
+            |entry| entry.generated == 0,
+            &mut actions,
+        );
         self.settle(now, 0, &mut actions);
         actions
     }
 
+    /// Reports that the engine is down. All started requests count as ended, what waits is refused at once, and offers
+    /// are refused until [`Admission::on_engine_up`].
+    pub fn on_engine_down(&mut self) -> Vec<Action> {
+        self.down = true;
+        for tier in &mut self.tiers {
+            tier.running.clear();
+        }
+        self.entries.retain(|_, entry| !entry.running);
+        let mut actions = Vec::new();
+        self.refuse_waiting(RefuseReason::ServerDown, |_| true, &mut actions);
+        actions
+    }
+
+    /// Reports that the engine takes requests again.
+    pub fn on_engine_up(&mut self) {
+        self.down = false;
+    }
+
     /// Returns the load for hints to entries.
     #[must_use]
     pub fn load(&self) -> Load {
@@ -407,6 +418,30 @@
             .hopeless(now, rate, self.settings.quantum_tokens)
     }
 
+    /// Returns why offers are refused, if they are.
+    fn closed(&self) -> Option<RefuseReason> {
+        let down = self.down.then_some(RefuseReason::ServerDown);
+        self.leaving.then_some(RefuseReason::Leaving).or(down)
+    }
+
+    fn refuse_waiting(
+        &mut self,
+        reason: RefuseReason,
+        filter: impl Fn(&Entry) -> bool,
+        actions: &mut Vec<Action>,
+    ) {
+        for id in self
+            .tiers
+            .iter()
+            .flat_map(|tier| tier.queue.ids())
+            .collect::<Vec<_>>()
+        {
+            if self.entries.get(&id).is_some_and(&filter) {
+                self.refuse(id, reason, MIN_RETRY_AFTER, actions);
+            }
+        }
+    }
+
     fn refuse(
         &mut self,
         id: AttemptId,
--- a/crates/core/src/admission/types.rs
+++ b/crates/core/src/admission/types.rs
@@ -44,6 +44,8 @@
     PreemptedTooLong,
     /// The sidecar takes no new work.
     Leaving,
+    /// The backend server is down.
+    ServerDown,
 }
 
 impl RefuseReason {
@@ -62,6 +64,7 @@
             Self::WaitPassed => "wait_passed",
             Self::PreemptedTooLong => "preempted_too_long",
             Self::Leaving => "leaving",
+            Self::ServerDown => "server_down",
         }
     }
 
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -223,6 +223,7 @@
     tiers: Vec<Tier>,
     entries: BTreeMap<AttemptId, Entry>,
     leaving: bool,
+    down: bool,
 }
 
 impl Pool {
@@ -235,6 +236,7 @@
             tiers,
             entries: BTreeMap::new(),
             leaving: false,
+            down: false,
         }
     }
 
@@ -260,8 +262,13 @@
     /// Offers a call. The same call may start it or refuse calls.
     pub fn offer(&mut self, now: Duration, call: Call) -> Vec<Action> {
         let id = call.id;
-        if self.leaving {
-            return vec![refusal(id, RefuseReason::Leaving, Duration::ZERO)];
+        if self.leaving || self.down {
+            let reason = if self.leaving {
+                RefuseReason::Leaving
+            } else {
+                RefuseReason::ServerDown
+            };
+            return vec![refusal(id, reason, Duration::ZERO)];
         }
         let tier = usize::from(call.tier).min(self.tiers.len() - 1);
         let waiting = self.waiting(now, tier, &call);
@@ -326,16 +333,23 @@
     /// Takes no new work from now on and refuses what waits.
     pub fn leave(&mut self) -> Vec<Action> {
         self.leaving = true;
-        let mut actions = Vec::new();
-        for id in self
-            .tiers
-            .iter()
-            .flat_map(|tier| tier.queue.ids())
-            .collect::<Vec<_>>()
-        {
-            self.refuse(id, RefuseReason::Leaving, Duration::ZERO, &mut actions);
+        self.refuse_waiting(RefuseReason::Leaving)
+    }
+
+    /// Reports that the backend server is down. All started calls count as ended, what waits is refused at once, and
+    /// offers are refused until [`Pool::on_server_up`].
+    pub fn on_server_down(&mut self) -> Vec<Action> {
+        self.down = true;
+        for tier in &mut self.tiers {
+            tier.running = 0;
         }
-        actions
+        self.entries.retain(|_, entry| entry.running.is_none());
+        self.refuse_waiting(RefuseReason::ServerDown)
+    }
+
+    /// Reports that the backend server takes calls again.
+    pub fn on_server_up(&mut self) {
+        self.down = false;
     }
 
     /// Returns the load for hints to entries.
@@ -480,6 +494,19 @@
         }
     }
 
+    fn refuse_waiting(&mut self, reason: RefuseReason) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for id in self
+            .tiers
+            .iter()
+            .flat_map(|tier| tier.queue.ids())
+            .collect::<Vec<_>>()
+        {
+            self.refuse(id, reason, Duration::ZERO, &mut actions);
+        }
+        actions
+    }
+
     fn refuse(
         &mut self,
         id: AttemptId,
