--- /dev/null
+++ b/crates/core/src/suspect/limits.rs
@@ -0,0 +1,104 @@
+//! Limits of the suspicion table.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use super::{CrashId, EXPIRED_KEPT, Entry, MAX_RECORDS, SuspectTable, WorkspaceHash};
+use crate::ids::Fingerprint;
+
+/// Largest multiple of the limit on entries that the table holds with its expired entries.
+const MAX_EXPIRED_FACTOR: usize = 2;
+
+/// Order in which a workspace's entries are kept, the greatest first. Each part only rises when summaries are merged.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Rank {
+    records: usize,
+    share_permille: u16,
+    fingerprint: Fingerprint,
+}
+
+impl Rank {
+    fn new(now: Duration, fingerprint: Fingerprint, entry: &Entry) -> Self {
+        let shares = entry.unexpired(now).map(|record| record.share_permille);
+        Self {
+            records: entry.unexpired(now).count(),
+            share_permille: shares.max().unwrap_or(0),
+            fingerprint,
+        }
+    }
+}
+
+impl Entry {
+    /// Removes records that are no longer needed or exceed the limit. Which ones exceed it depends on their numbers
+    /// alone, so a removed record does not come back.
+    fn trim(&mut self, now: Duration) {
+        self.records
+            .retain(|_, record| now < record.expires_at + EXPIRED_KEPT);
+        let excess = self.unexpired(now).count().saturating_sub(MAX_RECORDS);
+        let unexpired = self
+            .records
+            .iter()
+            .filter(|(_, record)| !record.is_expired(now));
+        let removed: Vec<CrashId> = unexpired.map(|(&id, _)| id).take(excess).collect();
+        for id in removed {
+            self.records.remove(&id);
+        }
+    }
+}
+
+impl SuspectTable {
+    /// Removes what is no longer needed or exceeds the limits.
+    ///
+    /// While there are too many entries, the workspace with the most of them loses its lowest one, so a workspace
+    /// displaces others' entries only as long as it has fewer.
+    pub(super) fn enforce_limits(&mut self, now: Duration) {
+        for entry in self.entries.values_mut() {
+            entry.trim(now);
+        }
+        self.entries.retain(|_, entry| !entry.records.is_empty());
+
+        let mut by_workspace = self.ranks(now);
+        for ranks in by_workspace.values_mut() {
+            while ranks.len() > self.limits.workspace_entries {
+                self.remove_lowest(ranks);
+            }
+        }
+        let mut count: usize = by_workspace.values().map(BTreeSet::len).sum();
+        let sizes = by_workspace
+            .iter()
+            .map(|(&workspace, ranks)| (ranks.len(), workspace));
+        let mut by_size: BTreeSet<(usize, WorkspaceHash)> = sizes.collect();
+        while count > self.limits.entries {
+            let Some((_, workspace)) = by_size.pop_last() else {
+                break;
+            };
+            let ranks = by_workspace.entry(workspace).or_default();
+            self.remove_lowest(ranks);
+            by_size.insert((ranks.len(), workspace));
+            count -= 1;
+        }
+        if self.entries.len() > self.limits.entries * MAX_EXPIRED_FACTOR {
+            self.entries
+                .retain(|_, entry| entry.unexpired(now).next().is_some());
+        }
+    }
+
+    fn ranks(&self, now: Duration) -> BTreeMap<WorkspaceHash, BTreeSet<Rank>> {
+        let mut ranks: BTreeMap<WorkspaceHash, BTreeSet<Rank>> = BTreeMap::new();
+        let unexpired = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| entry.unexpired(now).next().is_some());
+        for (&fingerprint, entry) in unexpired {
+            let ranks = ranks.entry(entry.workspace).or_default();
+            ranks.insert(Rank::new(now, fingerprint, entry));
+        }
+        ranks
+    }
+
+    fn remove_lowest(&mut self, ranks: &mut BTreeSet<Rank>) {
+        if let Some(rank) = ranks.pop_first() {
+            self.entries.remove(&rank.fingerprint);
+        }
+    }
+}
