--- a/crates/caller/src/refusal.rs
+++ b/crates/caller/src/refusal.rs
@@ -28,123 +28,133 @@
     }
 }
 
-/// Stable code of a refusal.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Code {
+/// Defines [`Code`] with the text and the HTTP status of each code.
+macro_rules! codes {
+    ($($(#[$doc:meta])* $name:ident = $text:literal, $status:ident;)*) => {
+        /// Stable code of a refusal.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+        pub enum Code {
+            $($(#[$doc])* $name,)*
+        }
+
+        impl Code {
+            /// All codes.
+            pub const ALL: &[Self] = &[$(Self::$name,)*];
+
+            /// Returns the code as it stands in the JSON error and on links.
+            #[must_use]
+            pub fn as_str(self) -> &'static str {
+                match self {
+                    $(Self::$name => $text,)*
+                }
+            }
+
+            fn status(self) -> StatusCode {
+                match self {
+                    $(Self::$name => StatusCode::$status,)*
+                }
+            }
+        }
+    };
+}
+
+codes! {
     /// The API key is missing or unknown.
-    Unauthorized,
+    Unauthorized = "unauthorized", UNAUTHORIZED;
     /// The request is malformed.
-    InvalidRequest,
+    InvalidRequest = "invalid_request", BAD_REQUEST;
     /// The path names no interface and no service.
-    NotFound,
+    NotFound = "not_found", NOT_FOUND;
     /// The model is not configured.
-    UnknownModel,
+    UnknownModel = "unknown_model", NOT_FOUND;
     /// The class is not configured.
-    UnknownClass,
+    UnknownClass = "unknown_class", BAD_REQUEST;
     /// The body is too large.
-    BodyTooLarge,
+    BodyTooLarge = "body_too_large", PAYLOAD_TOO_LARGE;
     /// The request was not received in time.
-    RequestTimeout,
+    RequestTimeout = "request_timeout", REQUEST_TIMEOUT;
     /// The entry has no place left for this class.
-    ClassFull,
-    /// Load shedding: the request cannot start within its class's longest wait.
-    Overloaded,
+    ClassFull = "class_full", TOO_MANY_REQUESTS;
+    /// The waiting places of the tier are taken.
+    QueueFull = "queue_full", TOO_MANY_REQUESTS;
+    /// The request is not expected to start within its longest wait.
+    WaitTooLong = "wait_too_long", TOO_MANY_REQUESTS;
+    /// The longest wait has passed.
+    WaitPassed = "wait_passed", TOO_MANY_REQUESTS;
+    /// The deadline passed after a preemption.
+    PreemptedTooLong = "preempted_too_long", SERVICE_UNAVAILABLE;
+    /// The sidecar takes no new work.
+    Leaving = "leaving", SERVICE_UNAVAILABLE;
+    /// The backend server refused the request because it is full.
+    Overloaded = "overloaded", TOO_MANY_REQUESTS;
     /// No backend server of the pool can be reached.
-    NoServer,
-    /// The process stops.
-    Stopping,
+    NoServer = "no_server", SERVICE_UNAVAILABLE;
     /// The configuration is not loaded yet.
-    NotReady,
-    /// The request crashed backend servers and is quarantined.
-    Quarantined,
-    /// The backend server failed.
-    ServerFailed,
-    /// The time limit passed.
-    DeadlineExceeded,
+    NotReady = "not_ready", SERVICE_UNAVAILABLE;
+    /// The request crashed backend servers.
+    Quarantined = "quarantined", UNPROCESSABLE_ENTITY;
+    /// The backend server failed or its link was lost.
+    ServerFailed = "server_failed", BAD_GATEWAY;
+    /// The time limit has passed.
+    DeadlineExceeded = "deadline_exceeded", GATEWAY_TIMEOUT;
     /// A call that must not be repeated lacks an `Idempotency-Key`.
-    IdempotencyKeyRequired,
+    IdempotencyKeyRequired = "idempotency_key_required", BAD_REQUEST;
     /// The same `Idempotency-Key` was used with another body.
-    IdempotencyKeyReused,
+    IdempotencyKeyReused = "idempotency_key_reused", UNPROCESSABLE_ENTITY;
+    /// The order still runs.
+    OrderInProgress = "order_in_progress", CONFLICT;
+    /// The claim of the order could not be written.
+    OrderStoreUnavailable = "order_store_unavailable", SERVICE_UNAVAILABLE;
     /// The order log has no room.
-    OrderLogFull,
-    /// The order log cannot be written.
-    OrderLogUnavailable,
-    /// The outcome of the order is not known.
-    OrderUnknown,
+    OrderLogFull = "order_log_full", SERVICE_UNAVAILABLE;
+    /// A page of the order log cannot be decoded.
+    OrderLogUnreadable = "order_log_unreadable", SERVICE_UNAVAILABLE;
+    /// The order log of the sidecar stops.
+    OrderLogStopping = "order_log_stopping", SERVICE_UNAVAILABLE;
+    /// The sidecar has reported the order as not run and keeps to it.
+    OrderRefusedHere = "order_refused_here", SERVICE_UNAVAILABLE;
+    /// It is not known whether the claim of the order was written.
+    OrderClaimUnresolved = "order_claim_unresolved", CONFLICT;
+    /// The sidecar that claimed the order is gone.
+    OrderOwnerGone = "order_owner_gone", CONFLICT;
+    /// The sidecar that claimed the order cannot be reached.
+    OrderOwnerUnreachable = "order_owner_unreachable", CONFLICT;
     /// The order ran, but its answer is not kept any more.
-    OrderAnswerLost,
+    OrderAnswerLost = "order_answer_lost", CONFLICT;
+    /// An operator stated that the order ran.
+    OrderSettledAsRun = "order_settled_as_run", CONFLICT;
 }
 
 impl Code {
-    /// Returns the code as it stands in the JSON error.
-    #[must_use]
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Self::Unauthorized => "unauthorized",
-            Self::InvalidRequest => "invalid_request",
-            Self::NotFound => "not_found",
-            Self::UnknownModel => "unknown_model",
-            Self::UnknownClass => "unknown_class",
-            Self::BodyTooLarge => "body_too_large",
-            Self::RequestTimeout => "request_timeout",
-            Self::ClassFull => "class_full",
-            Self::Overloaded => "overloaded",
-            Self::NoServer => "no_server",
-            Self::Stopping => "stopping",
-            Self::NotReady => "not_ready",
-            Self::Quarantined => "quarantined",
-            Self::ServerFailed => "server_failed",
-            Self::DeadlineExceeded => "deadline_exceeded",
-            Self::IdempotencyKeyRequired => "idempotency_key_required",
-            Self::IdempotencyKeyReused => "idempotency_key_reused",
-            Self::OrderLogFull => "order_log_full",
-            Self::OrderLogUnavailable => "order_log_unavailable",
-            Self::OrderUnknown => "order_unknown",
-            Self::OrderAnswerLost => "order_answer_lost",
-        }
-    }
-
-    /// Returns the code that a sidecar names on a link.
+    /// Returns the code that a sidecar names on a link; an unknown one counts as a failure of the server.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use tanagerford_caller::refusal::Code;
+    ///
+    /// assert_eq!(Code::from_wire("queue_full"), Code::QueueFull);
+    /// assert_eq!(Code::from_wire("of a later version"), Code::ServerFailed);
+    /// ```
     #[must_use]
     pub fn from_wire(code: &str) -> Self {
-        const FROM_SIDECAR: [Code; 10] = [
-            Code::Overloaded,
-            Code::Stopping,
-            Code::Quarantined,
-            Code::ServerFailed,
-            Code::DeadlineExceeded,
-            Code::IdempotencyKeyReused,
-            Code::OrderLogFull,
-            Code::OrderLogUnavailable,
-            Code::OrderUnknown,
-            Code::OrderAnswerLost,
-        ];
-        let known = FROM_SIDECAR
-            .into_iter()
-            .find(|known| known.as_str() == code);
-        known.unwrap_or(Self::ServerFailed)
+        let known = Self::ALL.iter().find(|known| known.as_str() == code);
+        known.copied().unwrap_or(Self::ServerFailed)
     }
 
-    fn status(self) -> StatusCode {
-        match self {
-            Self::Unauthorized => StatusCode::UNAUTHORIZED,
-            Self::InvalidRequest | Self::UnknownClass | Self::IdempotencyKeyRequired => {
-                StatusCode::BAD_REQUEST
-            }
-            Self::NotFound | Self::UnknownModel => StatusCode::NOT_FOUND,
-            Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::RequestTimeout => StatusCode::REQUEST_TIMEOUT,
-            Self::ClassFull | Self::Overloaded => StatusCode::TOO_MANY_REQUESTS,
-            Self::Quarantined | Self::IdempotencyKeyReused => StatusCode::UNPROCESSABLE_ENTITY,
-            Self::ServerFailed => StatusCode::BAD_GATEWAY,
-            Self::DeadlineExceeded => StatusCode::GATEWAY_TIMEOUT,
-            Self::OrderUnknown | Self::OrderAnswerLost => StatusCode::CONFLICT,
-            Self::NoServer
-            | Self::Stopping
-            | Self::NotReady
-            | Self::OrderLogFull
-            | Self::OrderLogUnavailable => StatusCode::SERVICE_UNAVAILABLE,
-        }
+    /// Returns whether every backend server would refuse the request alike, so that trying another one is in vain.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use tanagerford_caller::refusal::Code;
+    ///
+    /// assert!(Code::Quarantined.is_final());
+    /// assert!(!Code::QueueFull.is_final());
+    /// ```
+    #[must_use]
+    pub fn is_final(self) -> bool {
+        matches!(self, Self::Quarantined | Self::IdempotencyKeyReused)
     }
 }
 
--- a/crates/engine/src/client.rs
+++ b/crates/engine/src/client.rs
@@ -49,6 +49,8 @@
     pub waiting: u32,
     /// Largest count of requests that the engine runs together.
     pub max_batch: u32,
+    /// Time between tokens, in microseconds.
+    pub token_gap_us: u64,
     /// Age of the report, in milliseconds.
     pub age_ms: u64,
 }
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -6,6 +6,7 @@
 mod client;
 mod error;
 mod sse;
+mod text;
 
 pub use client::{CancelHandle, EngineClient, EngineStream, Generate, LoadReport};
 pub use error::EngineError;
--- a/crates/engine/src/sse.rs
+++ b/crates/engine/src/sse.rs
@@ -3,6 +3,7 @@
 use std::io::{BufRead, BufReader, Read};
 
 use crate::error::EngineError;
+use crate::text::HasText;
 
 /// Largest event; a larger one is taken for a malformed answer.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
@@ -31,6 +32,23 @@
     pub fn is_done(&self) -> bool {
         self.data == DONE
     }
+
+    /// Returns whether this event carries generated text.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use tanagerford_engine::EventReader;
+    ///
+    /// let events = b"data: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\ndata: [DONE]\n\n";
+    /// let mut reader = EventReader::new(&events[..]);
+    /// assert!(reader.read().unwrap().unwrap().has_text());
+    /// assert!(!reader.read().unwrap().unwrap().has_text());
+    /// ```
+    #[must_use]
+    pub fn has_text(&self) -> bool {
+        serde_json::from_slice::<HasText>(&self.data).is_ok_and(|found| found.0)
+    }
 }
 
 impl<R: Read> EventReader<R> {
--- a/crates/link/src/message.rs
+++ b/crates/link/src/message.rs
@@ -113,16 +113,31 @@
     pub max_tokens: u32,
     #[prost(bool, tag = "17")]
     pub stream: bool,
-    #[prost(bytes = "vec", tag = "18")]
-    pub body_digest: ::prost::alloc::vec::Vec<u8>,
+    /// Tells two bodies of the same order key apart.
+    #[prost(fixed64, tag = "18")]
+    pub body_digest: u64,
     /// Tokens already delivered to the caller by an earlier attempt that is resumed here.
     #[prost(uint32, tag = "19")]
     pub resume_tokens: u32,
-    #[prost(bytes = "vec", tag = "20")]
-    pub resume_text: ::prost::alloc::vec::Vec<u8>,
     /// Time left until the caller's deadline, in milliseconds.
     #[prost(uint32, tag = "21")]
     pub deadline_ms: u32,
+    /// Whether the engine can resume the stream after a preemption.
+    #[prost(bool, tag = "22")]
+    pub resumable: bool,
+    /// Claim whose owner has answered that it did not run the order.
+    #[prost(message, optional, tag = "23")]
+    pub released: ::core::option::Option<Claim>,
+}
+/// Claim of an order by one sidecar process.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Claim {
+    #[prost(string, tag = "1")]
+    pub server: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    #[prost(uint32, tag = "3")]
+    pub attempt: u32,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Cancel {
@@ -205,16 +220,20 @@
     pub load: ::core::option::Option<Load>,
     #[prost(bool, tag = "6")]
     pub unknown: bool,
+    /// Claim that stands when another sidecar has claimed the order.
+    #[prost(message, optional, tag = "7")]
+    pub claim: ::core::option::Option<Claim>,
 }
 /// Asks what became of an order.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct OrderQuery {
+    /// Number in the same sequence as the attempts of the link.
     #[prost(uint64, tag = "1")]
     pub query_id: u64,
     #[prost(bytes = "vec", tag = "2")]
     pub order_key: ::prost::alloc::vec::Vec<u8>,
 }
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct OrderAnswer {
     #[prost(uint64, tag = "1")]
     pub query_id: u64,
@@ -224,6 +243,8 @@
     pub answer_status: u32,
     #[prost(bytes = "vec", tag = "4")]
     pub answer_body: ::prost::alloc::vec::Vec<u8>,
+    #[prost(message, repeated, tag = "5")]
+    pub answer_headers: ::prost::alloc::vec::Vec<Header>,
 }
 /// Asks for the configuration sections that changed after `have_generation`.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/node/src/attempts.rs
+++ b/crates/node/src/attempts.rs
@@ -35,6 +35,10 @@
     Finish(message::Finish),
     /// The sidecar refused the attempt.
     Refused(message::Refused),
+    /// Answer to a question about an order.
+    OrderAnswer(message::OrderAnswer),
+    /// The time limit of the call has passed; reported by the owner of the attempt.
+    Expired,
     /// The link was lost, frames are missing, or the caller is too slow.
     Lost,
 }
@@ -84,11 +88,40 @@
     pub fn submit(
         self: &Arc<Self>,
         link: &Link,
-        mut submit: message::Submit,
+        submit: message::Submit,
+        cancel_on_drop: bool,
+    ) -> Result<Attempt, LinkError> {
+        let body = |attempt_id| {
+            frame::Body::Submit(message::Submit {
+                attempt_id,
+                ..submit
+            })
+        };
+        self.send(link, body, cancel_on_drop)
+    }
+
+    /// Asks a sidecar what became of an order; the answer is the only event of the returned attempt.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the link is lost.
+    pub fn query(self: &Arc<Self>, link: &Link, order_key: Vec<u8>) -> Result<Attempt, LinkError> {
+        let body = |query_id| {
+            frame::Body::OrderQuery(message::OrderQuery {
+                query_id,
+                order_key,
+            })
+        };
+        self.send(link, body, false)
+    }
+
+    fn send(
+        self: &Arc<Self>,
+        link: &Link,
+        body: impl FnOnce(AttemptId) -> frame::Body,
         cancel_on_drop: bool,
     ) -> Result<Attempt, LinkError> {
         let id = self.next_id.fetch_add(1, Ordering::Relaxed);
-        submit.attempt_id = id;
         let (sender, events) = async_channel::bounded(QUEUED_EVENTS);
         let slot = Slot {
             events: sender,
@@ -96,7 +129,7 @@
             next_sequence: 0,
         };
         lock(self.shard(id)).insert(id, slot);
-        if let Err(error) = link.send(frame::Body::Submit(submit)) {
+        if let Err(error) = link.send(body(id)) {
             lock(self.shard(id)).remove(&id);
             return Err(error);
         }
@@ -128,6 +161,9 @@
             frame::Body::Refused(refused) => {
                 self.push(link, refused.attempt_id, Event::Refused(refused));
             }
+            frame::Body::OrderAnswer(answer) => {
+                self.push(link, answer.query_id, Event::OrderAnswer(answer));
+            }
             _ => {}
         }
     }
@@ -252,7 +288,10 @@
         }
         // A closed channel means that the queue overflowed: the caller reads too slowly.
         let event = self.events.recv().await.unwrap_or(Event::Lost);
-        if matches!(event, Event::Finish(_) | Event::Refused(_)) {
+        if matches!(
+            event,
+            Event::Finish(_) | Event::Refused(_) | Event::OrderAnswer(_)
+        ) {
             self.ended = true;
             self.table.remove(self.id);
         }
--- a/crates/node/src/entry/call.rs
+++ b/crates/node/src/entry/call.rs
@@ -7,8 +7,10 @@
 use tanagerford_caller::headers;
 use tanagerford_caller::openai::{self, Interface, ModelRequest};
 use tanagerford_caller::refusal::{Code, Refusal};
-use tanagerford_core::config::{Class, Configuration, LatencyTarget, Service, Workspace};
+use tanagerford_core::config::active::{ActiveConfiguration, Customer};
+use tanagerford_core::config::{Class, LatencyTarget};
 use tanagerford_core::ids::{PoolId, TierId};
+use tanagerford_core::order::{OrderKey, body_digest};
 use tanagerford_http::Request;
 use tanagerford_link::message::{self, Submit};
 use xxhash_rust::xxh3::xxh3_64;
@@ -19,6 +21,9 @@
 /// Longest time of a whole call, after which the entry gives up.
 const CALL_TIMEOUT: Duration = Duration::from_mins(10);
 
+/// Kinds of calls whose speeds are kept apart.
+const CLASS_KINDS: usize = 8;
+
 /// What kind of answer a call gets.
 #[derive(Debug)]
 pub(crate) enum Kind {
@@ -37,6 +42,10 @@
     pub(crate) request_id: String,
     pub(crate) class: Class,
     pub(crate) tier: TierId,
+    /// Key of an order; `None` for calls that may be repeated.
+    pub(crate) order_key: Option<OrderKey>,
+    /// Number of the class among the calls whose speeds are compared.
+    pub(crate) class_kind: u8,
     pub(crate) pool: PoolId,
     pub(crate) kind: Kind,
     pub(crate) received_at: Instant,
@@ -64,7 +73,18 @@
 
     /// Returns whether the call may run more than once.
     pub(crate) fn is_repeatable(&self) -> bool {
-        self.submit.order_key.is_empty()
+        self.order_key.is_none()
+    }
+
+    /// Returns whether another engine can resume the answer.
+    pub(crate) fn is_resumable(&self) -> bool {
+        matches!(
+            self.kind,
+            Kind::Model {
+                resumable: true,
+                ..
+            }
+        )
     }
 
     /// Returns the message that asks a sidecar to run the call.
@@ -82,75 +102,55 @@
     u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
 }
 
-/// Finds the workspace of an API key.
+/// Finds the customer of an API key.
 pub(crate) fn authenticate<'config>(
-    configuration: &'config Configuration,
+    configuration: &'config ActiveConfiguration,
     headers: &HeaderMap,
-) -> Result<(&'config Workspace, TierId), Refusal> {
-    let unauthorized = || Refusal::new(Code::Unauthorized, "API key is missing or unknown");
-    let key = headers::api_key(headers).ok_or_else(unauthorized)?;
-    let digest = hex(&Sha256::digest(key));
-    let workspace = configuration
-        .workspaces
-        .iter()
-        .find(|workspace| workspace.key_sha256.contains(&digest))
-        .ok_or_else(unauthorized)?;
-    let tier = configuration
-        .tier_id(&workspace.tier)
-        .ok_or_else(unauthorized)?;
-    Ok((workspace, tier))
-}
-
-fn hex(bytes: &[u8]) -> String {
-    use std::fmt::Write;
-    bytes
-        .iter()
-        .fold(String::with_capacity(bytes.len() * 2), |mut text, byte| {
-            let _ = write!(text, "{byte:02x}");
-            text
-        })
+) -> Result<Customer<'config>, Refusal> {
+    let key = headers::api_key(headers);
+    let customer = key.and_then(|key| configuration.customer_by_key(&Sha256::digest(key).into()));
+    customer.ok_or_else(|| Refusal::new(Code::Unauthorized, "API key is missing or unknown"))
 }
 
 /// Prepares a model request.
 pub(crate) fn prepare_model(
-    configuration: &Configuration,
+    configuration: &ActiveConfiguration,
     request: &Request,
     interface: Interface,
     request_id: String,
 ) -> Result<Call, Refusal> {
-    let (workspace, tier) = authenticate(configuration, &request.headers)?;
+    let customer = authenticate(configuration, &request.headers)?;
     let parsed = openai::parse(interface, &request.body)?;
-    let model = configuration
-        .models
-        .iter()
-        .find(|model| model.name == parsed.model)
-        .ok_or_else(|| {
-            Refusal::new(
-                Code::UnknownModel,
-                format!("model {} is not configured", parsed.model),
-            )
-        })?;
+    let model = configuration.model(&parsed.model).ok_or_else(|| {
+        Refusal::new(
+            Code::UnknownModel,
+            format!("model {} is not configured", parsed.model),
+        )
+    })?;
     let class = class_of(configuration, &request.headers, &model.class)?;
     let submit = Submit {
         request_id: request_id.clone(),
-        workspace: workspace.name.clone(),
-        tier: u32::from(tier),
+        workspace: customer.workspace.to_owned(),
+        tier: u32::from(customer.tier),
         class: class.name.clone(),
         prefix_hash: xxh3_64(&parsed.prefix),
-        fingerprint: fingerprint(&workspace.name, &request.body),
+        fingerprint: fingerprint(customer.workspace, &request.body),
         method: Method::POST.to_string(),
         path: interface.path().to_owned(),
         body: parsed.engine_body.clone(),
         model: parsed.model.clone(),
         prompt_tokens: parsed.prompt_tokens,
         max_tokens: parsed.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS),
+        resumable: model.resumable,
         stream: parsed.stream,
         ..Submit::default()
     };
     Ok(Call {
         request_id,
         class: class.clone(),
-        tier,
+        tier: customer.tier,
+        order_key: None,
+        class_kind: class_kind(configuration, &class.name),
         pool: model.pool.clone(),
         kind: Kind::Model {
             request: parsed,
@@ -163,75 +163,66 @@
 
 /// Prepares a call of a plain service.
 pub(crate) fn prepare_service(
-    configuration: &Configuration,
+    configuration: &ActiveConfiguration,
     request: &Request,
     request_id: String,
 ) -> Result<Call, Refusal> {
-    let (workspace, tier) = authenticate(configuration, &request.headers)?;
-    let (service, path) = service_of(configuration, request)?;
-    let route = service.routes.iter().find(|route| {
-        (route.method == "*" || route.method == request.method.as_str())
-            && path.starts_with(&route.path_prefix)
-    });
-    let class_name = route.map_or(&service.class, |route| &route.class);
-    let class = class_of(configuration, &request.headers, class_name)?;
-    let repeatable = route.map_or_else(|| request.method.is_idempotent(), |route| route.repeatable);
-    let order_key = if repeatable {
-        Vec::new()
+    let customer = authenticate(configuration, &request.headers)?;
+    let (name, path) = split_path(request);
+    let method = request.method.as_str();
+    let found = configuration
+        .service_call(name, method, &path)
+        .ok_or_else(|| Refusal::new(Code::NotFound, format!("no service is called {name:?}")))?;
+    let class = class_of(configuration, &request.headers, &found.class.name)?;
+    let order_key = if found.repeatable {
+        None
     } else {
-        order_key(&workspace.name, &request.headers)?
+        Some(order_key(customer.workspace, &request.headers)?)
     };
+    let key_bytes = order_key.map_or_else(Vec::new, |key| key.as_bytes().to_vec());
     let submit = Submit {
         request_id: request_id.clone(),
-        workspace: workspace.name.clone(),
-        tier: u32::from(tier),
+        workspace: customer.workspace.to_owned(),
+        tier: u32::from(customer.tier),
         class: class.name.clone(),
-        fingerprint: fingerprint(&workspace.name, &request.body),
-        order_key,
-        method: request.method.to_string(),
+        fingerprint: fingerprint(customer.workspace, &request.body),
+        order_key: key_bytes,
+        method: method.to_owned(),
+        body_digest: body_digest(method, &path, &request.body),
         path,
         headers: forwarded(&request.headers),
-        body_digest: Sha256::digest(&request.body).to_vec(),
         body: request.body.to_vec(),
         ..Submit::default()
     };
     Ok(Call {
         request_id,
         class: class.clone(),
-        tier,
-        pool: service.pool.clone(),
+        tier: customer.tier,
+        order_key,
+        class_kind: class_kind(configuration, &class.name),
+        pool: found.service.pool.clone(),
         kind: Kind::Service,
         received_at: Instant::now(),
         submit,
     })
 }
 
-fn service_of<'config>(
-    configuration: &'config Configuration,
-    request: &Request,
-) -> Result<(&'config Service, String), Refusal> {
-    let target = request
-        .uri
-        .path_and_query()
-        .map_or("/", |target| target.as_str());
+/// Splits a target into the service's name and the path and query that the service sees.
+fn split_path(request: &Request) -> (&str, String) {
+    let target = request.uri.path_and_query();
+    let target = target.map_or("/", |target| target.as_str());
     let rest = target.trim_start_matches('/');
     let end = rest.find(['/', '?']).unwrap_or(rest.len());
     let (name, path) = rest.split_at(end);
-    let service = configuration
-        .services
-        .iter()
-        .find(|service| service.name == name)
-        .ok_or_else(|| Refusal::new(Code::NotFound, format!("no service is called {name:?}")))?;
-    let path = if path.starts_with('/') {
-        path.to_owned()
+    if path.starts_with('/') {
+        (name, path.to_owned())
     } else {
-        format!("/{path}")
-    };
-    Ok((service, path))
+        (name, format!("/{path}"))
+    }
 }
 
 fn class_of<'config>(
-    configuration: &'config Configuration,
+    configuration: &'config ActiveConfiguration,
     headers: &HeaderMap,
     default: &str,
 ) -> Result<&'config Class, Refusal> {
@@ -244,19 +235,21 @@
     })
 }
 
-/// Returns the key of an order: a hash over the workspace and its idempotency key, so that workspaces never share keys.
-fn order_key(workspace: &str, headers: &HeaderMap) -> Result<Vec<u8>, Refusal> {
+fn order_key(workspace: &str, headers: &HeaderMap) -> Result<OrderKey, Refusal> {
     let key = headers::text(headers, headers::IDEMPOTENCY_KEY).ok_or_else(|| {
         Refusal::new(
             Code::IdempotencyKeyRequired,
             "this call must not be repeated and needs an Idempotency-Key of at most 255 bytes",
         )
     })?;
-    let mut hash = Sha256::new();
-    hash.update((workspace.len() as u64).to_be_bytes());
-    hash.update(workspace);
-    hash.update(key);
-    Ok(hash.finalize().to_vec())
+    Ok(OrderKey::new(workspace, key))
+}
+
+/// Returns a small number that tells the classes of calls apart when their speeds are compared.
+fn class_kind(configuration: &ActiveConfiguration, class: &str) -> u8 {
+    let classes = &configuration.configuration().classes;
+    let position = classes.iter().position(|known| known.name == class);
+    u8::try_from(position.unwrap_or(0) % CLASS_KINDS).unwrap_or(0)
 }
 
 fn fingerprint(workspace: &str, body: &[u8]) -> u64 {
--- a/crates/node/src/entry/handler.rs
+++ b/crates/node/src/entry/handler.rs
@@ -31,7 +31,8 @@
         let path = request.uri.path();
         if request.method == Method::GET && path == "/v1/models" {
             call::authenticate(&configuration, &request.headers)?;
-            let names = configuration.models.iter().map(|model| model.name.clone());
+            let models = &configuration.configuration().models;
+            let names = models.iter().map(|model| model.name.clone());
             return Ok(json_reply(openai::model_list(names)));
         }
         let call = match Interface::of_path(path) {
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -3,6 +3,7 @@
 mod call;
 mod handler;
 mod operations;
+mod order;
 mod relay;
 mod servers;
 mod state;
@@ -13,7 +14,7 @@
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
-use tanagerford_core::config::Configuration;
+use tanagerford_core::config::active::ActiveConfiguration;
 use tanagerford_core::ids::ZoneId;
 use tanagerford_http::{Limits, Listener, ListenerHandle};
 use tanagerford_link::{FleetKey, Identity, LinkOptions};
@@ -66,13 +67,17 @@
     /// # Errors
     ///
     /// Fails when the listener cannot be bound or a thread cannot be started.
-    pub fn start(settings: EntrySettings, configuration: Configuration) -> std::io::Result<Self> {
-        let generation = Arc::new(AtomicU64::new(configuration.generation));
+    pub fn start(
+        settings: EntrySettings,
+        configuration: ActiveConfiguration,
+    ) -> std::io::Result<Self> {
+        let generation = Arc::new(AtomicU64::new(configuration.generation()));
         let identity = settings.identity.clone();
         let options = LinkOptions::new(settings.identity, settings.fleet_key, generation);
-        let state = Arc::new(EntryState::new(identity, configuration));
+        let state = Arc::new(EntryState::new(identity, settings.zone, configuration));
         let frames = Arc::new(FrameHandler(Arc::clone(&state)));
         let links = LinkPool::start(options, frames)?;
+        start_tick(Arc::clone(&state))?;
         let handler = CallerHandler::new(Arc::clone(&state), Arc::clone(&links));
         let listener = Listener::bind(settings.listen, settings.limits)?.start(handler)?;
         Ok(Self {
@@ -86,6 +91,8 @@
 
     /// Replaces the sidecars that the entry uses.
     pub fn set_targets(&self, targets: impl IntoIterator<Item = Target>) {
+        let targets: Vec<_> = targets.into_iter().collect();
+        self.state.servers.set_targets(&targets);
         self.links.set_targets(targets);
     }
 
@@ -121,6 +128,7 @@
     pub fn finish(mut self, timeout: Duration) -> bool {
         std::thread::sleep(self.balancer_notice);
         let finished = self.listener.stop(timeout);
+        self.state.stopped.raise();
         self.links.stop();
         tracing::info!(finished, "entry has stopped");
         finished
@@ -141,3 +149,19 @@
         targets.iter().filter(|(_, open)| *open).count()
     }
 }
+
+/// Interval at which the speed estimates of the servers are updated.
+const TICK_INTERVAL: Duration = Duration::from_secs(1);
+
+fn start_tick(state: Arc<EntryState>) -> std::io::Result<()> {
+    let tick = move || {
+        while !state.stopped.is_raised() {
+            state.servers.on_tick();
+            std::thread::sleep(TICK_INTERVAL);
+        }
+    };
+    std::thread::Builder::new()
+        .name("entry-tick".to_owned())
+        .spawn(tick)
+        .map(drop)
+}
--- a/crates/node/src/entry/operations.rs
+++ b/crates/node/src/entry/operations.rs
@@ -45,7 +45,7 @@
             "process_id": state.identity.process_id,
             "incarnation": state.identity.incarnation,
             "availability_zone": state.identity.availability_zone,
-            "config_generation": state.configuration().generation,
+            "config_generation": state.configuration().generation(),
             "draining": state.stopping.is_raised(),
             "attempts_in_flight": state.attempts.in_flight(),
             "late_frames": state.attempts.late_frames(),
@@ -58,12 +58,12 @@
         let metrics = &self.state.metrics;
         metrics
             .generation
-            .set(self.state.configuration().generation);
+            .set(self.state.configuration().generation());
         metrics.encode()
     }
 
     fn is_ready(&self) -> bool {
-        !self.state.stopping.is_raised() && self.state.configuration().generation > 0
+        !self.state.stopping.is_raised() && self.state.configuration().generation() > 0
     }
 
     fn drain(&self) {
--- a/crates/node/src/entry/relay.rs
+++ b/crates/node/src/entry/relay.rs
@@ -2,28 +2,35 @@
 
 use std::io;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_io::Timer;
 use bytes::Bytes;
 use futures_lite::{future, stream};
 use tanagerford_caller::class_gate::Place;
-use tanagerford_caller::refusal::{Code, Refusal};
+use tanagerford_caller::refusal::{Code, Outcome as CallerOutcome, Refusal};
 use tanagerford_core::ids::ServerId;
+use tanagerford_core::retry::{
+    AttemptOutcome, FinalOutcome, LinkPhase, Progress, RetryDecision, RetryState,
+};
+use tanagerford_core::routing::Answer;
+use tanagerford_core::straggler::PaceSample;
 use tanagerford_link::message::{self, Outcome};
 
 use crate::attempts::{Attempt, Event};
 use crate::links::LinkPool;
+use crate::sync::lock;
 
 use super::call::{Call, Kind};
+use super::servers::{Chosen, load_hint};
 use super::state::{EntryState, FrameHandler};
 
-/// Largest count of servers that one request tries.
-const MAX_ATTEMPTS: usize = 3;
-
 /// Advice when no server of a pool can be reached; links are redialled within this time.
 const NO_SERVER_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Time that another attempt needs at least: a round trip between availability zones and the sidecar's decision.
+const ATTEMPT_TIME: Duration = Duration::from_millis(10);
+
 /// Start of an answer.
 #[derive(Debug)]
 pub(crate) struct Start {
@@ -42,17 +49,34 @@
 
 /// Call in progress.
 pub(crate) struct Relay {
-    state: Arc<EntryState>,
-    links: Arc<LinkPool<FrameHandler>>,
-    call: Call,
-    attempt: Option<Attempt>,
-    server: Option<ServerId>,
-    tried: Vec<ServerId>,
+    pub(super) state: Arc<EntryState>,
+    pub(super) links: Arc<LinkPool<FrameHandler>>,
+    pub(super) call: Call,
+    running: Option<Running>,
+    pub(super) tried: Vec<ServerId>,
+    retry: RetryState,
+    /// Refusal of the last attempt, reported when no further server can be tried.
+    last_refusal: Option<Refusal>,
+    /// Claim of an order that its owner has released.
+    pub(super) released: Option<message::Claim>,
     delivered_tokens: u32,
+    delivered: bool,
     complete: bool,
     _place: Place,
 }
 
+/// Attempt in progress.
+#[derive(Debug)]
+struct Running {
+    attempt: Attempt,
+    chosen: Chosen,
+    phase: LinkPhase,
+    submitted_at: Instant,
+    first_token_at: Option<Instant>,
+    last_token_at: Option<Instant>,
+    tokens: u32,
+}
+
 impl Relay {
     pub(crate) fn new(
         state: Arc<EntryState>,
@@ -60,14 +84,18 @@
         call: Call,
         place: Place,
     ) -> Self {
+        let retry = RetryState::new(call.tier);
         Self {
             state,
             links,
             call,
-            attempt: None,
-            server: None,
+            running: None,
             tried: Vec::new(),
+            retry,
+            last_refusal: None,
+            released: None,
             delivered_tokens: 0,
+            delivered: false,
             complete: false,
             _place: place,
         }
@@ -83,10 +111,17 @@
             self.begin_attempt()?;
             match self.await_start().await {
                 Ok(start) => {
+                    self.delivered = true;
                     self.observe_start();
                     return Ok(start);
                 }
-                Err(failure) => self.after_failure(failure)?,
+                Err(Failure::OwnedElsewhere(claim)) => {
+                    if let Some(start) = self.ask_owner(claim).await? {
+                        self.complete = true;
+                        return Ok(start);
+                    }
+                }
+                Err(Failure::Ended { outcome, refusal }) => self.after(outcome, refusal)?,
             }
         }
     }
@@ -97,30 +132,23 @@
             if self.complete {
                 return Step::Complete;
             }
-            match self.next_event().await {
+            let failure = match self.next_event().await {
                 Event::Chunk { data, tokens } => {
-                    self.delivered_tokens += tokens;
+                    self.count_tokens(tokens);
                     return Step::Data(data);
                 }
-                Event::Finish(finish) if finish.outcome() == Outcome::Complete => self.finish(),
-                Event::Accepted | Event::Head(_) => {}
-                Event::Finish(finish) => {
-                    let failure = self.failure_of_finish(&finish);
-                    if let Err(refusal) = self.resume(failure) {
-                        return Step::Failed(refusal);
-                    }
-                }
-                Event::Refused(refused) => {
-                    let failure = failure_of_refused(&refused);
-                    if let Err(refusal) = self.resume(failure) {
-                        return Step::Failed(refusal);
-                    }
-                }
-                Event::Lost => {
-                    if let Err(refusal) = self.resume(Failure::lost(&self.call)) {
-                        return Step::Failed(refusal);
-                    }
+                Event::Finish(finish) if finish.outcome() == Outcome::Complete => {
+                    self.finish(&finish);
+                    continue;
                 }
+                Event::Finish(finish) => self.failure_of_finish(&finish),
+                Event::Refused(refused) => self.failure_of_refused(refused),
+                Event::Lost => self.failure_of_loss(),
+                Event::Expired => self.failure_of_deadline(),
+                Event::Accepted | Event::Head(_) | Event::OrderAnswer(_) => continue,
+            };
+            if let Err(refusal) = self.resume(failure) {
+                return Step::Failed(refusal);
             }
         }
     }
@@ -151,127 +179,274 @@
     }
 
     fn begin_attempt(&mut self) -> Result<(), Refusal> {
-        while self.tried.len() < MAX_ATTEMPTS {
-            let targets = self.links.targets();
-            let Some(server) = self
-                .state
-                .servers
-                .choose(&targets, &self.call.pool, &self.tried)
-            else {
-                break;
-            };
-            self.tried.push(server.clone());
-            let submit = self.call.to_submit(self.delivered_tokens);
+        while let Some(chosen) = self.choose() {
+            let server = chosen.server.clone();
+            let mut submit = self.call.to_submit(self.delivered_tokens);
+            submit.released.clone_from(&self.released);
+            let cancel_on_drop = self.call.is_repeatable();
             let submitted = self.links.get(&server).and_then(|link| {
-                let cancel_on_drop = self.call.is_repeatable();
                 self.state
                     .attempts
                     .submit(&link, submit, cancel_on_drop)
                     .ok()
             });
-            if let Some(attempt) = submitted {
-                tracing::debug!(
-                    request_id = self.call.request_id,
-                    attempt_id = attempt.id(),
-                    server,
-                    "submitted an attempt"
-                );
-                self.attempt = Some(attempt);
-                self.server = Some(server);
-                return Ok(());
-            }
-            self.state.servers.release(&server);
+            self.tried.push(server.clone());
+            let Some(attempt) = submitted else {
+                self.state.servers.on_failure(chosen);
+                continue;
+            };
+            tracing::debug!(
+                request_id = self.call.request_id,
+                attempt_id = attempt.id(),
+                server,
+                "submitted an attempt"
+            );
+            self.running = Some(Running::new(attempt, chosen));
+            return Ok(());
+        }
+        Err(self.no_server())
+    }
+
+    fn choose(&self) -> Option<Chosen> {
+        if let Some(key) = self.call.order_key {
+            let reachable = self.links.open_servers(&self.call.pool, &self.tried);
+            return Chosen::owner_of(&key, &self.call.pool, &reachable);
+        }
+        let mut exclude = self.links.closed_servers();
+        exclude.extend_from_slice(&self.tried);
+        let prefix_hash = match self.call.kind {
+            Kind::Model { .. } => Some(self.call.submit.prefix_hash),
+            Kind::Service => None,
+        };
+        self.state
+            .servers
+            .choose(&self.call.pool, self.call.tier, prefix_hash, &exclude)
+    }
+
+    fn no_server(&mut self) -> Refusal {
+        if let Some(refusal) = self.last_refusal.take() {
+            return refusal;
         }
         let message = format!(
-            "no backend server of pool {} can be reached",
+            "no further backend server of pool {} can be reached",
             self.call.pool
         );
-        Err(Refusal::new(Code::NoServer, message).retry_after(NO_SERVER_RETRY_AFTER))
+        let refusal = Refusal::new(Code::NoServer, message).retry_after(NO_SERVER_RETRY_AFTER);
+        self.with_outcome(refusal)
     }
 
     async fn await_start(&mut self) -> Result<Start, Failure> {
         let mut head = None;
         loop {
             match self.next_event().await {
-                Event::Accepted => {}
+                Event::Accepted => {
+                    if let Some(running) = &mut self.running {
+                        running.phase = LinkPhase::Accepted;
+                    }
+                }
                 Event::Head(received) => head = Some(received),
                 Event::Chunk { data, tokens } => {
-                    self.delivered_tokens += tokens;
-                    let head = head.ok_or_else(|| Failure::lost(&self.call))?;
+                    self.count_tokens(tokens);
+                    let head = head.ok_or_else(|| self.failure_of_loss())?;
                     return Ok(Start { head, first: data });
                 }
                 Event::Finish(finish) if finish.outcome() == Outcome::Complete => {
-                    let head = head.ok_or_else(|| Failure::lost(&self.call))?;
-                    self.finish();
+                    let head = head.ok_or_else(|| self.failure_of_loss())?;
+                    self.finish(&finish);
                     let first = Bytes::new();
                     return Ok(Start { head, first });
                 }
                 Event::Finish(finish) => return Err(self.failure_of_finish(&finish)),
-                Event::Refused(refused) => return Err(failure_of_refused(&refused)),
-                Event::Lost => return Err(Failure::lost(&self.call)),
+                Event::Refused(refused) => return Err(self.failure_of_refused(refused)),
+                Event::Lost => return Err(self.failure_of_loss()),
+                Event::Expired => return Err(self.failure_of_deadline()),
+                Event::OrderAnswer(_) => {}
             }
         }
     }
 
     async fn next_event(&mut self) -> Event {
         let time_left = self.call.time_left();
-        let Some(attempt) = &mut self.attempt else {
+        let Some(running) = &mut self.running else {
             return Event::Lost;
         };
         let expired = async {
             Timer::after(time_left).await;
-            Event::Lost
+            Event::Expired
+        };
+        future::or(running.attempt.next(), expired).await
+    }
+
+    fn count_tokens(&mut self, tokens: u32) {
+        self.delivered_tokens += tokens;
+        if let Some(running) = &mut self.running {
+            running.count_tokens(tokens);
+        }
+    }
+
+    fn failure_of_finish(&mut self, finish: &message::Finish) -> Failure {
+        let outcome = match finish.outcome() {
+            Outcome::Preempted => AttemptOutcome::Preempted,
+            Outcome::Crashed => AttemptOutcome::Crashed,
+            Outcome::Cancelled => AttemptOutcome::Cancelled,
+            Outcome::Unspecified | Outcome::Complete | Outcome::Failed => AttemptOutcome::Failed,
         };
-        future::or(attempt.next(), expired).await
+        if let Some(chosen) = self.end_attempt() {
+            match outcome {
+                AttemptOutcome::Preempted | AttemptOutcome::Cancelled => {
+                    let load = finish.load.as_ref().map(load_hint);
+                    self.state.servers.on_refusal(chosen, load.as_ref());
+                }
+                _ => self.state.servers.on_failure(chosen),
+            }
+        }
+        let message = format!(
+            "backend server did not finish the request: {}",
+            finish.detail
+        );
+        let refusal = Refusal::new(Code::ServerFailed, message);
+        Failure::Ended { outcome, refusal }
     }
 
-    fn failure_of_finish(&self, finish: &message::Finish) -> Failure {
-        let message = format!("backend server failed: {}", finish.detail);
-        let refusal = Refusal::new(Code::ServerFailed, message).unknown();
-        Failure {
+    fn failure_of_refused(&mut self, refused: message::Refused) -> Failure {
+        if let Some(chosen) = self.end_attempt() {
+            let load = refused.load.as_ref().map(load_hint);
+            self.state.servers.on_refusal(chosen, load.as_ref());
+        }
+        if let Some(claim) = refused.claim {
+            return Failure::OwnedElsewhere(claim);
+        }
+        let mut refusal = Refusal::new(Code::from_wire(&refused.code), refused.detail);
+        if refused.retry_after_ms > 0 {
+            refusal = refusal.retry_after(Duration::from_millis(refused.retry_after_ms.into()));
+        }
+        let outcome = if refused.unknown {
+            AttemptOutcome::RefusedUnknown
+        } else {
+            AttemptOutcome::RefusedNotRun
+        };
+        Failure::Ended { outcome, refusal }
+    }
+
+    fn failure_of_loss(&mut self) -> Failure {
+        let phase = self
+            .running
+            .as_ref()
+            .map_or(LinkPhase::NotSent, |running| running.phase);
+        if let Some(chosen) = self.end_attempt() {
+            self.state.servers.on_failure(chosen);
+        }
+        let refusal = Refusal::new(Code::ServerFailed, "link to the sidecar was lost");
+        let outcome = AttemptOutcome::LinkLost { phase };
+        Failure::Ended { outcome, refusal }
+    }
+
+    /// The entry gives up; the attempt is cancelled, and the refusal says that it may have run.
+    fn failure_of_deadline(&mut self) -> Failure {
+        if let Some(chosen) = self.end_attempt() {
+            self.state.servers.on_ended(chosen);
+        }
+        let refusal = Refusal::new(
+            Code::DeadlineExceeded,
+            "the time limit of the call has passed",
+        );
+        Failure::Ended {
+            outcome: AttemptOutcome::Failed,
             refusal,
-            may_retry: self.call.is_repeatable(),
         }
     }
 
     /// Lets the next attempt begin, or returns the refusal that ends the call.
-    fn after_failure(&mut self, failure: Failure) -> Result<(), Refusal> {
-        self.end_attempt();
-        let may_retry = failure.may_retry && self.tried.len() < MAX_ATTEMPTS;
-        if !may_retry || self.call.wait_left().is_zero() {
-            return Err(failure.refusal);
+    fn after(&mut self, outcome: AttemptOutcome, refusal: Refusal) -> Result<(), Refusal> {
+        if refusal.code.is_final() && outcome == AttemptOutcome::RefusedNotRun {
+            return Err(self.with_outcome(refusal));
+        }
+        let progress = Progress {
+            repeatable: self.call.is_repeatable(),
+            resumable: self.call.is_resumable(),
+            delivered: self.delivered,
+            time_left: if self.delivered {
+                self.call.time_left()
+            } else {
+                self.call.wait_left()
+            },
+            time_needed: ATTEMPT_TIME,
+        };
+        let now = self.state.servers.now();
+        let decision = {
+            let mut budget = lock(&self.state.retry_budget);
+            self.retry.on_outcome(now, outcome, &progress, &mut budget)
+        };
+        match decision {
+            RetryDecision::RetryElsewhere => {
+                self.state.metrics.retries.inc();
+                self.last_refusal = Some(self.with_outcome(refusal));
+                Ok(())
+            }
+            RetryDecision::Resume => {
+                self.state.metrics.resumes.inc();
+                Ok(())
+            }
+            RetryDecision::GiveUp { outcome, reason } => {
+                tracing::debug!(
+                    request_id = self.call.request_id,
+                    ?reason,
+                    "gave up a request"
+                );
+                let outcome = match outcome {
+                    FinalOutcome::NotRun => CallerOutcome::NotRun,
+                    FinalOutcome::Unknown => CallerOutcome::Unknown,
+                };
+                Err(Refusal { outcome, ..refusal })
+            }
+        }
+    }
+
+    /// Returns the refusal with the outcome that all attempts so far allow.
+    fn with_outcome(&self, refusal: Refusal) -> Refusal {
+        if self.retry.may_have_run() {
+            refusal.unknown()
+        } else {
+            refusal
         }
-        self.state.metrics.retries.inc();
-        Ok(())
     }
 
     /// Resumes a stream that has begun on another server, or returns the refusal that ends it.
     fn resume(&mut self, failure: Failure) -> Result<(), Refusal> {
-        self.end_attempt();
-        let resumable = matches!(
-            self.call.kind,
-            Kind::Model {
-                resumable: true,
-                ..
+        match failure {
+            Failure::Ended { outcome, refusal } => {
+                self.after(outcome, refusal.clone())?;
+                self.begin_attempt().map_err(|_| refusal.unknown())
             }
-        );
-        if !resumable || self.tried.len() >= MAX_ATTEMPTS {
-            return Err(failure.refusal);
+            Failure::OwnedElsewhere(_) => Err(Refusal::new(
+                Code::ServerFailed,
+                "sidecar refused an order that it had begun to answer",
+            )
+            .unknown()),
         }
-        self.state.metrics.resumes.inc();
-        self.begin_attempt().map_err(|_| failure.refusal)
     }
 
-    fn finish(&mut self) {
+    fn finish(&mut self, finish: &message::Finish) {
         self.complete = true;
-        self.end_attempt();
+        let prompt_tokens = self.call.submit.prompt_tokens;
+        let Some(running) = self.running.take() else {
+            return;
+        };
+        let answer = Answer {
+            load: finish.load.as_ref().map(load_hint),
+            first_token: running
+                .first_token_at
+                .map(|at| at.duration_since(running.submitted_at)),
+            pace: running.pace(&self.call, finish.load.as_ref()),
+            prompt_tokens,
+        };
+        self.state.servers.on_answer(running.chosen, &answer);
+        lock(&self.state.retry_budget).on_success(self.call.tier);
     }
 
-    fn end_attempt(&mut self) {
-        self.attempt = None;
-        if let Some(server) = self.server.take() {
-            self.state.servers.release(&server);
-        }
+    /// Drops the running attempt, which cancels it if it has not ended, and returns its server.
+    fn end_attempt(&mut self) -> Option<Chosen> {
+        self.running.take().map(|running| running.chosen)
     }
 
     fn observe_start(&self) {
@@ -287,43 +462,66 @@
 
 impl Drop for Relay {
     fn drop(&mut self) {
-        let result = if self.complete { "complete" } else { "cut" };
-        if self.complete || self.delivered_tokens > 0 {
+        if self.complete || self.delivered {
+            let result = if self.complete { "complete" } else { "cut" };
             let (class, tier) = (&self.call.class.name, self.call.tier);
             self.state.metrics.count_request(class, tier, result);
         }
-        self.end_attempt();
+        if let Some(chosen) = self.end_attempt() {
+            self.state.servers.on_ended(chosen);
+        }
     }
 }
 
-/// Failure of an attempt.
-#[derive(Debug)]
-struct Failure {
-    refusal: Refusal,
-    may_retry: bool,
-}
-
-impl Failure {
-    /// The link was lost. Whether the attempt ran is unknown, so only a repeatable call may be tried again.
-    fn lost(call: &Call) -> Self {
-        let refusal = Refusal::new(Code::ServerFailed, "link to the sidecar was lost").unknown();
+impl Running {
+    fn new(attempt: Attempt, chosen: Chosen) -> Self {
         Self {
-            refusal,
-            may_retry: call.is_repeatable(),
+            attempt,
+            chosen,
+            phase: LinkPhase::Sent,
+            submitted_at: Instant::now(),
+            first_token_at: None,
+            last_token_at: None,
+            tokens: 0,
         }
     }
-}
 
-fn failure_of_refused(refused: &message::Refused) -> Failure {
-    let mut refusal = Refusal::new(Code::from_wire(&refused.code), refused.detail.clone());
-    if refused.retry_after_ms > 0 {
-        refusal = refusal.retry_after(Duration::from_millis(u64::from(refused.retry_after_ms)));
-    }
-    if refused.unknown {
-        refusal = refusal.unknown();
+    fn count_tokens(&mut self, tokens: u32) {
+        if tokens == 0 {
+            return;
+        }
+        let now = Instant::now();
+        self.first_token_at.get_or_insert(now);
+        self.last_token_at = Some(now);
+        self.tokens += tokens;
     }
-    Failure {
-        refusal,
-        may_retry: !refused.unknown,
+
+    /// Returns the speed of the finished answer; `None` when it is too short to tell.
+    fn pace(&self, call: &Call, load: Option<&message::Load>) -> Option<PaceSample> {
+        if let Kind::Service = call.kind {
+            return Some(PaceSample::Call {
+                kind: call.class_kind,
+                elapsed: self.submitted_at.elapsed(),
+            });
+        }
+        let elapsed = self.last_token_at?.duration_since(self.first_token_at?);
+        let batch = load.map_or(1, |load| load.running + 1);
+        (self.tokens > 1).then_some(PaceSample::Tokens {
+            tokens: self.tokens - 1,
+            elapsed,
+            batch,
+        })
     }
 }
+
+/// Failure of an attempt.
+#[derive(Debug)]
+enum Failure {
+    /// The attempt has ended without a whole answer.
+    Ended {
+        outcome: AttemptOutcome,
+        refusal: Refusal,
+    },
+    /// Another sidecar has claimed the order.
+    OwnedElsewhere(message::Claim),
+}
--- a/crates/node/src/entry/servers.rs
+++ b/crates/node/src/entry/servers.rs
@@ -1,54 +1,189 @@
-//! Choice of a backend server.
+//! Choice of a backend server: one router for each pool, each under its own lock.
 
-use std::collections::{HashMap, HashSet};
-use std::sync::Mutex;
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, PoisonError, RwLock};
+use std::time::{Duration, Instant};
 
-use tanagerford_core::ids::ServerId;
+use tanagerford_core::ids::{PoolId, ServerId, TierId, ZoneId};
+use tanagerford_core::order::{OrderKey, shard_owner};
+use tanagerford_core::routing::{
+    Answer, Attempt, LoadHint, RouteRequest, Router, RouterSettings, Server,
+};
+use tanagerford_link::message;
 
 use crate::links::Target;
 use crate::sync::lock;
 
-/// What the entry knows about the load of its servers.
-#[derive(Debug, Default)]
+/// Tiers that a router tells apart; the configuration has at most as many.
+pub(crate) const MAX_TIERS: u8 = 16;
+
+/// Shards of the orders of a pool; the same number as in the order logs.
+const ORDER_SHARDS: u32 = 16;
+
+/// Routers of all pools.
 pub(crate) struct Servers {
-    state: Mutex<State>,
+    settings: RouterSettings,
+    started_at: Instant,
+    routers: RwLock<HashMap<PoolId, Arc<Mutex<Router>>>>,
 }
 
-#[derive(Debug, Default)]
-struct State {
-    in_flight: HashMap<ServerId, u32>,
-    leaving: HashSet<ServerId>,
+/// Chosen server, until the attempt has ended.
+#[derive(Debug)]
+pub(crate) struct Chosen {
+    pub(crate) server: ServerId,
+    pool: PoolId,
+    /// `None` for an order, whose server is fixed by its key.
+    attempt: Option<Attempt>,
 }
 
 impl Servers {
-    /// Chooses the server of `pool` with the fewest requests in flight.
+    pub(crate) fn new(zone: ZoneId) -> Self {
+        Self {
+            settings: RouterSettings {
+                tiers: MAX_TIERS,
+                zone,
+                region_zones: Vec::new(),
+                seed: rand::random(),
+            },
+            started_at: Instant::now(),
+            routers: RwLock::default(),
+        }
+    }
+
+    /// Returns the time on the clock of the decisions.
+    pub(crate) fn now(&self) -> Duration {
+        self.started_at.elapsed()
+    }
+
+    /// Replaces the servers of all pools; soft state of the servers that stay is kept.
+    pub(crate) fn set_targets(&self, targets: &[Target]) {
+        let mut by_pool: HashMap<&str, Vec<Server>> = HashMap::new();
+        for target in targets {
+            by_pool.entry(&target.pool).or_default().push(Server {
+                id: target.server.clone(),
+                zone: target.zone.clone(),
+                incarnation: target.incarnation,
+                leaving: target.leaving,
+            });
+        }
+        let now = self.now();
+        let known: Vec<_> = self.read().keys().cloned().collect();
+        for pool in known {
+            if !by_pool.contains_key(pool.as_str())
+                && let Some(router) = self.router(&pool)
+            {
+                lock(&router).set_servers(now, &pool, Vec::new());
+            }
+        }
+        for (pool, servers) in by_pool {
+            let router = self.router_or_insert(pool);
+            lock(&router).set_servers(now, pool, servers);
+        }
+    }
+
+    /// Chooses a server for a request.
     pub(crate) fn choose(
         &self,
-        targets: &[(Target, bool)],
         pool: &str,
-        tried: &[ServerId],
-    ) -> Option<ServerId> {
-        let mut state = lock(&self.state);
-        let server = targets
-            .iter()
-            .filter(|(target, open)| *open && target.pool == pool)
-            .map(|(target, _)| &target.server)
-            .filter(|server| !tried.contains(server) && !state.leaving.contains(*server))
-            .min_by_key(|server| state.in_flight.get(*server).copied().unwrap_or(0))?
-            .clone();
-        *state.in_flight.entry(server.clone()).or_default() += 1;
-        Some(server)
-    }
-
-    /// Counts a request of `server` as ended.
-    pub(crate) fn release(&self, server: &str) {
-        if let Some(count) = lock(&self.state).in_flight.get_mut(server) {
-            *count = count.saturating_sub(1);
-        }
+        tier: TierId,
+        prefix_hash: Option<u64>,
+        exclude: &[ServerId],
+    ) -> Option<Chosen> {
+        let router = self.router(pool)?;
+        let request = RouteRequest {
+            pool,
+            tier,
+            prefix_hash,
+        };
+        let choice = lock(&router).choose(self.now(), &request, exclude)?;
+        Some(Chosen {
+            server: choice.server,
+            pool: pool.to_owned(),
+            attempt: Some(choice.attempt),
+        })
+    }
+
+    /// Records an answer, with what it tells about its server.
+    pub(crate) fn on_answer(&self, chosen: Chosen, answer: &Answer) {
+        self.end(chosen, |router, now, attempt| {
+            router.on_answer(now, attempt, answer);
+        });
+    }
+
+    /// Records a refusal.
+    pub(crate) fn on_refusal(&self, chosen: Chosen, load: Option<&LoadHint>) {
+        self.end(chosen, |router, now, attempt| {
+            router.on_refusal(now, attempt, load);
+        });
+    }
+
+    /// Records a failure of the server or its link.
+    pub(crate) fn on_failure(&self, chosen: Chosen) {
+        self.end(chosen, Router::on_failure);
+    }
+
+    /// Records the end of an attempt that tells nothing about its server.
+    pub(crate) fn on_ended(&self, chosen: Chosen) {
+        self.end(chosen, Router::on_ended);
     }
 
-    /// Sends no new work to `server`.
+    /// Sends no new work to a server that announced that it leaves.
     pub(crate) fn set_leaving(&self, server: &str) {
-        lock(&self.state).leaving.insert(server.to_owned());
+        for (pool, router) in &*self.read() {
+            lock(router).set_leaving(pool, server);
+        }
+    }
+
+    /// Updates the speed estimates; to be called about once a second.
+    pub(crate) fn on_tick(&self) {
+        let now = self.now();
+        for router in self.read().values() {
+            lock(router).on_tick(now);
+        }
+    }
+
+    fn end(&self, chosen: Chosen, record: impl FnOnce(&mut Router, Duration, Attempt)) {
+        if let (Some(router), Some(attempt)) = (self.router(&chosen.pool), chosen.attempt) {
+            record(&mut lock(&router), self.now(), attempt);
+        }
+    }
+
+    fn read(&self) -> std::sync::RwLockReadGuard<'_, HashMap<PoolId, Arc<Mutex<Router>>>> {
+        self.routers.read().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn router(&self, pool: &str) -> Option<Arc<Mutex<Router>>> {
+        self.read().get(pool).cloned()
+    }
+
+    fn router_or_insert(&self, pool: &str) -> Arc<Mutex<Router>> {
+        let mut routers = self.routers.write().unwrap_or_else(PoisonError::into_inner);
+        let router = routers
+            .entry(pool.to_owned())
+            .or_insert_with(|| Arc::new(Mutex::new(Router::new(self.settings.clone()))));
+        Arc::clone(router)
+    }
+}
+
+impl Chosen {
+    /// Returns the sidecar that owns the shard of an order, among the `reachable` ones.
+    pub(crate) fn owner_of(key: &OrderKey, pool: &str, reachable: &[ServerId]) -> Option<Self> {
+        let names = reachable.iter().map(String::as_str);
+        let owner = shard_owner(pool, key.shard(ORDER_SHARDS), names)?;
+        Some(Self {
+            server: owner.to_owned(),
+            pool: pool.to_owned(),
+            attempt: None,
+        })
+    }
+}
+
+/// Returns the load hint of a message.
+pub(crate) fn load_hint(load: &message::Load) -> LoadHint {
+    LoadHint {
+        running: load.running,
+        batch_limit: load.batch_limit,
+        busy_by_tier: load.busy_by_tier.clone(),
+        leaving: load.leaving,
     }
 }
--- a/crates/node/src/entry/state.rs
+++ b/crates/node/src/entry/state.rs
@@ -1,10 +1,12 @@
 //! State of an entry, shared by its threads.
 
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, RwLock};
+use std::sync::{Arc, Mutex, RwLock};
 
 use tanagerford_caller::class_gate::ClassGate;
-use tanagerford_core::config::Configuration;
+use tanagerford_core::config::active::ActiveConfiguration;
+use tanagerford_core::ids::ZoneId;
+use tanagerford_core::retry::RetryBudget;
 use tanagerford_link::message::{Frame, frame};
 use tanagerford_link::{Identity, Link, LinkHandler};
 
@@ -13,7 +15,7 @@
 use crate::metrics::Metrics;
 use crate::sync::Flag;
 
-use super::servers::Servers;
+use super::servers::{MAX_TIERS, Servers};
 
 /// State of an entry.
 pub(crate) struct EntryState {
@@ -21,28 +23,37 @@
     pub(crate) attempts: Arc<Attempts>,
     pub(crate) class_gate: Arc<ClassGate>,
     pub(crate) servers: Servers,
+    pub(crate) retry_budget: Mutex<RetryBudget>,
     pub(crate) metrics: Metrics,
     pub(crate) stopping: Flag,
+    /// Raised when the entry has finished its requests and its threads are to end.
+    pub(crate) stopped: Flag,
     pub(crate) next_request: AtomicU64,
-    configuration: RwLock<Arc<Configuration>>,
+    configuration: RwLock<Arc<ActiveConfiguration>>,
 }
 
 impl EntryState {
-    pub(crate) fn new(identity: Identity, configuration: Configuration) -> Self {
+    pub(crate) fn new(
+        identity: Identity,
+        zone: ZoneId,
+        configuration: ActiveConfiguration,
+    ) -> Self {
         Self {
             identity,
             attempts: Arc::default(),
             class_gate: Arc::default(),
-            servers: Servers::default(),
+            servers: Servers::new(zone),
+            retry_budget: Mutex::new(RetryBudget::new(MAX_TIERS)),
             metrics: Metrics::default(),
             stopping: Flag::default(),
+            stopped: Flag::default(),
             next_request: AtomicU64::new(1),
             configuration: RwLock::new(Arc::new(configuration)),
         }
     }
 
     /// Returns the configuration in force.
-    pub(crate) fn configuration(&self) -> Arc<Configuration> {
+    pub(crate) fn configuration(&self) -> Arc<ActiveConfiguration> {
         let configuration = self.configuration.read();
         Arc::clone(&configuration.unwrap_or_else(std::sync::PoisonError::into_inner))
     }
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use rand::RngExt;
-use tanagerford_core::ids::{PoolId, ServerId, ZoneId};
+use tanagerford_core::ids::{Incarnation, PoolId, ServerId, ZoneId};
 use tanagerford_link::{Link, LinkHandler, LinkOptions, connect};
 
 use crate::sync::{Flag, lock};
@@ -32,6 +32,10 @@
     pub zone: ZoneId,
     /// Address of the sidecar's link listener.
     pub address: SocketAddr,
+    /// Incarnation of the sidecar.
+    pub incarnation: Incarnation,
+    /// Whether the backend server takes no new work.
+    pub leaving: bool,
 }
 
 /// Handler of the links of an entry.
@@ -115,6 +119,27 @@
         targets
     }
 
+    /// Returns the targets without an open link.
+    #[must_use]
+    pub fn closed_servers(&self) -> Vec<ServerId> {
+        let slots = lock(&self.slots);
+        let closed = slots.values().filter(|slot| !slot.is_open());
+        closed.map(|slot| slot.target.server.clone()).collect()
+    }
+
+    /// Returns the servers of `pool` with an open link that do not leave, except those in `exclude`.
+    #[must_use]
+    pub fn open_servers(&self, pool: &str, exclude: &[ServerId]) -> Vec<ServerId> {
+        let slots = lock(&self.slots);
+        let open = slots
+            .values()
+            .filter(|slot| slot.target.pool == pool && slot.is_open() && !slot.target.leaving);
+        open.map(|slot| &slot.target.server)
+            .filter(|server| !exclude.contains(server))
+            .cloned()
+            .collect()
+    }
+
     /// Stops dialling and closes all links.
     pub fn stop(&self) {
         self.stopped.raise();
--- a/crates/node/src/orders/book.rs
+++ b/crates/node/src/orders/book.rs
@@ -180,7 +180,7 @@
     }
 
     /// Keeps the answer of an order that was run. Returns false if the order was not running.
-    pub fn finish(&self, key: &OrderKey, answer: KeptAnswer) -> bool {
+    pub fn finish(&self, key: &OrderKey, answer: impl Into<Option<KeptAnswer>>) -> bool {
         self.pass(OrderStep::KeepAnswer);
         let cell = self.cell(key);
         let mut state = cell.lock();
@@ -190,7 +190,9 @@
         if !state.gate.finish(self.clock.now(), key) {
             return false;
         }
-        lock(&self.answers).keep(*key, Arc::new(answer), self.settings.answer_bytes);
+        if let Some(answer) = answer.into() {
+            lock(&self.answers).keep(*key, Arc::new(answer), self.settings.answer_bytes);
+        }
         state.enqueue_untracked(Change::Finish { key: *key, attempt });
         cell.notify(&mut state);
         drop(state);
--- a/crates/node/src/orders/log.rs
+++ b/crates/node/src/orders/log.rs
@@ -112,8 +112,9 @@
         }
     }
 
-    /// Keeps the answer of an order that was run. Returns false if the order was not running.
-    pub fn finish(&self, key: &OrderKey, answer: KeptAnswer) -> bool {
+    /// Notes that an order was run, and keeps its answer unless it is `None`, too large to be kept. Returns false if the
+    /// order was not running.
+    pub fn finish(&self, key: &OrderKey, answer: impl Into<Option<KeptAnswer>>) -> bool {
         let finished = self.book.finish(key, answer);
         self.wake.signal(false);
         finished
--- a/crates/node/src/sidecar/mod.rs
+++ b/crates/node/src/sidecar/mod.rs
@@ -2,18 +2,24 @@
 
 mod model;
 mod operations;
+mod order;
+mod refusal;
 mod service;
 mod state;
+mod work;
 
 use std::marker::PhantomData;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
+use std::thread;
 use std::time::{Duration, Instant};
 
+use tanagerford_core::config::Configuration;
 use tanagerford_link::{FleetKey, Identity, LinkOptions, LinkServer, LinkServerHandle};
 use tanagerford_operator::listener::Operated;
 
+use crate::orders::OrderLog;
 use crate::stop::StopSignal;
 
 use operations::SidecarOperations;
@@ -27,7 +33,7 @@
     /// Plain service that runs at most this many calls at the same time.
     Service {
         /// Largest count of calls at the same time.
-        concurrency: usize,
+        concurrency: u32,
     },
 }
 
@@ -68,19 +74,26 @@
 const FLUSH_TIMEOUT: Duration = Duration::from_secs(2);
 
 impl Sidecar<Serving> {
-    /// Starts a sidecar.
+    /// Starts a sidecar. A plain service that takes orders needs an order log.
     ///
     /// # Errors
     ///
     /// Fails when the listener cannot be bound or a thread cannot be started.
-    pub fn start(settings: &SidecarSettings) -> std::io::Result<Self> {
+    pub fn start(
+        settings: &SidecarSettings,
+        orders: Option<Arc<OrderLog>>,
+    ) -> std::io::Result<Self> {
         let generation = Arc::new(AtomicU64::new(0));
         let options = LinkOptions::new(
             settings.identity.clone(),
             settings.fleet_key.clone(),
             generation,
         );
-        let state = Arc::new(SidecarState::new(settings));
+        let state = Arc::new(SidecarState::new(settings, orders));
+        let ticker = Arc::clone(&state);
+        thread::Builder::new()
+            .name("sidecar-tick".to_owned())
+            .spawn(move || ticker.tick_until_stopped())?;
         let handler = Arc::new(SubmitHandler(Arc::clone(&state)));
         let server = LinkServer::bind(settings.listen)?.start(options, handler)?;
         Ok(Self {
@@ -97,6 +110,11 @@
         Arc::new(SidecarOperations { state, stop })
     }
 
+    /// Takes over a configuration.
+    pub fn set_configuration(&self, configuration: &Configuration) {
+        self.state.set_configuration(configuration);
+    }
+
     /// Refuses new work from now on and tells the entries.
     #[must_use]
     pub fn drain(self) -> Sidecar<Draining> {
@@ -121,7 +139,11 @@
                 finished = false;
                 break;
             }
-            std::thread::sleep(STOP_POLL_INTERVAL);
+            thread::sleep(STOP_POLL_INTERVAL);
+        }
+        self.state.stopped.raise();
+        if let Some(orders) = self.state.orders() {
+            finished &= orders.stop(FLUSH_TIMEOUT);
         }
         self.server.stop();
         self.state.close_links(FLUSH_TIMEOUT);
--- a/crates/node/src/sidecar/model.rs
+++ b/crates/node/src/sidecar/model.rs
@@ -1,42 +1,226 @@
-//! Runs model requests on the engine.
+//! Model requests: admission decides, worker threads run them on the engine.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 
-use tanagerford_engine::{EngineClient, EngineError, EngineStream, Event, Generate};
-use tanagerford_link::message::{self, Outcome, frame};
+use tanagerford_core::admission::{
+    Action, Admission, AdmissionSettings, FinishKind, Load, LoadReport, Request, TICK,
+};
+use tanagerford_core::config::Configuration;
+use tanagerford_core::ids::{AttemptId, TierId};
+use tanagerford_engine::{EngineClient, EngineError, EngineStream, Generate};
+use tanagerford_link::message::{self, Outcome};
 
-use super::state::{SidecarState, Work};
+use crate::sync::lock;
+
+use super::refusal::{SERVER_RETRY_AFTER, not_run};
+use super::state::SidecarState;
+use super::work::{Run, Superseded, Work};
 
 /// Status of a full engine.
 const TOO_MANY_REQUESTS: u16 = 429;
 
-/// Advice to come back when the engine is full or cannot be reached.
-const RETRY_AFTER_MS: u32 = 250;
+/// Interval at which the engine's load report is read.
+const LOAD_REPORT_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Model engine and its admission.
+pub(crate) struct ModelBackend {
+    pub(super) engine: Arc<EngineClient>,
+    admission: Mutex<Admission>,
+    started_at: Instant,
+}
+
+impl ModelBackend {
+    pub(super) fn new(engine: Arc<EngineClient>) -> Self {
+        Self {
+            engine,
+            admission: Mutex::new(Admission::new(AdmissionSettings::default())),
+            started_at: Instant::now(),
+        }
+    }
+
+    /// Takes over a configuration.
+    pub(super) fn set_configuration(
+        &self,
+        state: &Arc<SidecarState>,
+        configuration: &Configuration,
+    ) {
+        let settings = AdmissionSettings::from_configuration(configuration);
+        self.decide(state, |admission, now| {
+            admission.set_configuration(now, settings)
+        });
+    }
+
+    /// Offers work to admission.
+    pub(super) fn submit(&self, state: &Arc<SidecarState>, work: &Work) {
+        let submit = &work.submit;
+        self.decide(state, |admission, now| {
+            let request = Request {
+                id: work.id,
+                tier: TierId::try_from(submit.tier).unwrap_or(TierId::MAX),
+                class: submit.class.clone(),
+                workspace: submit.workspace.clone(),
+                model: submit.model.clone(),
+                prompt_tokens: submit.prompt_tokens,
+                max_tokens: submit.max_tokens.saturating_sub(submit.resume_tokens),
+                wait_limit: work.wait_left(),
+                deadline: now + work.time_left(),
+                resumable: submit.resumable,
+                alone: false,
+            };
+            admission.offer(now, request)
+        });
+    }
 
-/// Runs one request and sends its answer to the entry.
-pub(crate) fn run(state: &SidecarState, engine: &Arc<EngineClient>, work: &Arc<Work>) {
-    let (agent, cancel) = engine.reserve();
-    if !state.set_cancel(work.id, cancel) {
+    /// Withdraws work whose caller is gone.
+    pub(super) fn cancel(&self, state: &Arc<SidecarState>, id: AttemptId) {
+        self.decide(state, |admission, now| admission.on_cancel(now, id));
+    }
+
+    /// Refuses what waits; what runs goes on.
+    pub(super) fn leave(&self, state: &Arc<SidecarState>) {
+        self.decide(state, Admission::leave);
+    }
+
+    /// Returns the load, as it is sent with answers and refusals.
+    pub(super) fn load(&self) -> Load {
+        lock(&self.admission).load()
+    }
+
+    /// Calls the periodic decisions until the sidecar stops.
+    pub(super) fn tick_until_stopped(&self, state: &Arc<SidecarState>) {
+        let mut reported_at = Instant::now();
+        while !state.stopped.is_raised() {
+            std::thread::sleep(TICK);
+            self.decide(state, Admission::on_tick);
+            if reported_at.elapsed() >= LOAD_REPORT_INTERVAL {
+                reported_at = Instant::now();
+                self.read_load_report(state);
+            }
+        }
+    }
+
+    fn read_load_report(&self, state: &Arc<SidecarState>) {
+        if let Ok(report) = self.engine.load() {
+            let report = LoadReport {
+                running: report.running,
+                token_gap: Duration::from_micros(report.token_gap_us),
+            };
+            self.decide(state, |admission, now| {
+                admission.on_load_report(now, report)
+            });
+        }
+    }
+
+    /// Takes a decision and carries out its actions under the same lock, so that the actions of two decisions keep their
+    /// order. No action blocks.
+    fn decide(
+        &self,
+        state: &Arc<SidecarState>,
+        decision: impl FnOnce(&mut Admission, Duration) -> Vec<Action>,
+    ) {
+        let mut admission = lock(&self.admission);
+        let actions = decision(&mut admission, self.started_at.elapsed());
+        if actions.is_empty() {
+            return;
+        }
+        let load = wire_load(admission.load());
+        for action in actions {
+            perform(state, action, &load);
+        }
+    }
+
+    fn on_tokens(&self, state: &Arc<SidecarState>, id: AttemptId, tokens: u32) {
+        self.decide(state, |admission, now| admission.on_token(now, id, tokens));
+    }
+
+    fn on_finish(&self, state: &Arc<SidecarState>, id: AttemptId, kind: FinishKind) {
+        self.decide(state, |admission, now| admission.on_finish(now, id, kind));
+    }
+}
+
+fn perform(state: &Arc<SidecarState>, action: Action, load: &message::Load) {
+    match action {
+        Action::Start { id } => {
+            if let Some(work) = state.work(id) {
+                let state = Arc::clone(state);
+                let workers = state.workers.clone();
+                workers.run(move || run(&state, &work));
+            }
+        }
+        Action::Preempt { id, requeued } => {
+            let Some(work) = state.work(id) else {
+                return;
+            };
+            tracing::info!(
+                request_id = work.submit.request_id,
+                requeued,
+                "preempted a request"
+            );
+            work.interrupt();
+            if !requeued {
+                let tokens = work.delivered_tokens() - work.submit.resume_tokens;
+                state.metrics.count_waste("preempted", tokens.into());
+                work.end(
+                    Outcome::Preempted,
+                    "preempted by work of a higher tier",
+                    Some(load.clone()),
+                );
+                state.remove(id);
+            }
+        }
+        Action::Refuse {
+            id,
+            reason,
+            retry_after,
+        } => {
+            if let Some(work) = state.remove(id) {
+                let code = reason.code();
+                tracing::info!(
+                    request_id = work.submit.request_id,
+                    code,
+                    "refused a request"
+                );
+                let detail = "load shedding at the backend server";
+                work.refuse(not_run(code, detail, Some(retry_after), Some(load.clone())));
+            }
+        }
+    }
+}
+
+/// Runs work on the engine and sends its answer to the entry.
+fn run(state: &Arc<SidecarState>, work: &Arc<Work>) {
+    let Some(backend) = state.model_backend() else {
+        return;
+    };
+    let (agent, cancel) = backend.engine.reserve();
+    let Some(run) = work.begin_run(Some(cancel)) else {
+        return;
+    };
+    if run.accept().is_err() {
         return;
     }
-    work.send(frame::Body::Accepted(message::Accepted {
-        attempt_id: work.submit.attempt_id,
-    }));
     tracing::info!(
         request_id = work.submit.request_id,
+        resume_tokens = work.delivered_tokens(),
         "handed a request to the engine"
     );
-    match engine.generate(agent, &generate_request(work)) {
-        Ok(stream) => relay(state, engine, work, stream),
-        Err(EngineError::Unreachable) => {
-            work.refuse(
-                "server_failed",
-                "cannot connect to the engine",
-                RETRY_AFTER_MS,
-            );
-        }
-        Err(EngineError::Refused { status, body }) => refused(work, status, &body),
-        Err(error) => fail(state, engine, work, 0, &error),
+    let request = generate_request(work);
+    let ended = match backend.engine.generate(agent, &request) {
+        Ok(stream) => relay(state, backend, work, &run, stream),
+        Err(EngineError::Refused { status, body }) => refused(backend, &run, status, &body),
+        Err(EngineError::Unreachable) => refuse(
+            backend,
+            &run,
+            "server_failed",
+            "cannot connect to the engine",
+        ),
+        Err(error) => fail(state, backend, work, &run, &error),
+    };
+    // A superseded run was preempted or cancelled; admission knows of it.
+    if let Ok(kind) = ended {
+        state.remove(work.id);
+        backend.on_finish(state, work.id, kind);
     }
 }
 
@@ -46,100 +230,120 @@
         request_id: work.submit.request_id.clone(),
         body: work.submit.body.clone(),
         priority: u8::try_from(work.submit.tier).unwrap_or(u8::MAX),
-        resume_from_tokens: work.submit.resume_tokens,
+        resume_from_tokens: work.delivered_tokens(),
         timeout: work.time_left(),
     }
 }
 
-fn relay(state: &SidecarState, engine: &Arc<EngineClient>, work: &Work, mut stream: EngineStream) {
-    send_head(work, 200, "text/event-stream");
-    let mut chunks = 0;
-    let mut tokens = 0;
+fn relay(
+    state: &Arc<SidecarState>,
+    backend: &ModelBackend,
+    work: &Work,
+    run: &Run<'_>,
+    mut stream: EngineStream,
+) -> Result<FinishKind, Superseded> {
+    run.send_head(200, vec![content_type("text/event-stream")])?;
     loop {
         match stream.next_event() {
             Ok(Some(event)) => {
-                let in_event = u32::from(!event.is_done());
-                tokens += u64::from(in_event);
-                send_chunk(work, chunks, event, in_event);
-                chunks += 1;
+                let tokens = u32::from(event.has_text());
+                if run.send_chunk(event.raw, tokens).is_err() {
+                    state.metrics.count_waste("preempted", tokens.into());
+                    return Err(Superseded);
+                }
+                if tokens > 0 {
+                    state.metrics.tokens.inc_by(tokens.into());
+                    backend.on_tokens(state, work.id, tokens);
+                }
             }
             Ok(None) => {
                 stream.finish();
-                state.metrics.tokens.inc_by(tokens);
-                work.finish(chunks, Outcome::Complete, "");
+                run.finish(Outcome::Complete, "", Some(wire_load(backend.load())))?;
+                let tokens = work.delivered_tokens();
                 tracing::info!(
                     request_id = work.submit.request_id,
                     tokens,
                     "request is complete"
                 );
-                return;
-            }
-            Err(_) if work.cancelled.is_raised() => {
-                state.metrics.count_waste("cancelled", tokens);
-                work.finish(chunks, Outcome::Cancelled, "caller disconnected");
-                return;
-            }
-            Err(error) => {
-                state.metrics.count_waste("failed", tokens);
-                return fail(state, engine, work, chunks, &error);
+                return Ok(FinishKind::Complete);
             }
+            Err(error) => return fail(state, backend, work, run, &error),
         }
     }
 }
 
-fn refused(work: &Work, status: u16, body: &str) {
+fn refused(
+    backend: &ModelBackend,
+    run: &Run<'_>,
+    status: u16,
+    body: &str,
+) -> Result<FinishKind, Superseded> {
     if status == TOO_MANY_REQUESTS || status >= 500 {
         let detail = format!("engine refused the request with status {status}");
-        work.refuse("overloaded", &detail, RETRY_AFTER_MS);
-        return;
+        return refuse(backend, run, "overloaded", &detail);
     }
-    send_head(work, status, "application/json");
-    let event = Event {
-        raw: body.as_bytes().to_vec(),
-        data: Vec::new(),
-    };
-    send_chunk(work, 0, event, 0);
-    work.finish(1, Outcome::Complete, "");
+    run.send_head(status, vec![content_type("application/json")])?;
+    run.send_chunk(body.as_bytes().to_vec(), 0)?;
+    run.finish(Outcome::Complete, "", Some(wire_load(backend.load())))?;
+    Ok(FinishKind::Failed)
+}
+
+fn refuse(
+    backend: &ModelBackend,
+    run: &Run<'_>,
+    code: &str,
+    detail: &str,
+) -> Result<FinishKind, Superseded> {
+    let load = wire_load(backend.load());
+    run.refuse(not_run(code, detail, Some(SERVER_RETRY_AFTER), Some(load)))?;
+    Ok(FinishKind::Failed)
 }
 
 fn fail(
     state: &SidecarState,
-    engine: &EngineClient,
+    backend: &ModelBackend,
     work: &Work,
-    chunks: u64,
+    run: &Run<'_>,
     error: &EngineError,
-) {
-    let outcome = if engine.is_healthy() {
-        Outcome::Failed
-    } else {
-        state.metrics.crashes.inc();
+) -> Result<FinishKind, Superseded> {
+    let crashed = !backend.engine.is_healthy();
+    let outcome = if crashed {
         Outcome::Crashed
+    } else {
+        Outcome::Failed
     };
+    run.finish(outcome, &error.to_string(), Some(wire_load(backend.load())))?;
+    if !work.submit.resumable {
+        let tokens = work.delivered_tokens() - work.submit.resume_tokens;
+        state.metrics.count_waste("failed", tokens.into());
+    }
     tracing::warn!(
         request_id = work.submit.request_id,
         %error,
         outcome = outcome.as_str_name(),
         "engine did not finish a request"
     );
-    work.finish(chunks, outcome, &error.to_string());
+    if crashed {
+        state.metrics.crashes.inc();
+        return Ok(FinishKind::Crashed);
+    }
+    Ok(FinishKind::Failed)
 }
 
-fn send_head(work: &Work, status: u16, content_type: &str) {
-    work.send(frame::Body::Head(message::Head {
-        attempt_id: work.submit.attempt_id,
-        status: u32::from(status),
-        headers: vec![message::Header {
-            name: "content-type".to_owned(),
-            value: content_type.as_bytes().to_vec(),
-        }],
-    }));
+fn content_type(value: &str) -> message::Header {
+    message::Header {
+        name: "content-type".to_owned(),
+        value: value.as_bytes().to_vec(),
+    }
 }
 
-fn send_chunk(work: &Work, sequence: u64, event: Event, tokens: u32) {
-    work.send(frame::Body::Chunk(message::Chunk {
-        attempt_id: work.submit.attempt_id,
-        sequence,
-        data: event.raw,
-        tokens,
-    }));
+pub(super) fn wire_load(load: Load) -> message::Load {
+    message::Load {
+        running: load.running,
+        waiting: load.waiting,
+        batch_limit: load.batch_limit,
+        token_gap_us: u32::try_from(load.token_gap.as_micros()).unwrap_or(u32::MAX),
+        busy_by_tier: load.busy_by_tier,
+        leaving: load.leaving,
+    }
 }
--- /dev/null
+++ b/crates/node/src/sidecar/refusal.rs
@@ -0,0 +1,33 @@
+//! Refusals that a sidecar sends.
+
+use std::time::Duration;
+
+use tanagerford_link::message;
+
+/// Advice when the backend server cannot be reached or is full.
+pub(crate) const SERVER_RETRY_AFTER: Duration = Duration::from_millis(250);
+
+/// Returns the refusal of work that certainly did not run.
+pub(crate) fn not_run(
+    code: &str,
+    detail: &str,
+    retry_after: Option<Duration>,
+    load: Option<message::Load>,
+) -> message::Refused {
+    let milliseconds = retry_after.map_or(0, |delay| delay.as_millis());
+    message::Refused {
+        code: code.to_owned(),
+        detail: detail.to_owned(),
+        retry_after_ms: u32::try_from(milliseconds).unwrap_or(u32::MAX),
+        load,
+        ..message::Refused::default()
+    }
+}
+
+/// Returns the refusal of work that may have run.
+pub(crate) fn unknown(code: &str, detail: &str) -> message::Refused {
+    message::Refused {
+        unknown: true,
+        ..not_run(code, detail, None, None)
+    }
+}
--- a/crates/node/src/sidecar/state.rs
+++ b/crates/node/src/sidecar/state.rs
@@ -1,126 +1,122 @@
 //! State of a sidecar, shared by its threads.
 
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use tanagerford_engine::{CancelHandle, EngineClient};
-use tanagerford_link::message::{self, Frame, Outcome, Submit, frame};
+use tanagerford_core::config::Configuration;
+use tanagerford_core::ids::AttemptId;
+use tanagerford_engine::EngineClient;
+use tanagerford_link::message::{self, Frame, Submit, frame};
 use tanagerford_link::{Identity, Link, LinkHandler};
-use tanagerford_service::ServiceClient;
 
 use crate::metrics::Metrics;
+use crate::orders::OrderLog;
 use crate::sync::{Flag, lock};
 use crate::workers::Workers;
 
-use super::{Backend, SidecarSettings, model, service};
+use super::model::ModelBackend;
+use super::refusal::{SERVER_RETRY_AFTER, not_run};
+use super::service::ServiceBackend;
+use super::work::Work;
+use super::{Backend, SidecarSettings};
 
-/// Work that runs at the same time before further work is refused.
-const MAX_RUNNING: usize = 64;
-
-/// Advice to come back when the backend server is full.
-const FULL_RETRY_AFTER_MS: u32 = 250;
-
-/// Number of one piece of work in this sidecar.
-pub(crate) type WorkId = u64;
+/// Shards of the table of work.
+const SHARDS: usize = 16;
 
 /// State of a sidecar.
 pub(crate) struct SidecarState {
     pub(crate) identity: Identity,
-    pub(crate) backend: BackendClient,
     pub(crate) metrics: Metrics,
+    pub(super) workers: Workers,
+    /// Raised when the sidecar has finished its work and its threads are to end.
+    pub(super) stopped: Flag,
+    backend: BackendState,
     leaving: Flag,
-    workers: Workers,
-    table: Mutex<Table>,
+    next_id: AtomicU64,
+    works: Vec<Mutex<HashMap<AttemptId, Arc<Work>>>>,
     links: Mutex<Vec<Link>>,
 }
 
-/// Client of the backend server.
-pub(crate) enum BackendClient {
-    Engine(Arc<EngineClient>),
-    Service(ServiceClient),
-}
-
-#[derive(Default)]
-struct Table {
-    next_id: WorkId,
-    running: HashMap<WorkId, Running>,
-}
-
-struct Running {
-    work: Arc<Work>,
-    cancel: Option<CancelHandle>,
-}
-
-/// One attempt at this sidecar.
-pub(crate) struct Work {
-    pub(crate) id: WorkId,
-    pub(crate) link: Link,
-    pub(crate) submit: Submit,
-    pub(crate) received_at: Instant,
-    pub(crate) cancelled: Flag,
-}
-
-impl Work {
-    /// Sends a message about this work to its entry. A lost link is noticed elsewhere.
-    pub(crate) fn send(&self, body: frame::Body) {
-        let _ = self.link.send(body);
-    }
-
-    /// Refuses the work: it never reached the backend server.
-    pub(crate) fn refuse(&self, code: &str, detail: &str, retry_after_ms: u32) {
-        self.send(frame::Body::Refused(message::Refused {
-            attempt_id: self.submit.attempt_id,
-            code: code.to_owned(),
-            detail: detail.to_owned(),
-            retry_after_ms,
-            load: None,
-            unknown: false,
-        }));
-    }
-
-    /// Ends work that reached the backend server.
-    pub(crate) fn finish(&self, chunks: u64, outcome: Outcome, detail: &str) {
-        self.send(frame::Body::Finish(message::Finish {
-            attempt_id: self.submit.attempt_id,
-            chunks,
-            outcome: outcome.into(),
-            detail: detail.to_owned(),
-            load: None,
-            resumable: false,
-        }));
-    }
-
-    /// Returns the time left until the caller's deadline.
-    pub(crate) fn time_left(&self) -> Duration {
-        let limit = Duration::from_millis(u64::from(self.submit.deadline_ms));
-        limit.saturating_sub(self.received_at.elapsed())
-    }
+/// Backend server with its admission.
+enum BackendState {
+    Model(ModelBackend),
+    Service(ServiceBackend),
 }
 
 impl SidecarState {
-    pub(crate) fn new(settings: &SidecarSettings) -> Self {
+    pub(crate) fn new(settings: &SidecarSettings, orders: Option<Arc<OrderLog>>) -> Self {
         let address = settings.backend_address;
         let backend = match settings.backend {
-            Backend::Engine => BackendClient::Engine(EngineClient::new(address)),
+            Backend::Engine => BackendState::Model(ModelBackend::new(EngineClient::new(address))),
             Backend::Service { concurrency } => {
-                BackendClient::Service(ServiceClient::new(address, concurrency))
+                BackendState::Service(ServiceBackend::new(address, concurrency, orders))
             }
         };
         Self {
             identity: settings.identity.clone(),
-            backend,
             metrics: Metrics::default(),
-            leaving: Flag::default(),
             workers: Workers::default(),
-            table: Mutex::default(),
+            stopped: Flag::default(),
+            backend,
+            leaving: Flag::default(),
+            next_id: AtomicU64::new(1),
+            works: (0..SHARDS).map(|_| Mutex::default()).collect(),
             links: Mutex::default(),
         }
     }
 
+    /// Takes over a configuration.
+    pub(crate) fn set_configuration(self: &Arc<Self>, configuration: &Configuration) {
+        match &self.backend {
+            BackendState::Model(backend) => backend.set_configuration(self, configuration),
+            BackendState::Service(backend) => backend.set_configuration(self, configuration),
+        }
+    }
+
+    /// Calls the periodic decisions until the sidecar stops.
+    pub(crate) fn tick_until_stopped(self: &Arc<Self>) {
+        match &self.backend {
+            BackendState::Model(backend) => backend.tick_until_stopped(self),
+            BackendState::Service(backend) => backend.tick_until_stopped(self),
+        }
+    }
+
+    /// Returns the engine, if the backend server is one.
+    pub(super) fn model_backend(&self) -> Option<&ModelBackend> {
+        match &self.backend {
+            BackendState::Model(backend) => Some(backend),
+            BackendState::Service(_) => None,
+        }
+    }
+
+    /// Returns the plain service, if the backend server is one.
+    pub(super) fn service_backend(&self) -> Option<&ServiceBackend> {
+        match &self.backend {
+            BackendState::Model(_) => None,
+            BackendState::Service(backend) => Some(backend),
+        }
+    }
+
+    /// Returns the order log, if the backend server takes orders.
+    pub(crate) fn orders(&self) -> Option<&Arc<OrderLog>> {
+        self.service_backend()?.orders()
+    }
+
+    /// Returns the work with this number, if it has not ended.
+    pub(super) fn work(&self, id: AttemptId) -> Option<Arc<Work>> {
+        lock(self.shard(id)).get(&id).cloned()
+    }
+
+    /// Removes work that has ended.
+    pub(super) fn remove(&self, id: AttemptId) -> Option<Arc<Work>> {
+        lock(self.shard(id)).remove(&id)
+    }
+
     /// Returns the count of work in flight.
     pub(crate) fn in_flight(&self) -> usize {
-        lock(&self.table).running.len()
+        self.works.iter().map(|shard| lock(shard).len()).sum()
     }
 
     /// Returns whether new work is refused.
@@ -133,12 +129,16 @@
         lock(&self.links).len()
     }
 
-    /// Refuses new work from now on and tells all entries.
-    pub(crate) fn leave(&self) {
+    /// Refuses new work and work that waits, and tells all entries.
+    pub(crate) fn leave(self: &Arc<Self>) {
         self.leaving.raise();
         for link in lock(&self.links).iter() {
             let _ = link.send(frame::Body::Leaving(message::Leaving {}));
         }
+        match &self.backend {
+            BackendState::Model(backend) => backend.leave(self),
+            BackendState::Service(backend) => backend.leave(self),
+        }
     }
 
     /// Writes all queued frames and closes the links.
@@ -150,75 +150,49 @@
         }
     }
 
-    /// Registers how to cancel running work; returns false when it is cancelled already.
-    pub(crate) fn set_cancel(&self, id: WorkId, cancel: CancelHandle) -> bool {
-        let mut table = lock(&self.table);
-        match table.running.get_mut(&id) {
-            Some(running) if !running.work.cancelled.is_raised() => {
-                running.cancel = Some(cancel);
-                true
-            }
-            _ => false,
-        }
-    }
-
     fn submit(self: &Arc<Self>, link: &Link, submit: Submit) {
-        let work = self.register(link, submit);
-        if self.leaving.is_raised() {
-            work.refuse("stopping", "sidecar takes no new work", FULL_RETRY_AFTER_MS);
-            self.remove(work.id);
+        let id = self.next_id.fetch_add(1, Ordering::Relaxed);
+        let work = Arc::new(Work::new(id, link.clone(), submit));
+        // The work is registered before the check, so that a stop that saw no work in flight is followed by a refusal.
+        lock(self.shard(id)).insert(id, Arc::clone(&work));
+        if self.is_leaving() {
+            let detail = "sidecar takes no new work";
+            work.refuse(not_run("leaving", detail, Some(SERVER_RETRY_AFTER), None));
+            self.remove(id);
             return;
         }
-        if self.in_flight() > MAX_RUNNING {
-            work.refuse("overloaded", "backend server is full", FULL_RETRY_AFTER_MS);
-            self.remove(work.id);
-            return;
+        match &self.backend {
+            BackendState::Model(backend) => backend.submit(self, &work),
+            BackendState::Service(backend) => backend.submit(self, &work),
         }
-        let state = Arc::clone(self);
-        self.workers.run(move || {
-            match &state.backend {
-                BackendClient::Engine(engine) => model::run(&state, engine, &work),
-                BackendClient::Service(client) => service::run(client, &work),
-            }
-            state.remove(work.id);
-        });
-    }
-
-    fn register(&self, link: &Link, submit: Submit) -> Arc<Work> {
-        let mut table = lock(&self.table);
-        table.next_id += 1;
-        let work = Arc::new(Work {
-            id: table.next_id,
-            link: link.clone(),
-            submit,
-            received_at: Instant::now(),
-            cancelled: Flag::default(),
-        });
-        let running = Running {
-            work: Arc::clone(&work),
-            cancel: None,
-        };
-        table.running.insert(work.id, running);
-        work
-    }
-
-    fn remove(&self, id: WorkId) {
-        lock(&self.table).running.remove(&id);
     }
 
     /// Cancels the work that `selected` picks, except orders, which run on without their caller.
-    fn cancel(&self, selected: impl Fn(&Work) -> bool) {
-        let table = lock(&self.table);
-        for running in table.running.values() {
-            let repeatable = running.work.submit.order_key.is_empty();
-            if repeatable && selected(&running.work) {
-                running.work.cancelled.raise();
-                if let Some(cancel) = &running.cancel {
-                    cancel.cancel();
+    fn cancel(self: &Arc<Self>, selected: impl Fn(&Work) -> bool) {
+        for shard in &self.works {
+            let cancelled: Vec<_> = lock(shard)
+                .extract_if(|_, work| work.is_repeatable() && selected(work))
+                .collect();
+            for (id, work) in cancelled {
+                let tokens = work.cancel();
+                self.metrics.count_waste("cancelled", tokens.into());
+                tracing::info!(
+                    request_id = work.submit.request_id,
+                    tokens,
+                    "cancelled a request"
+                );
+                match &self.backend {
+                    BackendState::Model(backend) => backend.cancel(self, id),
+                    BackendState::Service(backend) => backend.cancel(self, id),
                 }
             }
         }
     }
+
+    fn shard(&self, id: AttemptId) -> &Mutex<HashMap<AttemptId, Arc<Work>>> {
+        let index = usize::try_from(id).unwrap_or(0) % SHARDS;
+        &self.works[index]
+    }
 }
 
 /// Handles the frames of all links.
@@ -232,6 +206,7 @@
             Some(frame::Body::Cancel(cancel)) => self
                 .0
                 .cancel(|work| work.submit.attempt_id == cancel.attempt_id && work.link.same(link)),
+            Some(frame::Body::OrderQuery(query)) => self.answer_query(link, &query),
             _ => {}
         }
     }
@@ -249,4 +224,9 @@
             links.push(link.clone());
         }
     }
+
+    fn answer_query(&self, link: &Link, query: &message::OrderQuery) {
+        let answer = super::order::answer_query(self.0.orders().map(Arc::as_ref), query);
+        let _ = link.send(frame::Body::OrderAnswer(answer));
+    }
 }
--- /dev/null
+++ b/crates/node/src/sidecar/work.rs
@@ -0,0 +1,239 @@
+//! One attempt at a sidecar, from its submission to its end.
+
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+use tanagerford_core::ids::AttemptId;
+use tanagerford_core::order::OrderKey;
+use tanagerford_engine::CancelHandle;
+use tanagerford_link::Link;
+use tanagerford_link::message::{self, Outcome, Submit, frame};
+
+use crate::sync::lock;
+
+/// One attempt. It may run several times when it is preempted and resumed.
+pub(crate) struct Work {
+    /// Number of the work in this sidecar; attempt ids are unique on their link only.
+    pub(crate) id: AttemptId,
+    pub(crate) link: Link,
+    pub(crate) submit: Submit,
+    pub(crate) received_at: Instant,
+    progress: Mutex<Progress>,
+}
+
+/// What was sent to the entry so far, and by which run.
+#[derive(Debug, Default)]
+struct Progress {
+    /// Number of the current run; frames of earlier runs are dropped.
+    run: u64,
+    chunks: u64,
+    tokens: u32,
+    head_sent: bool,
+    ended: bool,
+    cancelled: bool,
+    cancel: Option<CancelHandle>,
+}
+
+/// Right of one run to send frames; it ends when the work is preempted, cancelled or finished.
+pub(crate) struct Run<'work> {
+    work: &'work Work,
+    number: u64,
+}
+
+/// Why a run may not send any more.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Superseded;
+
+impl Work {
+    pub(crate) fn new(id: AttemptId, link: Link, submit: Submit) -> Self {
+        Self {
+            id,
+            link,
+            submit,
+            received_at: Instant::now(),
+            progress: Mutex::default(),
+        }
+    }
+
+    /// Returns the key of an order; `None` for calls that may be repeated.
+    pub(crate) fn order_key(&self) -> Option<OrderKey> {
+        OrderKey::from_bytes(&self.submit.order_key)
+    }
+
+    /// Returns whether the call may run more than once.
+    pub(crate) fn is_repeatable(&self) -> bool {
+        self.submit.order_key.is_empty()
+    }
+
+    /// Returns the time left until the work must have started.
+    pub(crate) fn wait_left(&self) -> Duration {
+        let limit = Duration::from_millis(self.submit.wait_limit_ms.into());
+        limit.saturating_sub(self.received_at.elapsed())
+    }
+
+    /// Returns the time left until the caller's deadline.
+    pub(crate) fn time_left(&self) -> Duration {
+        let limit = Duration::from_millis(self.submit.deadline_ms.into());
+        limit.saturating_sub(self.received_at.elapsed())
+    }
+
+    /// Returns the tokens that the entry has, those of earlier attempts included.
+    pub(crate) fn delivered_tokens(&self) -> u32 {
+        self.submit.resume_tokens + lock(&self.progress).tokens
+    }
+
+    /// Begins a run that `cancel` interrupts; `None` when the work was cancelled before.
+    pub(crate) fn begin_run(&self, cancel: Option<CancelHandle>) -> Option<Run<'_>> {
+        let mut progress = lock(&self.progress);
+        if progress.cancelled || progress.ended {
+            return None;
+        }
+        progress.run += 1;
+        progress.cancel = cancel;
+        Some(Run {
+            work: self,
+            number: progress.run,
+        })
+    }
+
+    /// Interrupts the current run; a later run goes on where it stopped.
+    pub(crate) fn interrupt(&self) {
+        let cancel = {
+            let mut progress = lock(&self.progress);
+            progress.run += 1;
+            progress.cancel.take()
+        };
+        if let Some(cancel) = cancel {
+            cancel.cancel();
+        }
+    }
+
+    /// Interrupts the current run and lets no other begin. Returns the tokens that were sent in vain.
+    pub(crate) fn cancel(&self) -> u32 {
+        self.interrupt();
+        let mut progress = lock(&self.progress);
+        progress.cancelled = true;
+        progress.tokens
+    }
+
+    /// Refuses the work. Work that has run in part is ended as preempted instead.
+    pub(crate) fn refuse(&self, refusal: message::Refused) {
+        let mut progress = lock(&self.progress);
+        if progress.ended {
+            return;
+        }
+        if progress.head_sent {
+            self.send_finish(&progress, Outcome::Preempted, &refusal.detail, refusal.load);
+        } else {
+            let attempt_id = self.submit.attempt_id;
+            self.send(frame::Body::Refused(message::Refused {
+                attempt_id,
+                ..refusal
+            }));
+        }
+        progress.ended = true;
+    }
+
+    /// Ends the work from outside of its runs.
+    pub(crate) fn end(&self, outcome: Outcome, detail: &str, load: Option<message::Load>) {
+        let mut progress = lock(&self.progress);
+        if !progress.ended {
+            self.send_finish(&progress, outcome, detail, load);
+            progress.ended = true;
+        }
+    }
+
+    fn send_finish(
+        &self,
+        progress: &Progress,
+        outcome: Outcome,
+        detail: &str,
+        load: Option<message::Load>,
+    ) {
+        self.send(frame::Body::Finish(message::Finish {
+            attempt_id: self.submit.attempt_id,
+            chunks: progress.chunks,
+            outcome: outcome.into(),
+            detail: detail.to_owned(),
+            load,
+            resumable: self.submit.resumable,
+        }));
+    }
+
+    /// Sends a message to the entry. A lost link is noticed by its reader.
+    fn send(&self, body: frame::Body) {
+        let _ = self.link.send(body);
+    }
+}
+
+impl Run<'_> {
+    /// Tells the entry that the work is handed to the backend server.
+    pub(crate) fn accept(&self) -> Result<(), Superseded> {
+        self.sending(|_| {
+            self.work.send(frame::Body::Accepted(message::Accepted {
+                attempt_id: self.work.submit.attempt_id,
+            }));
+        })
+    }
+
+    /// Sends status and headers, unless an earlier run did.
+    pub(crate) fn send_head(
+        &self,
+        status: u16,
+        headers: Vec<message::Header>,
+    ) -> Result<(), Superseded> {
+        self.sending(|progress| {
+            if !progress.head_sent {
+                progress.head_sent = true;
+                self.work.send(frame::Body::Head(message::Head {
+                    attempt_id: self.work.submit.attempt_id,
+                    status: status.into(),
+                    headers,
+                }));
+            }
+        })
+    }
+
+    /// Sends a part of the body.
+    pub(crate) fn send_chunk(&self, data: Vec<u8>, tokens: u32) -> Result<(), Superseded> {
+        self.sending(|progress| {
+            self.work.send(frame::Body::Chunk(message::Chunk {
+                attempt_id: self.work.submit.attempt_id,
+                sequence: progress.chunks,
+                data,
+                tokens,
+            }));
+            progress.chunks += 1;
+            progress.tokens += tokens;
+        })
+    }
+
+    /// Ends the work.
+    pub(crate) fn finish(
+        &self,
+        outcome: Outcome,
+        detail: &str,
+        load: Option<message::Load>,
+    ) -> Result<(), Superseded> {
+        self.sending(|progress| {
+            self.work.send_finish(progress, outcome, detail, load);
+            progress.ended = true;
+        })
+    }
+
+    /// Refuses the work, which certainly did not run.
+    pub(crate) fn refuse(&self, refusal: message::Refused) -> Result<(), Superseded> {
+        self.sending(|_| ())?;
+        self.work.refuse(refusal);
+        Ok(())
+    }
+
+    fn sending(&self, send: impl FnOnce(&mut Progress)) -> Result<(), Superseded> {
+        let mut progress = lock(&self.work.progress);
+        if progress.run != self.number || progress.ended {
+            return Err(Superseded);
+        }
+        send(&mut progress);
+        Ok(())
+    }
+}
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -4,16 +4,22 @@
 
 use std::io::Read;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use tanagerford_core::config::active::ActiveConfiguration;
 use tanagerford_core::config::{
     Class, Configuration, LatencyTarget, Model, Route, Service, Tier, Workspace,
 };
+use tanagerford_core::order::Owner;
 use tanagerford_http::Limits;
 use tanagerford_link::{FleetKey, Identity};
 use tanagerford_node::entry::{Entry, EntrySettings};
 use tanagerford_node::links::Target;
+use tanagerford_node::orders::{OrderLog, OrderSettings};
 use tanagerford_node::sidecar::{Backend, Sidecar, SidecarSettings};
+use tanagerford_platform::kv::Kv;
+use tanagerford_platform::memory::Memory;
 use tanagerford_standin::{engine, service};
 
 /// API key of the workspace in the highest tier.
@@ -124,15 +130,13 @@
         let mut targets = Vec::new();
         for (index, engine) in engines.iter().enumerate() {
             let name = format!("engine-{index}");
-            let sidecar = sidecar(&name, engine.address(), Backend::Engine);
+            let sidecar = sidecar(&name, engine.address(), Backend::Engine, None);
             targets.push(target(&name, "engines", sidecar.address()));
             sidecars.push(sidecar);
         }
-        let sidecar = sidecar(
-            "plates-0",
-            service.address(),
-            Backend::Service { concurrency: 8 },
-        );
+        let backend = Backend::Service { concurrency: 8 };
+        let orders = Some(orders("plates-0"));
+        let sidecar = sidecar("plates-0", service.address(), backend, orders);
         targets.push(target("plates-0", "plates", sidecar.address()));
         sidecars.push(sidecar);
         let entry = Entry::start(
@@ -144,7 +148,7 @@
                 zone: "zone-a".to_owned(),
                 balancer_notice: Duration::ZERO,
             },
-            configuration,
+            ActiveConfiguration::new(configuration).expect("configuration is valid"),
         )
         .expect("entry starts");
         let expected = targets.len();
@@ -206,15 +210,36 @@
         .new_agent()
 }
 
-pub fn sidecar(name: &str, backend_address: SocketAddr, backend: Backend) -> Sidecar {
-    Sidecar::start(&SidecarSettings {
+pub fn sidecar(
+    name: &str,
+    backend_address: SocketAddr,
+    backend: Backend,
+    orders: Option<Arc<OrderLog>>,
+) -> Sidecar {
+    let settings = SidecarSettings {
         identity: identity(name),
         fleet_key: fleet_key(),
         listen: any_port(),
         backend_address,
         backend,
-    })
-    .expect("sidecar starts")
+    };
+    let sidecar = Sidecar::start(&settings, orders).expect("sidecar starts");
+    sidecar.set_configuration(&configuration());
+    sidecar
+}
+
+/// Returns an order log over a key-value store of its own.
+pub fn orders(name: &str) -> Arc<OrderLog> {
+    orders_in(Arc::new(Memory::new()), name)
+}
+
+/// Returns the order log of the sidecar `name` over `kv`.
+pub fn orders_in(kv: Arc<dyn Kv>, name: &str) -> Arc<OrderLog> {
+    let owner = Owner {
+        server: name.to_owned(),
+        incarnation: 1,
+    };
+    Arc::new(OrderLog::start(kv, OrderSettings::new("plates", owner)))
 }
 
 pub fn target(server: &str, pool: &str, address: SocketAddr) -> Target {
@@ -223,6 +248,8 @@
         pool: pool.to_owned(),
         zone: "zone-a".to_owned(),
         address,
+        incarnation: 1,
+        leaving: false,
     }
 }
 
--- a/crates/node/tests/path.rs
+++ b/crates/node/tests/path.rs
@@ -153,3 +153,25 @@
         assert_eq!(answer.headers["tanagerford-outcome"], "not-run");
     }
 }
+
+/// Guards against an order that takes effect twice when its caller sends it again.
+#[test]
+fn the_same_order_runs_once_and_answers_alike() {
+    let fleet = Fleet::start(1, &fast(), configuration());
+    let key = [("Idempotency-Key", "burn-17")];
+    let first = fleet
+        .post("/plates/orders", &key, "plate 7")
+        .expect("answer arrives");
+    let second = fleet
+        .post("/plates/orders", &key, "plate 7")
+        .expect("answer arrives");
+    assert_eq!(first.status, 201, "{}", first.text);
+    assert_eq!((second.status, &second.text), (first.status, &first.text));
+    assert_eq!(fleet.service.effects_of("plate 7"), 1);
+    let other = fleet
+        .post("/plates/orders", &key, "plate 8")
+        .expect("refusal arrives");
+    assert_eq!(other.json()["error"]["code"], "idempotency_key_reused");
+    assert_eq!(other.headers["tanagerford-outcome"], "not-run");
+    assert_eq!(fleet.service.effects(), 1);
+}
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -226,8 +226,14 @@
         let (taken_at, running) = reports[0];
         let age_ms = now.duration_since(taken_at).as_millis();
         let max_batch = lock(&self.behaviour).max_batch;
-        let report =
-            json!({"running": running, "waiting": 0, "max_batch": max_batch, "age_ms": age_ms});
+        let token_gap = self.token_gap();
+        let report = json!({
+            "running": running,
+            "waiting": 0,
+            "max_batch": max_batch,
+            "token_gap_us": u64::try_from(token_gap.as_micros()).unwrap_or(u64::MAX),
+            "age_ms": u64::try_from(age_ms).unwrap_or(u64::MAX),
+        });
         plain(StatusCode::OK, &report.to_string())
     }
 
--- a/src/cmd/standalone.rs
+++ b/src/cmd/standalone.rs
@@ -1,17 +1,22 @@
 //! Runs an entry, two sidecars and stand-ins in one process.
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::Arc;
 use std::time::Duration;
 
 use getopts::Options;
 use tanagerford_core::config::Configuration;
+use tanagerford_core::config::active::ActiveConfiguration;
+use tanagerford_core::order::Owner;
 use tanagerford_http::Limits;
 use tanagerford_link::{FleetKey, Identity};
 use tanagerford_node::entry::{Entry, EntrySettings};
 use tanagerford_node::links::Target;
+use tanagerford_node::orders::{OrderLog, OrderSettings};
 use tanagerford_node::sidecar::{Backend, Sidecar, SidecarSettings};
 use tanagerford_node::stop::StopSignal;
 use tanagerford_operator::listener;
+use tanagerford_platform::memory::Memory;
 use tanagerford_standin::{engine, service};
 
 use crate::error::Error;
@@ -42,7 +47,7 @@
 const ZONE: &str = "local";
 
 /// Calls that the stand-in service runs at the same time.
-const SERVICE_CONCURRENCY: usize = 16;
+const SERVICE_CONCURRENCY: u32 = 16;
 
 /// Longest time that a stop waits for requests in flight.
 const STOP_TIMEOUT: Duration = Duration::from_mins(1);
@@ -72,12 +77,16 @@
     util::raise_on_signal(&stop)?;
     let engine = engine::Engine::start(engine::Behaviour::default())?;
     let service = service::Service::start(service::Behaviour::default())?;
-    let engine_sidecar = start_sidecar("engine-0", engine.address(), Backend::Engine)?;
+    let configuration: Configuration = serde_json::from_str(CONFIGURATION)?;
+    let engine_sidecar = start_sidecar("engine-0", engine.address(), Backend::Engine, None)?;
+    engine_sidecar.set_configuration(&configuration);
     let service_backend = Backend::Service {
         concurrency: SERVICE_CONCURRENCY,
     };
-    let service_sidecar = start_sidecar("plates-0", service.address(), service_backend)?;
-    let entry = start_entry(args.port)?;
+    let orders = Some(start_orders("plates-0"));
+    let service_sidecar = start_sidecar("plates-0", service.address(), service_backend, orders)?;
+    service_sidecar.set_configuration(&configuration);
+    let entry = start_entry(args.port, configuration)?;
     entry.set_targets([
         target("engine-0", "engines", &engine_sidecar),
         target("plates-0", "plates", &service_sidecar),
@@ -101,6 +110,7 @@
     name: &str,
     backend_address: SocketAddr,
     backend: Backend,
+    orders: Option<Arc<OrderLog>>,
 ) -> Result<Sidecar, Error> {
     let settings = SidecarSettings {
         identity: identity(name),
@@ -109,11 +119,22 @@
         backend_address,
         backend,
     };
-    Ok(Sidecar::start(&settings)?)
+    Ok(Sidecar::start(&settings, orders)?)
 }
 
-fn start_entry(port: u16) -> Result<Entry, Error> {
-    let configuration: Configuration = serde_json::from_str(CONFIGURATION)?;
+/// The key-value store lives in this process, so orders are not remembered after it ends.
+fn start_orders(name: &str) -> Arc<OrderLog> {
+    let owner = Owner {
+        server: name.to_owned(),
+        incarnation: 1,
+    };
+    let kv = Arc::new(Memory::new());
+    Arc::new(OrderLog::start(kv, OrderSettings::new("plates", owner)))
+}
+
+fn start_entry(port: u16, configuration: Configuration) -> Result<Entry, Error> {
+    let configuration = ActiveConfiguration::new(configuration)
+        .map_err(|error| Error::failed(error.to_string()))?;
     let settings = EntrySettings {
         identity: identity("entry-0"),
         fleet_key: fleet_key(),
@@ -131,6 +152,8 @@
         pool: pool.to_owned(),
         zone: ZONE.to_owned(),
         address: sidecar.address(),
+        incarnation: 1,
+        leaving: false,
     }
 }
 
