--- a/crates/core/src/order/mod.rs
+++ b/crates/core/src/order/mod.rs
@@ -11,6 +11,7 @@
 
 mod gate;
 mod key;
+mod look;
 mod pacer;
 mod page;
 mod shard;
@@ -18,6 +19,7 @@
 
 pub use gate::{Begin, Gate, GateAnswer, GateLimits};
 pub use key::{BodyDigest, ClaimId, OrderKey, Owner, ParseOrderKey, body_digest, shard_owner};
+pub use look::{Look, look};
 pub use pacer::{Pacer, PacerLimits};
 pub use page::{DecodeError, MAX_PAGE_BYTES, Page, Record, RecordState, WriteId};
 pub use shard::{
--- a/crates/node/src/orders/book.rs
+++ b/crates/node/src/orders/book.rs
@@ -7,8 +7,8 @@
 
 use tanagerford_core::ids::{Incarnation, ServerId};
 use tanagerford_core::order::{
-    Begin, Change, ClaimId, Found, GateAnswer, OrderKey, OrderStep, Owner, Pacer, Page, PageNumber,
-    RecordState, Settlement, Shard, StoredPage, Verdict, Wrote, resolve,
+    Begin, Change, ClaimId, Found, GateAnswer, Look, OrderKey, OrderStep, Owner, Pacer, Page,
+    PageNumber, RecordState, Settlement, Shard, StoredPage, Verdict, Wrote, look, resolve,
 };
 use tanagerford_platform::kv::{Call, Commit, KeyValue, Kv};
 
@@ -36,7 +36,7 @@
 }
 
 /// Result of looking an order up.
-enum Look {
+enum Looked {
     Decided(ClaimDecision),
     Enqueued(u64),
     Wait,
@@ -144,9 +144,9 @@
             return Some(self.not_run(RefusalCode::Stopping));
         }
         match self.look(&mut state, order, !ticket.waited) {
-            Look::Decided(decision) => return Some(decision),
-            Look::Wait => {}
-            Look::Enqueued(number) => ticket.number = Some(number),
+            Looked::Decided(decision) => return Some(decision),
+            Looked::Wait => {}
+            Looked::Enqueued(number) => ticket.number = Some(number),
         }
         drop(state);
         if ticket.number.is_some() {
@@ -447,105 +447,70 @@
         }
     }
 
-    fn look(&self, state: &mut State, order: &OrderRequest, fresh: bool) -> Look {
+    fn look(&self, state: &mut State, order: &OrderRequest, fresh: bool) -> Looked {
         let (shard, read_at) = match &state.view {
             View::Unreadable { read_at } if fresh && self.is_old(*read_at) => {
                 return self.want_read(state);
             }
             View::Unreadable { .. } => {
-                return Look::Decided(self.not_run(RefusalCode::LogUnreadable));
+                return Looked::Decided(self.not_run(RefusalCode::LogUnreadable));
             }
             View::Absent => return self.want_read(state),
             View::Loaded { shard, read_at } => (shard, *read_at),
         };
-        let Some(found) = shard.find(&order.key) else {
-            return self.begin(state, order, None);
-        };
-        if found.record.body != order.body {
-            return Look::Decided(ClaimDecision::RefusedOtherBody);
-        }
-        if found.record.state.is_free() {
-            return self.begin(state, order, None);
-        }
-        let claim = found.claim();
-        let record_state = found.record.state;
-        if claim.owner == self.settings.owner {
-            return self.look_at_own(state, order, claim, record_state);
-        }
-        if order.released.as_ref() == Some(&claim) && record_state == RecordState::Claimed {
-            return self.begin(state, order, Some(claim));
-        }
-        if fresh && self.is_old(read_at) {
+        let (key, me, gate) = (&order.key, &self.settings.owner, &state.gate);
+        let is_gone = |owner: &Owner| self.is_gone(owner);
+        let found = look(
+            me,
+            shard,
+            gate,
+            key,
+            order.body,
+            order.released.as_ref(),
+            is_gone,
+        );
+        let of_others = matches!(
+            found,
+            Look::Elsewhere(_) | Look::OwnerGone | Look::AnswerLost
+        );
+        if of_others && fresh && self.is_old(read_at) {
             return self.want_read(state);
         }
-        Look::Decided(self.look_elsewhere(claim, record_state))
+        let unknown = |code| Looked::Decided(ClaimDecision::Unknown { code });
+        match found {
+            Look::Claim(released) => self.begin(state, order, released),
+            Look::Wait => Looked::Wait,
+            Look::Answered => Looked::Decided(self.answered(key)),
+            Look::OtherBody => Looked::Decided(ClaimDecision::RefusedOtherBody),
+            Look::Elsewhere(claim) => Looked::Decided(ClaimDecision::OwnedElsewhere(claim)),
+            Look::AnswerLost => unknown(UnknownCode::AnswerLost),
+            Look::OwnerGone => unknown(UnknownCode::OwnerGone),
+            Look::SettledRan => unknown(UnknownCode::SettledRan),
+        }
     }
 
     fn is_old(&self, read_at: Duration) -> bool {
         self.clock.now() > read_at + self.settings.view_age
     }
 
-    fn want_read(&self, state: &mut State) -> Look {
+    fn want_read(&self, state: &mut State) -> Looked {
         state.wants_read = true;
         self.note_claim();
-        Look::Wait
-    }
-
-    fn look_at_own(
-        &self,
-        state: &mut State,
-        order: &OrderRequest,
-        claim: ClaimId,
-        record: RecordState,
-    ) -> Look {
-        if record == RecordState::SettledRan {
-            return Look::Decided(ClaimDecision::Unknown {
-                code: UnknownCode::SettledRan,
-            });
-        }
-        if record == RecordState::Done || state.gate.is_done(&order.key) {
-            return Look::Decided(self.answered(&order.key));
-        }
-        if state.gate.is_busy(&order.key) {
-            return Look::Wait;
-        }
-        if state.gate.attempt(&order.key).is_none() {
-            // Another process used the same incarnation; what it did with the claim is not known here.
-            return Look::Decided(ClaimDecision::Unknown {
-                code: UnknownCode::OwnerGone,
-            });
-        }
-        self.begin(state, order, Some(claim))
-    }
-
-    fn look_elsewhere(&self, claim: ClaimId, record: RecordState) -> ClaimDecision {
-        let gone = self.is_gone(&claim.owner);
-        match record {
-            RecordState::SettledRan => ClaimDecision::Unknown {
-                code: UnknownCode::SettledRan,
-            },
-            RecordState::Done if gone => ClaimDecision::Unknown {
-                code: UnknownCode::AnswerLost,
-            },
-            _ if gone => ClaimDecision::Unknown {
-                code: UnknownCode::OwnerGone,
-            },
-            _ => ClaimDecision::OwnedElsewhere(claim),
-        }
+        Looked::Wait
     }
 
-    fn begin(&self, state: &mut State, order: &OrderRequest, released: Option<ClaimId>) -> Look {
+    fn begin(&self, state: &mut State, order: &OrderRequest, released: Option<ClaimId>) -> Looked {
         match state
             .gate
             .begin(&self.settings.gate, self.clock.now(), &order.key)
         {
-            Begin::Busy => Look::Wait,
-            Begin::Done => Look::Decided(self.answered(&order.key)),
-            Begin::Refused => Look::Decided(self.not_run(RefusalCode::Refused)),
-            Begin::Full => Look::Decided(self.not_run(RefusalCode::LogFull)),
+            Begin::Busy => Looked::Wait,
+            Begin::Done => Looked::Decided(self.answered(&order.key)),
+            Begin::Refused => Looked::Decided(self.not_run(RefusalCode::Refused)),
+            Begin::Full => Looked::Decided(self.not_run(RefusalCode::LogFull)),
             Begin::Claim => {
                 let (key, body) = (order.key, order.body);
-                Look::Enqueued(state.enqueue(Change::Claim {
+                Looked::Enqueued(state.enqueue(Change::Claim {
                     key,
                     body,
                     released,
@@ -564,9 +529,9 @@
             return ClaimDecision::InProgress;
         }
         match self.look(state, order, false) {
-            Look::Decided(decision) => decision,
-            Look::Wait => self.not_run(RefusalCode::StoreUnavailable),
-            Look::Enqueued(number) => {
+            Looked::Decided(decision) => decision,
+            Looked::Wait => self.not_run(RefusalCode::StoreUnavailable),
+            Looked::Enqueued(number) => {
                 state.take_queued(number);
                 state.gate.claim_failed(&order.key);
                 self.not_run(RefusalCode::StoreUnavailable)
