--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -15,7 +15,7 @@
 use crate::ids::{ClassId, Generation, PoolId, TierId, WorkspaceId};
 
 /// Everything that operators configure, under one generation.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Configuration {
     /// Generation under which the configuration was accepted; 0 before the first one.
--- a/crates/core/src/config/active.rs
+++ b/crates/core/src/config/active.rs
@@ -13,8 +13,8 @@
 pub type KeyHash = [u8; 32];
 
 /// Configuration with an index for each look-up of the request path. Each look-up takes constant time, except that a
-/// route is searched in the order of its service's routes.
-#[derive(Debug, Clone, PartialEq)]
+/// route is searched in the order of its service's routes. The default is the empty configuration of generation 0.
+#[derive(Debug, Clone, PartialEq, Default)]
 pub struct ActiveConfiguration {
     configuration: Configuration,
     workspace_by_key: HashMap<KeyHash, usize>,
--- /dev/null
+++ b/crates/node/examples/watch_calls.rs
@@ -0,0 +1,108 @@
+//! Counts the calls that detecting a dead watch costs, by method, over one quiet hour of all watchers.
+//!
+//! Run with `cargo run --release --example watch_calls -p tanagerford-node`. `docs/configuration.md` quotes the output.
+
+use std::time::Duration;
+
+use tanagerford_node::config_feed::store::{HEAD_KEY, PREFIX};
+use tanagerford_platform::kv::{Kv, Revision, Transaction, Write};
+use tanagerford_platform::memory::Memory;
+
+/// Three watchers in each of eight availability zones.
+const WATCHERS: usize = 24;
+
+/// Time within which a dead watch must be noticed.
+const INTERVAL: Duration = Duration::from_secs(5);
+
+/// Intervals of one hour.
+const ROUNDS: usize = 720;
+
+/// A pending watch that ends without an event when its timeout passes; the passing of time is not simulated.
+const ENDED: Duration = Duration::ZERO;
+
+const TIMEOUT: Duration = Duration::from_secs(1);
+
+fn main() {
+    report("re-read the head after each idle interval", reread);
+    report(
+        "a marker of each watcher, all seen in one event list",
+        own_markers,
+    );
+    report(
+        "a marker of each watcher, each seen alone",
+        own_markers_one_by_one,
+    );
+    report(
+        "one marker of a lease holder for all watchers",
+        shared_marker,
+    );
+}
+
+fn report(method: &str, round: impl Fn(&Memory)) {
+    let memory = Memory::new();
+    for _ in 0..ROUNDS {
+        round(&memory);
+    }
+    let calls = memory.calls();
+    let writes = calls.commit + calls.lease;
+    let seconds = f64::from(u32::try_from(ROUNDS).unwrap_or(u32::MAX)) * INTERVAL.as_secs_f64();
+    let per_second = |count: u64| f64::from(u32::try_from(count).unwrap_or(u32::MAX)) / seconds;
+    println!(
+        "{method}: {:.1} calls/s, of these {:.1} writes/s",
+        per_second(calls.total()),
+        per_second(writes)
+    );
+}
+
+/// Each watch ends empty after the interval, and the watcher reads the head.
+fn reread(memory: &Memory) {
+    for _ in 0..WATCHERS {
+        let _ = memory.watch(PREFIX, memory.revision() + 1, ENDED);
+        let _ = memory.get(HEAD_KEY, TIMEOUT);
+    }
+}
+
+/// Each watcher writes its marker and opens its watch once, which returns all markers of the interval.
+fn own_markers(memory: &Memory) {
+    let from = memory.revision() + 1;
+    for watcher in 0..WATCHERS {
+        write_marker(memory, watcher);
+    }
+    watch_all(memory, from);
+}
+
+/// As above, but each marker ends the watches that are pending when it is written.
+fn own_markers_one_by_one(memory: &Memory) {
+    for watcher in 0..WATCHERS {
+        let from = memory.revision() + 1;
+        write_marker(memory, watcher);
+        watch_all(memory, from);
+    }
+}
+
+/// One member renews a lease and writes the marker, and each watch returns it.
+fn shared_marker(memory: &Memory) {
+    let from = memory.revision() + 1;
+    let _ = memory.renew_lease(1, TIMEOUT);
+    write_marker(memory, 0);
+    watch_all(memory, from);
+}
+
+fn watch_all(memory: &Memory, from: Revision) {
+    for _ in 0..WATCHERS {
+        let _ = memory.watch(PREFIX, from, ENDED);
+    }
+}
+
+fn write_marker(memory: &Memory, watcher: usize) {
+    let write = Write::Put {
+        key: format!("{PREFIX}marker/{watcher}"),
+        value: Vec::new(),
+        lease: None,
+    };
+    let transaction = Transaction {
+        compares: Vec::new(),
+        writes: vec![write],
+    };
+    let _ = memory.commit(&transaction, TIMEOUT);
+}
