--- a/crates/core/src/config/document.rs
+++ b/crates/core/src/config/document.rs
@@ -239,6 +239,25 @@
         Some(items.collect())
     }
 
+    /// Returns the string here, if it is one.
+    #[must_use]
+    pub fn peek_text(&self) -> Option<&'a str> {
+        match self.node {
+            Node::Text(text) => Some(text),
+            _ => None,
+        }
+    }
+
+    /// Reports that something else was expected here, and describes what was found without repeating it.
+    pub fn expected_instead<T>(
+        self,
+        expected: impl Into<String>,
+        found: impl Into<String>,
+    ) -> Option<T> {
+        self.findings.add_at(&self.pointer, expected, found);
+        None
+    }
+
     /// Reports that something else was expected here.
     pub fn expected<T>(self, expected: impl Into<String>) -> Option<T> {
         let found = self.node.describe();
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -1,1 +1,3 @@
 //! Listener and file checks for operators.
+
+pub mod check;
