--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -1,3 +1,4 @@
 //! Listener and file checks for operators.
 
+pub mod check;
 pub mod listener;
