--- a/crates/caller/src/refusal.rs
+++ b/crates/caller/src/refusal.rs
@@ -87,6 +87,8 @@
     Leaving = "leaving", SERVICE_UNAVAILABLE;
     /// The backend server refused the request because it is full.
     Overloaded = "overloaded", TOO_MANY_REQUESTS;
+    /// The backend server is down.
+    ServerDown = "server_down", SERVICE_UNAVAILABLE;
     /// No backend server of the pool can be reached.
     NoServer = "no_server", SERVICE_UNAVAILABLE;
     /// The configuration is not loaded yet.
--- a/crates/node/src/entry/handler.rs
+++ b/crates/node/src/entry/handler.rs
@@ -6,6 +6,7 @@
 use tanagerford_caller::headers;
 use tanagerford_caller::openai::{self, Assembler, Interface};
 use tanagerford_caller::refusal::{Code, Refusal};
+use tanagerford_core::suspect::Verdict;
 use tanagerford_http::{Body, Handler, Reply, Request};
 use tanagerford_link::message;
 
@@ -47,6 +48,12 @@
 
     async fn run(&self, call: Call) -> Result<Reply, Refusal> {
         let (class, tier) = (call.class.name.clone(), call.tier);
+        if self.state.suspects.verdict(call.submit.fingerprint) == Verdict::Refuse {
+            let refusal = Refusal::new(Code::Quarantined, "the request crashed backend servers");
+            let metrics = &self.state.metrics;
+            metrics.count_request(&class, tier, refusal.code.as_str());
+            return Err(refusal);
+        }
         let place = self
             .state
             .class_gate
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -2,6 +2,7 @@
 
 mod call;
 mod handler;
+mod membership;
 mod operations;
 mod order;
 mod relay;
@@ -11,19 +12,21 @@
 use std::marker::PhantomData;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
-use tanagerford_core::config::active::ActiveConfiguration;
 use tanagerford_core::ids::ZoneId;
+use tanagerford_gossip::Gossip;
 use tanagerford_http::{Limits, Listener, ListenerHandle};
-use tanagerford_link::{FleetKey, Identity, LinkOptions};
+use tanagerford_link::{FleetKey, Identity, LinkOptions, LinkServer, LinkServerHandle};
 use tanagerford_operator::listener::Operated;
 
+use crate::exchange::ConfigExchange;
+use crate::fleet::FleetUser;
 use crate::links::{LinkPool, Target};
 use crate::stop::StopSignal;
 
 use handler::CallerHandler;
+use membership::EntryMember;
 use operations::EntryOperations;
 use state::{EntryState, FrameHandler};
 
@@ -36,6 +39,8 @@
     pub fleet_key: FleetKey,
     /// Address of the callers' listener.
     pub listen: SocketAddr,
+    /// Address of the listener for links of other processes, which ask for the configuration.
+    pub link_listen: SocketAddr,
     /// Limits of the callers' listener.
     pub limits: Limits,
     /// Availability zone.
@@ -57,6 +62,7 @@
     state: Arc<EntryState>,
     links: Arc<LinkPool<FrameHandler>>,
     listener: ListenerHandle,
+    server: LinkServerHandle,
     balancer_notice: Duration,
     phase: PhantomData<Phase>,
 }
@@ -67,15 +73,14 @@
     /// # Errors
     ///
     /// Fails when the listener cannot be bound or a thread cannot be started.
-    pub fn start(
-        settings: EntrySettings,
-        configuration: ActiveConfiguration,
-    ) -> std::io::Result<Self> {
-        let generation = Arc::new(AtomicU64::new(configuration.generation()));
+    pub fn start(settings: EntrySettings, exchange: Arc<ConfigExchange>) -> std::io::Result<Self> {
         let identity = settings.identity.clone();
+        let generation = exchange.generation();
         let options = LinkOptions::new(settings.identity, settings.fleet_key, generation);
-        let state = Arc::new(EntryState::new(identity, settings.zone, configuration));
+        let state = Arc::new(EntryState::new(identity, settings.zone, exchange));
         let frames = Arc::new(FrameHandler(Arc::clone(&state)));
+        let server = LinkServer::bind(settings.link_listen)?;
+        let server = server.start(options.clone(), Arc::clone(&frames))?;
         let links = LinkPool::start(options, frames)?;
         start_tick(Arc::clone(&state))?;
         let handler = CallerHandler::new(Arc::clone(&state), Arc::clone(&links));
@@ -84,6 +89,7 @@
             state,
             links,
             listener,
+            server,
             balancer_notice: settings.balancer_notice,
             phase: PhantomData,
         })
@@ -96,12 +102,23 @@
         self.links.set_targets(targets);
     }
 
+    /// Returns the entry as a user of the membership; it raises `stop` when a newer process has its id.
+    #[must_use]
+    pub fn member(&self, stop: StopSignal) -> Arc<dyn FleetUser> {
+        Arc::new(EntryMember {
+            state: Arc::clone(&self.state),
+            links: Arc::clone(&self.links),
+            stop,
+        })
+    }
+
     /// Returns what the entry offers to its operators; a drain raises `stop`.
     #[must_use]
-    pub fn operations(&self, stop: StopSignal) -> Arc<dyn Operated> {
+    pub fn operations(&self, gossip: Arc<Gossip>, stop: StopSignal) -> Arc<dyn Operated> {
         Arc::new(EntryOperations {
             state: Arc::clone(&self.state),
             links: Arc::clone(&self.links),
+            gossip,
             stop,
         })
     }
@@ -115,6 +132,7 @@
             state: self.state,
             links: self.links,
             listener: self.listener,
+            server: self.server,
             balancer_notice: self.balancer_notice,
             phase: PhantomData,
         }
@@ -129,6 +147,7 @@
         std::thread::sleep(self.balancer_notice);
         let finished = self.listener.stop(timeout);
         self.state.stopped.raise();
+        self.server.stop();
         self.links.stop();
         tracing::info!(finished, "entry has stopped");
         finished
@@ -142,6 +161,12 @@
         self.listener.address()
     }
 
+    /// Returns the address of the listener for links.
+    #[must_use]
+    pub fn link_address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
     /// Returns the count of servers with an open link.
     #[must_use]
     pub fn open_links(&self) -> usize {
--- a/crates/node/src/entry/operations.rs
+++ b/crates/node/src/entry/operations.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use serde_json::{Value, json};
+use tanagerford_gossip::Gossip;
 use tanagerford_operator::listener::Operated;
 
 use crate::links::LinkPool;
@@ -14,6 +15,7 @@
 pub(crate) struct EntryOperations {
     pub(crate) state: Arc<EntryState>,
     pub(crate) links: Arc<LinkPool<FrameHandler>>,
+    pub(crate) gossip: Arc<Gossip>,
     pub(crate) stop: StopSignal,
 }
 
@@ -46,9 +48,13 @@
             "incarnation": state.identity.incarnation,
             "availability_zone": state.identity.availability_zone,
             "config_generation": state.configuration().generation(),
+            "membership": self.gossip.dump(),
+            "gossip_transport": self.gossip.transport_counters(),
+            "config": state.exchange.feed().status(),
             "draining": state.stopping.is_raised(),
             "attempts_in_flight": state.attempts.in_flight(),
             "late_frames": state.attempts.late_frames(),
+            "suspects": state.suspects.len(),
             "classes": classes,
             "servers": servers,
         })
@@ -63,7 +69,7 @@
     }
 
     fn is_ready(&self) -> bool {
-        !self.state.stopping.is_raised() && self.state.configuration().generation() > 0
+        !self.state.stopping.is_raised() && self.state.exchange.feed().is_ready()
     }
 
     fn drain(&self) {
--- a/crates/node/src/entry/servers.rs
+++ b/crates/node/src/entry/servers.rs
@@ -12,14 +12,12 @@
 use tanagerford_link::message;
 
 use crate::links::Target;
+use crate::orders::ORDER_SHARDS;
 use crate::sync::lock;
 
 /// Tiers that a router tells apart; the configuration has at most as many.
 pub(crate) const MAX_TIERS: u8 = 16;
 
-/// Shards of the orders of a pool; the same number as in the order logs.
-const ORDER_SHARDS: u32 = 16;
-
 /// Routers of all pools.
 pub(crate) struct Servers {
     settings: RouterSettings,
--- a/crates/node/src/entry/state.rs
+++ b/crates/node/src/entry/state.rs
@@ -1,7 +1,7 @@
 //! State of an entry, shared by its threads.
 
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, RwLock};
+use std::sync::{Arc, Mutex};
 
 use tanagerford_caller::class_gate::ClassGate;
 use tanagerford_core::config::active::ActiveConfiguration;
@@ -11,8 +11,10 @@
 use tanagerford_link::{Identity, Link, LinkHandler};
 
 use crate::attempts::Attempts;
+use crate::exchange::ConfigExchange;
 use crate::links::EntryLinks;
 use crate::metrics::Metrics;
+use crate::suspects::Suspects;
 use crate::sync::Flag;
 
 use super::servers::{MAX_TIERS, Servers};
@@ -25,20 +27,18 @@
     pub(crate) servers: Servers,
     pub(crate) retry_budget: Mutex<RetryBudget>,
     pub(crate) metrics: Metrics,
+    pub(crate) suspects: Suspects,
     pub(crate) stopping: Flag,
     /// Raised when the entry has finished its requests and its threads are to end.
     pub(crate) stopped: Flag,
     pub(crate) next_request: AtomicU64,
-    configuration: RwLock<Arc<ActiveConfiguration>>,
+    pub(crate) exchange: Arc<ConfigExchange>,
 }
 
 impl EntryState {
-    pub(crate) fn new(
-        identity: Identity,
-        zone: ZoneId,
-        configuration: ActiveConfiguration,
-    ) -> Self {
+    pub(crate) fn new(identity: Identity, zone: ZoneId, exchange: Arc<ConfigExchange>) -> Self {
         Self {
+            suspects: Suspects::new(&identity),
             identity,
             attempts: Arc::default(),
             class_gate: Arc::default(),
@@ -48,14 +48,13 @@
             stopping: Flag::default(),
             stopped: Flag::default(),
             next_request: AtomicU64::new(1),
-            configuration: RwLock::new(Arc::new(configuration)),
+            exchange,
         }
     }
 
     /// Returns the configuration in force.
     pub(crate) fn configuration(&self) -> Arc<ActiveConfiguration> {
-        let configuration = self.configuration.read();
-        Arc::clone(&configuration.unwrap_or_else(std::sync::PoisonError::into_inner))
+        self.exchange.feed().current()
     }
 
     /// Returns a new request id.
@@ -70,7 +69,7 @@
 
 impl LinkHandler for FrameHandler {
     fn on_frame(&self, link: &Link, frame: Frame) {
-        if let Some(body) = frame.body {
+        if let Some(body) = self.0.exchange.on_frame(link, frame) {
             if matches!(body, frame::Body::Leaving(_)) {
                 self.0.servers.set_leaving(&link.peer().process_id);
             }
--- /dev/null
+++ b/crates/node/src/exchange.rs
@@ -0,0 +1,132 @@
+//! Exchange of configuration between processes over their links.
+//!
+//! Every frame carries the sender's generation. A process that sees a newer one asks for the changed sections on the
+//! same link.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use tanagerford_core::generation::Comparison;
+use tanagerford_core::ids::Generation;
+use tanagerford_link::Link;
+use tanagerford_link::message::{ConfigRequest, ConfigSections, Frame, frame};
+
+use crate::config_feed::{ConfigFeed, message};
+use crate::sync::lock;
+use crate::workers::Workers;
+
+/// Shortest time between two requests, so that a new generation that many frames announce is fetched once.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Configuration side of all links of a process.
+pub struct ConfigExchange {
+    feed: Arc<ConfigFeed>,
+    /// Generation that outgoing frames carry.
+    generation: Arc<AtomicU64>,
+    requested_at: Mutex<Option<Instant>>,
+    workers: Workers,
+}
+
+impl ConfigExchange {
+    /// Creates the exchange of `feed`.
+    #[must_use]
+    pub fn new(feed: Arc<ConfigFeed>) -> Arc<Self> {
+        let generation = Arc::new(AtomicU64::new(feed.generation()));
+        Arc::new(Self {
+            feed,
+            generation,
+            requested_at: Mutex::default(),
+            workers: Workers::default(),
+        })
+    }
+
+    /// Returns the configuration feed.
+    #[must_use]
+    pub fn feed(&self) -> &Arc<ConfigFeed> {
+        &self.feed
+    }
+
+    /// Returns the generation that outgoing frames carry.
+    #[must_use]
+    pub fn generation(&self) -> Arc<AtomicU64> {
+        Arc::clone(&self.generation)
+    }
+
+    /// Sets the generation that outgoing frames carry to the one in force, and returns it.
+    pub fn refresh(&self) -> Generation {
+        let generation = self.feed.generation();
+        self.generation.store(generation, Ordering::Relaxed);
+        generation
+    }
+
+    /// Handles the configuration part of a frame; returns its body if it is for someone else.
+    pub fn on_frame(self: &Arc<Self>, link: &Link, frame: Frame) -> Option<frame::Body> {
+        if frame.generation > self.generation.load(Ordering::Relaxed) {
+            self.on_newer(link, frame.generation);
+        }
+        match frame.body? {
+            frame::Body::ConfigRequest(request) => {
+                self.answer(link, &request);
+                None
+            }
+            frame::Body::ConfigSections(sections) => {
+                let exchange = Arc::clone(self);
+                let peer = link.peer().process_id.clone();
+                // Indexing a large configuration takes milliseconds and must not delay the frames of the link.
+                self.workers.run(move || exchange.accept(&peer, &sections));
+                None
+            }
+            body => Some(body),
+        }
+    }
+
+    /// Asks the peer of `link` for the sections that changed after the generation in force.
+    pub fn request(&self, link: &Link) {
+        let request = ConfigRequest {
+            query_id: 0,
+            have_generation: self.feed.generation(),
+        };
+        let _ = link.send(frame::Body::ConfigRequest(request));
+    }
+
+    /// Takes sections that a peer sent.
+    pub fn accept(&self, peer: &str, sections: &ConfigSections) {
+        let accepted = message::decode(sections)
+            .map_err(|error| error.to_string())
+            .and_then(|update| self.feed.accept(&update).map_err(|error| error.to_string()));
+        match accepted {
+            Ok(_) => {
+                let generation = self.refresh();
+                tracing::info!(peer, generation, "took configuration sections from a peer");
+            }
+            Err(error) => tracing::warn!(peer, error, "peer sent unusable configuration sections"),
+        }
+    }
+
+    fn on_newer(&self, link: &Link, generation: Generation) {
+        if self.feed.on_message(generation) != Comparison::SenderIsNewer {
+            self.refresh();
+            return;
+        }
+        let mut requested_at = lock(&self.requested_at);
+        if requested_at.is_some_and(|at| at.elapsed() < REQUEST_INTERVAL) {
+            return;
+        }
+        *requested_at = Some(Instant::now());
+        drop(requested_at);
+        self.request(link);
+    }
+
+    fn answer(&self, link: &Link, request: &ConfigRequest) {
+        let answer = match self.feed.sections_since(request.have_generation) {
+            Some(update) => message::encode(request.query_id, &update),
+            // Without a configuration there is nothing to send; the generation 0 tells so.
+            None => ConfigSections {
+                query_id: request.query_id,
+                ..ConfigSections::default()
+            },
+        };
+        let _ = link.send(frame::Body::ConfigSections(answer));
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,10 +3,14 @@
 pub mod attempts;
 pub mod config_feed;
 pub mod entry;
+pub mod exchange;
+pub mod fleet;
 pub mod links;
 pub mod metrics;
 pub mod orders;
+pub mod process;
 pub mod sidecar;
 pub mod stop;
+pub mod suspects;
 pub mod sync;
 pub mod workers;
--- a/crates/node/src/orders.rs
+++ b/crates/node/src/orders.rs
@@ -13,6 +13,6 @@
 pub use book::OrderBook;
 pub use log::OrderLog;
 pub use model::{
-    ClaimDecision, KeptAnswer, OrderClock, OrderCounts, OrderRequest, OrderSettings, OrderStatus,
-    RefusalCode, SettleOutcome, StepHook, Ticket, UnknownCode, UnsettledOrder,
+    ClaimDecision, KeptAnswer, ORDER_SHARDS, OrderClock, OrderCounts, OrderRequest, OrderSettings,
+    OrderStatus, RefusalCode, SettleOutcome, StepHook, Ticket, UnknownCode, UnsettledOrder,
 };
--- a/crates/node/src/orders/model.rs
+++ b/crates/node/src/orders/model.rs
@@ -75,6 +75,10 @@
     }
 }
 
+/// Shards of the orders of a pool; the same number in all processes, because entries send an order to the owner of its
+/// shard.
+pub const ORDER_SHARDS: u32 = 16;
+
 /// Settings of an order log.
 #[derive(Clone)]
 pub struct OrderSettings {
@@ -112,7 +116,7 @@
         Self {
             pool: pool.into(),
             owner,
-            shards: 16,
+            shards: ORDER_SHARDS,
             pages: PageLimits::default(),
             gate: GateLimits::default(),
             pacer: PacerLimits::default(),
--- a/crates/node/src/sidecar/mod.rs
+++ b/crates/node/src/sidecar/mod.rs
@@ -1,5 +1,6 @@
 //! Runtime of the sidecar.
 
+mod membership;
 mod model;
 mod operations;
 mod order;
@@ -11,17 +12,19 @@
 use std::marker::PhantomData;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
 use std::thread;
 use std::time::{Duration, Instant};
 
-use tanagerford_core::config::Configuration;
+use tanagerford_gossip::Gossip;
 use tanagerford_link::{FleetKey, Identity, LinkOptions, LinkServer, LinkServerHandle};
 use tanagerford_operator::listener::Operated;
 
+use crate::exchange::ConfigExchange;
+use crate::fleet::FleetUser;
 use crate::orders::OrderLog;
 use crate::stop::StopSignal;
 
+use membership::SidecarMember;
 use operations::SidecarOperations;
 use state::{SidecarState, SubmitHandler};
 
@@ -81,19 +84,21 @@
     /// Fails when the listener cannot be bound or a thread cannot be started.
     pub fn start(
         settings: &SidecarSettings,
+        exchange: Arc<ConfigExchange>,
         orders: Option<Arc<OrderLog>>,
     ) -> std::io::Result<Self> {
-        let generation = Arc::new(AtomicU64::new(0));
+        let generation = exchange.generation();
         let options = LinkOptions::new(
             settings.identity.clone(),
             settings.fleet_key.clone(),
             generation,
         );
-        let state = Arc::new(SidecarState::new(settings, orders));
+        let state = Arc::new(SidecarState::new(settings, exchange, orders));
         let ticker = Arc::clone(&state);
         thread::Builder::new()
             .name("sidecar-tick".to_owned())
             .spawn(move || ticker.tick_until_stopped())?;
+        state.set_configuration(state.exchange.feed().current().configuration());
         let handler = Arc::new(SubmitHandler(Arc::clone(&state)));
         let server = LinkServer::bind(settings.listen)?.start(options, handler)?;
         Ok(Self {
@@ -105,14 +110,30 @@
 
     /// Returns what the sidecar offers to its operators; a drain raises `stop`.
     #[must_use]
-    pub fn operations(&self, stop: StopSignal) -> Arc<dyn Operated> {
+    pub fn operations(&self, gossip: Arc<Gossip>, stop: StopSignal) -> Arc<dyn Operated> {
         let state = Arc::clone(&self.state);
-        Arc::new(SidecarOperations { state, stop })
+        Arc::new(SidecarOperations {
+            state,
+            gossip,
+            stop,
+        })
+    }
+
+    /// Returns the sidecar as a user of the membership; it raises `stop` when a newer process has its id.
+    #[must_use]
+    pub fn member(&self, stop: StopSignal) -> Arc<dyn FleetUser> {
+        let state = Arc::clone(&self.state);
+        Arc::new(SidecarMember { state, stop })
+    }
+
+    /// Spreads what this sidecar learns about requests that crash its engine.
+    pub fn publish_crashes_to(&self, gossip: Arc<Gossip>) {
+        self.state.suspects.publish_to(gossip);
     }
 
-    /// Takes over a configuration.
-    pub fn set_configuration(&self, configuration: &Configuration) {
-        self.state.set_configuration(configuration);
+    /// Closes all links at once, as a crash of the process would.
+    pub fn cut_links(&self) {
+        self.state.close_links(Duration::ZERO);
     }
 
     /// Refuses new work from now on and tells the entries.
--- a/crates/node/src/sidecar/model.rs
+++ b/crates/node/src/sidecar/model.rs
@@ -8,9 +8,11 @@
 };
 use tanagerford_core::config::Configuration;
 use tanagerford_core::ids::{AttemptId, TierId};
+use tanagerford_core::suspect::Running;
 use tanagerford_engine::{EngineClient, EngineError, EngineStream, Generate};
 use tanagerford_link::message::{self, Outcome};
 
+use crate::suspects::workspace_hash;
 use crate::sync::lock;
 
 use super::refusal::{SERVER_RETRY_AFTER, not_run};
@@ -23,10 +25,15 @@
 /// Interval at which the engine's load report is read.
 const LOAD_REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Interval at which an engine that is down is checked.
+const HEALTH_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Model engine and its admission.
 pub(crate) struct ModelBackend {
     pub(super) engine: Arc<EngineClient>,
     admission: Mutex<Admission>,
+    /// Whether the engine was seen to be down and has not answered its health check since.
+    down: Mutex<bool>,
     started_at: Instant,
 }
 
@@ -35,6 +42,7 @@
         Self {
             engine,
             admission: Mutex::new(Admission::new(AdmissionSettings::default())),
+            down: Mutex::new(false),
             started_at: Instant::now(),
         }
     }
@@ -90,9 +98,14 @@
     /// Calls the periodic decisions until the sidecar stops.
     pub(super) fn tick_until_stopped(&self, state: &Arc<SidecarState>) {
         let mut reported_at = Instant::now();
+        let mut checked_at = Instant::now();
         while !state.stopped.is_raised() {
             std::thread::sleep(TICK);
             self.decide(state, Admission::on_tick);
+            if checked_at.elapsed() >= HEALTH_CHECK_INTERVAL {
+                checked_at = Instant::now();
+                self.notice_recovery(state);
+            }
             if reported_at.elapsed() >= LOAD_REPORT_INTERVAL {
                 reported_at = Instant::now();
                 self.read_load_report(state);
@@ -112,6 +125,37 @@
         }
     }
 
+    /// Looks whether the engine is down after a call failed, and returns it. The first call that notices a crash records
+    /// what ran and refuses what waits.
+    fn notice_crash(&self, state: &Arc<SidecarState>) -> bool {
+        let mut down = lock(&self.down);
+        if *down {
+            return true;
+        }
+        if self.engine.is_healthy() {
+            return false;
+        }
+        *down = true;
+        let running: Vec<_> = state.running().iter().map(suspect).collect();
+        tracing::warn!(running = running.len(), "engine is down");
+        state.metrics.crashes.inc();
+        state.suspects.on_crash(&running);
+        self.decide(state, |admission, _| admission.on_engine_down());
+        true
+    }
+
+    fn notice_recovery(&self, state: &Arc<SidecarState>) {
+        let mut down = lock(&self.down);
+        if *down && self.engine.is_healthy() {
+            *down = false;
+            tracing::info!("engine is up again");
+            self.decide(state, |admission, _| {
+                admission.on_engine_up();
+                Vec::new()
+            });
+        }
+    }
+
     /// Takes a decision and carries out its actions under the same lock, so that the actions of two decisions keep their
     /// order. No action blocks.
     fn decide(
@@ -209,12 +253,7 @@
     let ended = match backend.engine.generate(agent, &request) {
         Ok(stream) => relay(state, backend, work, &run, stream),
         Err(EngineError::Refused { status, body }) => refused(backend, &run, status, &body),
-        Err(EngineError::Unreachable) => refuse(
-            backend,
-            &run,
-            "server_failed",
-            "cannot connect to the engine",
-        ),
+        Err(EngineError::Unreachable) => unreachable_engine(state, backend, &run),
         Err(error) => fail(state, backend, work, &run, &error),
     };
     // A superseded run was preempted or cancelled; admission knows of it.
@@ -259,6 +298,7 @@
             Ok(None) => {
                 stream.finish();
                 run.finish(Outcome::Complete, "", Some(wire_load(backend.load())))?;
+                state.suspects.on_success(work.submit.fingerprint);
                 let tokens = work.delivered_tokens();
                 tracing::info!(
                     request_id = work.submit.request_id,
@@ -299,14 +339,30 @@
     Ok(FinishKind::Failed)
 }
 
+fn unreachable_engine(
+    state: &Arc<SidecarState>,
+    backend: &ModelBackend,
+    run: &Run<'_>,
+) -> Result<FinishKind, Superseded> {
+    backend.notice_crash(state);
+    refuse(backend, run, "server_down", "cannot connect to the engine")
+}
+
+fn suspect(work: &Arc<Work>) -> Running {
+    Running {
+        fingerprint: work.submit.fingerprint,
+        workspace: workspace_hash(&work.submit.workspace),
+    }
+}
+
 fn fail(
-    state: &SidecarState,
+    state: &Arc<SidecarState>,
     backend: &ModelBackend,
     work: &Work,
     run: &Run<'_>,
     error: &EngineError,
 ) -> Result<FinishKind, Superseded> {
-    let crashed = !backend.engine.is_healthy();
+    let crashed = backend.notice_crash(state);
     let outcome = if crashed {
         Outcome::Crashed
     } else {
@@ -324,7 +380,6 @@
         "engine did not finish a request"
     );
     if crashed {
-        state.metrics.crashes.inc();
         return Ok(FinishKind::Crashed);
     }
     Ok(FinishKind::Failed)
--- a/crates/node/src/sidecar/state.rs
+++ b/crates/node/src/sidecar/state.rs
@@ -7,12 +7,15 @@
 
 use tanagerford_core::config::Configuration;
 use tanagerford_core::ids::AttemptId;
+use tanagerford_core::suspect::Verdict;
 use tanagerford_engine::EngineClient;
 use tanagerford_link::message::{self, Frame, Submit, frame};
 use tanagerford_link::{Identity, Link, LinkHandler};
 
+use crate::exchange::ConfigExchange;
 use crate::metrics::Metrics;
 use crate::orders::OrderLog;
+use crate::suspects::Suspects;
 use crate::sync::{Flag, lock};
 use crate::workers::Workers;
 
@@ -28,7 +31,9 @@
 /// State of a sidecar.
 pub(crate) struct SidecarState {
     pub(crate) identity: Identity,
+    pub(crate) exchange: Arc<ConfigExchange>,
     pub(crate) metrics: Metrics,
+    pub(crate) suspects: Suspects,
     pub(super) workers: Workers,
     /// Raised when the sidecar has finished its work and its threads are to end.
     pub(super) stopped: Flag,
@@ -46,7 +51,11 @@
 }
 
 impl SidecarState {
-    pub(crate) fn new(settings: &SidecarSettings, orders: Option<Arc<OrderLog>>) -> Self {
+    pub(crate) fn new(
+        settings: &SidecarSettings,
+        exchange: Arc<ConfigExchange>,
+        orders: Option<Arc<OrderLog>>,
+    ) -> Self {
         let address = settings.backend_address;
         let backend = match settings.backend {
             Backend::Engine => BackendState::Model(ModelBackend::new(EngineClient::new(address))),
@@ -56,7 +65,9 @@
         };
         Self {
             identity: settings.identity.clone(),
+            exchange,
             metrics: Metrics::default(),
+            suspects: Suspects::new(&settings.identity),
             workers: Workers::default(),
             stopped: Flag::default(),
             backend,
@@ -114,6 +125,16 @@
         lock(self.shard(id)).remove(&id)
     }
 
+    /// Returns the work that is at the backend server.
+    pub(super) fn running(&self) -> Vec<Arc<Work>> {
+        let mut running = Vec::new();
+        for shard in &self.works {
+            let works = lock(shard);
+            running.extend(works.values().filter(|work| work.is_running()).cloned());
+        }
+        running
+    }
+
     /// Returns the count of work in flight.
     pub(crate) fn in_flight(&self) -> usize {
         self.works.iter().map(|shard| lock(shard).len()).sum()
@@ -161,6 +182,13 @@
             self.remove(id);
             return;
         }
+        if self.suspects.verdict(work.submit.fingerprint) == Verdict::Refuse {
+            let detail =
+                "the request crashed backend servers and is not run again for some minutes";
+            work.refuse(not_run("quarantined", detail, None, None));
+            self.remove(id);
+            return;
+        }
         match &self.backend {
             BackendState::Model(backend) => backend.submit(self, &work),
             BackendState::Service(backend) => backend.submit(self, &work),
@@ -201,7 +229,7 @@
 impl LinkHandler for SubmitHandler {
     fn on_frame(&self, link: &Link, frame: Frame) {
         self.remember(link);
-        match frame.body {
+        match self.0.exchange.on_frame(link, frame) {
             Some(frame::Body::Submit(submit)) => self.0.submit(link, submit),
             Some(frame::Body::Cancel(cancel)) => self
                 .0
--- a/crates/node/src/sidecar/work.rs
+++ b/crates/node/src/sidecar/work.rs
@@ -21,6 +21,20 @@
     progress: Mutex<Progress>,
 }
 
+/// Stage of the work's life.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+enum Stage {
+    /// Waits for its first run or for another one after a preemption.
+    #[default]
+    Waiting,
+    /// Is at the backend server.
+    Running,
+    /// Was cancelled; no run begins any more.
+    Cancelled,
+    /// The entry was told the end.
+    Ended,
+}
+
 /// What was sent to the entry so far, and by which run.
 #[derive(Debug, Default)]
 struct Progress {
@@ -29,8 +43,7 @@
     chunks: u64,
     tokens: u32,
     head_sent: bool,
-    ended: bool,
-    cancelled: bool,
+    stage: Stage,
     cancel: Option<CancelHandle>,
 }
 
@@ -85,10 +98,11 @@
     /// Begins a run that `cancel` interrupts; `None` when the work was cancelled before.
     pub(crate) fn begin_run(&self, cancel: Option<CancelHandle>) -> Option<Run<'_>> {
         let mut progress = lock(&self.progress);
-        if progress.cancelled || progress.ended {
+        if progress.stage != Stage::Waiting {
             return None;
         }
         progress.run += 1;
+        progress.stage = Stage::Running;
         progress.cancel = cancel;
         Some(Run {
             work: self,
@@ -96,11 +110,19 @@
         })
     }
 
+    /// Returns whether the work is at the backend server.
+    pub(crate) fn is_running(&self) -> bool {
+        lock(&self.progress).stage == Stage::Running
+    }
+
     /// Interrupts the current run; a later run goes on where it stopped.
     pub(crate) fn interrupt(&self) {
         let cancel = {
             let mut progress = lock(&self.progress);
             progress.run += 1;
+            if progress.stage == Stage::Running {
+                progress.stage = Stage::Waiting;
+            }
             progress.cancel.take()
         };
         if let Some(cancel) = cancel {
@@ -112,14 +134,14 @@
     pub(crate) fn cancel(&self) -> u32 {
         self.interrupt();
         let mut progress = lock(&self.progress);
-        progress.cancelled = true;
+        progress.stage = Stage::Cancelled;
         progress.tokens
     }
 
     /// Refuses the work. Work that has run in part is ended as preempted instead.
     pub(crate) fn refuse(&self, refusal: message::Refused) {
         let mut progress = lock(&self.progress);
-        if progress.ended {
+        if progress.stage == Stage::Ended {
             return;
         }
         if progress.head_sent {
@@ -131,15 +153,15 @@
                 ..refusal
             }));
         }
-        progress.ended = true;
+        progress.stage = Stage::Ended;
     }
 
     /// Ends the work from outside of its runs.
     pub(crate) fn end(&self, outcome: Outcome, detail: &str, load: Option<message::Load>) {
         let mut progress = lock(&self.progress);
-        if !progress.ended {
+        if progress.stage != Stage::Ended {
             self.send_finish(&progress, outcome, detail, load);
-            progress.ended = true;
+            progress.stage = Stage::Ended;
         }
     }
 
@@ -217,7 +239,7 @@
     ) -> Result<(), Superseded> {
         self.sending(|progress| {
             self.work.send_finish(progress, outcome, detail, load);
-            progress.ended = true;
+            progress.stage = Stage::Ended;
         })
     }
 
@@ -230,7 +252,7 @@
 
     fn sending(&self, send: impl FnOnce(&mut Progress)) -> Result<(), Superseded> {
         let mut progress = lock(&self.work.progress);
-        if progress.run != self.number || progress.ended {
+        if progress.run != self.number || progress.stage == Stage::Ended {
             return Err(Superseded);
         }
         send(&mut progress);
--- /dev/null
+++ b/crates/node/src/suspects.rs
@@ -0,0 +1,201 @@
+//! Suspicion table of a process and its spread through the membership protocol.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, OnceLock};
+use std::time::{Duration, Instant};
+
+use prost::Message;
+use tanagerford_core::ids::{Fingerprint, Incarnation};
+use tanagerford_core::membership::Item;
+use tanagerford_core::suspect::{
+    Running, SummaryEntry, SummaryRecord, SuspectTable, Verdict, WorkspaceHash,
+};
+use tanagerford_gossip::Gossip;
+use tanagerford_link::Identity;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::sync::lock;
+
+/// Tells items of suspicion tables from other items.
+const ITEM_KIND: u32 = 0x7355_5350;
+
+/// Fingerprints in one item. An entry with two crashes takes at most 60 bytes, and an item 512.
+const ENTRIES_PER_ITEM: usize = 8;
+
+/// Newest fingerprints that a process spreads.
+const MAX_SPREAD: usize = 64;
+
+/// Wire form of a part of a suspicion table.
+#[derive(Clone, PartialEq, Message)]
+struct WireSummary {
+    #[prost(fixed32, tag = "1")]
+    kind: u32,
+    #[prost(message, repeated, tag = "2")]
+    entries: Vec<WireEntry>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct WireEntry {
+    #[prost(fixed64, tag = "1")]
+    fingerprint: u64,
+    #[prost(fixed64, tag = "2")]
+    workspace: u64,
+    #[prost(message, repeated, tag = "3")]
+    records: Vec<WireRecord>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct WireRecord {
+    #[prost(fixed64, tag = "1")]
+    crash_id: u64,
+    #[prost(uint32, tag = "2")]
+    age_ms: u32,
+    #[prost(uint32, tag = "3")]
+    share_permille: u32,
+    #[prost(bool, tag = "4")]
+    is_cleared: bool,
+}
+
+/// Suspicion table of a process.
+#[derive(Debug)]
+pub struct Suspects {
+    table: Mutex<SuspectTable>,
+    started_at: Instant,
+    /// Seed of crash numbers and of item keys, different for each incarnation of each process.
+    seed: u64,
+    crashes: AtomicU64,
+    /// Version of the next items. Keys differ between incarnations, so it may begin anew.
+    version: AtomicU64,
+    gossip: OnceLock<Arc<Gossip>>,
+}
+
+impl Suspects {
+    /// Creates an empty table of a process.
+    #[must_use]
+    pub fn new(identity: &Identity) -> Self {
+        let incarnation: Incarnation = identity.incarnation;
+        Self {
+            table: Mutex::default(),
+            started_at: Instant::now(),
+            seed: xxh3_64_with_seed(identity.process_id.as_bytes(), incarnation),
+            crashes: AtomicU64::new(0),
+            version: AtomicU64::new(1),
+            gossip: OnceLock::new(),
+        }
+    }
+
+    /// Spreads later changes to all processes.
+    pub fn publish_to(&self, gossip: Arc<Gossip>) {
+        let _ = self.gossip.set(gossip);
+    }
+
+    /// Returns how a request may run.
+    pub fn verdict(&self, fingerprint: Fingerprint) -> Verdict {
+        lock(&self.table).verdict(self.now(), fingerprint)
+    }
+
+    /// Records that the backend server crashed while `running` ran.
+    pub fn on_crash(&self, running: &[Running]) {
+        let number = self.crashes.fetch_add(1, Ordering::Relaxed);
+        let crash_id = xxh3_64_with_seed(&number.to_be_bytes(), self.seed);
+        lock(&self.table).on_crash(self.now(), crash_id, running);
+        self.publish();
+    }
+
+    /// Clears a request that has run to its end.
+    pub fn on_success(&self, fingerprint: Fingerprint) {
+        let suspected = {
+            let mut table = lock(&self.table);
+            let suspected = table.verdict(self.now(), fingerprint) != Verdict::Normal;
+            table.on_success(self.now(), fingerprint);
+            suspected
+        };
+        if suspected {
+            self.publish();
+        }
+    }
+
+    /// Takes an item from another process; items of other modules are ignored.
+    pub fn on_item(&self, item: &Item) {
+        match WireSummary::decode(&*item.value) {
+            Ok(summary) if summary.kind == ITEM_KIND => {
+                let entries: Vec<_> = summary.entries.iter().map(summary_entry).collect();
+                lock(&self.table).merge(self.now(), &entries);
+            }
+            _ => {}
+        }
+    }
+
+    /// Returns the count of fingerprints.
+    pub fn len(&self) -> usize {
+        lock(&self.table).len()
+    }
+
+    /// Returns whether no request is suspected.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    fn publish(&self) {
+        let Some(gossip) = self.gossip.get() else {
+            return;
+        };
+        let summary = lock(&self.table).summary(self.now(), MAX_SPREAD);
+        for (index, part) in (0_u64..).zip(summary.chunks(ENTRIES_PER_ITEM)) {
+            let item = Item {
+                key: xxh3_64_with_seed(&index.to_be_bytes(), self.seed),
+                version: self.version.fetch_add(1, Ordering::Relaxed),
+                value: encode(part).into(),
+            };
+            if let Err(error) = gossip.publish(item) {
+                tracing::warn!(?error, "cannot spread the suspicion table");
+            }
+        }
+    }
+
+    fn now(&self) -> Duration {
+        self.started_at.elapsed()
+    }
+}
+
+/// Returns the hash that stands for a workspace in the table.
+#[must_use]
+pub fn workspace_hash(workspace: &str) -> WorkspaceHash {
+    xxh3_64_with_seed(workspace.as_bytes(), 0)
+}
+
+fn encode(entries: &[SummaryEntry]) -> Vec<u8> {
+    let entries = entries.iter().map(|entry| WireEntry {
+        fingerprint: entry.fingerprint,
+        workspace: entry.workspace,
+        records: entry.records.iter().map(wire_record).collect(),
+    });
+    let summary = WireSummary {
+        kind: ITEM_KIND,
+        entries: entries.collect(),
+    };
+    summary.encode_to_vec()
+}
+
+fn wire_record(record: &SummaryRecord) -> WireRecord {
+    WireRecord {
+        crash_id: record.crash_id,
+        age_ms: u32::try_from(record.age.as_millis()).unwrap_or(u32::MAX),
+        share_permille: record.share_permille.into(),
+        is_cleared: record.is_cleared,
+    }
+}
+
+fn summary_entry(entry: &WireEntry) -> SummaryEntry {
+    let records = entry.records.iter().map(|record| SummaryRecord {
+        crash_id: record.crash_id,
+        age: Duration::from_millis(record.age_ms.into()),
+        share_permille: u16::try_from(record.share_permille).unwrap_or(u16::MAX),
+        is_cleared: record.is_cleared,
+    });
+    SummaryEntry {
+        fingerprint: entry.fingerprint,
+        workspace: entry.workspace,
+        records: records.collect(),
+    }
+}
--- a/crates/node/tests/path.rs
+++ b/crates/node/tests/path.rs
@@ -21,7 +21,7 @@
 /// Guards against answers that lose, add or mix up text on the way.
 #[test]
 fn a_whole_answer_has_exactly_the_text_of_the_engine() {
-    let fleet = Fleet::start(2, &fast(), configuration());
+    let fleet = Fleet::start(2, &fast(), &configuration());
     let answer = fleet
         .post(
             "/v1/chat/completions",
@@ -41,7 +41,7 @@
 /// Guards against answers that reach the wrong caller when many share the links.
 #[test]
 fn concurrent_callers_each_get_their_own_answer() {
-    let fleet = Fleet::start(2, &fast(), configuration());
+    let fleet = Fleet::start(2, &fast(), &configuration());
     std::thread::scope(|scope| {
         for caller in 0..64 {
             let fleet = &fleet;
@@ -67,13 +67,8 @@
         token_gap: Duration::from_hours(1),
         ..fast()
     };
-    let fleet = Fleet::start(1, &behaviour, configuration());
-    let response = agent()
-        .post(fleet.url("/v1/chat/completions"))
-        .header("Authorization", format!("Bearer {KEY}"))
-        .send(chat_body("ticket", 2, true))
-        .expect("stream begins");
-    let mut reader = response.into_body().into_reader();
+    let fleet = Fleet::start(1, &behaviour, &configuration());
+    let mut reader = fleet.stream("ticket", 2);
     let line = read_line(&mut reader);
     assert!(line.starts_with("data: "), "{line}");
     assert_eq!(fleet.engines[0].generated_tokens(), 1);
@@ -86,13 +81,8 @@
         token_gap: Duration::from_millis(20),
         ..fast()
     };
-    let fleet = Fleet::start(1, &behaviour, configuration());
-    let response = agent()
-        .post(fleet.url("/v1/chat/completions"))
-        .header("Authorization", format!("Bearer {KEY}"))
-        .send(chat_body("ticket", 10_000, true))
-        .expect("stream begins");
-    let mut reader = response.into_body().into_reader();
+    let fleet = Fleet::start(1, &behaviour, &configuration());
+    let mut reader = fleet.stream("ticket", 10_000);
     read_line(&mut reader);
     fleet.engines[0].crash();
     let mut rest = String::new();
@@ -108,13 +98,8 @@
         token_gap: Duration::from_millis(20),
         ..fast()
     };
-    let fleet = Fleet::start(1, &behaviour, configuration());
-    let response = agent()
-        .post(fleet.url("/v1/chat/completions"))
-        .header("Authorization", format!("Bearer {KEY}"))
-        .send(chat_body("ticket", 100_000, true))
-        .expect("stream begins");
-    let mut reader = response.into_body().into_reader();
+    let fleet = Fleet::start(1, &behaviour, &configuration());
+    let mut reader = fleet.stream("ticket", 100_000);
     read_line(&mut reader);
     assert_eq!(fleet.engines[0].running(), 1);
     drop(reader);
@@ -124,7 +109,7 @@
 /// Guards against a plain call that loses its path, body, status or headers.
 #[test]
 fn a_plain_call_reaches_its_service() {
-    let fleet = Fleet::start(1, &fast(), configuration());
+    let fleet = Fleet::start(1, &fast(), &configuration());
     let mut response = agent()
         .get(fleet.url("/plates/ink/cyan?paper=news"))
         .header("Authorization", format!("Bearer {KEY}"))
@@ -138,7 +123,7 @@
 /// Guards against refusals without a stable code or without the outcome.
 #[test]
 fn refusals_name_code_and_outcome() {
-    let fleet = Fleet::start(1, &fast(), configuration());
+    let fleet = Fleet::start(1, &fast(), &configuration());
     let unknown_model = r#"{"model": "none", "messages": [{"role": "user", "content": "x"}]}"#;
     let cases = [
         ("/v1/chat/completions", "{}", 400, "invalid_request"),
@@ -157,7 +142,7 @@
 /// Guards against an order that takes effect twice when its caller sends it again.
 #[test]
 fn the_same_order_runs_once_and_answers_alike() {
-    let fleet = Fleet::start(1, &fast(), configuration());
+    let fleet = Fleet::start(1, &fast(), &configuration());
     let key = [("Idempotency-Key", "burn-17")];
     let first = fleet
         .post("/plates/orders", &key, "plate 7")
--- a/crates/operator/src/listener.rs
+++ b/crates/operator/src/listener.rs
@@ -3,14 +3,16 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::thread;
 
-use astra::{Body, Request, Response, Server};
 use http::{HeaderValue, Method, StatusCode, header};
 use serde_json::Value;
+use tanagerford_http::{Body, Handler, Limits, Listener, ListenerHandle, Reply, Request};
 
-/// Threads of the listener. Operators' tools and the balancer poll it; callers never do.
-const MAX_WORKERS: usize = 8;
+/// Connections of the listener. Operators' tools and the balancer poll it; callers never do.
+const MAX_CONNECTIONS: usize = 32;
+
+/// Largest body; no request of an operator has one.
+const MAX_BODY_BYTES: usize = 1_024;
 
 /// What a process offers to its operators.
 pub trait Operated: Send + Sync + 'static {
@@ -27,28 +29,35 @@
     fn drain(&self);
 }
 
-/// Starts the operators' listener and returns its address. It runs until the process ends.
+/// Handler of the operators' listener.
+struct OperatorHandler(Arc<dyn Operated>);
+
+impl Handler for OperatorHandler {
+    async fn handle(&self, request: Request) -> Reply {
+        answer(&request, &*self.0)
+    }
+
+    fn rejected(&self, status: StatusCode) -> Reply {
+        plain(status, "the request could not be read\n")
+    }
+}
+
+/// Starts the operators' listener. It runs until the returned handle is stopped or the process ends.
 ///
 /// # Errors
 ///
-/// Fails when the address cannot be bound or the thread cannot be started.
-pub fn start(address: SocketAddr, process: Arc<dyn Operated>) -> io::Result<SocketAddr> {
-    let server = Server::bind(address).max_workers(MAX_WORKERS);
-    let bound = server.local_addr()?;
-    let serve = move || {
-        let result = server.serve(move |request: Request, _| answer(&request, &*process));
-        if let Err(error) = result {
-            tracing::error!(%error, "operators' listener ended");
-        }
+/// Fails when the address cannot be bound or a thread cannot be started.
+pub fn start(address: SocketAddr, process: Arc<dyn Operated>) -> io::Result<ListenerHandle> {
+    let limits = Limits {
+        max_connections: MAX_CONNECTIONS,
+        max_body_bytes: MAX_BODY_BYTES,
+        ..Limits::default()
     };
-    thread::Builder::new()
-        .name("operator-listener".to_owned())
-        .spawn(serve)?;
-    Ok(bound)
+    Listener::bind(address, limits)?.start(OperatorHandler(process))
 }
 
-fn answer(request: &Request, process: &dyn Operated) -> Response {
-    match (request.method(), request.uri().path()) {
+fn answer(request: &Request, process: &dyn Operated) -> Reply {
+    match (&request.method, request.uri.path()) {
         (&Method::GET, "/state") => json(&process.state()),
         (&Method::GET, "/metrics") => open_metrics(process.metrics()),
         (&Method::GET, "/live") => plain(StatusCode::OK, "live\n"),
@@ -65,18 +74,18 @@
     }
 }
 
-fn json(value: &Value) -> Response {
+fn json(value: &Value) -> Reply {
     typed(format!("{value:#}\n"), "application/json")
 }
 
-fn open_metrics(text: String) -> Response {
+fn open_metrics(text: String) -> Reply {
     typed(
         text,
         "application/openmetrics-text; version=1.0.0; charset=utf-8",
     )
 }
 
-fn typed(text: String, content_type: &'static str) -> Response {
+fn typed(text: String, content_type: &'static str) -> Reply {
     let mut response = plain(StatusCode::OK, text);
     let content_type = HeaderValue::from_static(content_type);
     response
@@ -85,8 +94,8 @@
     response
 }
 
-fn plain(status: StatusCode, text: impl Into<String>) -> Response {
-    let mut response = Response::new(Body::new(text.into()));
+fn plain(status: StatusCode, text: impl Into<String>) -> Reply {
+    let mut response = Reply::new(Body::whole(text.into()));
     *response.status_mut() = status;
     response
 }
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -7,8 +7,9 @@
 use std::thread;
 use std::time::Duration;
 
-use astra::{Body, Request, Response, Server};
+use http::{HeaderValue, Method, StatusCode, header};
 use serde_json::json;
+use tanagerford_http::{Body, Handler, Limits, Listener, ListenerHandle, Reply, Request};
 
 /// How a stand-in service behaves.
 #[derive(Debug, Clone, Default)]
@@ -22,9 +23,9 @@
 /// Running stand-in service.
 ///
 /// `POST /orders` takes effect each time it runs; the effects are counted by body. `GET` of any path is a lookup.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub struct Service {
-    address: SocketAddr,
+    listener: ListenerHandle,
     state: Arc<State>,
 }
 
@@ -50,23 +51,19 @@
     ///
     /// Fails when the address cannot be bound.
     pub fn start_at(address: SocketAddr, behaviour: Behaviour) -> io::Result<Self> {
-        let server = Server::bind(address);
-        let address = server.local_addr()?;
         let state = Arc::new(State {
             behaviour: Mutex::new(behaviour),
             effects: Mutex::default(),
         });
-        thread::spawn({
-            let state = Arc::clone(&state);
-            move || server.serve(move |request, _| state.answer(request))
-        });
-        Ok(Self { address, state })
+        let handler = ServiceHandler(Arc::clone(&state));
+        let listener = Listener::bind(address, Limits::default())?.start(handler)?;
+        Ok(Self { listener, state })
     }
 
     /// Returns the service's address.
     #[must_use]
     pub fn address(&self) -> SocketAddr {
-        self.address
+        self.listener.address()
     }
 
     /// Returns how often an order with this body took effect.
@@ -87,33 +84,46 @@
     }
 }
 
+/// Answers the HTTP requests of one service.
+struct ServiceHandler(Arc<State>);
+
+impl Handler for ServiceHandler {
+    async fn handle(&self, request: Request) -> Reply {
+        self.0.answer(&request)
+    }
+
+    fn rejected(&self, status: StatusCode) -> Reply {
+        respond(status, &json!({"error": "request could not be read"}))
+    }
+}
+
 impl State {
-    fn answer(&self, mut request: Request) -> Response {
+    /// Answers a request; blocks its connection's thread for the time that the work takes.
+    fn answer(&self, request: &Request) -> Reply {
         let behaviour = lock(&self.behaviour).clone();
-        if request.method() == "POST" && request.uri().path().starts_with("/orders") {
-            let mut body = String::new();
-            if io::Read::read_to_string(&mut request.body_mut().reader(), &mut body).is_err() {
-                return respond(400, &json!({"error": "body is not UTF-8"}));
-            }
+        let path = request.uri.path();
+        if request.method == Method::POST && path.starts_with("/orders") {
+            let body = String::from_utf8_lossy(&request.body).into_owned();
             thread::sleep(behaviour.order_delay);
             let mut effects = lock(&self.effects);
             let count = effects.entry(body).or_default();
             *count += 1;
-            return respond(201, &json!({"accepted": true, "effects": *count}));
+            let answer = json!({"accepted": true, "effects": *count});
+            return respond(StatusCode::CREATED, &answer);
         }
         thread::sleep(behaviour.lookup_delay);
-        respond(200, &json!({"path": request.uri().path()}))
+        respond(StatusCode::OK, &json!({ "path": path }))
     }
 }
 
-fn respond(status: u16, value: &serde_json::Value) -> Response {
-    let mut response = Response::new(Body::new(value.to_string()));
-    *response.status_mut() = http::StatusCode::from_u16(status).unwrap_or_default();
-    let content_type = http::HeaderValue::from_static("application/json");
-    response
+fn respond(status: StatusCode, value: &serde_json::Value) -> Reply {
+    let mut reply = Reply::new(Body::whole(value.to_string()));
+    *reply.status_mut() = status;
+    let content_type = HeaderValue::from_static("application/json");
+    reply
         .headers_mut()
-        .insert(http::header::CONTENT_TYPE, content_type);
-    response
+        .insert(header::CONTENT_TYPE, content_type);
+    reply
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
--- a/src/cmd/standalone.rs
+++ b/src/cmd/standalone.rs
@@ -6,16 +6,16 @@
 
 use getopts::Options;
 use tanagerford_core::config::Configuration;
-use tanagerford_core::config::active::ActiveConfiguration;
-use tanagerford_core::order::Owner;
 use tanagerford_http::Limits;
-use tanagerford_link::{FleetKey, Identity};
-use tanagerford_node::entry::{Entry, EntrySettings};
-use tanagerford_node::links::Target;
-use tanagerford_node::orders::{OrderLog, OrderSettings};
-use tanagerford_node::sidecar::{Backend, Sidecar, SidecarSettings};
+use tanagerford_link::FleetKey;
+use tanagerford_node::config_feed::publish::{Pace, Publication, publish};
+use tanagerford_node::config_feed::store::Stored;
+use tanagerford_node::process::{
+    BackendSettings, CallerSettings, EntryProcess, ProcessSettings, SidecarProcess, new_incarnation,
+};
+use tanagerford_node::sidecar::Backend;
 use tanagerford_node::stop::StopSignal;
-use tanagerford_operator::listener;
+use tanagerford_platform::kv::Kv;
 use tanagerford_platform::memory::Memory;
 use tanagerford_standin::{engine, service};
 
@@ -43,9 +43,6 @@
 /// Default port for operators.
 const DEFAULT_OPERATOR_PORT: u16 = 8081;
 
-/// Availability zone of all parts.
-const ZONE: &str = "local";
-
 /// Calls that the stand-in service runs at the same time.
 const SERVICE_CONCURRENCY: u32 = 16;
 
@@ -77,91 +74,90 @@
     util::raise_on_signal(&stop)?;
     let engine = engine::Engine::start(engine::Behaviour::default())?;
     let service = service::Service::start(service::Behaviour::default())?;
-    let configuration: Configuration = serde_json::from_str(CONFIGURATION)?;
-    let engine_sidecar = start_sidecar("engine-0", engine.address(), Backend::Engine, None)?;
-    engine_sidecar.set_configuration(&configuration);
-    let service_backend = Backend::Service {
-        concurrency: SERVICE_CONCURRENCY,
+    let kv: Arc<dyn Kv> = Arc::new(start_store()?);
+    let entry = start_entry(&args, &kv, &stop)?;
+    let seeds = vec![entry.gossip_address()];
+    let engine_backend = BackendSettings {
+        address: engine.address(),
+        kind: Backend::Engine,
+        pool: "engines".to_owned(),
     };
-    let orders = Some(start_orders("plates-0"));
-    let service_sidecar = start_sidecar("plates-0", service.address(), service_backend, orders)?;
-    service_sidecar.set_configuration(&configuration);
-    let entry = start_entry(args.port, configuration)?;
-    entry.set_targets([
-        target("engine-0", "engines", &engine_sidecar),
-        target("plates-0", "plates", &service_sidecar),
-    ]);
-    let operators = listener::start(local(args.operator_port), entry.operations(stop.clone()))?;
-    print_start(entry.address(), operators)?;
-    while !stop.wait(util::STOP_CHECK_INTERVAL) {}
-    let entry_finished = entry.drain().finish(STOP_TIMEOUT);
-    let engine_finished = engine_sidecar.drain().finish(STOP_TIMEOUT);
-    let service_finished = service_sidecar.drain().finish(STOP_TIMEOUT);
-    if entry_finished && engine_finished && service_finished {
-        Ok(())
-    } else {
-        Err(Error::failed(
-            "requests were still in flight when the time to stop had passed",
-        ))
-    }
-}
-
-fn start_sidecar(
-    name: &str,
-    backend_address: SocketAddr,
-    backend: Backend,
-    orders: Option<Arc<OrderLog>>,
-) -> Result<Sidecar, Error> {
-    let settings = SidecarSettings {
-        identity: identity(name),
-        fleet_key: fleet_key(),
-        listen: local(0),
-        backend_address,
-        backend,
+    let service_backend = BackendSettings {
+        address: service.address(),
+        kind: Backend::Service {
+            concurrency: SERVICE_CONCURRENCY,
+        },
+        pool: "plates".to_owned(),
     };
-    Ok(Sidecar::start(&settings, orders)?)
+    let sidecars = [
+        start_sidecar("engine-0", &engine_backend, &kv, seeds.clone())?,
+        start_sidecar("plates-0", &service_backend, &kv, seeds)?,
+    ];
+    print_start(entry.address(), entry.operator_address())?;
+    let mut finished = entry.run(STOP_TIMEOUT);
+    for sidecar in sidecars {
+        finished &= sidecar.stop(STOP_TIMEOUT);
+    }
+    util::finished(finished)
 }
 
-/// The key-value store lives in this process, so orders are not remembered after it ends.
-fn start_orders(name: &str) -> Arc<OrderLog> {
-    let owner = Owner {
-        server: name.to_owned(),
-        incarnation: 1,
+/// The key-value store lives in this process, so nothing is remembered after it ends.
+fn start_store() -> Result<Memory, Error> {
+    let kv = Memory::new();
+    let configuration: Configuration = serde_json::from_str(CONFIGURATION)?;
+    let publication = Publication {
+        base: &Stored::default(),
+        configuration: &configuration,
+        write_id: 1,
+        floor: 0,
     };
-    let kv = Arc::new(Memory::new());
-    Arc::new(OrderLog::start(kv, OrderSettings::new("plates", owner)))
+    publish(&kv, &publication, Pace::default())
+        .map_err(|error| Error::failed(error.to_string()))?;
+    Ok(kv)
 }
 
-fn start_entry(port: u16, configuration: Configuration) -> Result<Entry, Error> {
-    let configuration = ActiveConfiguration::new(configuration)
-        .map_err(|error| Error::failed(error.to_string()))?;
-    let settings = EntrySettings {
-        identity: identity("entry-0"),
-        fleet_key: fleet_key(),
-        listen: local(port),
+fn start_entry(args: &Args, kv: &Arc<dyn Kv>, stop: &StopSignal) -> Result<EntryProcess, Error> {
+    let callers = CallerSettings {
+        listen: local(args.port),
         limits: Limits::default(),
-        zone: ZONE.to_owned(),
         balancer_notice: Duration::ZERO,
     };
-    Ok(Entry::start(settings, configuration)?)
+    let settings = settings("entry-0", args.operator_port, vec![]);
+    Ok(EntryProcess::start(
+        &settings,
+        callers,
+        Arc::clone(kv),
+        stop.clone(),
+    )?)
 }
 
-fn target(server: &str, pool: &str, sidecar: &Sidecar) -> Target {
-    Target {
-        server: server.to_owned(),
-        pool: pool.to_owned(),
-        zone: ZONE.to_owned(),
-        address: sidecar.address(),
-        incarnation: 1,
-        leaving: false,
-    }
+fn start_sidecar(
+    name: &str,
+    backend: &BackendSettings,
+    kv: &Arc<dyn Kv>,
+    seeds: Vec<SocketAddr>,
+) -> Result<SidecarProcess, Error> {
+    let settings = settings(name, 0, seeds);
+    let stop = StopSignal::default();
+    Ok(SidecarProcess::start(
+        &settings,
+        backend,
+        Arc::clone(kv),
+        stop,
+    )?)
 }
 
-fn identity(process_id: &str) -> Identity {
-    Identity {
+fn settings(process_id: &str, operator_port: u16, seeds: Vec<SocketAddr>) -> ProcessSettings {
+    ProcessSettings {
         process_id: process_id.to_owned(),
-        incarnation: 1,
-        availability_zone: ZONE.to_owned(),
+        incarnation: new_incarnation(),
+        availability_zone: "local".to_owned(),
+        region: "local".to_owned(),
+        fleet_key: fleet_key(),
+        link_listen: local(0),
+        gossip_listen: local(0),
+        operator_listen: local(operator_port),
+        seeds,
     }
 }
 
--- a/src/error.rs
+++ b/src/error.rs
@@ -70,3 +70,9 @@
         Self::Failed(format!("request failed: {error}"))
     }
 }
+
+impl<C: std::error::Error + Send + Sync + 'static> From<error_stack::Report<C>> for Error {
+    fn from(report: error_stack::Report<C>) -> Self {
+        Self::Failed(format!("{report:#}"))
+    }
+}
--- a/src/util.rs
+++ b/src/util.rs
@@ -41,9 +41,6 @@
     Ok(matches)
 }
 
-/// Interval at which a command looks whether it was asked to stop.
-pub const STOP_CHECK_INTERVAL: Duration = Duration::from_secs(1);
-
 /// Longest time for a request to a process's operators' listener.
 const OPERATOR_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -138,3 +135,13 @@
 ) -> Result<String, Error> {
     Ok(answer?.body_mut().read_to_string()?)
 }
+
+/// Returns the outcome of a graceful stop.
+pub fn finished(finished: bool) -> Result<(), Error> {
+    if finished {
+        Ok(())
+    } else {
+        let text = "work was still in flight when the time to stop had passed";
+        Err(Error::failed(text))
+    }
+}
