--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -9,6 +9,7 @@
 //! the places kept for a tier are its reserved share of tokens. Inside a tier, deficit round robin over tokens divides
 //! the places (M. Shreedhar, G. Varghese: Efficient Fair Queuing Using Deficit Round Robin, 1996).
 
+mod isolation;
 pub(crate) mod queue;
 mod settings;
 mod tier;
@@ -77,7 +78,7 @@
 ///     wait_limit: Duration::from_secs(2),
 ///     deadline: Duration::from_secs(60),
 ///     resumable: true,
-///     alone: false,
+///     max_company: None,
 /// };
 /// assert_eq!(admission.offer(Duration::ZERO, request), [Action::Start { id: 7 }]);
 /// assert!(admission.on_token(Duration::from_millis(80), 7, 1).is_empty());
@@ -178,7 +179,7 @@
             return Vec::new();
         };
         let tier = entry.tier;
-        self.tiers[tier].queue.remove(id);
+        self.tiers[tier].remove_waiting(id);
         if let Some(running) = self.tiers[tier].running.remove(&id) {
             let queue = &mut self.tiers[tier].queue;
             queue.settle_tokens(&entry.request.workspace, running.expected, entry.generated);
@@ -254,12 +255,12 @@
     #[must_use]
     pub fn load(&self) -> Load {
         let running: usize = self.tiers.iter().map(|tier| tier.running.len()).sum();
-        let waiting: usize = self.tiers.iter().map(|tier| tier.queue.len()).sum();
+        let waiting: usize = self.tiers.iter().map(Tier::waiting).sum();
         let lowest = &self.tiers[self.tiers.len() - 1];
         let busy = self
             .tiers
             .iter()
-            .map(|tier| tier.running.len() + tier.queue.len());
+            .map(|tier| tier.running.len() + tier.waiting());
         Load {
             running: to_u32(running),
             waiting: to_u32(waiting),
@@ -273,10 +274,7 @@
     /// Returns the time at which [`Admission::on_tick`] has to be called next; `None` while nothing waits.
     #[must_use]
     pub fn next_wakeup(&self) -> Option<Duration> {
-        self.tiers
-            .iter()
-            .filter_map(|tier| tier.queue.next_expiry())
-            .min()
+        self.tiers.iter().filter_map(Tier::next_expiry).min()
     }
 
     /// Returns whether nothing runs or waits.
@@ -292,34 +290,72 @@
         for tier in first..self.tiers.len() {
             self.expire(now, tier, actions);
             let places = self.places(tier, above);
-            while self.tiers[tier].running() > places {
+            let kept = self.places_kept(tier, above);
+            let kept = self.places_kept_beside_suspects(tier, above, kept);
+            self.preempt_suspect(now, tier, above, actions);
+            while self.tiers[tier].running() > kept {
                 self.preempt_one(now, tier, actions);
             }
-            while self.tiers[tier].running() < places && self.start_one(now, tier, actions) {}
+            self.start_suspect(now, tier, above, places, actions);
+            let open = self.places_beside_suspects(tier, above, places);
+            while self.tiers[tier].running() < open && self.start_one(now, tier, actions) {}
             above += self.tiers[tier].running();
         }
     }
 
-    /// Returns the places that a tier may use when higher tiers use `above` places.
+    /// Returns the places that a tier may fill by starting requests when higher tiers use `above` places.
     fn places(&self, tier: usize, above: u32) -> u32 {
-        let limit = self.tiers[tier].capacity.limit();
+        let own = self.tiers[tier].capacity.limit();
+        let binding = (0..tier).filter(|higher| self.is_filled(*higher));
+        let tightest = binding
+            .map(|higher| self.tiers[higher].capacity.limit())
+            .min();
+        self.places_within(tier, above, own.min(tightest.unwrap_or(own)))
+    }
+
+    /// Returns the places that a tier may keep filled. Up to these, a start in a higher tier causes no preemption.
+    fn places_kept(&self, tier: usize, above: u32) -> u32 {
+        let places = self.places_within(tier, above, self.tiers[tier].capacity.hard_limit());
+        places.max(self.places(tier, above))
+    }
+
+    fn places_within(&self, tier: usize, above: u32, limit: u32) -> u32 {
         let kept_below = self.settings.reserved_below(tier, limit);
         let left = limit.saturating_sub(kept_below).saturating_sub(above);
         left.max(self.settings.reserved_places(tier, limit)).max(1)
     }
 
+    /// Returns whether a tier and higher ones use nearly all places that they may use. Only then the tier's limit says
+    /// something about the engine: lower tiers have no more than the places kept for them.
+    fn is_filled(&self, tier: usize) -> bool {
+        let limit = self.tiers[tier].capacity.limit();
+        self.filled(tier, limit) * 10 >= limit * 9
+    }
+
+    /// Returns the places that a tier and higher ones use, with the places kept for lower tiers counted as used.
+    fn filled(&self, tier: usize, limit: u32) -> u32 {
+        let running: u32 = self.tiers[..=tier].iter().map(Tier::running).sum();
+        running + self.settings.reserved_below(tier, limit)
+    }
+
     fn start_one(&mut self, now: Duration, tier: usize, actions: &mut Vec<Action>) -> bool {
-        let state = &mut self.tiers[tier];
-        let Some(waiting) = state.queue.pop(now, self.settings.quantum_tokens) else {
+        let quantum = self.settings.quantum_tokens;
+        let Some(waiting) = self.tiers[tier].queue.pop(now, quantum) else {
             return false;
         };
+        self.begin(now, tier, &waiting, actions);
+        true
+    }
+
+    fn begin(&mut self, now: Duration, tier: usize, waiting: &Waiting, actions: &mut Vec<Action>) {
+        let mut suspected = false;
         if let Some(entry) = self.entries.get_mut(&waiting.id) {
             entry.running = true;
+            suspected = entry.request.max_company.is_some();
         }
-        let running = Running::new(now, waiting.tokens, waiting.preempted);
-        state.running.insert(waiting.id, running);
+        let running = Running::new(now, waiting, suspected);
+        self.tiers[tier].running.insert(waiting.id, running);
         actions.push(Action::Start { id: waiting.id });
-        true
     }
 
     /// Preempts the running request of a tier that wastes least.
@@ -329,9 +365,12 @@
             let lost = !entry.request.resumable && entry.generated > 0;
             (lost, entry.generated, std::cmp::Reverse(*id))
         };
-        let Some(id) = self.tiers[tier].running.keys().copied().min_by_key(cost) else {
-            return;
-        };
+        if let Some(id) = self.tiers[tier].running.keys().copied().min_by_key(cost) {
+            self.preempt(now, tier, id, actions);
+        }
+    }
+
+    fn preempt(&mut self, now: Duration, tier: usize, id: AttemptId, actions: &mut Vec<Action>) {
         self.tiers[tier].running.remove(&id);
         let entry = &self.entries[&id];
         let requeued = entry.request.resumable || entry.generated == 0;
@@ -346,14 +385,26 @@
         if let Some(entry) = self.entries.get_mut(&id) {
             entry.running = false;
         }
-        self.tiers[tier]
-            .queue
-            .insert(waiting, self.settings.quantum_tokens);
+        self.enqueue(tier, waiting);
+    }
+
+    fn enqueue(&mut self, tier: usize, waiting: Waiting) {
+        let suspected = self
+            .entries
+            .get(&waiting.id)
+            .is_some_and(|entry| entry.request.max_company.is_some());
+        if suspected {
+            self.tiers[tier].suspects.push(waiting);
+        } else {
+            self.tiers[tier]
+                .queue
+                .insert(waiting, self.settings.quantum_tokens);
+        }
     }
 
     fn expire(&mut self, now: Duration, tier: usize, actions: &mut Vec<Action>) {
         let advice = self.backlog_time(tier);
-        for waiting in self.tiers[tier].queue.expire(now) {
+        for waiting in self.tiers[tier].expire(now) {
             let generated = self
                 .entries
                 .remove(&waiting.id)
@@ -433,7 +484,7 @@
         for id in self
             .tiers
             .iter()
-            .flat_map(|tier| tier.queue.ids())
+            .flat_map(Tier::waiting_ids)
             .collect::<Vec<_>>()
         {
             if self.entries.get(&id).is_some_and(&filter) {
@@ -450,7 +501,7 @@
         actions: &mut Vec<Action>,
     ) {
         if let Some(entry) = self.entries.remove(&id) {
-            self.tiers[entry.tier].queue.remove(id);
+            self.tiers[entry.tier].remove_waiting(id);
             actions.push(refusal(id, reason, advice));
         }
     }
@@ -463,14 +514,11 @@
     }
 
     fn observe_gap(&mut self, tier: usize, gap: Duration) {
-        let mut batch: u32 = self.tiers[..tier].iter().map(Tier::running).sum();
-        for lower in tier..self.tiers.len() {
-            batch += self.tiers[lower].running();
+        let lowest = self.tiers.len() - 1;
+        for lower in tier..=lowest {
             let limit = self.tiers[lower].capacity.limit();
-            // A sample counts for a tier only when that tier and higher ones fill much of their places. Then lower
-            // tiers have at most the places kept for them, which are taken as filled whether or not they are.
-            let filled = batch + self.settings.reserved_below(lower, limit);
-            if filled * 2 >= limit && (lower + 1 == self.tiers.len() || filled * 10 >= limit * 9) {
+            let filled = self.filled(lower, limit);
+            if self.is_filled(lower) || (lower == lowest && filled * 2 >= limit) {
                 self.tiers[lower].capacity.observe(filled, gap);
             }
         }
@@ -500,6 +548,7 @@
         let lowest = self.tiers.len() - 1;
         let target = &mut self.tiers[lowest];
         target.running.extend(removed.running);
+        target.suspects.extend(removed.suspects);
         for waiting in removed.queue.into_waiting() {
             target.queue.insert(waiting, self.settings.quantum_tokens);
         }
--- a/crates/core/src/admission/tier.rs
+++ b/crates/core/src/admission/tier.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::queue::{ServiceRate, TierQueue};
+use super::queue::{ServiceRate, TierQueue, Waiting};
 use super::settings::AdmissionSettings;
 use crate::capacity::Capacity;
 use crate::ids::{AttemptId, ClassId};
@@ -28,15 +28,17 @@
     started_at: Duration,
     last_token_at: Option<Duration>,
     resumed: bool,
+    suspected: bool,
 }
 
 impl Running {
-    pub fn new(now: Duration, expected: u32, resumed: bool) -> Self {
+    pub fn new(now: Duration, waiting: &Waiting, suspected: bool) -> Self {
         Self {
-            expected,
+            expected: waiting.tokens,
             started_at: now,
             last_token_at: None,
-            resumed,
+            resumed: waiting.preempted,
+            suspected,
         }
     }
 }
@@ -44,6 +46,8 @@
 #[derive(Debug)]
 pub(super) struct Tier {
     pub queue: TierQueue,
+    /// Waiting requests that may run with bounded company only, in order of arrival.
+    pub suspects: Vec<Waiting>,
     pub running: BTreeMap<AttemptId, Running>,
     pub capacity: Capacity,
     pub reviewed_at: Duration,
@@ -58,6 +62,7 @@
     pub fn new(settings: &AdmissionSettings) -> Self {
         Self {
             queue: TierQueue::default(),
+            suspects: Vec::new(),
             running: BTreeMap::new(),
             capacity: Capacity::new(settings.capacity()),
             reviewed_at: Duration::ZERO,
@@ -84,6 +89,38 @@
         u32::try_from(self.running.len()).unwrap_or(u32::MAX)
     }
 
+    pub fn running_suspects(&self) -> impl Iterator<Item = AttemptId> {
+        let suspected = self.running.iter().filter(|(_, running)| running.suspected);
+        suspected.map(|(id, _)| *id)
+    }
+
+    pub fn waiting(&self) -> usize {
+        self.queue.len() + self.suspects.len()
+    }
+
+    pub fn waiting_ids(&self) -> Vec<AttemptId> {
+        let suspects = self.suspects.iter().map(|suspect| suspect.id);
+        self.queue.ids().into_iter().chain(suspects).collect()
+    }
+
+    pub fn remove_waiting(&mut self, id: AttemptId) {
+        self.queue.remove(id);
+        self.suspects.retain(|suspect| suspect.id != id);
+    }
+
+    pub fn next_expiry(&self) -> Option<Duration> {
+        let suspects = self.suspects.iter().map(|suspect| suspect.start_by);
+        suspects.chain(self.queue.next_expiry()).min()
+    }
+
+    /// Removes the waiting requests whose longest wait has passed.
+    pub fn expire(&mut self, now: Duration) -> Vec<Waiting> {
+        let expired = self
+            .suspects
+            .extract_if(.., |suspect| suspect.start_by <= now);
+        expired.chain(self.queue.expire(now)).collect()
+    }
+
     /// Counts an offer of work.
     pub fn count_offer(&mut self, now: Duration, tokens: u32) {
         let passed = now.saturating_sub(self.offered_at).as_secs_f64();
--- a/crates/core/src/admission/types.rs
+++ b/crates/core/src/admission/types.rs
@@ -27,8 +27,9 @@
     pub deadline: Duration,
     /// Whether the engine can resume the stream after a preemption.
     pub resumable: bool,
-    /// Whether the request is suspected of crashing engines and has to run on its own.
-    pub alone: bool,
+    /// Other requests that may run at the engine beside this one because it is suspected of crashing engines; `None`
+    /// for all others.
+    pub max_company: Option<u32>,
 }
 
 /// Why a request was refused.
--- a/crates/core/src/capacity.rs
+++ b/crates/core/src/capacity.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 /// Weight that one sample leaves to the samples before it.
-const FORGETTING: f64 = 0.995;
+const FORGETTING: f64 = 0.9995;
 
 /// Weight of each of the two points that stand for the prior.
 const PRIOR_WEIGHT: f64 = 2.0;
@@ -18,6 +18,10 @@
 /// Part of the between-token target that the prior assigns to an empty batch.
 const PRIOR_BASE: f64 = 0.4;
 
+/// Part of the between-token target that new starts may use. The rest absorbs the spread between requests and short
+/// excesses, so that not every start in a higher tier preempts something.
+const START_PART: f64 = 0.85;
+
 /// What a capacity estimate starts from.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct CapacitySettings {
@@ -48,7 +52,8 @@
 /// for batch in (4..=16).cycle().take(2_000) {
 ///     capacity.observe(batch, Duration::from_millis(10 + 3 * u64::from(batch)));
 /// }
-/// assert!((9..=11).contains(&capacity.limit()));
+/// assert!((7..=9).contains(&capacity.limit()));
+/// assert!((9..=11).contains(&capacity.hard_limit()));
 /// ```
 #[derive(Debug, Clone)]
 pub struct Capacity {
@@ -59,6 +64,7 @@
     sum_batch_batch: f64,
     sum_batch_gap: f64,
     limit: u32,
+    hard_limit: u32,
 }
 
 impl Capacity {
@@ -73,6 +79,7 @@
             sum_batch_batch: 0.0,
             sum_batch_gap: 0.0,
             limit: 0,
+            hard_limit: 0,
         };
         capacity.refit();
         capacity
@@ -94,12 +101,19 @@
         self.add(batch, token_gap, REPORT_WEIGHT);
     }
 
-    /// Returns the largest batch that meets the between-token target.
+    /// Returns the largest batch up to which requests are started: the largest that meets the between-token target with
+    /// a margin.
     #[must_use]
     pub fn limit(&self) -> u32 {
         self.limit
     }
 
+    /// Returns the largest batch that meets the between-token target without a margin.
+    #[must_use]
+    pub fn hard_limit(&self) -> u32 {
+        self.hard_limit
+    }
+
     /// Returns the predicted time between tokens at a batch size.
     #[must_use]
     pub fn token_gap(&self, batch: u32) -> Duration {
@@ -127,11 +141,12 @@
         let prior_batch = f64::from(self.settings.prior_batch.max(1));
         let base_gap = target * PRIOR_BASE;
         // The prior counts as one point at an empty batch and one at the assumed limit.
+        let limit_gap = target * START_PART;
         let weight = self.weight + 2.0 * PRIOR_WEIGHT;
         let sum_batch = self.sum_batch + PRIOR_WEIGHT * prior_batch;
-        let sum_gap = self.sum_gap + PRIOR_WEIGHT * (base_gap + target);
+        let sum_gap = self.sum_gap + PRIOR_WEIGHT * (base_gap + limit_gap);
         let sum_batch_batch = self.sum_batch_batch + PRIOR_WEIGHT * prior_batch * prior_batch;
-        let sum_batch_gap = self.sum_batch_gap + PRIOR_WEIGHT * prior_batch * target;
+        let sum_batch_gap = self.sum_batch_gap + PRIOR_WEIGHT * prior_batch * limit_gap;
         let spread = weight * sum_batch_batch - sum_batch * sum_batch;
         let slope = (weight * sum_batch_gap - sum_batch * sum_gap) / spread.max(1e-9);
         // A batch never gets faster by growing; the floor keeps the limit finite.
@@ -142,12 +157,16 @@
 
     fn refit(&mut self) {
         let (base, slope) = self.line();
-        let room = (self.settings.token_gap.as_secs_f64() - base) / slope;
+        let target = self.settings.token_gap.as_secs_f64();
+        self.limit = self.largest((target * START_PART - base) / slope);
+        self.hard_limit = self.largest((target - base) / slope);
+    }
+
+    fn largest(&self, room: f64) -> u32 {
         let lowest = self.settings.min_batch.max(1);
         let highest = self.settings.max_batch.max(lowest);
         // The small addend keeps rounding from costing a place when the target is met exactly.
-        let limit = (room + 1e-6).clamp(f64::from(lowest), f64::from(highest));
-        self.limit = whole(limit);
+        whole((room + 1e-6).clamp(f64::from(lowest), f64::from(highest)))
     }
 }
 
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -2,9 +2,10 @@
 //!
 //! A plain service runs a bounded number of calls. A running call is never interrupted, so higher tiers are protected by
 //! headroom instead of preemption: the tiers below a tier together never occupy the slots that are headroom of that tier
-//! and of higher ones. In the other direction, each tier has slots that higher tiers leave free, whether or not it has
-//! work. Slots that are neither go to the highest tier that waits. Inside a tier, calls start earliest deadline first
-//! among workspaces that are kept fair by deficit round robin over expected call time.
+//! and of higher ones. Free slots outside go to the highest tier that waits. A tier that is passed over gains credit, its
+//! reserved share of the call time that others start, as in deficit round robin; when the credit pays for a call, the
+//! tier goes first. Inside a tier, calls start earliest deadline first among workspaces that are kept fair by deficit
+//! round robin over expected call time.
 //!
 //! A call is refused at its offer when its start is predicted too late; the prediction for a tier uses that tier and
 //! higher ones only.
@@ -34,8 +35,11 @@
 /// Part of the slots, as a divisor, that is divided among the tiers as headroom. The rest is shared.
 const HEADROOM_DIVISOR: u32 = 2;
 
-/// Part of the starts, as a divisor, that a tier without a slot of its own gets when it is passed over.
-const TURN_DIVISOR: u32 = 20;
+/// Smallest reserved share of a tier, in thousandths, so that none starves.
+const MIN_RESERVED_PERMILLE: u32 = 10;
+
+/// Largest credit of a tier in milliseconds of call time, so that an idle time is not followed by a long preference.
+const MAX_CREDIT_MS: u64 = 10_000;
 
 /// A call of a plain service that is offered to a sidecar.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -87,7 +91,7 @@
         self.reserved_permille.len().max(1)
     }
 
-    /// Returns the slots that no higher tier occupies.
+    /// Returns the slots that the tiers below `tier` never occupy.
     ///
     /// ```
     /// use tanagerford_core::pool::PoolSettings;
@@ -99,24 +103,12 @@
     ///     classes: [].into(),
     ///     max_waiting: 100,
     /// };
-    /// assert_eq!((0..4).map(|tier| settings.kept(tier)).collect::<Vec<_>>(), [0, 1, 1, 1]);
     /// assert_eq!((0..4).map(|tier| settings.headroom(tier)).collect::<Vec<_>>(), [3, 5, 6, 7]);
     /// ```
     #[must_use]
-    pub fn kept(&self, tier: usize) -> u32 {
-        // With fewer slots than tiers there is none to keep; turns take their place.
-        if tier == 0 || self.concurrency < to_u32(self.tiers()) {
-            return 0;
-        }
-        let permille = self.reserved_permille.get(tier).copied().unwrap_or(0);
-        let share = u64::from(self.concurrency) * u64::from(permille) / 1_000;
-        to_u32(usize::try_from(share).unwrap_or(usize::MAX)).clamp(1, self.spare().max(1))
-    }
-
-    /// Returns the slots that the tiers below `tier` never occupy.
-    #[must_use]
     pub fn headroom(&self, tier: usize) -> u32 {
         let tiers = to_u32(self.tiers());
+        // With fewer slots than tiers, headroom would leave lower tiers without any slot.
         if self.concurrency < tiers {
             return 0;
         }
@@ -128,9 +120,14 @@
         slots.min(self.concurrency - below)
     }
 
-    /// Returns the slots that one tier may keep at most, so that all kept slots together leave one free.
-    fn spare(&self) -> u32 {
-        (self.concurrency - 1) / to_u32(self.tiers()).saturating_sub(1).max(1)
+    /// Returns the share of call time that is kept for a tier below the highest, in thousandths.
+    fn reserved(&self, tier: usize) -> u32 {
+        let permille = self.reserved_permille.get(tier).copied().unwrap_or(0);
+        if tier == 0 {
+            permille
+        } else {
+            permille.max(MIN_RESERVED_PERMILLE)
+        }
     }
 
     fn class(&self, name: &str) -> ClassSettings {
@@ -158,18 +155,13 @@
     call_ms: BTreeMap<ClassId, f64>,
     offered_at: Duration,
     offered_ms_per_sec: f64,
-    /// Starts of other tiers while this one waited.
-    passed_over: u32,
+    /// Reserved share of the call time that other tiers started while this one waited, in thousandths of milliseconds.
+    credit: u64,
 }
 
 impl Tier {
     fn expected_ms(&self, class: &str) -> u32 {
-        let mean = self.call_ms.get(class).copied().unwrap_or(PRIOR_CALL_MS);
-        to_u32(
-            usize::try_from(Duration::from_secs_f64(mean / 1_000.0).as_millis())
-                .unwrap_or(usize::MAX),
-        )
-        .max(1)
+        whole_ms(self.call_ms.get(class).copied().unwrap_or(PRIOR_CALL_MS))
     }
 
     fn mean_ms(&self) -> f64 {
@@ -182,6 +174,11 @@
         }
     }
 
+    /// Returns whether the credit pays for the tier's mean call.
+    fn is_owed(&self) -> bool {
+        self.credit >= 1_000 * u64::from(whole_ms(self.mean_ms()))
+    }
+
     fn count_offer(&mut self, now: Duration, expected_ms: u32) {
         let passed = now.saturating_sub(self.offered_at).as_secs_f64();
         self.offered_at = now;
@@ -387,36 +384,20 @@
 
     /// Returns the tier that starts a call next, if any may.
     fn next_tier(&self) -> Option<usize> {
-        if self.running_from(0) >= self.settings.concurrency {
-            return None;
-        }
-        let waits = |tier: &usize| self.tiers[*tier].queue.len() > 0;
-        let owed = |tier: &usize| self.tiers[*tier].passed_over >= TURN_DIVISOR;
-        let mut turns = (0..self.tiers.len())
-            .filter(|tier| self.settings.kept(*tier) == 0 && waits(tier) && owed(tier));
-        let first = (0..self.tiers.len()).find(|tier| waits(tier) && self.may_start(*tier));
-        turns.next().or(first)
+        let waiting = (0..self.tiers.len()).filter(|tier| self.tiers[*tier].queue.len() > 0);
+        let mut ready = waiting.filter(|tier| self.may_start(*tier));
+        let first = ready.next()?;
+        let owed = ready.find(|tier| self.tiers[*tier].is_owed());
+        // The highest tier that waits goes first unless a lower one has paid for its turn.
+        Some(owed.unwrap_or(first))
     }
 
     fn may_start(&self, tier: usize) -> bool {
-        let below = self.unused_below(tier);
-        if self.running_from(0) + below >= self.settings.concurrency {
-            return false;
-        }
-        (0..tier).all(|higher| {
+        let leaves_headroom = |higher: usize| {
             let slots = self.settings.concurrency - self.settings.headroom(higher);
-            self.running_from(higher + 1) + below < slots
-        })
-    }
-
-    /// Returns the slots kept for lower tiers that they do not use.
-    fn unused_below(&self, tier: usize) -> u32 {
-        let unused = |lower: usize| {
-            self.settings
-                .kept(lower)
-                .saturating_sub(self.tiers[lower].running)
+            self.running_from(higher + 1) < slots
         };
-        (tier + 1..self.tiers.len()).map(unused).sum()
+        self.running_from(0) < self.settings.concurrency && (0..tier).all(leaves_headroom)
     }
 
     fn running_from(&self, first: usize) -> u32 {
@@ -435,9 +416,12 @@
         }
         for (index, other) in self.tiers.iter_mut().enumerate() {
             if index == tier {
-                other.passed_over = 0;
+                other.credit = other
+                    .credit
+                    .saturating_sub(u64::from(waiting.tokens) * 1_000);
             } else if other.queue.len() > 0 {
-                other.passed_over += 1;
+                let earned = u64::from(waiting.tokens) * u64::from(self.settings.reserved(index));
+                other.credit = (other.credit + earned).min(MAX_CREDIT_MS * 1_000);
             }
         }
         self.tiers[tier].running += 1;
@@ -522,12 +506,16 @@
 
     /// Returns the speed at which a tier's calls are served as if lower tiers had no work.
     fn rate(&self, tier: usize) -> ServiceRate {
-        let kept: u32 = (tier + 1..self.tiers.len())
-            .map(|lower| self.settings.kept(lower))
+        let reserved: u32 = (tier + 1..self.tiers.len())
+            .map(|lower| self.settings.reserved(lower))
             .sum();
+        let kept = (self.settings.concurrency * reserved).div_ceil(1_000);
         let above: u32 = self.tiers[..tier].iter().map(|tier| tier.running).sum();
-        let places = self.settings.concurrency.saturating_sub(kept + above);
-        let places = places.max(self.settings.kept(tier)).max(1);
+        let places = self
+            .settings
+            .concurrency
+            .saturating_sub(kept + above)
+            .max(1);
         let state = &self.tiers[tier];
         ServiceRate {
             places,
@@ -558,3 +546,9 @@
         }
     }
 }
+
+/// Rounds a positive count of milliseconds down, to at least 1.
+fn whole_ms(millis: f64) -> u32 {
+    let whole = Duration::from_secs_f64(millis / 1_000.0).as_millis();
+    to_u32(usize::try_from(whole).unwrap_or(usize::MAX)).max(1)
+}
