--- a/crates/core/src/order/step.rs
+++ b/crates/core/src/order/step.rs
@@ -1,10 +1,24 @@
 //! Steps of the order log at which a fault may strike.
 
-/// A step that the order log passes, reported before the step is taken.
-///
-/// The fault matrix enumerates [`OrderStep::ALL`] and injects every fault at every step.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum OrderStep {
+/// Declares the steps together with the list of all of them, so that no step can be missing from the list.
+macro_rules! steps {
+    ($($(#[$doc:meta])* $name:ident,)+) => {
+        /// A step that the order log passes, reported before the step is taken.
+        ///
+        /// The fault matrix enumerates [`OrderStep::ALL`] and injects every fault at every step.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub enum OrderStep {
+            $($(#[$doc])* $name,)+
+        }
+
+        impl OrderStep {
+            /// Every step.
+            pub const ALL: &'static [Self] = &[$(Self::$name),+];
+        }
+    };
+}
+
+steps! {
     /// An order is looked up in the shard.
     Lookup,
     /// The pages of a shard are read.
@@ -30,21 +44,3 @@
     /// Another process asks about an order.
     AnswerQuery,
 }
-
-impl OrderStep {
-    /// Every step.
-    pub const ALL: [Self; 12] = [
-        Self::Lookup,
-        Self::LoadShard,
-        Self::QueueClaim,
-        Self::Gather,
-        Self::SendWrite,
-        Self::WriteAnswered,
-        Self::ReadBack,
-        Self::ApplyWrite,
-        Self::StartOrder,
-        Self::KeepAnswer,
-        Self::AbandonOrder,
-        Self::AnswerQuery,
-    ];
-}
