--- a/crates/core/src/order/gate.rs
+++ b/crates/core/src/order/gate.rs
@@ -138,12 +138,13 @@
         }
         entry.attempt = attempt;
         entry.changed_at = entry.changed_at.max(now);
-        match entry.phase {
-            Phase::Claiming => entry.phase = Phase::Running,
-            Phase::Withdrawn => entry.phase = Phase::Abandoned,
-            _ => {}
+        let started = entry.phase == Phase::Claiming;
+        if started {
+            entry.phase = Phase::Running;
+        } else if entry.phase == Phase::Withdrawn {
+            entry.phase = Phase::Abandoned;
         }
-        entry.phase == Phase::Running
+        started
     }
 
     /// Gives up a claim whose write is under way. The claim will not start.
--- a/crates/core/src/order/shard.rs
+++ b/crates/core/src/order/shard.rs
@@ -17,6 +17,9 @@
 /// pages moved on, and claim a key that another sidecar has claimed.
 const ANCHOR_PAGE: PageNumber = 0;
 
+/// Largest count of pages that one write deletes.
+const MAX_DELETES: usize = 8;
+
 /// Limits of the pages of one shard.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct PageLimits {
@@ -303,7 +306,7 @@
         let expired = if draft.puts.is_empty() {
             Vec::new()
         } else {
-            draft.expired()
+            draft.take_expired()
         };
         let write_id = WriteId {
             writer: writer.clone(),
@@ -596,12 +599,13 @@
         Ok(number)
     }
 
+    /// Returns the count of pages with claims once the expired ones are deleted.
     fn pages_in_use(&self) -> usize {
         let added = self.puts.values().filter(|(base, _)| *base == 0).count();
         let anchor = self.shard.pages.get(&ANCHOR_PAGE);
-        let empty_anchor =
+        let emptied =
             anchor.is_some_and(|stored| stored.page.closed && stored.page.records.is_empty());
-        self.shard.pages.len() + added - usize::from(empty_anchor)
+        self.shard.pages.len() + added - self.expired().count() - usize::from(emptied)
     }
 
     fn grow(&mut self, more_bytes: usize) {
@@ -610,29 +614,28 @@
         }
     }
 
-    /// Empties the anchor page if it is past its retention, and returns the other pages that are.
-    fn expired(&mut self) -> Vec<PageDelete> {
-        let room = self
-            .limits
-            .max_pages_per_write
-            .saturating_sub(self.puts.len());
+    fn expired(&self) -> impl Iterator<Item = PageDelete> {
         let untouched = self
             .shard
             .pages
             .iter()
             .filter(|(number, _)| !self.puts.contains_key(number));
         let expired = untouched.filter(|(number, stored)| self.is_expired(**number, &stored.page));
-        let expired: Vec<(PageNumber, Revision)> = expired
-            .map(|(number, stored)| (*number, stored.revision))
-            .take(room)
-            .collect();
-        let mut deletes = Vec::new();
-        for (number, base) in expired {
-            if number != ANCHOR_PAGE {
-                deletes.push(PageDelete { number, base });
-            } else if let Some(page) = self.touch(number) {
-                page.records.clear();
-            }
+        let delete = |(number, stored): (&PageNumber, &StoredPage)| PageDelete {
+            number: *number,
+            base: stored.revision,
+        };
+        expired.map(delete).take(MAX_DELETES)
+    }
+
+    /// Empties the anchor page if it is past its retention, and returns the other pages that are.
+    fn take_expired(&mut self) -> Vec<PageDelete> {
+        let expired: Vec<PageDelete> = self.expired().collect();
+        let (anchor, deletes): (Vec<_>, Vec<_>) = expired
+            .into_iter()
+            .partition(|page| page.number == ANCHOR_PAGE);
+        if let Some(page) = anchor.first().and_then(|_| self.touch(ANCHOR_PAGE)) {
+            page.records.clear();
         }
         deletes
     }
