--- /dev/null
+++ b/crates/node/src/sidecar/state.rs
@@ -0,0 +1,232 @@
+//! State of a sidecar, shared by its threads.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use tanagerford_core::config::Configuration;
+use tanagerford_core::ids::AttemptId;
+use tanagerford_engine::EngineClient;
+use tanagerford_link::message::{self, Frame, Submit, frame};
+use tanagerford_link::{Identity, Link, LinkHandler};
+
+use crate::metrics::Metrics;
+use crate::orders::OrderLog;
+use crate::sync::{Flag, lock};
+use crate::workers::Workers;
+
+use super::model::ModelBackend;
+use super::refusal::{SERVER_RETRY_AFTER, not_run};
+use super::service::ServiceBackend;
+use super::work::Work;
+use super::{Backend, SidecarSettings};
+
+/// Shards of the table of work.
+const SHARDS: usize = 16;
+
+/// State of a sidecar.
+pub(crate) struct SidecarState {
+    pub(crate) identity: Identity,
+    pub(crate) metrics: Metrics,
+    pub(super) workers: Workers,
+    /// Raised when the sidecar has finished its work and its threads are to end.
+    pub(super) stopped: Flag,
+    backend: BackendState,
+    leaving: Flag,
+    next_id: AtomicU64,
+    works: Vec<Mutex<HashMap<AttemptId, Arc<Work>>>>,
+    links: Mutex<Vec<Link>>,
+}
+
+/// Backend server with its admission.
+enum BackendState {
+    Model(ModelBackend),
+    Service(ServiceBackend),
+}
+
+impl SidecarState {
+    pub(crate) fn new(settings: &SidecarSettings, orders: Option<Arc<OrderLog>>) -> Self {
+        let address = settings.backend_address;
+        let backend = match settings.backend {
+            Backend::Engine => BackendState::Model(ModelBackend::new(EngineClient::new(address))),
+            Backend::Service { concurrency } => {
+                BackendState::Service(ServiceBackend::new(address, concurrency, orders))
+            }
+        };
+        Self {
+            identity: settings.identity.clone(),
+            metrics: Metrics::default(),
+            workers: Workers::default(),
+            stopped: Flag::default(),
+            backend,
+            leaving: Flag::default(),
+            next_id: AtomicU64::new(1),
+            works: (0..SHARDS).map(|_| Mutex::default()).collect(),
+            links: Mutex::default(),
+        }
+    }
+
+    /// Takes over a configuration.
+    pub(crate) fn set_configuration(self: &Arc<Self>, configuration: &Configuration) {
+        match &self.backend {
+            BackendState::Model(backend) => backend.set_configuration(self, configuration),
+            BackendState::Service(backend) => backend.set_configuration(self, configuration),
+        }
+    }
+
+    /// Calls the periodic decisions until the sidecar stops.
+    pub(crate) fn tick_until_stopped(self: &Arc<Self>) {
+        match &self.backend {
+            BackendState::Model(backend) => backend.tick_until_stopped(self),
+            BackendState::Service(backend) => backend.tick_until_stopped(self),
+        }
+    }
+
+    /// Returns the engine, if the backend server is one.
+    pub(super) fn model_backend(&self) -> Option<&ModelBackend> {
+        match &self.backend {
+            BackendState::Model(backend) => Some(backend),
+            BackendState::Service(_) => None,
+        }
+    }
+
+    /// Returns the plain service, if the backend server is one.
+    pub(super) fn service_backend(&self) -> Option<&ServiceBackend> {
+        match &self.backend {
+            BackendState::Model(_) => None,
+            BackendState::Service(backend) => Some(backend),
+        }
+    }
+
+    /// Returns the order log, if the backend server takes orders.
+    pub(crate) fn orders(&self) -> Option<&Arc<OrderLog>> {
+        self.service_backend()?.orders()
+    }
+
+    /// Returns the work with this number, if it has not ended.
+    pub(super) fn work(&self, id: AttemptId) -> Option<Arc<Work>> {
+        lock(self.shard(id)).get(&id).cloned()
+    }
+
+    /// Removes work that has ended.
+    pub(super) fn remove(&self, id: AttemptId) -> Option<Arc<Work>> {
+        lock(self.shard(id)).remove(&id)
+    }
+
+    /// Returns the count of work in flight.
+    pub(crate) fn in_flight(&self) -> usize {
+        self.works.iter().map(|shard| lock(shard).len()).sum()
+    }
+
+    /// Returns whether new work is refused.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.leaving.is_raised()
+    }
+
+    /// Returns the count of open links.
+    pub(crate) fn open_links(&self) -> usize {
+        lock(&self.links).len()
+    }
+
+    /// Refuses new work and work that waits, and tells all entries.
+    pub(crate) fn leave(self: &Arc<Self>) {
+        self.leaving.raise();
+        for link in lock(&self.links).iter() {
+            let _ = link.send(frame::Body::Leaving(message::Leaving {}));
+        }
+        match &self.backend {
+            BackendState::Model(backend) => backend.leave(self),
+            BackendState::Service(backend) => backend.leave(self),
+        }
+    }
+
+    /// Writes all queued frames and closes the links.
+    pub(crate) fn close_links(&self, timeout: Duration) {
+        let links = std::mem::take(&mut *lock(&self.links));
+        for link in links {
+            let _ = link.flush(timeout);
+            link.close();
+        }
+    }
+
+    fn submit(self: &Arc<Self>, link: &Link, submit: Submit) {
+        let id = self.next_id.fetch_add(1, Ordering::Relaxed);
+        let work = Arc::new(Work::new(id, link.clone(), submit));
+        // The work is registered before the check, so that a stop that saw no work in flight is followed by a refusal.
+        lock(self.shard(id)).insert(id, Arc::clone(&work));
+        if self.is_leaving() {
+            let detail = "sidecar takes no new work";
+            work.refuse(not_run("leaving", detail, Some(SERVER_RETRY_AFTER), None));
+            self.remove(id);
+            return;
+        }
+        match &self.backend {
+            BackendState::Model(backend) => backend.submit(self, &work),
+            BackendState::Service(backend) => backend.submit(self, &work),
+        }
+    }
+
+    /// Cancels the work that `selected` picks, except orders, which run on without their caller.
+    fn cancel(self: &Arc<Self>, selected: impl Fn(&Work) -> bool) {
+        for shard in &self.works {
+            let cancelled: Vec<_> = lock(shard)
+                .extract_if(|_, work| work.is_repeatable() && selected(work))
+                .collect();
+            for (id, work) in cancelled {
+                let tokens = work.cancel();
+                self.metrics.count_waste("cancelled", tokens.into());
+                tracing::info!(
+                    request_id = work.submit.request_id,
+                    tokens,
+                    "cancelled a request"
+                );
+                match &self.backend {
+                    BackendState::Model(backend) => backend.cancel(self, id),
+                    BackendState::Service(backend) => backend.cancel(self, id),
+                }
+            }
+        }
+    }
+
+    fn shard(&self, id: AttemptId) -> &Mutex<HashMap<AttemptId, Arc<Work>>> {
+        let index = usize::try_from(id).unwrap_or(0) % SHARDS;
+        &self.works[index]
+    }
+}
+
+/// Handles the frames of all links.
+pub(crate) struct SubmitHandler(pub(crate) Arc<SidecarState>);
+
+impl LinkHandler for SubmitHandler {
+    fn on_frame(&self, link: &Link, frame: Frame) {
+        self.remember(link);
+        match frame.body {
+            Some(frame::Body::Submit(submit)) => self.0.submit(link, submit),
+            Some(frame::Body::Cancel(cancel)) => self
+                .0
+                .cancel(|work| work.submit.attempt_id == cancel.attempt_id && work.link.same(link)),
+            Some(frame::Body::OrderQuery(query)) => self.answer_query(link, &query),
+            _ => {}
+        }
+    }
+
+    fn on_lost(&self, link: &Link) {
+        lock(&self.0.links).retain(|known| !known.same(link));
+        self.0.cancel(|work| work.link.same(link));
+    }
+}
+
+impl SubmitHandler {
+    fn remember(&self, link: &Link) {
+        let mut links = lock(&self.0.links);
+        if !links.iter().any(|known| known.same(link)) {
+            links.push(link.clone());
+        }
+    }
+
+    fn answer_query(&self, link: &Link, query: &message::OrderQuery) {
+        let answer = super::order::answer_query(self.0.orders().map(Arc::as_ref), query);
+        let _ = link.send(frame::Body::OrderAnswer(answer));
+    }
+}
