--- /dev/null
+++ b/crates/core/examples/config_size.rs
@@ -0,0 +1,121 @@
+//! Measures the configuration at full size: its length, the length of updates, and the time to take one.
+//!
+//! Run with `cargo run --release --example config_size -p tanagerford-core`. `docs/configuration.md` quotes the output.
+
+use std::time::{Duration, Instant};
+
+use tanagerford_core::config::active::ActiveConfiguration;
+use tanagerford_core::config::check::check;
+use tanagerford_core::config::section::{SectionUpdate, Sections};
+use tanagerford_core::config::{Class, Configuration, LatencyTarget, Model, Tier, Workspace};
+
+const TIERS: [&str; 4] = ["prepaid", "prompt", "late", "overdue"];
+const MODELS: usize = 13;
+
+/// Keys of one workspace.
+const KEYS: usize = 2;
+
+/// Repetitions of a timed step; the fastest is reported.
+const REPETITIONS: usize = 20;
+
+fn main() {
+    for workspaces in [275, 550, 1_100, 2_200] {
+        measure(workspaces);
+    }
+}
+
+fn measure(workspaces: usize) {
+    let before = configuration(workspaces);
+    assert!(check(&before).is_empty(), "the configuration is correct");
+    let sections = Sections::cut(&before, None);
+    let one = update(&before, &sections, workspaces);
+    let sheet = update(&before, &sections, 20);
+    let take = fastest(|| {
+        let merged = Sections::updated(Some(&sections), &sheet).and_then(|s| s.merge());
+        let configuration = merged.expect("the sections are whole");
+        ActiveConfiguration::new(configuration).expect("all references resolve");
+    });
+    println!(
+        "{workspaces} workspaces: whole {} bytes, one changed {} bytes in {} sections, \
+         every twentieth changed {} bytes in {} sections, taking an update {} us",
+        length(&sections.since(0)),
+        length(&one),
+        one.sections.len(),
+        length(&sheet),
+        sheet.sections.len(),
+        take.as_micros()
+    );
+}
+
+fn configuration(workspaces: usize) -> Configuration {
+    let tier = |name: &str| Tier {
+        name: name.to_owned(),
+        weight: 1,
+        reserved_permille: 100,
+    };
+    let class = Class {
+        name: "chat".to_owned(),
+        target: LatencyTarget::Tokens {
+            first_token_ms: 500,
+            token_gap_ms: 38,
+        },
+        priority: 0,
+        longest_wait_ms: 20_000,
+        max_in_flight: 256,
+    };
+    let model = |number: usize| Model {
+        name: format!("model-{number:02}"),
+        pool: "engines".to_owned(),
+        class: "chat".to_owned(),
+        resumable: true,
+        checks_fencing: false,
+    };
+    Configuration {
+        generation: 1,
+        tiers: TIERS.map(tier).into(),
+        classes: vec![class],
+        workspaces: (0..workspaces).map(workspace).collect(),
+        models: (0..MODELS).map(model).collect(),
+        services: Vec::new(),
+    }
+}
+
+fn workspace(number: usize) -> Workspace {
+    let key = |index: usize| format!("{:064x}", number * KEYS + index);
+    Workspace {
+        name: format!("workspace-{number:05}"),
+        key_sha256: (0..KEYS).map(key).collect(),
+        tier: TIERS[number % TIERS.len()].to_owned(),
+    }
+}
+
+/// Returns the update after each workspace at a multiple of `step` moved to another tier.
+fn update(before: &Configuration, sections: &Sections, step: usize) -> SectionUpdate {
+    let mut after = before.clone();
+    after.generation = 2;
+    for workspace in after.workspaces.iter_mut().step_by(step) {
+        let other = TIERS.iter().find(|name| **name != workspace.tier);
+        other
+            .unwrap_or(&TIERS[0])
+            .to_string()
+            .clone_into(&mut workspace.tier);
+    }
+    Sections::cut(&after, Some(sections)).since(1)
+}
+
+fn length(update: &SectionUpdate) -> usize {
+    update
+        .sections
+        .iter()
+        .map(|section| section.json.len())
+        .sum()
+}
+
+fn fastest(run: impl Fn()) -> Duration {
+    let times = (0..REPETITIONS).map(|_| {
+        let started_at = Instant::now();
+        run();
+        started_at.elapsed()
+    });
+    times.min().unwrap_or_default()
+}
--- a/crates/core/src/generation.rs
+++ b/crates/core/src/generation.rs
@@ -89,7 +89,8 @@
     }
 
     /// Returns the write that replaced `generation`.
-    fn successor(&self, generation: Generation) -> Option<&HeadWrite> {
+    #[must_use]
+    pub fn successor(&self, generation: Generation) -> Option<&HeadWrite> {
         self.history
             .iter()
             .find(|write| write.replaced == generation)
--- a/crates/platform/src/memory.rs
+++ b/crates/platform/src/memory.rs
@@ -28,6 +28,8 @@
     pub down: bool,
     /// Time that each call takes. A call whose timeout is shorter takes effect and its answer is lost.
     pub delay: Duration,
+    /// Calls that are still answered before `lose_answers` applies, so that a test can lose the answer of one step.
+    pub answered_first: u32,
     /// Calls that take effect and then lose their answer.
     pub lose_answers: u32,
     /// Calls that the service still accepts before its rate limit refuses all others.
@@ -222,7 +224,7 @@
         self.shared.changed.notify_all();
     }
 
-    /// Returns the faults of this client; `lose_answers` and `calls_left` count down with each call.
+    /// Returns the faults of this client; the counts in them go down with each call.
     #[must_use]
     pub fn faults(&self) -> Faults {
         lock(&self.connection).faults.clone()
@@ -316,7 +318,9 @@
             }
             *left -= 1;
         }
-        if faults.lose_answers > 0 {
+        if faults.answered_first > 0 {
+            faults.answered_first -= 1;
+        } else if faults.lose_answers > 0 {
             faults.lose_answers -= 1;
             return Ok((Delivery::Lost, faults.delay.min(timeout)));
         }
--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -1,26 +1,55 @@
 //! Checks settings, configurations and tier sheets.
 
 use getopts::Options;
+use tanagerford_operator::check::{File, check, kind_of};
 
 use crate::error::Error;
 use crate::util;
 
 const USAGE: &str = "\
 Usage: tanagerford check FILE...
+
+Checks settings, configurations and tier sheets (*.csv), and prints all findings.
+If exactly one of the files is a configuration, the settings and sheets are also
+checked against it.
 ";
 
 struct Args {
-    free: Vec<String>,
+    paths: Vec<String>,
 }
 
 impl Args {
     fn parse(arguments: &[String]) -> Result<Self, Error> {
         let matches = util::parse(&mut Options::new(), arguments, USAGE)?;
-        Ok(Self { free: matches.free })
+        if matches.free.is_empty() {
+            return Err(Error::usage("no file given", USAGE));
+        }
+        Ok(Self {
+            paths: matches.free,
+        })
     }
 }
 
+/// Runs the command.
 pub fn run(arguments: &[String]) -> Result<(), Error> {
     let args = Args::parse(arguments)?;
-    Err(Error::failed(format!("not available yet: {:?}", args.free)))
+    let mut contents = Vec::new();
+    for path in &args.paths {
+        contents.push(util::read_file(path)?);
+    }
+    let named = args.paths.iter().zip(&contents);
+    let files: Vec<File> = named
+        .map(|(name, content)| File { name, content })
+        .collect();
+    let mut faulty = check(&files);
+    for (file, findings) in files.iter().zip(&faulty) {
+        if findings.findings.is_empty() {
+            util::print(&format!("{}: correct {}", file.name, kind_of(*file)))?;
+        }
+    }
+    faulty.retain(|file| !file.findings.is_empty());
+    if faulty.is_empty() {
+        return Ok(());
+    }
+    Err(Error::Findings(faulty))
 }
--- a/src/error.rs
+++ b/src/error.rs
@@ -3,6 +3,11 @@
 use std::io::Write;
 use std::process::ExitCode;
 
+use error_stack::Report;
+use tanagerford_node::config_feed::publish::PublishError;
+use tanagerford_node::config_feed::store::ReadError;
+use tanagerford_operator::check::FileFindings;
+
 /// Why a command did not do its work.
 #[derive(Debug)]
 pub enum Error {
@@ -15,6 +20,8 @@
         /// Usage text of the command.
         usage: &'static str,
     },
+    /// Files have findings.
+    Findings(Vec<FileFindings>),
     /// The command was refused or failed.
     Failed(String),
 }
@@ -45,6 +52,12 @@
                 let _ = write!(std::io::stderr(), "tanagerford: {message}\n\n{usage}");
                 ExitCode::from(2)
             }
+            Self::Findings(files) => {
+                let text: String = files.iter().map(ToString::to_string).collect();
+                let summary = "tanagerford: refused because of these findings";
+                let _ = writeln!(std::io::stderr(), "{text}{summary}");
+                ExitCode::FAILURE
+            }
             Self::Failed(message) => {
                 let _ = writeln!(std::io::stderr(), "tanagerford: {message}");
                 ExitCode::FAILURE
@@ -58,3 +71,21 @@
         Self::Failed(error.to_string())
     }
 }
+
+impl From<FileFindings> for Error {
+    fn from(findings: FileFindings) -> Self {
+        Self::Findings(vec![findings])
+    }
+}
+
+impl From<Report<PublishError>> for Error {
+    fn from(report: Report<PublishError>) -> Self {
+        Self::Failed(report.current_context().to_string())
+    }
+}
+
+impl From<Report<ReadError>> for Error {
+    fn from(report: Report<ReadError>) -> Self {
+        Self::Failed(report.current_context().to_string())
+    }
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,6 +1,7 @@
 //! Command line of the router; dispatches to the commands in `cmd`.
 
 mod cmd;
+mod config;
 mod error;
 mod util;
 
--- /dev/null
+++ b/tests/usage.rs
@@ -0,0 +1,56 @@
+//! Tests of the dispatch to the commands.
+
+mod workdir;
+
+use workdir::Workdir;
+
+/// Guards against usage errors that end like failures, and against help that does.
+#[test]
+fn usage_errors_exit_2_and_help_exits_0() {
+    let workdir = Workdir::new("usage");
+    workdir.write("sheet.csv", "workspace,tier\n");
+    let wrong: [&[&str]; 8] = [
+        &[],
+        &["unknown"],
+        &["check"],
+        &["check", "--unknown", "sheet.csv"],
+        &["sheet", "load", "sheet.csv"],
+        &[
+            "sheet",
+            "load",
+            "--kv",
+            "http://127.0.0.1:1",
+            "--base",
+            "x",
+            "sheet.csv",
+        ],
+        &["config", "status"],
+        &["config", "apply"],
+    ];
+    for arguments in wrong {
+        let run = workdir.run(arguments);
+        assert_eq!(
+            (run.code, run.stdout.as_str()),
+            (Some(2), ""),
+            "{arguments:?}"
+        );
+        assert!(run.stderr.contains("Usage: tanagerford"), "{arguments:?}");
+    }
+    for arguments in [
+        &["--help"][..],
+        &["check", "-h"],
+        &["sheet", "--help"],
+        &["config", "-h"],
+    ] {
+        let run = workdir.run(arguments);
+        assert_eq!(
+            (run.code, run.stderr.as_str()),
+            (Some(0), ""),
+            "{arguments:?}"
+        );
+        assert!(
+            run.stdout.starts_with("Usage: tanagerford"),
+            "{arguments:?}"
+        );
+    }
+}
--- /dev/null
+++ b/tests/workdir/mod.rs
@@ -0,0 +1,60 @@
+//! Directory for one test, in which the binary runs.
+
+use std::fs;
+use std::path::PathBuf;
+use std::process::Command;
+
+/// Directory that is removed at the end of its test.
+pub struct Workdir {
+    path: PathBuf,
+}
+
+/// What a command printed and how it ended.
+#[derive(Debug)]
+pub struct Run {
+    pub code: Option<i32>,
+    pub stdout: String,
+    pub stderr: String,
+}
+
+impl Workdir {
+    /// Creates an empty directory; `test` names it and must be unique among all tests.
+    pub fn new(test: &str) -> Self {
+        let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(test);
+        let _ = fs::remove_dir_all(&path);
+        fs::create_dir_all(&path).expect("the directory can be created");
+        Self { path }
+    }
+
+    /// Writes a file into the directory.
+    pub fn write(&self, name: &str, content: impl AsRef<[u8]>) {
+        fs::write(self.path.join(name), content).expect("the file can be written");
+    }
+
+    /// Runs the binary in the directory.
+    pub fn run(&self, arguments: &[&str]) -> Run {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_tanagerford"));
+        let output = command.args(arguments).current_dir(&self.path).output();
+        let output = output.expect("the binary runs");
+        Run {
+            code: output.status.code(),
+            stdout: String::from_utf8(output.stdout).expect("UTF-8"),
+            stderr: String::from_utf8(output.stderr).expect("UTF-8"),
+        }
+    }
+}
+
+impl Drop for Workdir {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.path);
+    }
+}
+
+impl std::fmt::Display for Run {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let code = self
+            .code
+            .map_or("signal".to_owned(), |code| code.to_string());
+        write!(formatter, "exit {code}\n{}{}", self.stdout, self.stderr)
+    }
+}
