--- a/crates/node/tests/config_feed.rs
+++ b/crates/node/tests/config_feed.rs
@@ -14,8 +14,10 @@
 use tanagerford_node::config_feed::publish::{Pace, Publication, PublishError, publish};
 use tanagerford_node::config_feed::store::{HEAD_KEY, Stored, decode_head, decode_section, read};
 use tanagerford_node::config_feed::{ConfigFeed, FeedSettings, message};
+use tanagerford_platform::etcd::Etcd;
 use tanagerford_platform::kv::{Call, Commit, Kv, Transaction, Write};
 use tanagerford_platform::memory::{Faults, Memory};
+use tanagerford_standin::kv::KvStandin;
 
 const TIMEOUT: Duration = Duration::from_secs(10);
 const PACE: Pace = Pace {
@@ -207,7 +209,7 @@
     publish_next(&memory, "prompt", 1);
     let watching = memory.client();
     let settings = FeedSettings {
-        watch_interval: TIMEOUT,
+        watch_interval: Duration::from_mins(2),
         ..SETTINGS
     };
     let feed = ConfigFeed::new(Arc::new(watching.clone()), settings);
@@ -222,6 +224,37 @@
     assert!(feed.is_ready());
 }
 
+/// Guards against a binding over which publishing and watching behave differently than over the in-memory store.
+#[test]
+fn feed_follows_over_the_gateway() {
+    let memory = Memory::new();
+    let standin = KvStandin::start(memory.clone()).expect("a port is free");
+    publish_next(&memory, "prompt", 1);
+    let settings = FeedSettings {
+        watch_interval: Duration::from_mins(2),
+        ..SETTINGS
+    };
+    let feed = ConfigFeed::new(Arc::new(Etcd::new(vec![standin.url()])), settings);
+    feed.set_watching(true).expect("a thread starts");
+    wait_until(|| feed.generation() == 1);
+    let operator = Etcd::new(vec![standin.url()]);
+    let publication = Publication {
+        base: &read(&operator, TIMEOUT).expect("the gateway answers"),
+        configuration: &changed("late"),
+        write_id: 2,
+        floor: 0,
+    };
+    assert_eq!(
+        publish(&operator, &publication, PACE).expect("published"),
+        2
+    );
+    wait_until(|| feed.generation() == 2);
+    assert_eq!(tier_in_force(&feed), 2);
+    assert_eq!(feed.status().missed_by_watch, 0);
+    feed.set_watching(false).expect("no thread is needed");
+    assert!(!feed.status().is_watching);
+}
+
 /// Guards against a watch that went dead without an error and keeps a process on an old configuration.
 #[test]
 fn dead_watch_is_detected() {
--- a/src/cmd/config.rs
+++ b/src/cmd/config.rs
@@ -43,6 +43,10 @@
 /// Processes that are asked at the same time.
 const PARALLEL_REQUESTS: usize = 32;
 
+/// Highest generation that `--above` accepts: the largest integer that all JSON readers keep exactly. A mistyped one
+/// beyond it could leave no generation to move to.
+const MAX_ABOVE: u64 = 1 << 53;
+
 struct Args {
     action: Action,
     matches: Matches,
@@ -61,6 +65,12 @@
         options.optopt("", "above", "generation that processes use", "GENERATION");
         let matches = util::parse(&mut options, arguments, USAGE)?;
         let above = util::number(&matches, "above", USAGE)?.unwrap_or(0);
+        if above > MAX_ABOVE {
+            return Err(Error::usage(
+                format!("--above takes at most {MAX_ABOVE}"),
+                USAGE,
+            ));
+        }
         let free: Vec<&str> = matches.free.iter().map(String::as_str).collect();
         let action = match free.as_slice() {
             ["show"] => Action::Show,
--- a/tests/usage.rs
+++ b/tests/usage.rs
@@ -9,7 +9,7 @@
 fn usage_errors_exit_2_and_help_exits_0() {
     let workdir = Workdir::new("usage");
     workdir.write("sheet.csv", "workspace,tier\n");
-    let wrong: [&[&str]; 8] = [
+    let wrong: [&[&str]; 9] = [
         &[],
         &["unknown"],
         &["check"],
@@ -26,6 +26,15 @@
         ],
         &["config", "status"],
         &["config", "apply"],
+        &[
+            "config",
+            "apply",
+            "--above",
+            "9007199254740993",
+            "--kv",
+            "http://127.0.0.1:1",
+            "x",
+        ],
     ];
     for arguments in wrong {
         let run = workdir.run(arguments);
