Detect sections of another history by a digest of all sections

After the key-value service was restored from a backup, a later generation could be merged from the changed sections of one history and the rest of another. Each update, and the service beside the head, now carries a digest of all sections; on a mismatch the process keeps its configuration and asks for all sections.

--- a/crates/core/src/config/section.rs
+++ b/crates/core/src/config/section.rs
@@ -10,7 +10,7 @@
 use error_stack::{Report, ResultExt};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{Xxh3Default, xxh3_64};
 
 use super::{Configuration, Workspace};
 use crate::ids::Generation;
@@ -52,6 +52,8 @@
 pub struct SectionUpdate {
     /// Generation that the receiver has after the update.
     pub generation: Generation,
+    /// [`digest`] of all sections that the receiver has after the update.
+    pub digest: u64,
     /// Sections that changed since the receiver's generation.
     pub sections: Vec<Section>,
 }
@@ -60,6 +62,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Sections {
     generation: Generation,
+    digest: u64,
     by_name: BTreeMap<SectionName, Section>,
 }
 
@@ -78,6 +81,8 @@
     FromTheFuture,
     /// A workspace is in the bucket of another name.
     WrongBucket,
+    /// The sections in force do not belong to the history of the update, so that only all sections make a whole.
+    Diverged,
 }
 
 impl fmt::Display for SectionError {
@@ -89,6 +94,7 @@
             Self::Malformed => "section is too long or malformed",
             Self::FromTheFuture => "section is newer than its configuration",
             Self::WrongBucket => "workspace is in a wrong bucket",
+            Self::Diverged => "sections in force belong to another history",
         })
     }
 }
@@ -186,9 +192,14 @@
             };
             (name, section)
         });
+        Self::whole(generation, sections.collect())
+    }
+
+    fn whole(generation: Generation, by_name: BTreeMap<SectionName, Section>) -> Self {
         Self {
             generation,
-            by_name: sections.collect(),
+            digest: digest(by_name.values()),
+            by_name,
         }
     }
 
@@ -207,6 +218,7 @@
             .filter(|section| section.generation > generation);
         SectionUpdate {
             generation: self.generation,
+            digest: self.digest,
             sections: newer.cloned().collect(),
         }
     }
@@ -218,7 +230,8 @@
     ///
     /// # Errors
     ///
-    /// Fails if a section is unknown, twice, missing, too long or newer than the update.
+    /// Fails if a section is unknown, twice, missing, too long or newer than the update, or if the result is not what
+    /// the sender has.
     pub fn updated(
         current: Option<&Self>,
         update: &SectionUpdate,
@@ -234,10 +247,11 @@
         if let Some(name) = SectionName::all().find(|name| !by_name.contains_key(name)) {
             return Err(Report::new(SectionError::Missing).attach(name));
         }
-        Ok(Self {
-            generation: update.generation,
-            by_name,
-        })
+        let sections = Self::whole(update.generation, by_name);
+        if sections.digest != update.digest {
+            return Err(Report::new(SectionError::Diverged).attach(update.generation));
+        }
+        Ok(sections)
     }
 
     /// Returns the configuration, with its workspaces in the order of their names.
@@ -274,6 +288,29 @@
     }
 }
 
+/// Returns the digest of all sections, given in the order of their names.
+///
+/// After the key-value service was restored from a backup, equal generations can stand for different sections. The
+/// digest shows it when the changed sections of one history are merged into the other.
+///
+/// ```
+/// use tanagerford_core::config::section::{Section, SectionName, digest};
+///
+/// let section = |json: &str| Section { name: SectionName::Tiers, generation: 1, json: json.to_owned() };
+/// assert_ne!(digest([&section("[]")]), digest([&section("[1]")]));
+/// ```
+#[must_use]
+pub fn digest<'a>(sections: impl IntoIterator<Item = &'a Section>) -> u64 {
+    let mut hash = Xxh3Default::new();
+    for section in sections {
+        // The decimal generation and the line feeds separate the fields; neither a name nor JSON holds a line feed.
+        hash.update(format!("{}\n{}\n", section.name, section.generation).as_bytes());
+        hash.update(section.json.as_bytes());
+        hash.update(b"\n");
+    }
+    hash.digest()
+}
+
 fn check_section(
     section: &Section,
     generation: Generation,
--- a/crates/core/tests/config.rs
+++ b/crates/core/tests/config.rs
@@ -8,7 +8,7 @@
 use tanagerford_core::config::decode::decode;
 use tanagerford_core::config::finding::MAX_FINDINGS;
 use tanagerford_core::config::section::{
-    Section, SectionError, SectionName, SectionUpdate, Sections,
+    Section, SectionError, SectionName, SectionUpdate, Sections, digest,
 };
 
 const ZARQA: &str = include_str!("../../../docs/examples/zarqa.json");
@@ -138,6 +138,8 @@
     let edited = |edit: fn(&mut Vec<Section>)| {
         let mut update = whole.clone();
         edit(&mut update.sections);
+        update.sections.sort_by_key(|section| section.name);
+        update.digest = digest(&update.sections);
         error(&update)
     };
     assert_eq!(edited(|s| drop(s.pop())), SectionError::Missing);
@@ -153,6 +155,9 @@
         s[4].name = SectionName::Workspaces(u8::try_from(full - 4).expect("a bucket"));
     });
     assert_eq!(moved, SectionError::WrongBucket);
+    let mut changed = whole.clone();
+    changed.sections[0].generation = 3;
+    assert_eq!(error(&changed), SectionError::Diverged);
 }
 
 /// Guards against a key that opens another workspace and against a call that is taken as repeatable.
@@ -211,6 +216,7 @@
     fn arbitrary_section_never_panics(position in 0_usize..68, json in ".{0,200}") {
         let mut update = Sections::cut(&zarqa(4), None).since(0);
         update.sections[position].json = json;
+        update.digest = digest(&update.sections);
         let _ = Sections::updated(None, &update).and_then(|sections| sections.merge());
     }
 }
--- a/crates/link/src/message.rs
+++ b/crates/link/src/message.rs
@@ -250,6 +250,9 @@
     pub generation: u64,
     #[prost(message, repeated, tag = "3")]
     pub sections: ::prost::alloc::vec::Vec<ConfigSection>,
+    /// Digest of all sections that the receiver has after the update.
+    #[prost(fixed64, tag = "4")]
+    pub digest: u64,
 }
 /// The sender takes no new work.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/node/src/config_feed.rs
+++ b/crates/node/src/config_feed.rs
@@ -21,7 +21,7 @@
 use serde::Serialize;
 use tanagerford_core::config::Configuration;
 use tanagerford_core::config::active::ActiveConfiguration;
-use tanagerford_core::config::section::{SectionUpdate, Sections};
+use tanagerford_core::config::section::{SectionError, SectionUpdate, Sections};
 use tanagerford_core::generation::{Comparison, Decision, Replica};
 use tanagerford_core::ids::Generation;
 use tanagerford_platform::kv::{Kv, Revision, WatchEvent};
@@ -54,6 +54,8 @@
     Unavailable,
     /// The sections do not make a configuration.
     Malformed,
+    /// The sections in force do not belong to the history of the update: fetch all sections.
+    Diverged,
 }
 
 impl fmt::Display for FeedError {
@@ -61,6 +63,7 @@
         formatter.write_str(match self {
             Self::Unavailable => "key-value service gave no answer",
             Self::Malformed => "configuration is malformed",
+            Self::Diverged => "configuration in force belongs to another history",
         })
     }
 }
@@ -102,6 +105,8 @@
 struct State {
     replica: Replica,
     sections: Option<Sections>,
+    /// Whether the sections in force were found to belong to another history than a newer configuration.
+    is_diverged: bool,
 }
 
 impl fmt::Debug for Shared {
@@ -152,6 +157,17 @@
         self.shared.generation()
     }
 
+    /// Returns the generation after which a peer's sections are needed: the one in force, or 0 after a divergence.
+    #[must_use]
+    pub fn fetch_base(&self) -> Generation {
+        let state = self.shared.state();
+        if state.is_diverged {
+            0
+        } else {
+            state.replica.used()
+        }
+    }
+
     /// Tells whether the process may serve: it holds a configuration, and the key-value service or several peers had
     /// nothing newer when it started.
     #[must_use]
@@ -170,7 +186,7 @@
     }
 
     /// Takes the generation that a message carried. If the sender is newer, fetch its sections after
-    /// [`generation`](Self::generation) and give them to [`accept`](Self::accept).
+    /// [`fetch_base`](Self::fetch_base) and give them to [`accept`](Self::accept).
     pub fn on_message(&self, sender: Generation) -> Comparison {
         self.shared.state().replica.on_message(sender)
     }
@@ -196,11 +212,12 @@
         Some(state.sections.as_ref()?.since(generation))
     }
 
-    /// Takes the sections that a peer gave for the generation in force here.
+    /// Takes the sections that a peer gave after [`fetch_base`](Self::fetch_base).
     ///
     /// # Errors
     ///
-    /// Fails if the sections do not make a configuration; the one in force stays.
+    /// Fails if the sections do not make a configuration, or not together with those in force; the one in force stays.
+    /// After [`FeedError::Diverged`], fetch again: `fetch_base` then asks for all sections.
     pub fn accept(&self, update: &SectionUpdate) -> Result<Decision, Report<FeedError>> {
         self.shared.accept(update)
     }
@@ -288,8 +305,16 @@
         if update.generation <= state.replica.used() {
             return Ok(state.replica.on_offer(update.generation));
         }
-        let sections = Sections::updated(state.sections.as_ref(), update);
-        self.install(&mut state, sections.change_context(FeedError::Malformed)?)
+        let sections = Sections::updated(state.sections.as_ref(), update).map_err(|report| {
+            let is_diverged = *report.current_context() == SectionError::Diverged;
+            state.is_diverged |= is_diverged;
+            report.change_context(if is_diverged {
+                FeedError::Diverged
+            } else {
+                FeedError::Malformed
+            })
+        })?;
+        self.install(&mut state, sections)
     }
 
     /// Puts a whole configuration in force, unless it is not newer. It is counted as used only after it is known to be
@@ -309,6 +334,7 @@
         let decision = state.replica.on_offer(generation);
         if decision == Decision::Use {
             state.sections = Some(sections);
+            state.is_diverged = false;
             *self.current.write().unwrap_or_else(PoisonError::into_inner) = active;
             tracing::info!(generation, "configuration is in force");
         }
--- a/crates/node/src/config_feed/message.rs
+++ b/crates/node/src/config_feed/message.rs
@@ -10,7 +10,7 @@
 /// use tanagerford_core::config::section::SectionUpdate;
 /// use tanagerford_node::config_feed::message::{decode, encode};
 ///
-/// let update = SectionUpdate { generation: 3, sections: vec![] };
+/// let update = SectionUpdate { generation: 3, digest: 7, sections: vec![] };
 /// assert_eq!(decode(&encode(1, &update)).unwrap(), update);
 /// ```
 #[must_use]
@@ -24,6 +24,7 @@
         query_id,
         generation: update.generation,
         sections: sections.collect(),
+        digest: update.digest,
     }
 }
 
@@ -36,6 +37,7 @@
     let sections = message.sections.iter().map(decode_section);
     Ok(SectionUpdate {
         generation: message.generation,
+        digest: message.digest,
         sections: sections.collect::<Result<_, _>>()?,
     })
 }
--- a/crates/node/src/config_feed/publish.rs
+++ b/crates/node/src/config_feed/publish.rs
@@ -15,7 +15,7 @@
 use tanagerford_core::ids::Generation;
 use tanagerford_platform::kv::{Call, Commit, Compare, Kv, Transaction, Write};
 
-use super::store::{self, HEAD_KEY, Stored};
+use super::store::{self, DIGEST_KEY, HEAD_KEY, Stored};
 
 /// Configuration to publish.
 #[derive(Debug, Clone, Copy)]
@@ -163,7 +163,11 @@
         key: HEAD_KEY.to_owned(),
         mod_revision: expected,
     };
-    let mut writes = vec![put(HEAD_KEY.to_owned(), store::encode_head(head))];
+    let digest = update.digest.to_string().into_bytes();
+    let mut writes = vec![
+        put(HEAD_KEY.to_owned(), store::encode_head(head)),
+        put(DIGEST_KEY.to_owned(), digest),
+    ];
     let sections = update.sections.iter();
     writes.extend(sections.map(|section| {
         put(
--- a/crates/node/src/config_feed/store.rs
+++ b/crates/node/src/config_feed/store.rs
@@ -1,4 +1,4 @@
-//! Configuration in the key-value service: one head key and one key for each section.
+//! Configuration in the key-value service: one head key, one key for the digest and one key for each section.
 //!
 //! A write replaces the head and the changed sections in one transaction whose only condition is the head's revision,
 //! so a list of the prefix is always one whole generation. The value of a section is its generation in decimal, a line
@@ -20,6 +20,9 @@
 /// Key of the head.
 pub const HEAD_KEY: &str = "tanagerford/config/head";
 
+/// Key of the digest of all sections, in decimal.
+pub const DIGEST_KEY: &str = "tanagerford/config/digest";
+
 /// Prefix of the keys of the sections.
 const SECTION_PREFIX: &str = "tanagerford/config/section/";
 
@@ -70,20 +73,17 @@
 pub fn read(kv: &dyn Kv, timeout: Duration) -> Result<Stored, Report<ReadError>> {
     let entries = answered(kv.list(PREFIX, timeout))?;
     let mut stored = Stored::default();
-    let mut sections = Vec::new();
+    let mut update = SectionUpdate::default();
     for entry in &entries {
         stored.revision = stored.revision.max(entry.mod_revision);
         if entry.key == HEAD_KEY {
             stored.head = head_read(entry)?;
-        } else if let Some(section) = decode_section(&entry.key, &entry.value)? {
-            sections.push(section);
+            update.generation = stored.head.head.generation;
+        } else {
+            decode_part(&entry.key, &entry.value, &mut update)?;
         }
     }
     if stored.head.revision > 0 {
-        let update = SectionUpdate {
-            generation: stored.head.head.generation,
-            sections,
-        };
         let whole = Sections::updated(None, &update);
         stored.sections = Some(whole.change_context(ReadError::Malformed)?);
     }
@@ -113,25 +113,40 @@
     events: &[WatchEvent],
 ) -> Result<Option<(Head, SectionUpdate)>, Report<ReadError>> {
     let mut head = None;
-    let mut sections = Vec::new();
+    let mut update = SectionUpdate::default();
     for event in events {
         let Some(value) = &event.value else { continue };
         if event.key == HEAD_KEY {
             head = Some(decode_head(value)?);
-        } else if let Some(section) = decode_section(&event.key, value)? {
-            sections.push(section);
+        } else {
+            decode_part(&event.key, value, &mut update)?;
         }
     }
     Ok(head.map(|head| {
-        let generation = head.generation;
-        let update = SectionUpdate {
-            generation,
-            sections,
-        };
+        update.generation = head.generation;
         (head, update)
     }))
 }
 
+/// Adds the digest or a section to an update.
+fn decode_part(
+    key: &str,
+    value: &[u8],
+    update: &mut SectionUpdate,
+) -> Result<(), Report<ReadError>> {
+    if key == DIGEST_KEY {
+        update.digest = decode_digest(value)?;
+    } else if let Some(section) = decode_section(key, value)? {
+        update.sections.push(section);
+    }
+    Ok(())
+}
+
+fn decode_digest(value: &[u8]) -> Result<u64, Report<ReadError>> {
+    let text = std::str::from_utf8(value).change_context(ReadError::Malformed)?;
+    text.parse().change_context(ReadError::Malformed)
+}
+
 /// Decodes the value of the head's key.
 ///
 /// # Errors
--- a/crates/node/tests/config_feed.rs
+++ b/crates/node/tests/config_feed.rs
@@ -8,12 +8,12 @@
 use proptest::test_runner::RngSeed;
 use tanagerford_core::config::Configuration;
 use tanagerford_core::config::decode::decode;
-use tanagerford_core::config::section::{SectionName, SectionUpdate};
+use tanagerford_core::config::section::{SectionName, SectionUpdate, digest};
 use tanagerford_core::generation::{Comparison, Decision};
 use tanagerford_link::message::{ConfigSection, ConfigSections};
 use tanagerford_node::config_feed::publish::{Pace, Publication, PublishError, publish};
 use tanagerford_node::config_feed::store::{HEAD_KEY, Stored, decode_head, decode_section, read};
-use tanagerford_node::config_feed::{ConfigFeed, FeedSettings, message};
+use tanagerford_node::config_feed::{ConfigFeed, FeedError, FeedSettings, message};
 use tanagerford_platform::etcd::Etcd;
 use tanagerford_platform::kv::{Call, Commit, Kv, Transaction, Write};
 use tanagerford_platform::memory::{Faults, Memory};
@@ -382,6 +382,37 @@
     assert_eq!(update.sections.len(), SectionName::all().count());
 }
 
+/// Guards against a mix of two histories after a restored service reached generations that processes had used before:
+/// the changed sections of one history do not complete the sections of the other.
+#[test]
+fn sections_of_another_history_are_fetched_as_a_whole() {
+    let lost = Memory::new();
+    publish_next(&lost, "overdue", 1);
+    let mut other_class = example();
+    other_class.classes[0].priority = 9;
+    publish_from(&lost.client(), &stored(&lost), &other_class, 2).expect("published");
+    let process = feed(&lost);
+    process.load().expect("the store answers");
+
+    let restored = Memory::new();
+    for (write_id, tier) in [(3, "late"), (4, "prompt"), (5, "late")] {
+        publish_next(&restored, tier, write_id);
+    }
+    let peer = feed(&restored);
+    peer.load().expect("the store answers");
+    let update = peer.sections_since(process.fetch_base()).expect("in force");
+    let error = process.accept(&update).expect_err("the histories differ");
+    assert_eq!(*error.current_context(), FeedError::Diverged);
+    assert_eq!((process.generation(), process.fetch_base()), (2, 0));
+    let whole = peer.sections_since(process.fetch_base()).expect("in force");
+    assert_eq!(process.accept(&whole).expect("it is whole"), Decision::Use);
+    assert_eq!(process.fetch_base(), 3);
+    assert_eq!(
+        process.current().configuration(),
+        peer.current().configuration()
+    );
+}
+
 /// Guards against a fetch from a peer that sends everything for one changed workspace.
 #[test]
 fn peer_gives_only_changed_sections() {
@@ -450,7 +481,7 @@
         let _ = decode_section("tanagerford/config/section/tiers", &bytes);
         let _ = decode_section(&text, text.as_bytes());
         let section = ConfigSection { name: text, generation: 1, json: bytes };
-        let _ = message::decode(&ConfigSections { query_id: 0, generation: 1, sections: vec![section] });
+        let _ = message::decode(&ConfigSections { query_id: 0, generation: 1, sections: vec![section], digest: 0 });
     }
 
     /// Guards against arbitrary sections of a peer that make a feed panic or take a part for the whole.
@@ -462,7 +493,7 @@
             generation,
             json,
         };
-        let update = SectionUpdate { generation, sections: vec![section] };
+        let update = SectionUpdate { generation, digest: digest([&section]), sections: vec![section] };
         let is_used = matches!(feed.accept(&update), Ok(Decision::Use));
         prop_assert!(!is_used);
     }
