--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -210,6 +210,7 @@
             listen: settings.link_listen,
             backend_address: backend.address,
             backend: backend.kind,
+            pool: backend.pool.clone(),
         };
         let orders = settings.orders(backend, kv);
         let sidecar = Sidecar::start(&sidecar_settings, Arc::clone(&exchange), orders);
@@ -307,7 +308,7 @@
     fn orders(&self, backend: &BackendSettings, kv: Arc<dyn Kv>) -> Option<Arc<OrderLog>> {
         match backend.kind {
             Backend::Engine => None,
-            Backend::Service { .. } => {
+            Backend::Service => {
                 let owner = Owner {
                     server: self.process_id.clone(),
                     incarnation: self.incarnation,
--- a/crates/node/src/sidecar/mod.rs
+++ b/crates/node/src/sidecar/mod.rs
@@ -15,6 +15,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use tanagerford_core::ids::PoolId;
 use tanagerford_gossip::Gossip;
 use tanagerford_link::{FleetKey, Identity, LinkOptions, LinkServer, LinkServerHandle};
 use tanagerford_operator::listener::Operated;
@@ -33,11 +34,8 @@
 pub enum Backend {
     /// Model engine.
     Engine,
-    /// Plain service that runs at most this many calls at the same time.
-    Service {
-        /// Largest count of calls at the same time.
-        concurrency: u32,
-    },
+    /// Plain service.
+    Service,
 }
 
 /// Settings of a sidecar.
@@ -53,6 +51,8 @@
     pub backend_address: SocketAddr,
     /// Kind of the backend server.
     pub backend: Backend,
+    /// Pool of the backend server.
+    pub pool: PoolId,
 }
 
 /// Phase in which a sidecar takes new work.
--- a/crates/node/src/sidecar/model.rs
+++ b/crates/node/src/sidecar/model.rs
@@ -74,7 +74,7 @@
                 wait_limit: work.wait_left(),
                 deadline: now + work.time_left(),
                 resumable: submit.resumable,
-                alone: false,
+                max_company: state.suspects.max_company(submit.fingerprint),
             };
             admission.offer(now, request)
         });
--- a/crates/node/src/sidecar/service.rs
+++ b/crates/node/src/sidecar/service.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use tanagerford_core::admission::{Action, TICK};
 use tanagerford_core::config::Configuration;
-use tanagerford_core::ids::{AttemptId, TierId};
+use tanagerford_core::ids::{AttemptId, PoolId, TierId};
 use tanagerford_core::pool::{Call as PoolCall, Pool, PoolSettings};
 use tanagerford_link::message::{self, Outcome};
 use tanagerford_service::{Answer, Call, Header, ServiceClient, ServiceError};
@@ -28,13 +28,16 @@
 /// Largest answer of an order that is kept; a larger one is relayed and its key then answers that the order ran.
 const MAX_KEPT_BYTES: usize = 1024 * 1024;
 
+/// Connections to the backend server that are kept for reuse.
+const MAX_IDLE_CONNECTIONS: usize = 64;
+
 /// Orders that wait for their claim at the same time; each takes one thread.
 const MAX_CLAIMING: usize = 256;
 
 /// Plain service and its admission.
 pub(crate) struct ServiceBackend {
     client: ServiceClient,
-    concurrency: u32,
+    pool_id: PoolId,
     pool: Mutex<Pool>,
     orders: Option<Arc<OrderLog>>,
     claiming: Mutex<usize>,
@@ -42,21 +45,17 @@
 }
 
 impl ServiceBackend {
-    pub(super) fn new(
-        address: SocketAddr,
-        concurrency: u32,
-        orders: Option<Arc<OrderLog>>,
-    ) -> Self {
+    pub(super) fn new(address: SocketAddr, pool_id: PoolId, orders: Option<Arc<OrderLog>>) -> Self {
         let settings = PoolSettings {
-            concurrency,
+            concurrency: 1,
             weights: vec![1],
             reserved_permille: vec![0],
             classes: [].into(),
             max_waiting: 256,
         };
         Self {
-            client: ServiceClient::new(address, concurrency as usize),
-            concurrency,
+            client: ServiceClient::new(address, MAX_IDLE_CONNECTIONS),
+            pool_id,
             pool: Mutex::new(Pool::new(settings)),
             orders,
             claiming: Mutex::default(),
@@ -75,7 +74,11 @@
         state: &Arc<SidecarState>,
         configuration: &Configuration,
     ) {
-        let settings = PoolSettings::from_configuration(configuration, self.concurrency);
+        let mut services = configuration.services.iter();
+        let Some(service) = services.find(|service| service.pool == self.pool_id) else {
+            return;
+        };
+        let settings = PoolSettings::from_configuration(configuration, service.concurrency);
         self.decide(state, |pool, now| pool.set_configuration(now, settings));
     }
 
--- a/crates/node/src/sidecar/state.rs
+++ b/crates/node/src/sidecar/state.rs
@@ -59,8 +59,9 @@
         let address = settings.backend_address;
         let backend = match settings.backend {
             Backend::Engine => BackendState::Model(ModelBackend::new(EngineClient::new(address))),
-            Backend::Service { concurrency } => {
-                BackendState::Service(ServiceBackend::new(address, concurrency, orders))
+            Backend::Service => {
+                let pool = settings.pool.clone();
+                BackendState::Service(ServiceBackend::new(address, pool, orders))
             }
         };
         Self {
--- a/crates/node/src/suspects.rs
+++ b/crates/node/src/suspects.rs
@@ -94,6 +94,14 @@
         lock(&self.table).verdict(self.now(), fingerprint)
     }
 
+    /// Returns how many other requests may run beside a suspected one; `None` for a request that is not suspected.
+    pub fn max_company(&self, fingerprint: Fingerprint) -> Option<u32> {
+        match self.verdict(fingerprint) {
+            Verdict::Isolate { max_company } => Some(max_company),
+            Verdict::Normal | Verdict::Refuse => None,
+        }
+    }
+
     /// Records that the backend server crashed while `running` ran.
     pub fn on_crash(&self, running: &[Running]) {
         let number = self.crashes.fetch_add(1, Ordering::Relaxed);
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -194,7 +194,7 @@
 pub fn service_backend(address: SocketAddr) -> BackendSettings {
     BackendSettings {
         address,
-        kind: Backend::Service { concurrency: 8 },
+        kind: Backend::Service,
         pool: "plates".to_owned(),
     }
 }
--- a/crates/operator/src/check/settings.rs
+++ b/crates/operator/src/check/settings.rs
@@ -59,6 +59,8 @@
 pub struct EntryListen {
     /// Callers (HTTP).
     pub callers: SocketAddr,
+    /// Links of other processes, which ask for the configuration (TCP).
+    pub link: SocketAddr,
     /// Operators (HTTP).
     pub operators: SocketAddr,
     /// Gossip (UDP).
@@ -255,10 +257,12 @@
 
 fn entry_listen(fields: &mut Fields<'_>) -> Option<EntryListen> {
     let callers = fields.field("callers").and_then(address);
+    let link = fields.field("link").and_then(address);
     let operators = fields.field("operators").and_then(address);
     let gossip = fields.field("gossip").and_then(address);
     let listen = EntryListen {
         callers: callers?,
+        link: link?,
         operators: operators?,
         gossip: gossip?,
     };
--- a/crates/operator/tests/check.rs
+++ b/crates/operator/tests/check.rs
@@ -110,7 +110,7 @@
         "process_id": "entry 1", "region": "west", "fleet_key": "short-secret",
         "platform": {"kv_endpoints": ["https://10.0.0.5:2379", "http://kv.example:2379"], "vmlist": ""},
         "seeds": ["10.0.1.20"], "role": "entry", "colour": 1,
-        "listen": {"callers": "10.0.1.10:80", "operators": "10.0.1.10:80", "gossip": "10.0.1.10:7102"}
+        "listen": {"callers": "10.0.1.10:80", "link": "10.0.1.10:7101", "operators": "10.0.1.10:80", "gossip": "10.0.1.10:7102"}
     }"#;
     let sidecar = br#"{
         "process_id": "s1", "region": "west", "availability_zone": "a", "role": "sidecar",
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -3,6 +3,8 @@
 pub mod check;
 pub mod config;
 pub mod drain;
+pub mod entry;
 pub mod sheet;
+pub mod sidecar;
 pub mod standalone;
 pub mod state;
--- a/src/cmd/standalone.rs
+++ b/src/cmd/standalone.rs
@@ -20,6 +20,7 @@
 use tanagerford_standin::{engine, service};
 
 use crate::error::Error;
+use crate::process;
 use crate::util;
 
 const USAGE: &str = "\
@@ -43,12 +44,6 @@
 /// Default port for operators.
 const DEFAULT_OPERATOR_PORT: u16 = 8081;
 
-/// Calls that the stand-in service runs at the same time.
-const SERVICE_CONCURRENCY: u32 = 16;
-
-/// Longest time that a stop waits for requests in flight.
-const STOP_TIMEOUT: Duration = Duration::from_mins(1);
-
 struct Args {
     port: u16,
     operator_port: u16,
@@ -61,17 +56,18 @@
         options.optopt("", "operator-port", "", "PORT");
         let matches = util::parse(&mut options, arguments, USAGE)?;
         Ok(Self {
-            port: util::number(&matches, "port", DEFAULT_PORT, USAGE)?,
-            operator_port: util::number(&matches, "operator-port", DEFAULT_OPERATOR_PORT, USAGE)?,
+            port: util::number(&matches, "port", USAGE)?.unwrap_or(DEFAULT_PORT),
+            operator_port: util::number(&matches, "operator-port", USAGE)?
+                .unwrap_or(DEFAULT_OPERATOR_PORT),
         })
     }
 }
 
 pub fn run(arguments: &[String]) -> Result<(), Error> {
     let args = Args::parse(arguments)?;
-    util::start_logging();
+    process::start_logging();
     let stop = StopSignal::default();
-    util::raise_on_signal(&stop)?;
+    process::raise_on_signal(&stop)?;
     let engine = engine::Engine::start(engine::Behaviour::default())?;
     let service = service::Service::start(service::Behaviour::default())?;
     let kv: Arc<dyn Kv> = Arc::new(start_store()?);
@@ -84,9 +80,7 @@
     };
     let service_backend = BackendSettings {
         address: service.address(),
-        kind: Backend::Service {
-            concurrency: SERVICE_CONCURRENCY,
-        },
+        kind: Backend::Service,
         pool: "plates".to_owned(),
     };
     let sidecars = [
@@ -94,11 +88,11 @@
         start_sidecar("plates-0", &service_backend, &kv, seeds)?,
     ];
     print_start(entry.address(), entry.operator_address())?;
-    let mut finished = entry.run(STOP_TIMEOUT);
+    let mut finished = entry.run(process::STOP_TIMEOUT);
     for sidecar in sidecars {
-        finished &= sidecar.stop(STOP_TIMEOUT);
+        finished &= sidecar.stop(process::STOP_TIMEOUT);
     }
-    util::finished(finished)
+    process::finished(finished)
 }
 
 /// The key-value store lives in this process, so nothing is remembered after it ends.
@@ -175,6 +169,6 @@
         "tanagerford standalone; the engine and the service behind it are stand-ins\n\
          callers:   http://{callers}\n\
          operators: http://{operators}\n\
-         API key:   demo-key\n"
+         API key:   demo-key"
     ))
 }
--- a/src/cmd/state.rs
+++ b/src/cmd/state.rs
@@ -30,5 +30,5 @@
 pub fn run(arguments: &[String]) -> Result<(), Error> {
     let args = Args::parse(arguments)?;
     let state = util::http_get(&args.address, "/state")?;
-    util::print(&state)
+    util::print(state.trim_end())
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,7 +1,9 @@
 //! Command line of the router; dispatches to the commands in `cmd`.
 
 mod cmd;
+mod config;
 mod error;
+mod process;
 mod util;
 
 use std::process::ExitCode;
@@ -14,6 +16,8 @@
 Commands:
   check FILE...              check settings, configurations and tier sheets
   sheet load FILE            load a tier sheet
+  entry                      run an entry
+  sidecar                    run the sidecar of a backend server
   standalone                 run everything with stand-ins in one process
   state ADDRESS              print the state of a process
   drain ADDRESS              begin the graceful stop of a process
@@ -40,6 +44,8 @@
         "check" => cmd::check::run(rest),
         "config" => cmd::config::run(rest),
         "drain" => cmd::drain::run(rest),
+        "entry" => cmd::entry::run(rest),
+        "sidecar" => cmd::sidecar::run(rest),
         "standalone" => cmd::standalone::run(rest),
         "state" => cmd::state::run(rest),
         "sheet" => cmd::sheet::run(rest),
--- a/src/util.rs
+++ b/src/util.rs
@@ -1,29 +1,24 @@
 //! Helpers shared by the commands.
 
 use std::ffi::OsString;
-use std::io::Write;
+use std::fs::File;
+use std::io::{Read, Write};
 use std::str::FromStr;
-use std::thread;
 use std::time::Duration;
 
 use getopts::{Matches, Options};
-use signal_hook::consts::{SIGINT, SIGTERM};
-use signal_hook::iterator::Signals;
-use tanagerford_node::stop::StopSignal;
-use tracing_subscriber::EnvFilter;
+use tanagerford_core::config::finding::Findings;
+use tanagerford_operator::check::{FileFindings, MAX_FILE_BYTES};
 
 use crate::error::Error;
 
 /// Returns the arguments after the program's name.
 pub fn arguments() -> Result<Vec<String>, Error> {
-    let given = std::env::args_os().skip(1);
-    given
-        .map(OsString::into_string)
-        .collect::<Result<_, _>>()
-        .map_err(|argument| {
-            let message = format!("argument is not UTF-8: {}", argument.display());
-            Error::usage(message, "")
-        })
+    let given = std::env::args_os().skip(1).map(OsString::into_string);
+    given.collect::<Result<_, _>>().map_err(|argument| {
+        let message = format!("argument is not UTF-8: {}", argument.display());
+        Error::usage(message, "")
+    })
 }
 
 /// Parses the arguments of a command; `--help` and wrong options end it with its usage text.
@@ -52,59 +47,47 @@
     }
 }
 
+/// Returns the value of an option that must be given.
+pub fn required(matches: &Matches, option: &str, usage: &'static str) -> Result<String, Error> {
+    let value = matches.opt_str(option);
+    value.ok_or_else(|| Error::usage(format!("--{option} is missing"), usage))
+}
+
 /// Returns the value of a numeric option.
 pub fn number<T: FromStr>(
     matches: &Matches,
-    name: &str,
-    default: T,
+    option: &str,
     usage: &'static str,
-) -> Result<T, Error> {
-    let Some(text) = matches.opt_str(name) else {
-        return Ok(default);
-    };
-    let wrong = |_| Error::usage(format!("--{name}: {text:?} is not a valid number"), usage);
-    text.parse().map_err(wrong)
+) -> Result<Option<T>, Error> {
+    let value = matches.opt_str(option).map(|text| text.parse());
+    let wrong = |_| Error::usage(format!("--{option} takes a number"), usage);
+    value.transpose().map_err(wrong)
 }
 
-/// Prints text to the standard output.
-pub fn print(text: &str) -> Result<(), Error> {
-    let mut output = std::io::stdout().lock();
-    output.write_all(text.as_bytes())?;
-    output.flush()?;
-    Ok(())
+/// Reads a file; of a longer one than any check accepts, only as much as makes the checks refuse it.
+pub fn read_file(path: &str) -> Result<Vec<u8>, Error> {
+    let mut content = Vec::new();
+    let limit = u64::try_from(MAX_FILE_BYTES)
+        .unwrap_or(u64::MAX)
+        .saturating_add(1);
+    let read = File::open(path).and_then(|file| file.take(limit).read_to_end(&mut content));
+    read.map_err(|error| Error::failed(format!("{path}: {error}")))?;
+    Ok(content)
 }
 
-/// Writes logs as JSON lines to the standard error; `TANAGERFORD_LOG` sets the level.
-pub fn start_logging() {
-    let filter =
-        EnvFilter::try_from_env("TANAGERFORD_LOG").unwrap_or_else(|_| EnvFilter::new("info"));
-    let started = tracing_subscriber::fmt()
-        .json()
-        .flatten_event(true)
-        .with_env_filter(filter)
-        .with_writer(std::io::stderr)
-        .try_init();
-    if let Err(error) = started {
-        let _ = writeln!(
-            std::io::stderr(),
-            "tanagerford: cannot start logging: {error}"
-        );
-    }
+/// Prints a line of the command's result.
+pub fn print(line: &str) -> Result<(), Error> {
+    writeln!(std::io::stdout(), "{line}")?;
+    Ok(())
 }
 
-/// Raises `stop` on SIGTERM and SIGINT.
-pub fn raise_on_signal(stop: &StopSignal) -> Result<(), Error> {
-    let mut signals = Signals::new([SIGTERM, SIGINT])?;
-    let stop = stop.clone();
-    thread::Builder::new()
-        .name("signals".to_owned())
-        .spawn(move || {
-            for signal in signals.forever() {
-                tracing::info!(signal, "received a signal; stopping gracefully");
-                stop.raise();
-            }
-        })?;
-    Ok(())
+/// Ends the command if a file has findings.
+pub fn refuse(path: &str, findings: Findings) -> Result<(), Error> {
+    if findings.is_empty() {
+        return Ok(());
+    }
+    let name = path.to_owned();
+    Err(FileFindings { name, findings }.into())
 }
 
 /// Sends GET to the operators' listener at `address`.
@@ -135,13 +118,3 @@
 ) -> Result<String, Error> {
     Ok(answer?.body_mut().read_to_string()?)
 }
-
-/// Returns the outcome of a graceful stop.
-pub fn finished(finished: bool) -> Result<(), Error> {
-    if finished {
-        Ok(())
-    } else {
-        let text = "work was still in flight when the time to stop had passed";
-        Err(Error::failed(text))
-    }
-}
