--- a/crates/node/src/entry/relay.rs
+++ b/crates/node/src/entry/relay.rs
@@ -195,7 +195,7 @@
                 self.state.servers.on_failure(chosen);
                 continue;
             };
-            tracing::debug!(
+            tracing::info!(
                 request_id = self.call.request_id,
                 attempt_id = attempt.id(),
                 server,
@@ -466,6 +466,16 @@
             let result = if self.complete { "complete" } else { "cut" };
             let (class, tier) = (&self.call.class.name, self.call.tier);
             self.state.metrics.count_request(class, tier, result);
+            tracing::info!(
+                request_id = self.call.request_id,
+                class,
+                tier,
+                result,
+                tokens = self.delivered_tokens,
+                elapsed_ms =
+                    u64::try_from(self.call.received_at.elapsed().as_millis()).unwrap_or(u64::MAX),
+                "request ended"
+            );
         }
         if let Some(chosen) = self.end_attempt() {
             self.state.servers.on_ended(chosen);
--- a/tests/workdir/mod.rs
+++ b/tests/workdir/mod.rs
@@ -1,7 +1,11 @@
 //! Directory for one test, in which the binary runs.
 
+#![allow(dead_code, reason = "each test file uses a part of the helpers")]
+
+pub mod process;
+
 use std::fs;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::Command;
 
 /// Directory that is removed at the end of its test.
@@ -26,6 +30,11 @@
         Self { path }
     }
 
+    /// Returns the directory.
+    pub fn path(&self) -> &Path {
+        &self.path
+    }
+
     /// Writes a file into the directory.
     pub fn write(&self, name: &str, content: impl AsRef<[u8]>) {
         fs::write(self.path.join(name), content).expect("the file can be written");
