Keep entries from agreeing on one backend server

Cause: a trial of 400 entries, 860 servers, 1,100 workspaces with Zipf weights and 70% load, without refusals, had servers with 22 times the mean load. Entries of all zones chose the same server outside of their own zones for a prefix, busy servers raised the mean by giving most hints, and hints faded before the queues were gone.

Affinity now stays in the own zone, each server counts once in the mean, and hints fade over 15 s.

--- a/crates/core/src/routing/choose.rs
+++ b/crates/core/src/routing/choose.rs
@@ -16,10 +16,8 @@
 /// Below this share of its batch limit a server starts a request at once, so the cached prefix is worth more than an
 /// even load.
 const FREE_BATCH_SHARE: f64 = 0.5;
-/// Rendezvous candidates that are tried in the own availability zone before affinity is given up.
-const OWN_ZONE_CANDIDATES: u64 = 3;
-/// Rendezvous candidates that are tried in the other availability zones.
-const OTHER_ZONE_CANDIDATES: u64 = 1;
+/// Rendezvous candidates that are tried before affinity is given up.
+const CANDIDATES: u64 = 3;
 /// A server of another availability zone must cost less than this share of the own zone's candidate.
 const OTHER_ZONE_ADVANTAGE: f64 = 0.6;
 /// Random draws before a scan looks for a usable server.
@@ -89,9 +87,13 @@
         {
             return Some((slot, ChoiceReason::CacheHint));
         }
-        let own = (0..OWN_ZONE_CANDIDATES).map(|salt| rings.own.pick(prefix_hash, salt));
-        let near = (0..OTHER_ZONE_CANDIDATES).map(|salt| rings.near.pick(prefix_hash, salt));
-        let mut candidates = own.chain(near).flatten();
+        // Entries of all zones would agree on the same candidate outside of their own zones and overload it.
+        let ring = if rings.own.len() > 0 {
+            &rings.own
+        } else {
+            &rings.near
+        };
+        let mut candidates = (0..CANDIDATES).filter_map(|salt| ring.pick(prefix_hash, salt));
         let slot = candidates.find(|&slot| self.is_usable(slot) && self.is_within(slot, bound))?;
         Some((slot, ChoiceReason::Affinity))
     }
--- a/crates/core/src/routing/hint.rs
+++ b/crates/core/src/routing/hint.rs
@@ -2,8 +2,9 @@
 
 use std::time::Duration;
 
-/// Time after which a hint has lost two thirds of its weight. Model answers take seconds, so an older load says little.
-const HINT_LIFETIME: Duration = Duration::from_secs(2);
+/// Time after which a hint has lost two thirds of its weight. An entry of a large fleet hears of a busy server only every
+/// few seconds; with 2 s it sent requests there again long before the queue was gone.
+const HINT_LIFETIME: Duration = Duration::from_secs(15);
 
 /// Load at a server that does not come from this entry, as last reported.
 #[derive(Debug, Clone, Copy)]
@@ -19,9 +20,10 @@
     }
 }
 
-/// Mean of recent hints, weighted by their age.
+/// Mean of the servers' last hints, weighted by their age.
 ///
-/// Both sums fade at the same rate, so they need no scan over the servers.
+/// Each server counts once, however often it is heard of. Both sums fade at the same rate, so they need no scan over
+/// the servers.
 #[derive(Debug, Default)]
 pub(super) struct FadingMean {
     sum: f64,
@@ -30,20 +32,27 @@
 }
 
 impl FadingMean {
-    pub(super) fn add(&mut self, now: Duration, value: f64) {
-        let remaining = remaining(self.at, now);
-        self.sum = self.sum * remaining + value;
+    pub(super) fn add(&mut self, hint: &Hint) {
+        let remaining = remaining(self.at, hint.at);
+        self.sum = self.sum * remaining + hint.others;
         self.weight = self.weight * remaining + 1.0;
-        self.at = now;
+        self.at = hint.at;
     }
 
-    /// Returns the mean, 0 before the first value.
+    /// Takes out an earlier hint.
+    pub(super) fn remove(&mut self, hint: &Hint) {
+        let weight = remaining(hint.at, self.at);
+        self.sum -= hint.others * weight;
+        self.weight -= weight;
+    }
+
+    /// Returns the mean, 0 before the first hint.
     pub(super) fn value(&self) -> f64 {
         // Below this weight the quotient of two nearly vanished sums is noise.
-        if self.weight < 1e-9 {
+        if self.weight < 1e-6 {
             0.0
         } else {
-            self.sum / self.weight
+            (self.sum / self.weight).max(0.0)
         }
     }
 }
--- a/crates/core/src/routing/view.rs
+++ b/crates/core/src/routing/view.rs
@@ -31,6 +31,25 @@
     latency_ratio: Option<f64>,
 }
 
+/// Batch limits that are known, which are not 0.
+#[derive(Debug, Default)]
+struct BatchLimits {
+    sum: u64,
+    count: u32,
+}
+
+impl BatchLimits {
+    fn replace(&mut self, old: u32, new: u32) {
+        self.sum = self.sum + u64::from(new) - u64::from(old);
+        self.count = self.count + u32::from(new > 0) - u32::from(old > 0);
+    }
+
+    fn mean(&self) -> f64 {
+        let sum = u32::try_from(self.sum).unwrap_or(u32::MAX);
+        f64::from(sum) / f64::from(self.count.max(1))
+    }
+}
+
 #[derive(Debug, Clone, Copy)]
 struct CachedPrefix {
     prefix_hash: u64,
@@ -48,7 +67,7 @@
     servers: Vec<ServerView>,
     in_flight: u64,
     others: FadingMean,
-    batch_limit: FadingMean,
+    batch_limits: BatchLimits,
     latency_by_size: [Option<f64>; SIZE_CLASSES],
     cached: Vec<Option<CachedPrefix>>,
 }
@@ -62,7 +81,7 @@
             servers: Vec::new(),
             in_flight: 0,
             others: FadingMean::default(),
-            batch_limit: FadingMean::default(),
+            batch_limits: BatchLimits::default(),
             latency_by_size: [None; SIZE_CLASSES],
             cached: vec![None; CACHE_ENTRIES],
         }
@@ -73,8 +92,12 @@
         if self.servers.len() <= slot {
             self.servers.resize(slot + 1, ServerView::default());
         }
-        self.in_flight -= u64::from(self.servers[slot].in_flight);
-        self.servers[slot] = ServerView::default();
+        let old = std::mem::take(&mut self.servers[slot]);
+        self.in_flight -= u64::from(old.in_flight);
+        self.batch_limits.replace(old.batch_limit, 0);
+        if let Some(hint) = old.hint {
+            self.others.remove(&hint);
+        }
         self.speed.reset(slot);
     }
 
@@ -106,11 +129,15 @@
             .sum();
         let server = &mut self.servers[slot];
         let others = f64::from(busy.saturating_sub(server.in_flight));
-        server.hint = Some(Hint { others, at: now });
-        self.others.add(now, others);
+        let hint = Hint { others, at: now };
+        if let Some(old) = server.hint.replace(hint) {
+            self.others.remove(&old);
+        }
+        self.others.add(&hint);
         if load.batch_limit > 0 {
+            self.batch_limits
+                .replace(server.batch_limit, load.batch_limit);
             server.batch_limit = load.batch_limit;
-            self.batch_limit.add(now, f64::from(load.batch_limit));
         }
     }
 
@@ -180,7 +207,7 @@
 
     /// Capacity of the server relative to the pool's mean.
     pub(super) fn relative_capacity(&self, slot: usize) -> f64 {
-        let mean = self.batch_limit.value();
+        let mean = self.batch_limits.mean();
         let own = self.batch_limit(slot);
         if mean < 1.0 || own < 1.0 {
             return 1.0;
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -195,6 +195,64 @@
     }
 }
 
+/// Guards against entries of all availability zones that agree on one server outside of their zones after their
+/// own servers refused.
+#[test]
+fn entries_with_a_busy_zone_spread_a_common_prefix() {
+    let mut counts: HashMap<String, usize> = HashMap::new();
+    for entry in 0..64 {
+        let mut router = Router::new(RouterSettings {
+            tiers: TIERS,
+            zone: format!("z{}", entry % 8),
+            region_zones: Vec::new(),
+            seed: entry,
+        });
+        router.set_servers(
+            Duration::ZERO,
+            POOL,
+            (0..32).map(|number| server(number, 8)),
+        );
+        let request = RouteRequest {
+            pool: POOL,
+            tier: 0,
+            prefix_hash: Some(3),
+        };
+        let own = (0..4).map(|row| format!("m{}", entry % 8 + 8 * row));
+        let tried: Vec<String> = own.collect();
+        let choice = router.choose(Duration::ZERO, &request, &tried).unwrap();
+        *counts.entry(choice.server).or_default() += 1;
+    }
+    assert!(counts.values().all(|&count| count <= 10), "{counts:?}");
+}
+
+/// Guards against a busy server that counts as an average one because most hints come from it.
+#[test]
+fn frequent_hints_of_a_busy_server_do_not_raise_the_mean() {
+    let mut router = router(10, 1, 1);
+    let request = RouteRequest {
+        pool: POOL,
+        tier: 0,
+        prefix_hash: Some(3),
+    };
+    let busy = router.choose(Duration::ZERO, &request, &[]).unwrap();
+    let mut tried = vec![busy.server.clone()];
+    router.on_ended(Duration::ZERO, busy.attempt);
+    while let Some(choice) = router.choose(Duration::ZERO, &request, &tried) {
+        router.on_refusal(Duration::ZERO, choice.attempt, Some(&load(&[5, 0, 0, 0])));
+        tried.push(choice.server);
+    }
+    let others = tried.split_off(1);
+    for _ in 0..50 {
+        let choice = router.choose(Duration::ZERO, &request, &others).unwrap();
+        assert_eq!(choice.server, busy.server);
+        router.on_refusal(Duration::ZERO, choice.attempt, Some(&load(&[50, 0, 0, 0])));
+    }
+    assert_ne!(
+        router.choose(Duration::ZERO, &request, &[]).unwrap().server,
+        busy.server
+    );
+}
+
 /// Guards against new work for a leaving server while the VM list that still names it as live lags behind.
 #[test]
 fn leaving_server_stays_so_for_its_incarnation() {
