--- a/crates/node/tests/config_feed.rs
+++ b/crates/node/tests/config_feed.rs
@@ -1,5 +1,6 @@
 //! Tests of publishing and following the configuration under the faults of the key-value service.
 
+use std::cell::Cell;
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -295,6 +296,35 @@
     wait_until(|| feed.generation() == 3);
 }
 
+/// Guards against a watch that is opened from a compacted revision again and again, so that only the head's reads find
+/// changes. The reads are too rare here to help.
+#[test]
+fn watch_from_a_compacted_revision_is_opened_from_the_next_write() {
+    let memory = Memory::new();
+    publish_next(&memory, "prompt", 1);
+    let watching = memory.client();
+    let settings = FeedSettings {
+        watch_interval: Duration::from_mins(10),
+        ..SETTINGS
+    };
+    let feed = ConfigFeed::new(Arc::new(watching.clone()), settings);
+    feed.set_watching(true).expect("a thread starts");
+    wait_until(|| watching.calls().watch > 0);
+    watching.set_faults(Faults {
+        down: true,
+        ..Faults::default()
+    });
+    publish_next(&memory, "late", 2);
+    memory.compact();
+    watching.set_faults(Faults::default());
+    let write_id = Cell::new(3);
+    wait_until(|| {
+        publish_next(&memory, "overdue", write_id.get());
+        write_id.set(write_id.get() + 1);
+        feed.generation() > 2
+    });
+}
+
 /// Guards against an outage that takes away the configuration in force.
 #[test]
 fn outage_keeps_the_configuration_in_force() {
