--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -85,7 +85,7 @@
     pub fn request(&self, link: &Link) {
         let request = ConfigRequest {
             query_id: 0,
-            have_generation: self.feed.generation(),
+            have_generation: self.feed.fetch_base(),
         };
         let _ = link.send(frame::Body::ConfigRequest(request));
     }
