--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -23,7 +23,7 @@
 
 use crate::estimate::{EstimateKey, OutputEstimator};
 use crate::ids::{AttemptId, TierId};
-use queue::{Hopeless, Waiting};
+use queue::{Hopeless, ServiceRate, Waiting};
 use tier::{Running, Tier};
 
 /// Interval at which the runtime calls [`Admission::on_tick`] while there is work.
@@ -148,9 +148,7 @@
         let mut actions = Vec::new();
         let priority = waiting.priority;
         self.entries.insert(id, entry);
-        self.tiers[tier]
-            .queue
-            .insert(waiting, self.settings.quantum_tokens);
+        self.enqueue(tier, waiting);
         self.settle(now, tier, &mut actions);
         self.shed_overflow(tier, priority, &mut actions);
         self.shed_for(now, id, &mut actions);
@@ -319,6 +317,12 @@
         places.max(self.places(tier, above))
     }
 
+    /// Returns the speed at which the tier's waiting work is served.
+    fn rate(&self, tier: usize, above: u32) -> ServiceRate {
+        let places = self.places(tier, above);
+        self.tiers[tier].rate(self.places_beside_suspects(tier, above, places))
+    }
+
     fn places_within(&self, tier: usize, above: u32, limit: u32) -> u32 {
         let kept_below = self.settings.reserved_below(tier, limit);
         let left = limit.saturating_sub(kept_below).saturating_sub(above);
@@ -463,7 +467,7 @@
 
     fn hopeless(&self, now: Duration, tier: usize) -> Vec<Hopeless> {
         let above = self.tiers[..tier].iter().map(Tier::running).sum();
-        let rate = self.tiers[tier].rate(self.places(tier, above));
+        let rate = self.rate(tier, above);
         self.tiers[tier]
             .queue
             .hopeless(now, rate, self.settings.quantum_tokens)
@@ -509,7 +513,7 @@
     /// Returns the time that the tier needs for its waiting work, as retry advice.
     fn backlog_time(&self, tier: usize) -> Duration {
         let above = self.tiers[..tier].iter().map(Tier::running).sum();
-        let rate = self.tiers[tier].rate(self.places(tier, above));
+        let rate = self.rate(tier, above);
         self.tiers[tier].queue.drain_time(rate)
     }
 
--- a/crates/core/src/admission/isolation.rs
+++ b/crates/core/src/admission/isolation.rs
@@ -14,14 +14,18 @@
     /// Returns the places that a tier may fill by starting requests, out of `places`.
     pub(super) fn places_beside_suspects(&self, tier: usize, above: u32, places: u32) -> u32 {
         let tiers = &self.tiers[..=tier];
+        let running = tiers.iter().flat_map(Tier::running_suspects);
+        // A waiting suspect that has to wait for another one does not hold anything back yet.
         let waiting = tiers
             .iter()
-            .flat_map(|tier| tier.suspects.iter().map(|suspect| suspect.id));
-        let running = tiers.iter().flat_map(Tier::running_suspects);
-        let company = waiting
-            .chain(running)
-            .filter_map(|id| self.max_company(id))
-            .min();
+            .filter_map(|tier| tier.suspects.first().map(|suspect| suspect.id));
+        let first_waiting = if self.suspect_runs(tier + 1) {
+            None
+        } else {
+            Some(waiting)
+        };
+        let holding = running.chain(first_waiting.into_iter().flatten());
+        let company = holding.filter_map(|id| self.max_company(id)).min();
         company.map_or(places, |company| {
             places.min((company + 1).saturating_sub(above))
         })
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -33,7 +33,7 @@
 const QUANTUM_MS: u32 = 500;
 
 /// Part of the slots, as a divisor, that is divided among the tiers as headroom. The rest is shared.
-const HEADROOM_DIVISOR: u32 = 2;
+const HEADROOM_DIVISOR: u32 = 4;
 
 /// Smallest reserved share of a tier, in thousandths, so that none starves.
 const MIN_RESERVED_PERMILLE: u32 = 10;
@@ -103,7 +103,7 @@
     ///     classes: [].into(),
     ///     max_waiting: 100,
     /// };
-    /// assert_eq!((0..4).map(|tier| settings.headroom(tier)).collect::<Vec<_>>(), [3, 5, 6, 7]);
+    /// assert_eq!((0..4).map(|tier| settings.headroom(tier)).collect::<Vec<_>>(), [2, 2, 2, 2]);
     /// ```
     #[must_use]
     pub fn headroom(&self, tier: usize) -> u32 {
@@ -114,8 +114,8 @@
         }
         let total: u32 = self.weights.iter().sum();
         let divided = self.concurrency.div_ceil(HEADROOM_DIVISOR);
-        let share = |weight: &u32| (divided * weight).div_ceil(total.max(1)).max(1);
-        let slots: u32 = self.weights.iter().take(tier + 1).map(share).sum();
+        let weight: u32 = self.weights.iter().take(tier + 1).sum();
+        let slots = (divided * weight).div_ceil(total.max(1));
         let below = tiers.saturating_sub(to_u32(tier) + 1);
         slots.min(self.concurrency - below)
     }
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -188,6 +188,92 @@
     assert!(admission.is_idle());
 }
 
+/// Guards against a suspect that crashes a full batch, and against one that never gets its turn under load.
+#[test]
+fn a_suspect_runs_with_bounded_company() {
+    let mut admission = Admission::new(settings());
+    for id in 0..5 {
+        admission.offer(Duration::ZERO, request(id, 0));
+    }
+    let suspect = Request {
+        max_company: Some(2),
+        ..request(10, 0)
+    };
+    assert_eq!(started(&admission.offer(Duration::ZERO, suspect)), []);
+    // Nothing else starts before the suspect, and it starts as soon as two others are left.
+    assert_eq!(
+        started(&admission.offer(Duration::ZERO, request(11, 0))),
+        []
+    );
+    let finish = |admission: &mut Admission, id| {
+        started(&admission.on_finish(Duration::ZERO, id, FinishKind::Complete))
+    };
+    assert_eq!(finish(&mut admission, 0), []);
+    assert_eq!(finish(&mut admission, 1), []);
+    assert_eq!(finish(&mut admission, 2), [10]);
+    assert_eq!(finish(&mut admission, 3), [11]);
+    assert_eq!(admission.load().running, 3);
+    assert_eq!(
+        started(&admission.offer(Duration::ZERO, request(12, 0))),
+        []
+    );
+    assert_eq!(finish(&mut admission, 10), [12]);
+}
+
+/// Guards against lower tiers that crash with a suspect, and against a suspect that holds back a higher tier.
+#[test]
+fn a_suspect_displaces_lower_tiers_and_yields_to_higher_ones() {
+    let mut admission = Admission::new(settings());
+    for id in 0..4 {
+        admission.offer(Duration::ZERO, request(id, 3));
+    }
+    let suspect = Request {
+        max_company: Some(1),
+        ..request(10, 1)
+    };
+    let actions = admission.offer(Duration::ZERO, suspect);
+    let preempted = actions
+        .iter()
+        .filter(|action| matches!(action, Action::Preempt { .. }))
+        .count();
+    assert_eq!((started(&actions), preempted), (vec![10], 3));
+    assert_eq!(
+        started(&admission.offer(Duration::ZERO, request(20, 0))),
+        [20]
+    );
+    let actions = admission.offer(Duration::ZERO, request(21, 0));
+    assert!(actions.contains(&Action::Preempt {
+        id: 10,
+        requeued: true
+    }));
+}
+
+/// Guards against work that is kept, started or accepted while the engine is down.
+#[test]
+fn an_engine_that_is_down_gets_nothing() {
+    let mut admission = Admission::new(settings());
+    for id in 0..8 {
+        admission.offer(Duration::ZERO, request(id, 0));
+    }
+    let waiting = admission.load().waiting;
+    let refused = admission.on_engine_down();
+    assert_eq!(refused.len(), waiting as usize);
+    assert!(admission.is_idle());
+    let actions = admission.offer(Duration::ZERO, request(20, 0));
+    assert!(matches!(
+        actions[..],
+        [Action::Refuse {
+            reason: RefuseReason::ServerDown,
+            ..
+        }]
+    ));
+    admission.on_engine_up();
+    assert_eq!(
+        started(&admission.offer(Duration::ZERO, request(21, 0))),
+        [21]
+    );
+}
+
 /// Guards against starvation: with reserved share `s` of `R` tokens/s and `B` tokens of work ahead in the tier, the
 /// wait is at most `B / (s * R)` plus one longest running request, however much work higher tiers have.
 #[test]
