Keep an order whose answer was lost as unknown, and let operators list and settle such orders

Cause: an order whose connection to the backend server broke was neither finished nor given up, so a repeated request waited and was told in-progress for ever, and no operator could settle it while the sidecar lived.

--- a/crates/caller/src/refusal.rs
+++ b/crates/caller/src/refusal.rs
@@ -117,6 +117,8 @@
     OrderRefusedHere = "order_refused_here", SERVICE_UNAVAILABLE;
     /// It is not known whether the claim of the order was written.
     OrderClaimUnresolved = "order_claim_unresolved", CONFLICT;
+    /// The connection to the backend server was lost after the order was sent.
+    OrderCallLost = "order_call_lost", CONFLICT;
     /// The sidecar that claimed the order is gone.
     OrderOwnerGone = "order_owner_gone", CONFLICT;
     /// The sidecar that claimed the order cannot be reached.
--- a/crates/core/src/order/gate.rs
+++ b/crates/core/src/order/gate.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::OrderKey;
+use super::{OrderKey, Settlement};
 
 /// Limits of a gate.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -39,6 +39,8 @@
     Running,
     /// The order was answered.
     Done,
+    /// The order was sent and its answer was lost; only an operator can tell whether it was run.
+    Lost,
     /// The order was certainly not sent; it may be claimed again.
     Abandoned,
     /// Another process was told that the order was not run; it must not run here.
@@ -62,6 +64,8 @@
     Busy,
     /// The order was answered.
     Done,
+    /// The order was sent and its answer was lost.
+    Lost,
     /// The order was reported as not run to a query and stays so here.
     Refused,
     /// The gate holds as many keys as it may.
@@ -75,6 +79,8 @@
     InProgress,
     /// The order was answered.
     Done,
+    /// The order was sent and its answer was lost.
+    Lost,
     /// This incarnation did not run the order and will not run it under any claim made so far.
     NotRun,
 }
@@ -106,6 +112,7 @@
             return match entry.phase {
                 Phase::Claiming | Phase::Withdrawn | Phase::Running => Begin::Busy,
                 Phase::Done => Begin::Done,
+                Phase::Lost => Begin::Lost,
                 Phase::Refused if now < entry.changed_at + limits.refusal_hold => Begin::Refused,
                 Phase::Refused | Phase::Abandoned => {
                     entry.phase = Phase::Claiming;
@@ -172,6 +179,41 @@
         running
     }
 
+    /// Notes that the order was sent and that its answer was lost. Returns whether it was running.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use tanagerford_core::order::{Begin, Gate, GateLimits, OrderKey};
+    ///
+    /// let (limits, now) = (GateLimits::default(), Duration::ZERO);
+    /// let key = OrderKey::new("north", "burn-17");
+    /// let mut gate = Gate::default();
+    /// gate.begin(&limits, now, &key);
+    /// assert!(gate.start(now, &key, 1) && gate.lose(&key));
+    /// assert_eq!(gate.begin(&limits, now, &key), Begin::Lost);
+    /// ```
+    pub fn lose(&mut self, key: &OrderKey) -> bool {
+        self.change(key, Phase::Running, Phase::Lost)
+    }
+
+    /// Notes that an operator has settled an order whose answer was lost.
+    pub fn settle(&mut self, key: &OrderKey, how: Settlement) {
+        let settled = match how {
+            // A query must not be answered with not-run any more.
+            Settlement::Ran => Phase::Done,
+            Settlement::NotRun => Phase::Abandoned,
+        };
+        self.change(key, Phase::Lost, settled);
+    }
+
+    /// Returns whether the order was sent and its answer was lost.
+    #[must_use]
+    pub fn is_lost(&self, key: &OrderKey) -> bool {
+        self.entries
+            .get(key)
+            .is_some_and(|entry| entry.phase == Phase::Lost)
+    }
+
     /// Answers a query about `key`. A key that did not run is refused before the answer is given, so that an order
     /// that is still on its way to this sidecar cannot run after the answer.
     ///
@@ -195,6 +237,7 @@
         match entry.phase {
             Phase::Claiming | Phase::Running => GateAnswer::InProgress,
             Phase::Done => GateAnswer::Done,
+            Phase::Lost => GateAnswer::Lost,
             Phase::Withdrawn | Phase::Abandoned | Phase::Refused => {
                 entry.phase = Phase::Refused;
                 entry.changed_at = now;
@@ -255,7 +298,7 @@
     pub fn prune(&mut self, limits: &GateLimits, now: Duration) {
         self.entries.retain(|_, entry| {
             let kept_for = match entry.phase {
-                Phase::Claiming | Phase::Withdrawn | Phase::Running => return true,
+                Phase::Claiming | Phase::Withdrawn | Phase::Running | Phase::Lost => return true,
                 Phase::Done | Phase::Abandoned => limits.retention,
                 Phase::Refused => limits.refusal_hold,
             };
--- a/crates/core/src/order/look.rs
+++ b/crates/core/src/order/look.rs
@@ -19,6 +19,8 @@
     AnswerLost,
     /// A sidecar that is gone claimed the order. Only an operator can tell whether it was run.
     OwnerGone,
+    /// The order was sent from here and its answer was lost. Only an operator can tell whether it was run.
+    CallLost,
     /// An operator stated that the order was run.
     SettledRan,
 }
@@ -66,6 +68,8 @@
 fn look_at_own(gate: &Gate, key: &OrderKey, found: &Found<'_>) -> Look {
     if gate.is_done(key) {
         Look::Answered
+    } else if gate.is_lost(key) {
+        Look::CallLost
     } else if gate.is_busy(key) {
         Look::Wait
     } else if gate.attempt(key).is_none() {
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -199,23 +199,26 @@
         max_company: Some(2),
         ..request(10, 0)
     };
-    assert_eq!(started(&admission.offer(Duration::ZERO, suspect)), []);
+    assert_eq!(
+        started(&admission.offer(Duration::ZERO, suspect)),
+        [0_u64; 0]
+    );
     // Nothing else starts before the suspect, and it starts as soon as two others are left.
     assert_eq!(
         started(&admission.offer(Duration::ZERO, request(11, 0))),
-        []
+        [0_u64; 0]
     );
     let finish = |admission: &mut Admission, id| {
         started(&admission.on_finish(Duration::ZERO, id, FinishKind::Complete))
     };
-    assert_eq!(finish(&mut admission, 0), []);
-    assert_eq!(finish(&mut admission, 1), []);
+    assert_eq!(finish(&mut admission, 0), [0_u64; 0]);
+    assert_eq!(finish(&mut admission, 1), [0_u64; 0]);
     assert_eq!(finish(&mut admission, 2), [10]);
     assert_eq!(finish(&mut admission, 3), [11]);
     assert_eq!(admission.load().running, 3);
     assert_eq!(
         started(&admission.offer(Duration::ZERO, request(12, 0))),
-        []
+        [0_u64; 0]
     );
     assert_eq!(finish(&mut admission, 10), [12]);
 }
--- a/crates/core/tests/model_order.rs
+++ b/crates/core/tests/model_order.rs
@@ -40,6 +40,8 @@
     DeadlineKeepsClaim,
     /// A write whose answer was lost is not sent again.
     NeverResent,
+    /// The gate forgets an order whose answer was lost once it is settled, also when it was settled as run.
+    SettledAsRunForgotten,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -222,7 +224,11 @@
             }
             Look::Answered => self.tell(request, at, Request::Told(Told::Answered)),
             Look::Elsewhere(claim) => self.tell(request, at, Request::Elsewhere(claim)),
-            Look::OtherBody | Look::AnswerLost | Look::OwnerGone | Look::SettledRan => {
+            Look::OtherBody
+            | Look::AnswerLost
+            | Look::CallLost
+            | Look::OwnerGone
+            | Look::SettledRan => {
                 self.tell(request, at, Request::Told(Told::Unknown));
             }
         }
@@ -242,6 +248,7 @@
             Begin::Busy => {
                 side.waiting.insert(request);
             }
+            Begin::Lost => self.tell(request, at, Request::Told(Told::Unknown)),
             Begin::Done => self.tell(request, at, Request::Told(Told::Answered)),
             Begin::Refused | Begin::Full => self.tell(request, at, Request::Told(Told::NotRun)),
         }
@@ -286,7 +293,16 @@
                     }
                 }
                 Verdict::Later => side.queue.insert(0, (request, change)),
-                Verdict::Changed | Verdict::NoEffect => {}
+                Verdict::Changed | Verdict::NoEffect => {
+                    if let (Verdict::Changed, Change::Settle { how, .. }) = (verdict, change) {
+                        let how = if spec.defect == Defect::SettledAsRunForgotten {
+                            Settlement::NotRun
+                        } else {
+                            how
+                        };
+                        side.gate.settle(&key(), how);
+                    }
+                }
             }
         }
         self.look_again(spec, at);
@@ -456,7 +472,7 @@
                     world.sidecars[at].gate = asked;
                 }
                 world.requests[slot] = match (answer, claim) {
-                    (GateAnswer::InProgress, _) => Request::Told(Told::Unknown),
+                    (GateAnswer::InProgress | GateAnswer::Lost, _) => Request::Told(Told::Unknown),
                     (GateAnswer::Done, _) => Request::Told(Told::Answered),
                     (GateAnswer::NotRun, Some(claim)) => Request::Released(claim.clone()),
                     (GateAnswer::NotRun, None) => Request::Told(Told::NotRun),
@@ -677,6 +693,13 @@
                         world.effects[usize::from(request)] += 1;
                     },
                 );
+                self.add_fault(format!("sidecar {name}: loses the call"), |world| {
+                    let side = &mut world.sidecars[at];
+                    side.call = None;
+                    side.gate.lose(&key());
+                    world.tell(request, at, Request::Told(Told::Unknown));
+                    world.look_again(spec, at);
+                });
                 self.add_fault(
                     format!("sidecar {name}: cannot connect to its backend server"),
                     |world| {
@@ -697,6 +720,13 @@
                 );
             }
             Some((request, true)) => {
+                self.add_fault(format!("sidecar {name}: loses the answer"), |world| {
+                    let side = &mut world.sidecars[at];
+                    side.call = None;
+                    side.gate.lose(&key());
+                    world.tell(request, at, Request::Told(Told::Unknown));
+                    world.look_again(spec, at);
+                });
                 self.add(format!("sidecar {name}: gets the answer"), |world| {
                     let side = &mut world.sidecars[at];
                     side.call = None;
@@ -729,11 +759,13 @@
             .iter()
             .any(|(_, change)| matches!(change, Change::Settle { .. }));
         let of_other = *found.owner != side.owner;
-        let allowed = self.world.is_gone(found.owner) || self.spec.defect == Defect::SettleAlive;
+        let lost_here = !of_other && side.gate.is_lost(&key());
+        let allowed =
+            lost_here || self.world.is_gone(found.owner) || self.spec.defect == Defect::SettleAlive;
         if waits
             || side.batch.is_some()
             || !allowed
-            || !of_other
+            || !(of_other || lost_here)
             || found.record.state != RecordState::Claimed
         {
             return;
@@ -896,6 +928,10 @@
         "order_query_without_refusal",
         counterexample(Defect::QueryWithoutRefusal, not_run_is_false)
     );
+    insta::assert_snapshot!(
+        "order_settled_as_run_forgotten",
+        counterexample(Defect::SettledAsRunForgotten, not_run_is_false)
+    );
     insta::assert_snapshot!(
         "order_lost_answer_trusted",
         counterexample(Defect::LostAnswerTrusted, runs_twice)
--- a/crates/node/src/entry/operations.rs
+++ b/crates/node/src/entry/operations.rs
@@ -4,7 +4,7 @@
 
 use serde_json::{Value, json};
 use tanagerford_gossip::Gossip;
-use tanagerford_operator::listener::Operated;
+use tanagerford_operator::listener::{Operated, Statement};
 
 use crate::links::LinkPool;
 use crate::stop::StopSignal;
@@ -75,4 +75,8 @@
     fn drain(&self) {
         self.stop.raise();
     }
+
+    fn settle_order(&self, _: &Statement) -> Result<String, String> {
+        Err("orders are settled at a sidecar of their pool".to_owned())
+    }
 }
--- a/crates/node/src/orders/book.rs
+++ b/crates/node/src/orders/book.rs
@@ -218,6 +218,15 @@
         true
     }
 
+    /// Notes that an order was sent and that its answer was lost. Returns false if the order was not running.
+    pub fn lose(&self, key: &OrderKey) -> bool {
+        let cell = self.cell(key);
+        let mut state = cell.lock();
+        let lost = state.gate.lose(key);
+        cell.notify(&mut state);
+        lost
+    }
+
     /// Answers another process that asks about an order. Not-run is made true before it is said.
     pub fn query(&self, key: &OrderKey) -> OrderStatus {
         self.pass(OrderStep::AnswerQuery);
@@ -226,6 +235,7 @@
         match state.gate.query(self.clock.now(), key) {
             GateAnswer::InProgress => OrderStatus::Running,
             GateAnswer::Done => OrderStatus::Done(self.kept(key)),
+            GateAnswer::Lost => OrderStatus::Unknown,
             GateAnswer::NotRun => self.status_elsewhere(&state, key),
         }
     }
@@ -237,8 +247,10 @@
         for cell in &self.cells {
             let state = cell.lock();
             let claimed = state.shard().into_iter().flat_map(Shard::claimed);
-            let others = claimed.filter(|found| *found.owner != self.settings.owner);
-            unsettled.extend(others.map(|found| self.unsettled_order(&found)));
+            let shown = claimed.filter(|found| {
+                *found.owner != self.settings.owner || state.gate.is_lost(&found.record.key)
+            });
+            unsettled.extend(shown.map(|found| self.unsettled_order(&state, &found)));
         }
         unsettled
     }
@@ -253,7 +265,7 @@
         let found = state.shard().and_then(|shard| shard.find(key));
         let found = found.filter(|found| found.record.state == RecordState::Claimed);
         let claim = found.ok_or(SettleOutcome::NotUnsettled)?.claim();
-        if !self.is_gone(&claim.owner) {
+        if !self.is_unknown(&state, &claim.owner, key) {
             return Err(SettleOutcome::OwnerAlive);
         }
         let number = state.enqueue(Change::Settle {
@@ -326,7 +338,7 @@
             counts.pages += shard.page_count() as u64;
             counts.unknown_orders += shard
                 .claimed()
-                .filter(|found| self.is_gone(found.owner))
+                .filter(|found| self.is_unknown(&state, found.owner, &found.record.key))
                 .count() as u64;
         }
         counts
@@ -423,6 +435,11 @@
             .is_some_and(|lowest| owner.incarnation < *lowest)
     }
 
+    /// Returns whether only an operator can tell what became of a claimed order.
+    fn is_unknown(&self, state: &State, owner: &Owner, key: &OrderKey) -> bool {
+        self.is_gone(owner) || (*owner == self.settings.owner && state.gate.is_lost(key))
+    }
+
     fn not_run(&self, code: RefusalCode) -> ClaimDecision {
         ClaimDecision::NotRun {
             code,
@@ -486,6 +503,7 @@
             Look::OtherBody => Looked::Decided(ClaimDecision::RefusedOtherBody),
             Look::Elsewhere(claim) => Looked::Decided(ClaimDecision::OwnedElsewhere(claim)),
             Look::AnswerLost => unknown(UnknownCode::AnswerLost),
+            Look::CallLost => unknown(UnknownCode::CallLost),
             Look::OwnerGone => unknown(UnknownCode::OwnerGone),
             Look::SettledRan => unknown(UnknownCode::SettledRan),
         }
@@ -508,6 +526,9 @@
         {
             Begin::Busy => Looked::Wait,
             Begin::Done => Looked::Decided(self.answered(&order.key)),
+            Begin::Lost => Looked::Decided(ClaimDecision::Unknown {
+                code: UnknownCode::CallLost,
+            }),
             Begin::Refused => Looked::Decided(self.not_run(RefusalCode::Refused)),
             Begin::Full => Looked::Decided(self.not_run(RefusalCode::LogFull)),
             Begin::Claim => {
@@ -553,12 +574,12 @@
         }
     }
 
-    fn unsettled_order(&self, found: &Found<'_>) -> UnsettledOrder {
+    fn unsettled_order(&self, state: &State, found: &Found<'_>) -> UnsettledOrder {
         UnsettledOrder {
             key: found.record.key,
             claim: found.claim(),
             claimed_at: found.record.changed_at,
-            owner_gone: self.is_gone(found.owner),
+            is_unknown: self.is_unknown(state, found.owner, &found.record.key),
         }
     }
 
@@ -829,7 +850,12 @@
                 Verdict::Later => later.push(queued),
                 Verdict::Exists => fail_claim(&mut state, &queued, Outcome::LookAgain),
                 Verdict::Full => fail_claim(&mut state, &queued, Outcome::Full),
-                Verdict::Changed => report(&mut state, &queued, Outcome::Settled),
+                Verdict::Changed => {
+                    if let Change::Settle { key, how, .. } = &queued.change {
+                        state.gate.settle(key, *how);
+                    }
+                    report(&mut state, &queued, Outcome::Settled);
+                }
                 Verdict::NoEffect => report(&mut state, &queued, Outcome::NotUnsettled),
             }
         }
--- a/crates/node/src/orders/log.rs
+++ b/crates/node/src/orders/log.rs
@@ -59,7 +59,7 @@
 ///
 /// A sidecar calls [`OrderLog::claim`] before it sends an order to its backend server, and sends it only after
 /// [`ClaimDecision::Run`]. It then calls [`OrderLog::finish`] with the answer, or [`OrderLog::abandon`] if the call was
-/// certainly not sent. If neither is certain it calls nothing: the order then stays unsettled.
+/// certainly not sent. If neither is certain it calls [`OrderLog::lose`]: the order then stays unknown.
 pub struct OrderLog {
     book: Arc<OrderBook>,
     wake: Arc<Wake>,
@@ -120,6 +120,12 @@
         finished
     }
 
+    /// Notes that an order was sent and that its answer was lost: it stays unknown until an operator settles it. Returns
+    /// false if the order was not running.
+    pub fn lose(&self, key: &OrderKey) -> bool {
+        self.book.lose(key)
+    }
+
     /// Notes that an order was certainly not sent. Returns false if the order was not running.
     pub fn abandon(&self, key: &OrderKey) -> bool {
         let abandoned = self.book.abandon(key);
--- a/crates/node/src/orders/model.rs
+++ b/crates/node/src/orders/model.rs
@@ -213,6 +213,8 @@
     ClaimUnresolved,
     /// The sidecar that claimed the order is gone; an operator settles it.
     OwnerGone,
+    /// The order was sent, and the connection to the backend server was lost before the answer; an operator settles it.
+    CallLost,
     /// The order was run, but its answer is not kept any more.
     AnswerLost,
     /// An operator stated that the order was run.
@@ -226,6 +228,7 @@
         match self {
             Self::ClaimUnresolved => "order_claim_unresolved",
             Self::OwnerGone => "order_owner_gone",
+            Self::CallLost => "order_call_lost",
             Self::AnswerLost => "order_answer_lost",
             Self::SettledRan => "order_settled_as_run",
         }
@@ -270,11 +273,11 @@
     /// This incarnation has not run the order and will not run it under any claim made so far. Another sidecar may
     /// have run it: before a caller is told not-run, the shard's owner has to be asked to claim the order.
     NotRun,
-    /// Another sidecar claimed the order and is gone.
+    /// The sidecar that claimed the order is gone, or the answer of the backend server was lost.
     Unknown,
 }
 
-/// An order that was claimed by another process and is not known to be finished.
+/// An order that another process claimed and that is not known to be finished, or whose answer was lost here.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct UnsettledOrder {
     /// Key of the order.
@@ -283,8 +286,8 @@
     pub claim: ClaimId,
     /// Time of the claim since the Unix epoch.
     pub claimed_at: Duration,
-    /// Whether the claiming process is gone, so that the order is `unknown` until an operator settles it.
-    pub owner_gone: bool,
+    /// Whether the order is `unknown` until an operator settles it: the claiming process is gone, or its call was lost.
+    pub is_unknown: bool,
 }
 
 /// Outcome of an operator's statement.
@@ -294,7 +297,7 @@
     Settled,
     /// The order is not known here, or is finished, released or settled.
     NotUnsettled,
-    /// The process that claimed the order is not known to be gone; a statement that the order was not run could
+    /// The process that claimed the order is not known to be gone and its call was not lost; a statement that the order was not run could
     /// cause a second run.
     OwnerAlive,
     /// The statement was not written.
@@ -318,7 +321,7 @@
     pub keys: u64,
     /// Pages held in loaded shards.
     pub pages: u64,
-    /// Orders whose claiming process is gone.
+    /// Orders that stay unknown until an operator settles them.
     pub unknown_orders: u64,
     /// Bytes of kept answers.
     pub answer_bytes: u64,
--- a/crates/node/src/sidecar/operations.rs
+++ b/crates/node/src/sidecar/operations.rs
@@ -1,12 +1,14 @@
 //! What a sidecar offers to its operators.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use serde_json::{Value, json};
+use tanagerford_core::order::{OrderKey, Owner, Settlement};
 use tanagerford_gossip::Gossip;
-use tanagerford_operator::listener::Operated;
+use tanagerford_operator::listener::{Operated, Statement};
 
-use crate::orders::OrderLog;
+use crate::orders::{OrderLog, SettleOutcome};
 use crate::stop::StopSignal;
 
 use super::state::SidecarState;
@@ -56,8 +58,48 @@
     fn drain(&self) {
         self.stop.raise();
     }
+
+    fn settle_order(&self, statement: &Statement) -> Result<String, String> {
+        let orders = self.state.orders();
+        let orders = orders.ok_or("this backend server takes no orders")?;
+        let key: OrderKey = statement.key.parse().map_err(|_| "key is malformed")?;
+        if let Some(gone) = &statement.gone {
+            orders.observe_gone(&Owner {
+                server: gone.server.clone(),
+                incarnation: gone.incarnation,
+            });
+        }
+        let how = if statement.ran {
+            Settlement::Ran
+        } else {
+            Settlement::NotRun
+        };
+        let outcome = orders.settle(&key, how, SETTLE_TIMEOUT);
+        tracing::info!(
+            key = statement.key,
+            ran = statement.ran,
+            ?outcome,
+            "operator settles an order"
+        );
+        match outcome {
+            SettleOutcome::Settled => Ok("settled".to_owned()),
+            SettleOutcome::NotUnsettled => Err("order is not unsettled here".to_owned()),
+            SettleOutcome::OwnerAlive => {
+                Err("the process that claimed the order is not known to be gone".to_owned())
+            }
+            SettleOutcome::NotWritten => {
+                Err("not settled: the key-value service did not take the write".to_owned())
+            }
+            SettleOutcome::Unresolved => {
+                Err("the result of the write is not known yet; repeat the command".to_owned())
+            }
+        }
+    }
 }
 
+/// Longest wait for the write of an operator's statement.
+const SETTLE_TIMEOUT: Duration = Duration::from_secs(4);
+
 /// Unsettled orders that a state dump lists; the counts cover all.
 const MAX_LISTED_ORDERS: usize = 100;
 
@@ -73,7 +115,7 @@
                 "server": order.claim.owner.server,
                 "incarnation": order.claim.owner.incarnation,
                 "claimed_at_unix_s": order.claimed_at.as_secs(),
-                "owner_gone": order.owner_gone,
+                "is_unknown": order.is_unknown,
             })
         })
         .collect();
--- a/crates/node/src/sidecar/service.rs
+++ b/crates/node/src/sidecar/service.rs
@@ -262,8 +262,12 @@
     match backend.client.call(&call_of(work)) {
         Ok(answer) => {
             let whole = relay(backend, run, answer);
-            if let (Some((key, orders)), Ok(kept)) = (order, whole) {
-                orders.finish(&key, kept);
+            if let Some((key, orders)) = order {
+                match whole {
+                    Ok(kept) => orders.finish(&key, kept),
+                    // The answer had begun, so the order has run; only its answer is lost.
+                    Err(CutAnswer) => orders.finish(&key, None),
+                };
             }
         }
         Err(error @ (ServiceError::Unreachable | ServiceError::Invalid)) => {
@@ -280,6 +284,9 @@
             ));
         }
         Err(error @ ServiceError::Lost) => {
+            if let Some((key, orders)) = order {
+                orders.lose(&key);
+            }
             let _ = run.finish(Outcome::Failed, &error.to_string(), Some(backend.load()));
         }
     }
--- a/crates/node/tests/order_log.rs
+++ b/crates/node/tests/order_log.rs
@@ -186,7 +186,7 @@
     assert_eq!(claim_soon(&restarted, &clock, &order("burn")), unknown);
     let unsettled = restarted.unsettled();
     assert_eq!(unsettled.len(), 1);
-    assert!(unsettled[0].owner_gone);
+    assert!(unsettled[0].is_unknown);
     assert_eq!(restarted.counts().unknown_orders, 1);
 
     let mut ticket = restarted.begin_settle(&key, Settlement::NotRun).unwrap();
@@ -287,3 +287,32 @@
         "{decision:?}"
     );
 }
+
+/// Guards against an order that runs again, or is reported as in progress for ever, after the connection to the backend
+/// server was lost: it is unknown until an operator settles it.
+#[test]
+fn a_lost_call_stays_unknown_until_it_is_settled() {
+    let kv = Arc::new(FakeKv::default());
+    let log = log(&kv, "w1", 1);
+    assert!(run(&log.claim(&order("burn"), LONG)));
+    let key = order("burn").key;
+    assert_eq!(
+        log.settle(&key, Settlement::NotRun, LONG),
+        SettleOutcome::OwnerAlive
+    );
+    assert!(log.lose(&key));
+    let unknown = ClaimDecision::Unknown {
+        code: UnknownCode::CallLost,
+    };
+    assert_eq!(log.claim(&order("burn"), LONG), unknown);
+    assert_eq!(log.query(&key), OrderStatus::Unknown);
+    assert_eq!(log.counts().unknown_orders, 1);
+    assert_eq!(log.unsettled().len(), 1);
+    assert_eq!(
+        log.settle(&key, Settlement::NotRun, LONG),
+        SettleOutcome::Settled
+    );
+    assert!(run(&log.claim(&order("burn"), LONG)));
+    assert!(log.finish(&key, answer("plate 7")));
+    assert!(log.stop(LONG));
+}
--- a/crates/operator/src/listener.rs
+++ b/crates/operator/src/listener.rs
@@ -5,15 +5,40 @@
 use std::sync::Arc;
 
 use http::{HeaderValue, Method, StatusCode, header};
+use serde::{Deserialize, Serialize};
 use serde_json::Value;
+use tanagerford_core::ids::Incarnation;
 use tanagerford_http::{Body, Handler, Limits, Listener, ListenerHandle, Reply, Request};
 
 /// Connections of the listener. Operators' tools and the balancer poll it; callers never do.
 const MAX_CONNECTIONS: usize = 32;
 
-/// Largest body; no request of an operator has one.
+/// Largest body; a statement about an order has some 200 bytes.
 const MAX_BODY_BYTES: usize = 1_024;
 
+/// Statement of an operator about an order whose outcome is not known.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Statement {
+    /// Key of the order, as the state dump lists it.
+    pub key: String,
+    /// Whether the order was run.
+    pub ran: bool,
+    /// Process that claimed the order and that will never run again, if the operator vouches for that.
+    #[serde(default)]
+    pub gone: Option<GoneProcess>,
+}
+
+/// Process that an operator knows to be gone.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct GoneProcess {
+    /// Name of the process.
+    pub server: String,
+    /// Incarnation of the process.
+    pub incarnation: Incarnation,
+}
+
 /// What a process offers to its operators.
 pub trait Operated: Send + Sync + 'static {
     /// Returns the state of the process as JSON, without secrets.
@@ -27,6 +52,13 @@
 
     /// Begins a graceful stop.
     fn drain(&self);
+
+    /// Writes an operator's statement about an order whose outcome is not known, and returns what came of it.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the statement has no effect.
+    fn settle_order(&self, statement: &Statement) -> Result<String, String>;
 }
 
 /// Handler of the operators' listener.
@@ -67,13 +99,24 @@
             process.drain();
             plain(StatusCode::ACCEPTED, "draining\n")
         }
-        (_, "/state" | "/metrics" | "/live" | "/ready" | "/drain") => {
+        (&Method::POST, "/orders/settle") => settle(request, process),
+        (_, "/orders/settle" | "/state" | "/metrics" | "/live" | "/ready" | "/drain") => {
             plain(StatusCode::METHOD_NOT_ALLOWED, "method not allowed\n")
         }
         _ => plain(StatusCode::NOT_FOUND, "not found\n"),
     }
 }
 
+fn settle(request: &Request, process: &dyn Operated) -> Reply {
+    match serde_json::from_slice(&request.body) {
+        Ok(statement) => match process.settle_order(&statement) {
+            Ok(text) => plain(StatusCode::OK, format!("{text}\n")),
+            Err(text) => plain(StatusCode::CONFLICT, format!("{text}\n")),
+        },
+        Err(error) => plain(StatusCode::BAD_REQUEST, format!("{error}\n")),
+    }
+}
+
 fn json(value: &Value) -> Reply {
     typed(format!("{value:#}\n"), "application/json")
 }
--- a/src/cmd/drain.rs
+++ b/src/cmd/drain.rs
@@ -29,6 +29,6 @@
 
 pub fn run(arguments: &[String]) -> Result<(), Error> {
     let args = Args::parse(arguments)?;
-    let answer = util::http_post(&args.address, "/drain")?;
+    let answer = util::http_post(&args.address, "/drain", "")?;
     util::print(answer.trim_end())
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -21,6 +21,7 @@
   standalone                 run everything with stand-ins in one process
   state ADDRESS              print the state of a process
   drain ADDRESS              begin the graceful stop of a process
+  order list|settle          list and settle orders whose outcome is unknown
   config show|apply|status   show, apply or follow the configuration
 
 Options:
@@ -45,6 +46,7 @@
         "config" => cmd::config::run(rest),
         "drain" => cmd::drain::run(rest),
         "entry" => cmd::entry::run(rest),
+        "order" => cmd::order::run(rest),
         "sidecar" => cmd::sidecar::run(rest),
         "standalone" => cmd::standalone::run(rest),
         "state" => cmd::state::run(rest),
--- a/src/util.rs
+++ b/src/util.rs
@@ -98,16 +98,17 @@
     read_answer(answer)
 }
 
-/// Sends POST to the operators' listener at `address`.
-pub fn http_post(address: &str, path: &str) -> Result<String, Error> {
+/// Sends POST to the operators' listener at `address`; a refusal fails with the text of the answer.
+pub fn http_post(address: &str, path: &str, body: &str) -> Result<String, Error> {
     let answer = operator_agent()
         .post(format!("http://{address}{path}"))
-        .send_empty();
+        .send(body);
     read_answer(answer)
 }
 
 fn operator_agent() -> ureq::Agent {
     ureq::Agent::config_builder()
+        .http_status_as_error(false)
         .timeout_global(Some(OPERATOR_TIMEOUT))
         .build()
         .new_agent()
@@ -116,5 +117,15 @@
 fn read_answer(
     answer: Result<ureq::http::Response<ureq::Body>, ureq::Error>,
 ) -> Result<String, Error> {
-    Ok(answer?.body_mut().read_to_string()?)
+    let mut answer = answer?;
+    let text = answer.body_mut().read_to_string()?;
+    if answer.status().is_success() {
+        Ok(text)
+    } else {
+        Err(Error::failed(format!(
+            "{}: {}",
+            answer.status(),
+            text.trim_end()
+        )))
+    }
 }
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -382,6 +382,30 @@
     let state = fleet.workdir.run(&["state", &operators.to_string()]);
     let state: Value = serde_json::from_str(&state.stdout).expect("state is JSON");
     assert_eq!(state["orders"]["unknown_orders"], 1, "{state}");
+
+    // The operator looks at the service's records and settles; only then may the order run again.
+    let operators = operators.to_string();
+    let listed = fleet.workdir.run(&["order", "list", &operators]);
+    let key = listed
+        .stdout
+        .split(' ')
+        .next()
+        .unwrap_or_default()
+        .to_owned();
+    assert!(listed.stdout.ends_with(" unknown\n"), "{listed}");
+    wait_until(|| fleet.service.effects_of("plate") == 1);
+    let settled = fleet
+        .workdir
+        .run(&["order", "settle", &operators, &key, "ran"]);
+    assert_eq!(settled.stdout, "settled\n", "{settled}");
+    let again = fleet
+        .workdir
+        .run(&["order", "settle", &operators, &key, "not-run"]);
+    assert_eq!(again.code, Some(1), "{again}");
+    let (_, outcome, text) = order(callers, "burn-3");
+    assert_eq!(outcome.as_deref(), Some("unknown"), "{text}");
+    assert!(text.contains("order_settled_as_run"), "{text}");
+    assert_eq!(fleet.service.effects_of("plate"), 1);
 }
 
 /// Sends an order; returns its status, its outcome header and its text.
