Bound the capacity fit by the batches that were seen

Cause: a flat line from few samples gave limits of up to 256, and samples counted only near the limit, so such a limit was never corrected; engines ran over the between-token target and the top tier's places filled up. Change: a limit exceeds the largest batch seen by at most 25%, the limit without margin exceeds the other by at most 30%, and the lowest tier uses every sample.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -522,7 +522,8 @@
         for lower in tier..=lowest {
             let limit = self.tiers[lower].capacity.limit();
             let filled = self.filled(lower, limit);
-            if self.is_filled(lower) || (lower == lowest && filled * 2 >= limit) {
+            // The lowest tier sees all work, so each sample fits.
+            if lower == lowest || self.is_filled(lower) {
                 self.tiers[lower].capacity.observe(filled, gap);
             }
         }
--- a/crates/core/src/capacity.rs
+++ b/crates/core/src/capacity.rs
@@ -22,6 +22,12 @@
 /// excesses, so that not every start in a higher tier preempts something.
 const START_PART: f64 = 0.85;
 
+/// Factor on the largest batch seen up to which the fitted line is trusted.
+const EXTRAPOLATION: f64 = 1.25;
+
+/// Largest ratio of the limit without margin to the one with margin, so that a flat line cannot inflate it.
+const MAX_HARD_RATIO: f64 = 1.3;
+
 /// What a capacity estimate starts from.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct CapacitySettings {
@@ -63,6 +69,7 @@
     sum_gap: f64,
     sum_batch_batch: f64,
     sum_batch_gap: f64,
+    largest_seen: u32,
     limit: u32,
     hard_limit: u32,
 }
@@ -78,6 +85,7 @@
             sum_gap: 0.0,
             sum_batch_batch: 0.0,
             sum_batch_gap: 0.0,
+            largest_seen: 0,
             limit: 0,
             hard_limit: 0,
         };
@@ -122,6 +130,7 @@
     }
 
     fn add(&mut self, batch: u32, token_gap: Duration, weight: f64) {
+        self.largest_seen = self.largest_seen.max(batch);
         let target = self.settings.token_gap.as_secs_f64();
         // A stall (a crash, a paused VM) says nothing about the batch size; its influence is bounded.
         let gap = token_gap.as_secs_f64().min(8.0 * target);
@@ -158,8 +167,10 @@
     fn refit(&mut self) {
         let (base, slope) = self.line();
         let target = self.settings.token_gap.as_secs_f64();
-        self.limit = self.largest((target * START_PART - base) / slope);
-        self.hard_limit = self.largest((target - base) / slope);
+        let trusted = f64::from(self.largest_seen.max(self.settings.prior_batch)) * EXTRAPOLATION;
+        self.limit = self.largest(((target * START_PART - base) / slope).min(trusted));
+        let most = f64::from(self.limit) * MAX_HARD_RATIO;
+        self.hard_limit = self.largest(((target - base) / slope).min(most));
     }
 
     fn largest(&self, room: f64) -> u32 {
