Send all copies of a suspect request to the same backend server

Router::choose_for_suspect names the server by rendezvous hashing over the whole pool, independent of load and zone.

Conclusion: in the test, entries of different zones and loads agree, and leaving or tried servers are not chosen.

--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -22,7 +22,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use crate::ids::{Incarnation, PoolId, ServerId, TierId, ZoneId};
+use crate::ids::{Fingerprint, Incarnation, PoolId, ServerId, TierId, ZoneId};
 use crate::straggler::PaceSample;
 use pool::Pool;
 
@@ -73,6 +73,8 @@
     Affinity,
     /// Trial request for a server that was ejected as slow or failing.
     Trial,
+    /// All copies of a suspect request run on this server.
+    Suspect,
     /// Better of two random servers of the own availability zone.
     LeastLoaded,
     /// Better of two random servers of the other availability zones.
@@ -230,9 +232,43 @@
     ) -> Option<Choice> {
         let index = *self.index.get(request.pool)?;
         let tier = request.tier.min(self.settings.tiers - 1);
-        let pool = &mut self.pools[index];
-        let (slot, reason) = pool.choose(now, tier, request.prefix_hash, exclude)?;
-        Some(Choice {
+        let chosen = self.pools[index].choose(now, tier, request.prefix_hash, exclude);
+        chosen.map(|(slot, reason)| self.choice(index, slot, tier, reason))
+    }
+
+    /// Chooses the server for a request that must run isolated.
+    ///
+    /// All entries with the same list of servers choose the same one, whatever the load, so that copies of a request
+    /// that crashes servers run one after the other instead of crashing several servers at the same time.
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// # use tanagerford_core::routing::{ChoiceReason, RouteRequest, Router, RouterSettings, Server};
+    /// # let settings = RouterSettings { tiers: 1, zone: "a".into(), region_zones: Vec::new(), seed: 1 };
+    /// # let mut router = Router::new(settings);
+    /// # let servers = ["m1", "m2"].map(|id| Server { id: id.into(), zone: "a".into(), incarnation: 1, leaving: false });
+    /// # router.set_servers(Duration::ZERO, "chat", servers);
+    /// let request = RouteRequest { pool: "chat", tier: 0, prefix_hash: None };
+    /// let first = router.choose_for_suspect(&request, 77, &[]).unwrap();
+    /// let second = router.choose_for_suspect(&request, 77, &[]).unwrap();
+    /// assert_eq!(first.server, second.server);
+    /// assert_eq!(first.reason, ChoiceReason::Suspect);
+    /// ```
+    pub fn choose_for_suspect(
+        &mut self,
+        request: &RouteRequest,
+        fingerprint: Fingerprint,
+        exclude: &[ServerId],
+    ) -> Option<Choice> {
+        let index = *self.index.get(request.pool)?;
+        let tier = request.tier.min(self.settings.tiers - 1);
+        let slot = self.pools[index].choose_for_suspect(tier, fingerprint, exclude)?;
+        Some(self.choice(index, slot, tier, ChoiceReason::Suspect))
+    }
+
+    fn choice(&self, index: usize, slot: usize, tier: TierId, reason: ChoiceReason) -> Choice {
+        let pool = &self.pools[index];
+        Choice {
             server: pool.server_id(slot).clone(),
             reason,
             attempt: Attempt {
@@ -241,7 +277,7 @@
                 epoch: pool.epoch(slot),
                 tier,
             },
-        })
+        }
     }
 
     /// Records the end of an attempt that was answered. See [`Router::new`] for an example.
--- a/crates/core/src/routing/choose.rs
+++ b/crates/core/src/routing/choose.rs
@@ -34,12 +34,7 @@
     pub(super) own: Ring,
     pub(super) near: Ring,
     pub(super) far: Ring,
-}
-
-impl Rings {
-    fn len(&self) -> usize {
-        self.own.len() + self.near.len() + self.far.len()
-    }
+    pub(super) all: Ring,
 }
 
 /// One choice under way.
@@ -81,7 +76,7 @@
 
     fn by_prefix(&mut self, prefix_hash: u64) -> Option<(usize, ChoiceReason)> {
         let rings = self.rings;
-        let bound = BOUND_FACTOR * self.view.mean_load(rings.len()) + 1.0;
+        let bound = BOUND_FACTOR * self.view.mean_load(rings.all.len()) + 1.0;
         if let Some(slot) = self
             .cached_at(prefix_hash)
             .filter(|&slot| self.is_within(slot, bound))
--- a/crates/core/src/routing/pool.rs
+++ b/crates/core/src/routing/pool.rs
@@ -7,7 +7,10 @@
 use super::ring::Ring;
 use super::view::View;
 use super::{Answer, Attempt, CacheEvent, ChoiceReason, RouterSettings, Server};
-use crate::ids::{ServerId, TierId};
+use crate::ids::{Fingerprint, ServerId, TierId};
+
+/// Rendezvous candidates of a suspect. More than enough for the few attempts of a request.
+const SUSPECT_CANDIDATES: u64 = 16;
 
 /// Place of a server in all tables of the pool.
 #[derive(Debug)]
@@ -159,9 +162,14 @@
     }
 
     fn on_members_changed(&mut self) {
-        self.rings.own = self.ring(Distance::OwnZone);
-        self.rings.near = self.ring(Distance::OwnRegion);
-        self.rings.far = self.ring(Distance::OtherRegion);
+        self.rings.own = self.ring(&[Distance::OwnZone]);
+        self.rings.near = self.ring(&[Distance::OwnRegion]);
+        self.rings.far = self.ring(&[Distance::OtherRegion]);
+        self.rings.all = self.ring(&[
+            Distance::OwnZone,
+            Distance::OwnRegion,
+            Distance::OtherRegion,
+        ]);
         let slots = self.slots.iter().enumerate();
         let working = slots.filter(|(_, slot)| slot.takes_work());
         let working: Vec<usize> = working.map(|(index, _)| index).collect();
@@ -170,9 +178,10 @@
         }
     }
 
-    fn ring(&self, distance: Distance) -> Ring {
+    fn ring(&self, distances: &[Distance]) -> Ring {
         let slots = self.slots.iter().enumerate();
-        let members = slots.filter(|(_, slot)| slot.takes_work() && slot.distance == distance);
+        let members =
+            slots.filter(|(_, slot)| slot.takes_work() && distances.contains(&slot.distance));
         Ring::new(members.map(|(index, slot)| (slot.server.id.as_str(), index)))
     }
 
@@ -212,10 +221,27 @@
             view: &mut self.views[usize::from(tier)],
         };
         let (slot, reason) = chooser.choose(prefix_hash)?;
+        self.on_sent(slot, tier);
+        Some((slot, reason))
+    }
+
+    pub(super) fn choose_for_suspect(
+        &mut self,
+        tier: TierId,
+        fingerprint: Fingerprint,
+        exclude: &[ServerId],
+    ) -> Option<usize> {
+        let mut candidates =
+            (0..SUSPECT_CANDIDATES).filter_map(|salt| self.rings.all.pick(fingerprint, salt));
+        let slot = candidates.find(|&slot| !exclude.contains(self.server_id(slot)))?;
+        self.on_sent(slot, tier);
+        Some(slot)
+    }
+
+    fn on_sent(&mut self, slot: usize, tier: TierId) {
         for view in &mut self.views[usize::from(tier)..] {
             view.on_sent(slot);
         }
-        Some((slot, reason))
     }
 
     pub(super) fn on_answer(&mut self, now: Duration, attempt: &Attempt, answer: &Answer) {
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -454,3 +454,52 @@
     assert!((3..=6).contains(&trials.len()), "{trials:?}");
     assert!(during(50, 60).count() > 10, "{reasons:?}");
 }
+
+/// Guards against copies of a poison request that entries of different zones and loads send to different servers, and
+/// against a suspect at a leaving or excluded server.
+#[test]
+fn all_entries_send_a_suspect_to_the_same_server() {
+    let request = RouteRequest {
+        pool: POOL,
+        tier: 2,
+        prefix_hash: Some(3),
+    };
+    let mut first = router(12, 3, 1);
+    let mut second = Router::new(RouterSettings {
+        tiers: TIERS,
+        zone: "z2".into(),
+        region_zones: vec!["z2".into()],
+        seed: 9,
+    });
+    second.set_servers(
+        Duration::ZERO,
+        POOL,
+        (0..12).rev().map(|number| server(number, 3)),
+    );
+    for fingerprint in 0..50 {
+        let chosen = first
+            .choose_for_suspect(&request, fingerprint, &[])
+            .unwrap()
+            .server;
+        let busy = std::iter::repeat_with(|| {
+            second
+                .choose_for_suspect(&request, fingerprint, &[])
+                .unwrap()
+                .server
+        });
+        assert!(busy.take(5).all(|server| server == chosen));
+        let other = second
+            .choose_for_suspect(&request, fingerprint, std::slice::from_ref(&chosen))
+            .unwrap();
+        assert_ne!(other.server, chosen);
+        let mut leaving = router(12, 3, 1);
+        leaving.set_leaving(POOL, &chosen);
+        assert_ne!(
+            leaving
+                .choose_for_suspect(&request, fingerprint, &[])
+                .unwrap()
+                .server,
+            chosen
+        );
+    }
+}
