Test that load hints of lower tiers change no choice and that old hints count as the average

Cause: breaking either rule on purpose (a hint's load of all tiers in each view; hints that fade to zero, or not at all) failed no test.

Conclusion: each of the three changes now fails a test.

--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -115,13 +115,14 @@
             continue;
         }
         let attempts = open.entry(step.tier).or_default();
-        if let (Some((refused, busy)), false) = (step.ends, attempts.is_empty()) {
+        if let (Some((refused, mut busy)), false) = (step.ends, attempts.is_empty()) {
+            busy[usize::from(lowest) + 1..].fill(0);
             let attempt = attempts.remove(0).attempt;
             let answer = Answer {
                 load: Some(load(&busy)),
-                first_token: (!refused).then(|| Duration::from_millis(100 + u64::from(busy[3]))),
+                first_token: (!refused).then(|| Duration::from_millis(100 + u64::from(busy[0]))),
                 prompt_tokens: 100,
-                pace: (!refused).then(|| pace(busy[2])),
+                pace: (!refused).then(|| pace(busy[0])),
             };
             router.on_answer(now, attempt, &answer);
         }
@@ -253,6 +254,41 @@
     );
 }
 
+/// Guards against a server that was not heard of for long and counts as idle, or as busy as it once was.
+#[test]
+fn old_hints_count_as_the_average() {
+    for old_load in [0, 100] {
+        let mut router = router(20, 1, 1);
+        let request = RouteRequest {
+            pool: POOL,
+            tier: 0,
+            prefix_hash: None,
+        };
+        let all: Vec<String> = (0..20).map(|number| format!("m{number}")).collect();
+        let hint = |router: &mut Router, now: Duration, number: usize, busy: u32| {
+            let mut others = all.clone();
+            others.remove(number);
+            let choice = router.choose(now, &request, &others).unwrap();
+            router.on_refusal(now, choice.attempt, Some(&load(&[busy, 0, 0, 0])));
+        };
+        hint(&mut router, Duration::ZERO, 0, old_load);
+        let now = Duration::from_mins(5);
+        for number in 1..20 {
+            hint(&mut router, now, number, 30);
+        }
+        let mut chosen = 0;
+        for _ in 0..1000 {
+            let choice = choose(&mut router, now, 0, None).unwrap();
+            chosen += usize::from(choice.server == "m0");
+            router.on_ended(now, choice.attempt);
+        }
+        assert!(
+            (25..=75).contains(&chosen),
+            "{chosen} of 1000 after a load of {old_load}"
+        );
+    }
+}
+
 /// Guards against new work for a leaving server while the VM list that still names it as live lags behind.
 #[test]
 fn leaving_server_stays_so_for_its_incarnation() {
