--- a/crates/core/tests/retry.rs
+++ b/crates/core/tests/retry.rs
@@ -1,9 +1,11 @@
 //! Retry decisions and budgets.
 
+mod seeded;
+
 use std::time::Duration;
 
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use seeded::runner;
 use tanagerford_core::retry::{
     AttemptOutcome, FinalOutcome, GiveUpReason, LinkPhase, Progress, RetryBudget, RetryDecision,
     RetryState,
@@ -89,13 +91,8 @@
 /// request that must not be repeated. A refusal after a delivered part was once reported as `not-run`.
 #[test]
 fn not_run_is_proved_and_nothing_unrepeatable_runs_twice() {
-    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[9; 32]);
-    let config = Config {
-        failure_persistence: None,
-        ..Config::with_cases(512)
-    };
     let outcomes = prop::collection::vec(prop::sample::select(OUTCOMES.to_vec()), 1..8);
-    TestRunner::new_with_rng(config, rng)
+    runner(512)
         .run(
             &(outcomes, any::<(bool, bool)>()),
             |(outcomes, (repeatable, delivered))| {
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -1,10 +1,12 @@
 //! Choice of a backend server.
 
+mod seeded;
+
 use std::collections::HashMap;
 use std::time::Duration;
 
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use seeded::runner;
 use tanagerford_core::routing::{
     Answer, CacheEvent, Choice, ChoiceReason, LoadHint, RouteRequest, Router, RouterSettings,
     Server,
@@ -14,17 +16,6 @@
 const POOL: &str = "chat";
 const TIERS: u8 = 4;
 
-fn runner(cases: u32) -> TestRunner {
-    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
-    TestRunner::new_with_rng(
-        Config {
-            failure_persistence: None,
-            ..Config::with_cases(cases)
-        },
-        rng,
-    )
-}
-
 fn server(number: usize, zones: usize) -> Server {
     Server {
         id: format!("m{number}"),
@@ -35,9 +26,14 @@
 }
 
 fn router(count: usize, zones: usize, seed: u64) -> Router {
+    router_in(0, count, zones, seed)
+}
+
+fn router_in(zone: u64, count: usize, zones: usize, seed: u64) -> Router {
+    let zone = format!("z{zone}");
     let mut router = Router::new(RouterSettings {
         tiers: TIERS,
-        zone: "z0".into(),
+        zone,
         region_zones: Vec::new(),
         seed,
     });
@@ -49,18 +45,21 @@
     router
 }
 
+fn request(tier: u8, prefix_hash: Option<u64>) -> RouteRequest<'static> {
+    RouteRequest {
+        pool: POOL,
+        tier,
+        prefix_hash,
+    }
+}
+
 fn choose(
     router: &mut Router,
     now: Duration,
     tier: u8,
     prefix_hash: Option<u64>,
 ) -> Option<Choice> {
-    let request = RouteRequest {
-        pool: POOL,
-        tier,
-        prefix_hash,
-    };
-    router.choose(now, &request, &[])
+    router.choose(now, &request(tier, prefix_hash), &[])
 }
 
 fn load(busy_by_tier: &[u32]) -> LoadHint {
@@ -202,22 +201,8 @@
 fn entries_with_a_busy_zone_spread_a_common_prefix() {
     let mut counts: HashMap<String, usize> = HashMap::new();
     for entry in 0..64 {
-        let mut router = Router::new(RouterSettings {
-            tiers: TIERS,
-            zone: format!("z{}", entry % 8),
-            region_zones: Vec::new(),
-            seed: entry,
-        });
-        router.set_servers(
-            Duration::ZERO,
-            POOL,
-            (0..32).map(|number| server(number, 8)),
-        );
-        let request = RouteRequest {
-            pool: POOL,
-            tier: 0,
-            prefix_hash: Some(3),
-        };
+        let mut router = router_in(entry % 8, 32, 8, entry);
+        let request = request(0, Some(3));
         let own = (0..4).map(|row| format!("m{}", entry % 8 + 8 * row));
         let tried: Vec<String> = own.collect();
         let choice = router.choose(Duration::ZERO, &request, &tried).unwrap();
@@ -230,11 +215,7 @@
 #[test]
 fn frequent_hints_of_a_busy_server_do_not_raise_the_mean() {
     let mut router = router(10, 1, 1);
-    let request = RouteRequest {
-        pool: POOL,
-        tier: 0,
-        prefix_hash: Some(3),
-    };
+    let request = request(0, Some(3));
     let busy = router.choose(Duration::ZERO, &request, &[]).unwrap();
     let mut tried = vec![busy.server.clone()];
     router.on_ended(Duration::ZERO, busy.attempt);
@@ -259,11 +240,7 @@
 fn old_hints_count_as_the_average() {
     for old_load in [0, 100] {
         let mut router = router(20, 1, 1);
-        let request = RouteRequest {
-            pool: POOL,
-            tier: 0,
-            prefix_hash: None,
-        };
+        let request = request(0, None);
         let all: Vec<String> = (0..20).map(|number| format!("m{number}")).collect();
         let hint = |router: &mut Router, now: Duration, number: usize, busy: u32| {
             let mut others = all.clone();
@@ -309,11 +286,7 @@
         ..server(0, 1)
     };
     router.set_servers(Duration::from_secs(2), POOL, [restarted, server(1, 1)]);
-    let request = RouteRequest {
-        pool: POOL,
-        tier: 0,
-        prefix_hash: None,
-    };
+    let request = request(0, None);
     assert!(
         router
             .choose(Duration::from_mins(2), &request, &["m1".into()])
@@ -411,11 +384,7 @@
 #[test]
 fn tried_servers_are_excluded() {
     let mut router = router(3, 2, 1);
-    let request = RouteRequest {
-        pool: POOL,
-        tier: 1,
-        prefix_hash: Some(3),
-    };
+    let request = request(1, Some(3));
     let mut tried: Vec<String> = Vec::new();
     while let Some(choice) = router.choose(Duration::ZERO, &request, &tried) {
         assert!(!tried.contains(&choice.server));
@@ -495,11 +464,7 @@
 /// against a suspect at a leaving or excluded server.
 #[test]
 fn all_entries_send_a_suspect_to_the_same_server() {
-    let request = RouteRequest {
-        pool: POOL,
-        tier: 2,
-        prefix_hash: Some(3),
-    };
+    let request = request(2, Some(3));
     let mut first = router(12, 3, 1);
     let mut second = Router::new(RouterSettings {
         tiers: TIERS,
--- a/crates/core/tests/suspect.rs
+++ b/crates/core/tests/suspect.rs
@@ -1,10 +1,12 @@
 //! Suspicion of requests that crash backend servers.
 
+mod seeded;
+
 use std::collections::BTreeSet;
 use std::time::Duration;
 
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use seeded::runner;
 use tanagerford_core::suspect::{Running, SummaryEntry, SuspectLimits, SuspectTable, Verdict};
 
 const NOW: Duration = Duration::from_secs(1000);
@@ -14,17 +16,6 @@
     workspace_entries: 6,
 };
 
-fn runner() -> TestRunner {
-    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[3; 32]);
-    TestRunner::new_with_rng(
-        Config {
-            failure_persistence: None,
-            ..Config::with_cases(256)
-        },
-        rng,
-    )
-}
-
 fn running(fingerprint: u64) -> Running {
     Running {
         fingerprint,
@@ -103,7 +94,7 @@
 /// with tables at their limits too.
 #[test]
 fn merge_is_commutative_and_idempotent() {
-    runner()
+    runner(256)
         .run(&(table(), table()), |(left, right)| {
             let both = merged(left.clone(), &right);
             let expected = effect(&both);
@@ -122,7 +113,7 @@
 #[test]
 fn poison_crashes_two_servers_and_innocents_run() {
     let batches = prop::collection::vec(prop::collection::btree_set(1..60_u64, 0..20), 1..30);
-    runner()
+    runner(256)
         .run(&batches, |batches| {
             const POISON: u64 = 0;
             let mut table = SuspectTable::default();
