--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -1,10 +1,12 @@
 //! Choice of a backend server.
 
+mod seeded;
+
 use std::collections::HashMap;
 use std::time::Duration;
 
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use seeded::runner;
 use tanagerford_core::routing::{
     Answer, CacheEvent, Choice, ChoiceReason, LoadHint, RouteRequest, Router, RouterSettings,
     Server,
@@ -14,17 +16,6 @@
 const POOL: &str = "chat";
 const TIERS: u8 = 4;
 
-fn runner(cases: u32) -> TestRunner {
-    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
-    TestRunner::new_with_rng(
-        Config {
-            failure_persistence: None,
-            ..Config::with_cases(cases)
-        },
-        rng,
-    )
-}
-
 fn server(number: usize, zones: usize) -> Server {
     Server {
         id: format!("m{number}"),
@@ -35,9 +26,14 @@
 }
 
 fn router(count: usize, zones: usize, seed: u64) -> Router {
+    router_in(0, count, zones, seed)
+}
+
+fn router_in(zone: u64, count: usize, zones: usize, seed: u64) -> Router {
+    let zone = format!("z{zone}");
     let mut router = Router::new(RouterSettings {
         tiers: TIERS,
-        zone: "z0".into(),
+        zone,
         region_zones: Vec::new(),
         seed,
     });
@@ -49,18 +45,21 @@
     router
 }
 
+fn request(tier: u8, prefix_hash: Option<u64>) -> RouteRequest<'static> {
+    RouteRequest {
+        pool: POOL,
+        tier,
+        prefix_hash,
+    }
+}
+
 fn choose(
     router: &mut Router,
     now: Duration,
     tier: u8,
     prefix_hash: Option<u64>,
 ) -> Option<Choice> {
-    let request = RouteRequest {
-        pool: POOL,
-        tier,
-        prefix_hash,
-    };
-    router.choose(now, &request, &[])
+    router.choose(now, &request(tier, prefix_hash), &[])
 }
 
 fn load(busy_by_tier: &[u32]) -> LoadHint {
@@ -115,13 +114,14 @@
             continue;
         }
         let attempts = open.entry(step.tier).or_default();
-        if let (Some((refused, busy)), false) = (step.ends, attempts.is_empty()) {
+        if let (Some((refused, mut busy)), false) = (step.ends, attempts.is_empty()) {
+            busy[usize::from(lowest) + 1..].fill(0);
             let attempt = attempts.remove(0).attempt;
             let answer = Answer {
                 load: Some(load(&busy)),
-                first_token: (!refused).then(|| Duration::from_millis(100 + u64::from(busy[3]))),
+                first_token: (!refused).then(|| Duration::from_millis(100 + u64::from(busy[0]))),
                 prompt_tokens: 100,
-                pace: (!refused).then(|| pace(busy[2])),
+                pace: (!refused).then(|| pace(busy[0])),
             };
             router.on_answer(now, attempt, &answer);
         }
@@ -201,22 +201,8 @@
 fn entries_with_a_busy_zone_spread_a_common_prefix() {
     let mut counts: HashMap<String, usize> = HashMap::new();
     for entry in 0..64 {
-        let mut router = Router::new(RouterSettings {
-            tiers: TIERS,
-            zone: format!("z{}", entry % 8),
-            region_zones: Vec::new(),
-            seed: entry,
-        });
-        router.set_servers(
-            Duration::ZERO,
-            POOL,
-            (0..32).map(|number| server(number, 8)),
-        );
-        let request = RouteRequest {
-            pool: POOL,
-            tier: 0,
-            prefix_hash: Some(3),
-        };
+        let mut router = router_in(entry % 8, 32, 8, entry);
+        let request = request(0, Some(3));
         let own = (0..4).map(|row| format!("m{}", entry % 8 + 8 * row));
         let tried: Vec<String> = own.collect();
         let choice = router.choose(Duration::ZERO, &request, &tried).unwrap();
@@ -229,11 +215,7 @@
 #[test]
 fn frequent_hints_of_a_busy_server_do_not_raise_the_mean() {
     let mut router = router(10, 1, 1);
-    let request = RouteRequest {
-        pool: POOL,
-        tier: 0,
-        prefix_hash: Some(3),
-    };
+    let request = request(0, Some(3));
     let busy = router.choose(Duration::ZERO, &request, &[]).unwrap();
     let mut tried = vec![busy.server.clone()];
     router.on_ended(Duration::ZERO, busy.attempt);
@@ -253,6 +235,37 @@
     );
 }
 
+/// Guards against a server that was not heard of for long and counts as idle, or as busy as it once was.
+#[test]
+fn old_hints_count_as_the_average() {
+    for old_load in [0, 100] {
+        let mut router = router(20, 1, 1);
+        let request = request(0, None);
+        let all: Vec<String> = (0..20).map(|number| format!("m{number}")).collect();
+        let hint = |router: &mut Router, now: Duration, number: usize, busy: u32| {
+            let mut others = all.clone();
+            others.remove(number);
+            let choice = router.choose(now, &request, &others).unwrap();
+            router.on_refusal(now, choice.attempt, Some(&load(&[busy, 0, 0, 0])));
+        };
+        hint(&mut router, Duration::ZERO, 0, old_load);
+        let now = Duration::from_mins(5);
+        for number in 1..20 {
+            hint(&mut router, now, number, 30);
+        }
+        let mut chosen = 0;
+        for _ in 0..1000 {
+            let choice = choose(&mut router, now, 0, None).unwrap();
+            chosen += usize::from(choice.server == "m0");
+            router.on_ended(now, choice.attempt);
+        }
+        assert!(
+            (25..=75).contains(&chosen),
+            "{chosen} of 1000 after a load of {old_load}"
+        );
+    }
+}
+
 /// Guards against new work for a leaving server while the VM list that still names it as live lags behind.
 #[test]
 fn leaving_server_stays_so_for_its_incarnation() {
@@ -273,11 +286,7 @@
         ..server(0, 1)
     };
     router.set_servers(Duration::from_secs(2), POOL, [restarted, server(1, 1)]);
-    let request = RouteRequest {
-        pool: POOL,
-        tier: 0,
-        prefix_hash: None,
-    };
+    let request = request(0, None);
     assert!(
         router
             .choose(Duration::from_mins(2), &request, &["m1".into()])
@@ -375,11 +384,7 @@
 #[test]
 fn tried_servers_are_excluded() {
     let mut router = router(3, 2, 1);
-    let request = RouteRequest {
-        pool: POOL,
-        tier: 1,
-        prefix_hash: Some(3),
-    };
+    let request = request(1, Some(3));
     let mut tried: Vec<String> = Vec::new();
     while let Some(choice) = router.choose(Duration::ZERO, &request, &tried) {
         assert!(!tried.contains(&choice.server));
@@ -454,3 +459,48 @@
     assert!((3..=6).contains(&trials.len()), "{trials:?}");
     assert!(during(50, 60).count() > 10, "{reasons:?}");
 }
+
+/// Guards against copies of a poison request that entries of different zones and loads send to different servers, and
+/// against a suspect at a leaving or excluded server.
+#[test]
+fn all_entries_send_a_suspect_to_the_same_server() {
+    let request = request(2, Some(3));
+    let mut first = router(12, 3, 1);
+    let mut second = Router::new(RouterSettings {
+        tiers: TIERS,
+        zone: "z2".into(),
+        region_zones: vec!["z2".into()],
+        seed: 9,
+    });
+    second.set_servers(
+        Duration::ZERO,
+        POOL,
+        (0..12).rev().map(|number| server(number, 3)),
+    );
+    for fingerprint in 0..50 {
+        let chosen = first
+            .choose_for_suspect(&request, fingerprint, &[])
+            .unwrap()
+            .server;
+        let busy = std::iter::repeat_with(|| {
+            second
+                .choose_for_suspect(&request, fingerprint, &[])
+                .unwrap()
+                .server
+        });
+        assert!(busy.take(5).all(|server| server == chosen));
+        let other = second
+            .choose_for_suspect(&request, fingerprint, std::slice::from_ref(&chosen))
+            .unwrap();
+        assert_ne!(other.server, chosen);
+        let mut leaving = router(12, 3, 1);
+        leaving.set_leaving(POOL, &chosen);
+        assert_ne!(
+            leaving
+                .choose_for_suspect(&request, fingerprint, &[])
+                .unwrap()
+                .server,
+            chosen
+        );
+    }
+}
