Let the first servers refuse what waits long so that the entry tries others

Cause: with prefix affinity a request of the top tier waited at a busy server while others had places. Change: in the measurement's entry, the first two attempts may wait a quarter of the first-token target, later ones the rest of the longest wait. The baselines keep their place in one queue.

--- a/examples/policy/driver.rs
+++ b/examples/policy/driver.rs
@@ -280,8 +280,17 @@
             Verdict::Normal => None,
         };
         let spec = *self.spec(index);
+        let policy = self.policy;
         let work = &mut self.works[index];
         work.attempts += 1;
+        let left = work.wait_left(&spec, self.now);
+        // The first two servers refuse what waits long there, so that the entry tries others; the last one may queue it.
+        let patience = Duration::from_millis(spec.target_ms / 4);
+        let wait_limit = if policy == Policy::Ours && work.attempts <= 2 {
+            left.min(patience)
+        } else {
+            left
+        };
         let request = Request {
             id: index as u64,
             tier: work.job.tier,
@@ -290,7 +299,7 @@
             model: "model".to_owned(),
             prompt_tokens: spec.tokens[0] + spec.tokens[1],
             max_tokens: 4_000,
-            wait_limit: work.wait_left(&spec, self.now),
+            wait_limit,
             deadline: self.now + Duration::from_mins(10),
             resumable: true,
             max_company: company,
