Count gaps for a tier's capacity only after lower tiers have drained

Cause: when a burst filled the top tier's places, the gaps of the first seconds were due to lower tiers and to prompts, and a few hundred samples outweighed the prior, so the limit fell to 4 and top-tier requests were refused. Change: samples count after the places were filled for 2 s, the prior weighs as much as 100 samples, and preemption starts at 92% of the between-token target instead of all of it.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -167,7 +167,7 @@
         let Some(gap) = self.tiers[tier].token_gap(now, id, &class, tokens) else {
             return Vec::new();
         };
-        self.observe_gap(tier, gap);
+        self.observe_gap(now, tier, gap);
         Vec::new()
     }
 
@@ -517,13 +517,14 @@
         self.tiers[tier].queue.drain_time(rate)
     }
 
-    fn observe_gap(&mut self, tier: usize, gap: Duration) {
+    fn observe_gap(&mut self, now: Duration, tier: usize, gap: Duration) {
         let lowest = self.tiers.len() - 1;
         for lower in tier..=lowest {
             let limit = self.tiers[lower].capacity.limit();
             let filled = self.filled(lower, limit);
+            let is_filled = self.is_filled(lower);
             // The lowest tier sees all work, so each sample fits.
-            if lower == lowest || self.is_filled(lower) {
+            if self.tiers[lower].is_settled(now, is_filled) || lower == lowest {
                 self.tiers[lower].capacity.observe(filled, gap);
             }
         }
--- a/crates/core/src/admission/tier.rs
+++ b/crates/core/src/admission/tier.rs
@@ -20,6 +20,10 @@
 /// Time to the first token that is assumed until there are observations.
 const PRIOR_FIRST_TOKEN_SECS: f64 = 0.1;
 
+/// Time for which a tier's places have to be filled before the time between tokens counts for its capacity. Lower
+/// tiers start nothing in the meantime, and most of their running requests end.
+const SETTLING_TIME: Duration = Duration::from_secs(2);
+
 /// A request at the engine.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Running {
@@ -51,6 +55,8 @@
     pub running: BTreeMap<AttemptId, Running>,
     pub capacity: Capacity,
     pub reviewed_at: Duration,
+    /// Time since which the tier and higher ones use nearly all their places.
+    filled_since: Option<Duration>,
     secs_per_token: f64,
     first_token_secs: BTreeMap<ClassId, f64>,
     offered_at: Duration,
@@ -66,6 +72,7 @@
             running: BTreeMap::new(),
             capacity: Capacity::new(settings.capacity()),
             reviewed_at: Duration::ZERO,
+            filled_since: None,
             secs_per_token: settings.token_gap.as_secs_f64(),
             first_token_secs: first_token_priors(settings),
             offered_at: Duration::ZERO,
@@ -170,6 +177,17 @@
         Duration::from_secs_f64(mean * FIRST_TOKEN_MARGIN)
     }
 
+    /// Returns whether the places have been filled for long enough that lower tiers have drained to the places kept for
+    /// them. Before that, the time between tokens is also due to lower tiers.
+    pub fn is_settled(&mut self, now: Duration, is_filled: bool) -> bool {
+        if !is_filled {
+            self.filled_since = None;
+            return false;
+        }
+        let since = *self.filled_since.get_or_insert(now);
+        now.saturating_sub(since) >= SETTLING_TIME
+    }
+
     /// Returns the speed at which waiting work is served with the given places.
     pub fn rate(&self, places: u32) -> ServiceRate {
         let free = places > self.running();
--- a/crates/core/src/capacity.rs
+++ b/crates/core/src/capacity.rs
@@ -10,7 +10,7 @@
 const FORGETTING: f64 = 0.9995;
 
 /// Weight of each of the two points that stand for the prior.
-const PRIOR_WEIGHT: f64 = 2.0;
+const PRIOR_WEIGHT: f64 = 50.0;
 
 /// Weight of one load report, relative to one observed sample.
 const REPORT_WEIGHT: f64 = 0.05;
@@ -22,6 +22,9 @@
 /// excesses, so that not every start in a higher tier preempts something.
 const START_PART: f64 = 0.85;
 
+/// Part of the between-token target that running requests may use before the lowest tier is preempted.
+const KEEP_PART: f64 = 0.92;
+
 /// Factor on the largest batch seen up to which the fitted line is trusted.
 const EXTRAPOLATION: f64 = 1.25;
 
@@ -170,7 +173,7 @@
         let trusted = f64::from(self.largest_seen.max(self.settings.prior_batch)) * EXTRAPOLATION;
         self.limit = self.largest(((target * START_PART - base) / slope).min(trusted));
         let most = f64::from(self.limit) * MAX_HARD_RATIO;
-        self.hard_limit = self.largest(((target - base) / slope).min(most));
+        self.hard_limit = self.largest(((target * KEEP_PART - base) / slope).min(most));
     }
 
     fn largest(&self, room: f64) -> u32 {
