--- a/crates/core/src/order/pacer.rs
+++ b/crates/core/src/order/pacer.rs
@@ -5,8 +5,11 @@
 /// Limits of a claim writer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct PacerLimits {
-    /// Shortest time between the starts of two writes.
+    /// Mean time between the starts of two writes under load.
     pub write_interval: Duration,
+    /// Writes that an idle writer may start at once. The claim of an order that follows a completion is then written
+    /// without delay.
+    pub burst: u32,
     /// Longest time that completions wait for a claim with which they can be written.
     pub completion_delay: Duration,
     /// Delay after the first failed call; doubles with each further failure up to `longest_backoff`.
@@ -40,6 +43,7 @@
     fn default() -> Self {
         Self {
             write_interval: Duration::from_millis(40),
+            burst: 4,
             completion_delay: Duration::from_millis(500),
             first_backoff: Duration::from_millis(50),
             longest_backoff: Duration::from_secs(1),
@@ -53,6 +57,8 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
 pub struct Pacer {
     earliest_start: Duration,
+    /// Time until which the writes so far use up the rate.
+    paid_until: Duration,
     claims_due_at: Option<Duration>,
     completions_due_at: Option<Duration>,
     failures: u32,
@@ -76,7 +82,7 @@
     /// use std::time::Duration;
     /// use tanagerford_core::order::{Pacer, PacerLimits};
     ///
-    /// let limits = PacerLimits::default();
+    /// let limits = PacerLimits { burst: 1, ..PacerLimits::default() };
     /// let now = Duration::from_secs(9);
     /// let mut pacer = Pacer::default();
     /// assert_eq!(pacer.due_at(), None);
@@ -97,7 +103,9 @@
 
     /// Notes that everything that waits is written now.
     pub fn start(&mut self, limits: &PacerLimits, now: Duration) {
-        self.earliest_start = now + limits.write_interval;
+        self.paid_until = self.paid_until.max(now) + limits.write_interval;
+        let credit = limits.write_interval * limits.burst.saturating_sub(1);
+        self.earliest_start = self.paid_until.saturating_sub(credit);
         self.claims_due_at = None;
         self.completions_due_at = None;
     }
--- a/crates/core/src/order/shard.rs
+++ b/crates/core/src/order/shard.rs
@@ -23,7 +23,8 @@
 /// Limits of the pages of one shard.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct PageLimits {
-    /// Encoded length at which a page is closed.
+    /// Encoded length at which a page is closed. The names of the sidecars that close the page or settle its orders
+    /// come on top.
     pub page_bytes: usize,
     /// Largest count of pages that hold claims.
     pub max_pages: usize,
--- a/crates/core/tests/order_properties.rs
+++ b/crates/core/tests/order_properties.rs
@@ -24,9 +24,11 @@
     OrderKey::new("north", &number.to_string())
 }
 
+/// Names of different lengths: a page that is full for one sidecar has room for another.
 fn owner(number: usize) -> Owner {
+    let server = format!("w{number}{}", "-long".repeat(10 * number));
     Owner {
-        server: format!("w{number}"),
+        server,
         incarnation: 1,
     }
 }
@@ -156,8 +158,9 @@
         }
         for put in &staged.puts {
             let bytes = put.page.encode();
+            let limit = self.limits.page_bytes + owner(side).server.len() + 20;
             assert!(
-                bytes.len() <= self.limits.page_bytes || put.page.records.len() <= 1,
+                bytes.len() <= limit || put.page.records.len() <= 1,
                 "{} bytes",
                 bytes.len()
             );
--- a/crates/node/tests/order_log.rs
+++ b/crates/node/tests/order_log.rs
@@ -287,3 +287,24 @@
         "{decision:?}"
     );
 }
+
+/// Guards against not-run while a copy of the claim's write may still arrive: the write is delayed, its repetition is
+/// refused, and the deadline passes.
+#[test]
+fn a_refused_repetition_of_a_doubtful_write_stays_unresolved() {
+    let (kv, clock) = (Arc::new(FakeKv::default()), VirtualClock::default());
+    let book = book(&kv, &clock, owner("w1", 1), None);
+    book.own_shards(&[0]);
+    book.step();
+    let mut ticket = Ticket::default();
+    assert_eq!(book.try_claim(&order("burn"), &mut ticket), None);
+    kv.fail_next(KvFault::LoseCall);
+    book.step();
+    clock.advance(Duration::from_secs(1));
+    kv.fail_after(1, KvFault::Refuse);
+    book.step();
+    let unresolved = ClaimDecision::Unknown {
+        code: UnknownCode::ClaimUnresolved,
+    };
+    assert_eq!(book.give_up(&order("burn"), &mut ticket), unresolved);
+}
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -33,6 +33,8 @@
     values: BTreeMap<String, (Vec<u8>, Revision)>,
     revision: Revision,
     next_fault: Option<KvFault>,
+    /// Calls before `next_fault` strikes.
+    calls_before_fault: u32,
     delayed: Option<Transaction>,
     down: bool,
     calls: u64,
@@ -46,7 +48,14 @@
 
 impl FakeKv {
     pub fn fail_next(&self, fault: KvFault) {
-        self.store.lock().unwrap().next_fault = Some(fault);
+        self.fail_after(0, fault);
+    }
+
+    /// Lets `calls` calls succeed before the fault strikes.
+    pub fn fail_after(&self, calls: u32, fault: KvFault) {
+        let mut store = self.store.lock().unwrap();
+        store.next_fault = Some(fault);
+        store.calls_before_fault = calls;
     }
 
     pub fn set_down(&self, down: bool) {
@@ -71,7 +80,14 @@
             return Call::Refused(Refusal::Unreachable);
         }
         let late = store.delayed.take();
-        let call = match store.next_fault.take() {
+        let spared = store.calls_before_fault > 0;
+        store.calls_before_fault = store.calls_before_fault.saturating_sub(1);
+        let fault = if spared {
+            None
+        } else {
+            store.next_fault.take()
+        };
+        let call = match fault {
             None => Call::Done(run(&mut store)),
             Some(KvFault::Refuse) => Call::Refused(Refusal::Rejected("rate limit".to_owned())),
             Some(KvFault::LoseCall) => Call::Unknown,
