--- a/crates/core/src/membership/budget.rs
+++ b/crates/core/src/membership/budget.rs
@@ -35,6 +35,11 @@
         self.level_bytes > 0.0
     }
 
+    /// Returns whether at least half of the burst is left, for datagrams that can wait.
+    pub fn is_ample(&self) -> bool {
+        self.level_bytes * 2.0 >= self.burst_bytes
+    }
+
     /// Charges sent bytes. The level never falls below one negative burst.
     pub fn charge(&mut self, bytes: usize) {
         let bytes = u32::try_from(bytes).unwrap_or(u32::MAX);
--- a/crates/core/src/membership/detector.rs
+++ b/crates/core/src/membership/detector.rs
@@ -17,7 +17,7 @@
 use super::output::{Action, Counters, Event, StateDump};
 use super::params::Params;
 use super::probe::{Probe, Relay};
-use super::queue::SpreadQueue;
+use super::queue::{Class, SpreadQueue};
 use super::spread::REQUEST_REPEAT;
 use super::table::{Record, Table};
 use crate::ids::{Generation, Incarnation};
@@ -37,7 +37,8 @@
     pub(super) table: Table,
     pub(super) updates: SpreadQueue<Update>,
     pub(super) health: LocalHealth,
-    pub(super) budget: ByteBudget,
+    pub(super) spread_budget: ByteBudget,
+    pub(super) exchange_budget: ByteBudget,
     pub(super) counters: Counters,
     pub(super) probe: Option<Probe>,
     pub(super) probe_order: Vec<MemberKey>,
@@ -107,7 +108,14 @@
             table: Table::new(),
             updates: SpreadQueue::new(),
             health: LocalHealth::default(),
-            budget: ByteBudget::new(params.send_bytes_per_second, params.burst_bytes),
+            spread_budget: ByteBudget::new(
+                params.spread_bytes_per_second,
+                params.spread_burst_bytes,
+            ),
+            exchange_budget: ByteBudget::new(
+                params.exchange_bytes_per_second,
+                params.exchange_burst_bytes,
+            ),
             counters: Counters::default(),
             probe: None,
             probe_order: Vec::new(),
@@ -133,7 +141,7 @@
             rng,
             params,
         };
-        membership.budget.refill(now);
+        membership.refill(now);
         membership.announce_self(true);
         membership
     }
@@ -173,13 +181,13 @@
         let expires_at = now + self.params.item_retention;
         self.items
             .put(item.clone(), expires_at, self.params.max_items)?;
-        self.item_queue.push(item.key, item);
+        self.item_queue.push(item.key, item, Class::Patient);
         Ok(())
     }
 
     /// Does everything that is due at `now`.
     pub fn tick(&mut self, now: Duration) -> Vec<Action> {
-        self.budget.refill(now);
+        self.refill(now);
         self.join(now);
         self.run_probe(now);
         self.expire_relays(now);
@@ -203,7 +211,7 @@
 
     /// Handles a datagram that passed authentication.
     pub fn on_message(&mut self, now: Duration, from: SocketAddr, message: Message) -> Vec<Action> {
-        self.budget.refill(now);
+        self.refill(now);
         self.counters.received_messages += 1;
         let header = message.header;
         if header.sender == self.key {
@@ -251,12 +259,24 @@
         self.table.get(key).map(Record::to_member)
     }
 
+    /// Returns the keys of all other members that are not dead, in no particular order.
+    #[must_use]
+    pub fn live_keys(&self) -> &[MemberKey] {
+        self.table.live()
+    }
+
     /// Returns the count of other members that are not dead.
     #[must_use]
     pub fn live_count(&self) -> usize {
         self.table.live().len()
     }
 
+    /// Returns the count of updates that wait for dissemination.
+    #[must_use]
+    pub fn queued_updates(&self) -> usize {
+        self.updates.len()
+    }
+
     /// Returns the counts since the start.
     #[must_use]
     pub fn counters(&self) -> Counters {
@@ -300,8 +320,13 @@
         self.out.push(Action::Notify(event));
     }
 
+    fn refill(&mut self, now: Duration) {
+        self.spread_budget.refill(now);
+        self.exchange_budget.refill(now);
+    }
+
     fn end(&mut self, now: Duration, state: MemberState) -> Vec<Action> {
-        self.budget.refill(now);
+        self.refill(now);
         if self.standing.state < state {
             self.standing.state = state;
             self.standing.refutation += 1;
@@ -382,21 +407,14 @@
     }
 
     fn expire_suspicions(&mut self, now: Duration) {
-        if self.table.failing() == 0 && self.probe.is_none() {
-            return;
-        }
         let min = self.shortest_suspicion();
         let ratio = self.params.suspicion_max_ratio;
         let is_over = |record: &Record| {
             let suspicion = record.suspicion.as_ref();
             suspicion.is_some_and(|suspicion| now >= suspicion.deadline(min, ratio))
         };
-        let expired: Vec<MemberKey> = self
-            .table
-            .iter()
-            .filter(|(_, record)| is_over(record))
-            .map(|(key, _)| key)
-            .collect();
+        let expired = self.table.timed().filter(|(_, record)| is_over(record));
+        let expired: Vec<MemberKey> = expired.map(|(key, _)| key).collect();
         for key in expired {
             self.declare_dead(now, key);
         }
--- a/crates/core/src/membership/merge.rs
+++ b/crates/core/src/membership/merge.rs
@@ -45,7 +45,7 @@
             return;
         }
         if update.standing == known {
-            self.confirm(&update);
+            self.confirm(&update, mode);
             return;
         }
         if mode == Mode::Exchange && Self::is_disputed(&update, known) {
@@ -120,14 +120,15 @@
     fn pass_on(&mut self, update: Update, mode: Mode) {
         self.changes += 1;
         match mode {
-            Mode::Spread => self.updates.push(update.key, update),
+            Mode::Spread => self.queue_update(update),
             Mode::Exchange => self.updates.remove(update.key),
         }
     }
 
-    /// Counts a suspicion by another member as a confirmation and spreads it once more.
-    fn confirm(&mut self, update: &Update) {
+    /// Counts a suspicion by another member as a confirmation and spreads it anew.
+    fn confirm(&mut self, update: &Update, mode: Mode) {
         if update.standing.state != MemberState::Suspect || update.reporter == 0 {
+            self.hear(update.key, mode);
             return;
         }
         let mut is_new = false;
@@ -136,7 +137,17 @@
             is_new = suspicion.is_some_and(|suspicion| suspicion.confirm(update.reporter));
         });
         if is_new {
-            self.updates.push(update.key, update.clone());
+            self.queue_update(update.clone());
+        } else {
+            self.hear(update.key, mode);
+        }
+    }
+
+    /// Counts a known claim that was spread once more by another member.
+    fn hear(&mut self, key: MemberKey, mode: Mode) {
+        if mode == Mode::Spread {
+            let limit = self.transmit_limit();
+            self.updates.heard(key, limit);
         }
     }
 
--- a/crates/core/src/membership/message.rs
+++ b/crates/core/src/membership/message.rs
@@ -81,7 +81,7 @@
     /// Asks for the members whose digests differ; no digest asks for all members.
     Sync {
         /// Digest of each bucket of the member table.
-        digests: Vec<u64>,
+        digests: Vec<u32>,
     },
     /// Answers a sync or a request with updates.
     Entries,
@@ -133,7 +133,7 @@
     /// Starts a datagram with `body`; piggybacked data take at most `limit_bytes` in all.
     pub fn new(body: &Body, limit_bytes: usize) -> Self {
         let body_bytes = match body {
-            Body::Sync { digests } => digests.len() * 8,
+            Body::Sync { digests } => digests.len() * 4,
             Body::Request { keys } => keys.len() * 8,
             _ => 0,
         };
--- a/crates/core/src/membership/params.rs
+++ b/crates/core/src/membership/params.rs
@@ -25,18 +25,26 @@
     pub suspicion_max_ratio: u32,
     /// Mean time between anti-entropy exchanges while the tables agree.
     pub sync_period: Duration,
-    /// Mean time between anti-entropy exchanges while the last one brought many changes.
+    /// Mean time between anti-entropy exchanges while the last one brought changes.
     pub fast_sync_period: Duration,
-    /// Most datagrams that answer one anti-entropy request.
-    pub sync_datagrams: usize,
+    /// Most datagrams that answer the first request of a newcomer, or a request for profiles.
+    pub profile_datagrams: usize,
+    /// Most datagrams with claims that answer a comparison of digests.
+    pub claim_datagrams: usize,
     /// Mean time between attempts to reach a dead member or a seed that is no member.
     pub reconnect_period: Duration,
     /// Time for which dead members are remembered.
     pub dead_retention: Duration,
-    /// Sustained rate of sent bytes, UDP and IP headers included, that dissemination and anti-entropy stay below.
-    pub send_bytes_per_second: u32,
-    /// Bytes that may be sent in a burst after quiet times.
-    pub burst_bytes: u32,
+    /// Sustained rate of sent bytes, UDP and IP headers included, of probes and dissemination together. Dissemination
+    /// waits when it is used up; probes do not.
+    pub spread_bytes_per_second: u32,
+    /// Sustained rate of sent bytes of anti-entropy, separate so that a storm of updates does not stop the exchange
+    /// that ends it.
+    pub exchange_bytes_per_second: u32,
+    /// Bytes that probes and dissemination may send in a burst after quiet times.
+    pub spread_burst_bytes: u32,
+    /// Bytes that anti-entropy may send in a burst after quiet times.
+    pub exchange_burst_bytes: u32,
     /// Most members that are remembered.
     pub max_members: usize,
     /// Longest opaque item in bytes.
@@ -60,12 +68,15 @@
             suspicion_min_periods: 3,
             suspicion_max_ratio: 4,
             sync_period: Duration::from_secs(10),
-            fast_sync_period: Duration::from_millis(800),
-            sync_datagrams: 8,
+            fast_sync_period: Duration::from_millis(1_500),
+            profile_datagrams: 8,
+            claim_datagrams: 3,
             reconnect_period: Duration::from_secs(10),
             dead_retention: Duration::from_mins(30),
-            send_bytes_per_second: 2_400,
-            burst_bytes: 48 * 1_024,
+            spread_bytes_per_second: 900,
+            exchange_bytes_per_second: 1_100,
+            spread_burst_bytes: 32 * 1_024,
+            exchange_burst_bytes: 96 * 1_024,
             max_members: 8_192,
             item_bytes: 512,
             max_items: 256,
--- a/crates/core/src/membership/probe.rs
+++ b/crates/core/src/membership/probe.rs
@@ -79,7 +79,7 @@
 
     /// Pings a member about which a peer has another view, so that it can refute.
     pub(super) fn probe_disputed(&mut self) {
-        if !self.budget.is_open() {
+        if !self.spread_budget.is_open() {
             return;
         }
         if let Some(key) = self.disputes.pop_front() {
@@ -310,7 +310,7 @@
 
     /// Starts a timer for a leaving member without spreading a suspicion, so that its state stays known.
     fn time_leaving(&mut self, now: Duration, target: MemberKey, reporter: u32) {
-        self.table.touch(target, |record: &mut Record| {
+        self.table.change(target, |record: &mut Record| {
             record
                 .suspicion
                 .get_or_insert_with(|| Suspicion::new(now, reporter));
--- a/crates/core/src/membership/spread.rs
+++ b/crates/core/src/membership/spread.rs
@@ -9,6 +9,7 @@
 use super::member::{MemberKey, MemberState};
 use super::message::{Body, Header, MAX_REQUESTED_KEYS, Message, Packer, Update, short_key};
 use super::output::{Action, Event};
+use super::queue::Class;
 
 /// Bytes of updates that a probe may carry while the byte budget is used up.
 const SCARCE_PIGGYBACK_BYTES: usize = 160;
@@ -19,6 +20,12 @@
 /// Time between two requests for the same profile.
 pub(super) const REQUEST_REPEAT: Duration = Duration::from_millis(500);
 
+/// Count of waiting updates up to which each is sent the full number of times.
+const UNCROWDED_UPDATES: u32 = 32;
+
+/// Count of times that an update is sent however many wait.
+const MIN_TRANSMISSIONS: u32 = 3;
+
 impl Membership {
     pub(super) fn run_gossip(&mut self, now: Duration) {
         if now < self.gossip_at {
@@ -26,11 +33,14 @@
         }
         self.gossip_at = now + self.params.gossip_period;
         self.probe_disputed();
-        if self.updates.is_empty() && self.item_queue.is_empty() && self.generation_sends_left == 0
+        let class = self.sendable_class();
+        if !self.updates.has(class)
+            && !self.item_queue.has(class)
+            && self.generation_sends_left == 0
         {
             return;
         }
-        if !self.budget.is_open() {
+        if !self.spread_budget.is_open() {
             self.counters.throttled += 1;
             return;
         }
@@ -53,7 +63,7 @@
 
     /// Sends a datagram filled with `first` and with queued updates and items.
     pub(super) fn send(&mut self, to: SocketAddr, body: Body, first: Option<&Update>) {
-        let limit_bytes = if self.budget.is_open() {
+        let limit_bytes = if self.spread_budget.is_open() {
             usize::MAX
         } else {
             SCARCE_PIGGYBACK_BYTES
@@ -63,14 +73,21 @@
             packer.add_update(update);
         }
         let limit = self.transmit_limit();
-        self.updates.take(limit, |update| packer.add_update(update));
-        self.item_queue.take(limit, |item| packer.add_item(item));
+        let class = self.sendable_class();
+        self.updates
+            .take(class, limit, |update| packer.add_update(update));
+        self.item_queue
+            .take(class, limit, |item| packer.add_item(item));
         self.dispatch(to, body, packer);
     }
 
     /// Sends a datagram with exactly what `packer` holds.
     pub(super) fn dispatch(&mut self, to: SocketAddr, body: Body, packer: Packer) {
-        self.budget.charge(packer.wire_bytes());
+        let budget = match body {
+            Body::Sync { .. } | Body::Entries | Body::Request { .. } => &mut self.exchange_budget,
+            _ => &mut self.spread_budget,
+        };
+        budget.charge(packer.wire_bytes());
         self.counters.sent_messages += 1;
         let message = Message {
             header: self.header(),
@@ -107,18 +124,22 @@
 
     pub(super) fn announce_self(&mut self, with_profile: bool) {
         let update = self.own_update(with_profile);
-        self.updates.push(self.key, update);
+        self.queue_update(update);
     }
 
-    /// Count of times that an update is sent: the logarithm of the fleet and a margin for lost datagrams.
+    /// Count of times that each member sends an update. With `ln(n)` arrivals per member one member in `n` is missed;
+    /// twice the binary logarithm leaves a wide margin with 20% of the datagrams lost. While more updates wait than fit
+    /// into a datagram, each is sent less often, and anti-entropy covers the rest.
     pub(super) fn transmit_limit(&self) -> u32 {
-        (self.table.live().len() + 1).ilog2() + 2
+        let limit = 2 * ((self.table.live().len() + 1).ilog2() + 2);
+        let crowd = u32::try_from(self.updates.len()).unwrap_or(u32::MAX) / UNCROWDED_UPDATES;
+        (limit / crowd.max(1)).max(MIN_TRANSMISSIONS)
     }
 
     /// Tells a sender that it is held for dead; suspected senders learn it with the next probe.
     pub(super) fn on_gossip(&mut self, from: SocketAddr, tell: Option<&Update>) {
         if tell.is_some_and(|update| update.standing.state == MemberState::Dead)
-            && self.budget.is_open()
+            && self.spread_budget.is_open()
         {
             self.send(from, Body::Gossip, tell);
         }
@@ -133,7 +154,7 @@
             requested_at.is_none_or(|at| now >= *at + REQUEST_REPEAT)
         });
         keys.truncate(MAX_REQUESTED_KEYS);
-        if keys.is_empty() || !self.budget.is_open() {
+        if keys.is_empty() || !self.exchange_budget.is_open() {
             return;
         }
         for key in &keys {
@@ -168,4 +189,22 @@
             Err(ItemError::TooLong | ItemError::Full) => self.counters.refused += 1,
         }
     }
+
+    /// Queues a claim for dissemination. Claims with a profile are joins; they are long, and anti-entropy brings them
+    /// too, so that they do not hold up the others.
+    pub(super) fn queue_update(&mut self, update: Update) {
+        let class = match update.profile {
+            Some(_) => Class::Patient,
+            None => Class::Urgent,
+        };
+        self.updates.push(update.key, update, class);
+    }
+
+    fn sendable_class(&self) -> Class {
+        if self.spread_budget.is_ample() {
+            Class::Patient
+        } else {
+            Class::Urgent
+        }
+    }
 }
--- a/crates/core/src/membership/sync.rs
+++ b/crates/core/src/membership/sync.rs
@@ -18,9 +18,6 @@
 /// Longest mean time between attempts to join, in probe periods.
 const MAX_JOIN_PERIODS: u32 = 10;
 
-/// Count of changes in one exchange that shows that the table is far behind.
-const FAR_BEHIND: usize = 8;
-
 impl Membership {
     /// Asks seeds for the members while none is known, with growing and jittered delays.
     pub(super) fn join(&mut self, now: Duration) {
@@ -45,7 +42,7 @@
             return;
         }
         self.sync_at = now + jitter(&mut self.rng, self.params.sync_period);
-        if !self.budget.is_open() {
+        if !self.exchange_budget.is_open() {
             self.counters.throttled += 1;
             return;
         }
@@ -63,7 +60,7 @@
             return;
         }
         self.reconnect_at = now + jitter(&mut self.rng, self.params.reconnect_period);
-        if !self.budget.is_open() || self.table.live().is_empty() {
+        if !self.exchange_budget.is_open() || self.table.live().is_empty() {
             return;
         }
         let is_lost = |record: &Record| record.is_dead() && !record.is_departed;
@@ -96,7 +93,12 @@
 
     /// Answers with the members of the buckets whose digests differ, in random order and as far as the byte budget
     /// goes; the peer asks again if it needs more.
-    pub(super) fn on_sync(&mut self, from: SocketAddr, sender: MemberKey, digests: &[u64]) {
+    pub(super) fn on_sync(&mut self, from: SocketAddr, sender: MemberKey, digests: &[u32]) {
+        // The rest of the budget is kept for requests for profiles, which the claims sent here lead to.
+        if !self.exchange_budget.is_ample() {
+            self.counters.throttled += 1;
+            return;
+        }
         let own_digests = self.own_digests();
         let is_newcomer = digests.len() != SYNC_BUCKETS;
         if is_newcomer {
@@ -121,7 +123,12 @@
                 }
             }
         }
-        self.send_entries(from, &updates);
+        let max_datagrams = if is_newcomer {
+            self.params.profile_datagrams
+        } else {
+            self.params.claim_datagrams
+        };
+        self.send_entries(from, &updates, max_datagrams);
     }
 
     /// Answers a request for profiles.
@@ -134,12 +141,12 @@
                 updates.push(record.to_update(*key, true));
             }
         }
-        self.send_entries(from, &updates);
+        self.send_entries(from, &updates, self.params.profile_datagrams);
     }
 
-    /// Asks again soon while an exchange brings many changes.
+    /// Asks again soon while exchanges bring changes.
     pub(super) fn on_entries(&mut self, now: Duration, changes: usize) {
-        if changes >= FAR_BEHIND {
+        if changes > 0 {
             let soon = now + jitter(&mut self.rng, self.params.fast_sync_period);
             self.sync_at = self.sync_at.min(soon);
         }
@@ -153,7 +160,7 @@
         let updates: Vec<_> = records
             .map(|(key, record)| record.to_update(key, false))
             .collect();
-        self.send_entries(to, &updates);
+        self.send_entries(to, &updates, self.params.claim_datagrams);
     }
 
     fn send_sync(&mut self, to: SocketAddr) {
@@ -167,19 +174,19 @@
     }
 
     /// Digests of the table with this process in it, as the peers hold it.
-    fn own_digests(&self) -> [u64; SYNC_BUCKETS] {
+    fn own_digests(&self) -> [u32; SYNC_BUCKETS] {
         let mut digests = *self.table.digests();
         digests[bucket_of(self.key)] ^= digest(self.key, self.standing);
         digests
     }
 
-    fn send_entries(&mut self, to: SocketAddr, updates: &[super::Update]) {
+    fn send_entries(&mut self, to: SocketAddr, updates: &[super::Update], max_datagrams: usize) {
         let mut updates = updates.iter().peekable();
-        for _ in 0..self.params.sync_datagrams {
+        for _ in 0..max_datagrams {
             if updates.peek().is_none() {
                 return;
             }
-            if !self.budget.is_open() {
+            if !self.exchange_budget.is_open() {
                 self.counters.throttled += 1;
                 return;
             }
@@ -201,7 +208,7 @@
             .collect::<Vec<_>>()
             .into_iter()
             .peekable();
-        while items.peek().is_some() && self.budget.is_open() {
+        while items.peek().is_some() && self.exchange_budget.is_open() {
             let mut packer = Packer::new(&Body::Gossip, usize::MAX);
             while items.next_if(|item| packer.add_item(item)).is_some() {}
             self.dispatch(to, Body::Gossip, packer);
--- a/crates/core/src/membership/table.rs
+++ b/crates/core/src/membership/table.rs
@@ -1,6 +1,6 @@
 //! Table of known members with digests for anti-entropy.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,12 +9,12 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::member::{Member, MemberKey, MemberState, Profile, Standing};
-use super::message::Update;
+use super::message::{Update, short_key};
 use super::suspicion::Suspicion;
 use crate::ids::Generation;
 
 /// Count of buckets whose digests anti-entropy compares.
-pub const SYNC_BUCKETS: usize = 64;
+pub const SYNC_BUCKETS: usize = 128;
 
 const BUCKET_SHIFT: u32 = 64 - SYNC_BUCKETS.ilog2();
 
@@ -61,9 +61,11 @@
     records: BTreeMap<MemberKey, Record>,
     /// Keys of all members that are not dead.
     live: Vec<MemberKey>,
-    digests: [u64; SYNC_BUCKETS],
+    digests: [u32; SYNC_BUCKETS],
     /// Count of members that are suspected, or dead without having announced it.
     failing: usize,
+    /// Keys of all members with a suspicion timer.
+    timed: BTreeSet<MemberKey>,
 }
 
 impl Table {
@@ -73,6 +75,7 @@
             live: Vec::new(),
             digests: [0; SYNC_BUCKETS],
             failing: 0,
+            timed: BTreeSet::new(),
         }
     }
 
@@ -92,6 +95,13 @@
         self.failing
     }
 
+    /// Returns the members with a suspicion timer.
+    pub fn timed(&self) -> impl Iterator<Item = (MemberKey, &Record)> {
+        self.timed
+            .iter()
+            .filter_map(|key| Some((*key, self.records.get(key)?)))
+    }
+
     pub fn iter(&self) -> impl Iterator<Item = (MemberKey, &Record)> {
         self.records.iter().map(|(key, record)| (*key, record))
     }
@@ -104,7 +114,7 @@
             .map(|(key, record)| (*key, record))
     }
 
-    pub fn digests(&self) -> &[u64; SYNC_BUCKETS] {
+    pub fn digests(&self) -> &[u32; SYNC_BUCKETS] {
         &self.digests
     }
 
@@ -164,6 +174,9 @@
         if is_failing(record) {
             self.failing += 1;
         }
+        if record.suspicion.is_some() {
+            self.timed.insert(key);
+        }
         if record.is_dead() {
             return;
         }
@@ -175,6 +188,7 @@
         if is_failing(record) {
             self.failing -= 1;
         }
+        self.timed.remove(&key);
         if record.is_dead() {
             return;
         }
@@ -199,11 +213,11 @@
 }
 
 /// Digest of a member that is not dead. Suspicion is left out because it is short-lived.
-pub(super) fn digest(key: MemberKey, standing: Standing) -> u64 {
+pub(super) fn digest(key: MemberKey, standing: Standing) -> u32 {
     let mut bytes = [0; 21];
     bytes[..8].copy_from_slice(&key.to_le_bytes());
     bytes[8..16].copy_from_slice(&standing.incarnation.to_le_bytes());
     bytes[16..20].copy_from_slice(&standing.refutation.to_le_bytes());
     bytes[20] = u8::from(standing.state == MemberState::Leaving);
-    xxh3_64(&bytes)
+    short_key(xxh3_64(&bytes))
 }
--- a/crates/gossip/src/codec.rs
+++ b/crates/gossip/src/codec.rs
@@ -95,6 +95,22 @@
         datagram
     }
 
+    /// Returns the length of the datagram that [`encode`](Self::encode) makes of a message, without computing the
+    /// authentication code; for measurements.
+    ///
+    /// ```
+    /// use tanagerford_core::membership::{Body, Header, Message};
+    /// use tanagerford_gossip::Codec;
+    /// let header = Header { sender: 7, incarnation: 1, refutation: 0, is_leaving: false, generation: 3 };
+    /// let message = Message { header, body: Body::Gossip, updates: vec![], items: vec![] };
+    /// let codec = Codec::new(b"fleet key");
+    /// assert_eq!(codec.datagram_bytes(&message), codec.encode(&message).len());
+    /// ```
+    #[must_use]
+    pub fn datagram_bytes(&self, message: &Message) -> usize {
+        1 + MAC_BYTES + to_wire(message).encoded_len()
+    }
+
     /// Decodes a datagram.
     ///
     /// # Errors
--- a/crates/gossip/src/message.rs
+++ b/crates/gossip/src/message.rs
@@ -67,8 +67,8 @@
 /// Asks for the members whose digests differ; no digest asks for all members.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Sync {
-    #[prost(fixed64, repeated, tag = "1")]
-    pub digests: ::prost::alloc::vec::Vec<u64>,
+    #[prost(fixed32, repeated, tag = "1")]
+    pub digests: ::prost::alloc::vec::Vec<u32>,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Entries {}
