--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -8,6 +8,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
+use futures_lite::stream;
 use http::StatusCode;
 use serde::Deserialize;
 use serde_json::json;
@@ -25,6 +27,9 @@
 /// Parts that wait for a slow reader.
 const STREAM_CAPACITY: usize = 1_024;
 
+/// Event that ends a stream.
+const DONE_EVENT: &str = "data: [DONE]\n\n";
+
 /// How a stand-in engine behaves.
 #[derive(Debug, Clone)]
 pub struct Behaviour {
@@ -64,6 +69,21 @@
     }
 }
 
+impl Behaviour {
+    /// Returns whether the engine generates without any delay. Such answers need no thread, whose start would cost more
+    /// than the answer and limit benchmarks of the path.
+    fn is_instant(&self) -> bool {
+        [
+            self.first_token,
+            self.cached_first_token,
+            self.token_gap,
+            self.token_gap_per_request,
+        ]
+        .iter()
+        .all(Duration::is_zero)
+    }
+}
+
 /// Running stand-in engine.
 #[derive(Debug)]
 pub struct Engine {
@@ -266,13 +286,15 @@
             epoch: self.epoch.load(Ordering::Acquire),
             prompt,
         };
-        let (sender, stream) = tanagerford_http::stream(STREAM_CAPACITY);
-        let state = Arc::clone(self);
-        thread::spawn(move || {
-            generation.run(&state, sender);
-            state.running.fetch_sub(1, Ordering::AcqRel);
-        });
-        let mut reply = Reply::new(stream);
+        let running = RunningGuard(Arc::clone(self));
+        let body = if behaviour.is_instant() {
+            generation.into_body(running)
+        } else {
+            let (sender, body) = tanagerford_http::stream(STREAM_CAPACITY);
+            thread::spawn(move || generation.run(&running.0, sender));
+            body
+        };
+        let mut reply = Reply::new(body);
         let content_type = http::HeaderValue::from_static("text/event-stream");
         reply
             .headers_mut()
@@ -311,6 +333,15 @@
     }
 }
 
+/// Counts a request as running while it lives.
+struct RunningGuard(Arc<State>);
+
+impl Drop for RunningGuard {
+    fn drop(&mut self) {
+        self.0.running.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
 /// One answer in progress.
 #[derive(Debug)]
 struct Generation {
@@ -339,11 +370,45 @@
             }
         }
         let finished = sender.send_blocking(self.last_event());
-        if finished.is_ok() && sender.send_blocking("data: [DONE]\n\n").is_ok() {
+        if finished.is_ok() && sender.send_blocking(DONE_EVENT).is_ok() {
             let _ = sender.end();
         }
     }
 
+    /// Returns the whole answer as a body that generates its events while it is sent. A crash aborts the transfer.
+    fn into_body(self, running: RunningGuard) -> Body {
+        running.0.touch_prefix(&self.prompt);
+        let next = self.first_index;
+        Body::streamed(stream::unfold(
+            (Some(running), next),
+            move |(running, index)| {
+                let part = running.map(|running| self.part(running, index));
+                async move { part }
+            },
+        ))
+    }
+
+    /// Returns event `index` of an instant answer and what the next event needs; the event after the last token ends
+    /// the stream.
+    fn part(
+        &self,
+        running: RunningGuard,
+        index: u32,
+    ) -> (io::Result<Bytes>, (Option<RunningGuard>, u32)) {
+        let state = &running.0;
+        if state.epoch.load(Ordering::Acquire) != self.epoch {
+            let crashed = io::Error::new(io::ErrorKind::ConnectionAborted, "engine crashed");
+            return (Err(crashed), (None, index));
+        }
+        if index >= self.tokens {
+            let last = format!("{}{DONE_EVENT}", self.last_event());
+            return (Ok(Bytes::from(last)), (None, index));
+        }
+        state.generated_tokens.fetch_add(1, Ordering::AcqRel);
+        let event = Bytes::from(self.event(index));
+        (Ok(event), (Some(running), index + 1))
+    }
+
     fn event(&self, index: u32) -> String {
         let text = token(&self.prompt, index);
         let choice = if self.chat {
