Let the queue of an attempt grow instead of allocating it whole

Cause: perf showed 15% of the processor time in async_channel::bounded. Its ring of 8,192 events is allocated and initialised for each attempt, more than 1 MB, and the kernel maps and unmaps it (osq_lock, rwsem_down_write_slowpath). Ruled out: time in routing and admission, each below 1% of the samples.

--- a/crates/node/src/attempts.rs
+++ b/crates/node/src/attempts.rs
@@ -122,7 +122,9 @@
         cancel_on_drop: bool,
     ) -> Result<Attempt, LinkError> {
         let id = self.next_id.fetch_add(1, Ordering::Relaxed);
-        let (sender, events) = async_channel::bounded(QUEUED_EVENTS);
+        // A bounded channel allocates and initialises all of its places at once, more than 1 MB for each attempt; this
+        // one grows as needed, and `Slot::queue` keeps its bound.
+        let (sender, events) = async_channel::unbounded();
         let slot = Slot {
             events: sender,
             link: link.clone(),
@@ -174,7 +176,7 @@
             lock(shard).retain(|_, slot| {
                 let keep = !slot.link.same(link);
                 if !keep {
-                    let _ = slot.events.try_send(Event::Lost);
+                    slot.queue(Event::Lost);
                 }
                 keep
             });
@@ -212,7 +214,7 @@
         let mut shard = lock(self.shard(id));
         match shard.get_mut(&id) {
             Some(slot) if slot.link.same(link) => {
-                if slot.events.try_send(event).is_err() {
+                if !slot.queue(event) {
                     shard.remove(&id);
                 }
             }
@@ -265,7 +267,7 @@
 
     fn fail(&self, id: AttemptId) {
         if let Some(slot) = lock(self.shard(id)).remove(&id) {
-            let _ = slot.events.try_send(Event::Lost);
+            slot.queue(Event::Lost);
         }
     }
 
@@ -274,6 +276,13 @@
     }
 }
 
+impl Slot {
+    /// Queues an event; returns false when the caller is too slow or gone.
+    fn queue(&self, event: Event) -> bool {
+        self.events.len() < QUEUED_EVENTS && self.events.try_send(event).is_ok()
+    }
+}
+
 impl Attempt {
     /// Returns the attempt's id.
     #[must_use]
