--- a/crates/operator/src/check/settings.rs
+++ b/crates/operator/src/check/settings.rs
@@ -257,9 +257,9 @@
 
 fn entry_listen(fields: &mut Fields<'_>) -> Option<EntryListen> {
     let callers = fields.field("callers").and_then(address);
-    let link = fields.field("link").and_then(address);
+    let link = fields.field("link").and_then(own_address);
     let operators = fields.field("operators").and_then(address);
-    let gossip = fields.field("gossip").and_then(address);
+    let gossip = fields.field("gossip").and_then(own_address);
     let listen = EntryListen {
         callers: callers?,
         link: link?,
@@ -275,9 +275,9 @@
 }
 
 fn sidecar_listen(fields: &mut Fields<'_>) -> Option<SidecarListen> {
-    let link = fields.field("link").and_then(address);
+    let link = fields.field("link").and_then(own_address);
     let operators = fields.field("operators").and_then(address);
-    let gossip = fields.field("gossip").and_then(address);
+    let gossip = fields.field("gossip").and_then(own_address);
     let listen = SidecarListen {
         link: link?,
         operators: operators?,
@@ -362,6 +362,21 @@
     parsed.or_else(|| cursor.expected("an IP address and port, as 10.0.0.1:7100"))
 }
 
+/// Accepts an address of this process that the other processes are told to use, so that it must name one interface.
+fn own_address(cursor: Cursor<'_>) -> Option<SocketAddr> {
+    let parsed = cursor.peek_text().and_then(|text| text.parse().ok());
+    match parsed {
+        Some(address) if is_unspecified(address) => {
+            cursor.expected("an address that other processes can reach")
+        }
+        _ => address(cursor),
+    }
+}
+
+fn is_unspecified(address: SocketAddr) -> bool {
+    address.ip().is_unspecified()
+}
+
 /// Accepts `http://` with an IP address and port; processes resolve no names and the platform offers no TLS.
 fn url(cursor: Cursor<'_>) -> Option<String> {
     let host = cursor
--- a/crates/operator/tests/check.rs
+++ b/crates/operator/tests/check.rs
@@ -102,6 +102,26 @@
     assert_eq!((sheet, findings.list().len()), (Sheet::default(), 1));
 }
 
+/// Guards against a process that tells the others to reach it at an address that stands for all interfaces.
+#[test]
+fn links_and_gossip_need_an_address_that_peers_can_reach() {
+    for listener in ["\"link\": \"10.0.1.27", "\"gossip\": \"10.0.1.27"] {
+        for unspecified in ["0.0.0.0", "[::]"] {
+            let name = listener.rsplit_once("10.").map_or("", |(name, _)| name);
+            let changed = SIDECAR.replace(listener, &format!("{name}{unspecified}"));
+            let findings =
+                settings::decode(changed.as_bytes()).expect_err("the address is refused");
+            let [finding] = findings.list() else {
+                panic!("one finding is expected: {findings:?}")
+            };
+            assert_eq!(
+                finding.expected,
+                "an address that other processes can reach"
+            );
+        }
+    }
+}
+
 /// Guards against a settings check that ends at the first fault, repeats the fleet key, or lets the operators'
 /// listener share the callers' address.
 #[test]
