Link each entry to its subset of every pool and open links to owners of orders on demand

Entries now take the subset that the core assigns; the owner of an order's shard may be outside of it, so such a link is opened for the order and closed after a minute without use. Copies of a suspected request go to the same server.

--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -22,7 +22,7 @@
 
 use crate::exchange::ConfigExchange;
 use crate::fleet::FleetUser;
-use crate::links::{LinkPool, Target};
+use crate::links::LinkPool;
 use crate::stop::StopSignal;
 
 use handler::CallerHandler;
@@ -95,13 +95,6 @@
         })
     }
 
-    /// Replaces the sidecars that the entry uses.
-    pub fn set_targets(&self, targets: impl IntoIterator<Item = Target>) {
-        let targets: Vec<_> = targets.into_iter().collect();
-        self.state.servers.set_targets(&targets);
-        self.links.set_targets(targets);
-    }
-
     /// Returns the entry as a user of the membership; it raises `stop` when a newer process has its id.
     #[must_use]
     pub fn member(&self, stop: StopSignal) -> Arc<dyn FleetUser> {
--- a/crates/node/src/entry/order.rs
+++ b/crates/node/src/entry/order.rs
@@ -59,7 +59,10 @@
             let refusal = Refusal::new(Code::OrderOwnerUnreachable, text);
             refusal.retry_after(RETRY_AFTER).unknown()
         };
-        let link = self.links.get(&claim.server).ok_or_else(unreachable)?;
+        let link = self
+            .links
+            .get_or_open(&claim.server)
+            .ok_or_else(unreachable)?;
         if link.peer().incarnation != claim.incarnation {
             let text = "the sidecar that claimed the order has restarted";
             return Err(Refusal::new(Code::OrderOwnerGone, text).unknown());
--- a/crates/node/src/entry/relay.rs
+++ b/crates/node/src/entry/relay.rs
@@ -185,12 +185,15 @@
             submit.released.clone_from(&self.released);
             submit.suspicion = self.state.suspects.summary_of(submit.fingerprint);
             let cancel_on_drop = self.call.is_repeatable();
-            let submitted = self.links.get(&server).and_then(|link| {
-                self.state
-                    .attempts
-                    .submit(&link, submit, cancel_on_drop)
-                    .ok()
-            });
+            let link = if self.call.is_repeatable() {
+                self.links.get(&server)
+            } else {
+                // The owner of an order's shard may be outside of the entry's subset.
+                self.links.get_or_open(&server)
+            };
+            let attempts = &self.state.attempts;
+            let submitted =
+                link.and_then(|link| attempts.submit(&link, submit, cancel_on_drop).ok());
             self.tried.push(server.clone());
             let Some(attempt) = submitted else {
                 self.state.servers.on_failure(chosen);
@@ -210,8 +213,8 @@
 
     fn choose(&self) -> Option<Chosen> {
         if let Some(key) = self.call.order_key {
-            let reachable = self.links.open_servers(&self.call.pool, &self.tried);
-            return Chosen::owner_of(&key, &self.call.pool, &reachable);
+            let listed = self.links.listed_servers(&self.call.pool, &self.tried);
+            return Chosen::owner_of(&key, &self.call.pool, &listed);
         }
         let mut exclude = self.links.closed_servers();
         exclude.extend_from_slice(&self.tried);
@@ -219,9 +222,17 @@
             Kind::Model { .. } => Some(self.call.submit.prefix_hash),
             Kind::Service => None,
         };
-        self.state
-            .servers
-            .choose(&self.call.pool, self.call.tier, prefix_hash, &exclude)
+        let servers = &self.state.servers;
+        let fingerprint = self.call.submit.fingerprint;
+        if self.state.suspects.max_company(fingerprint).is_some() {
+            return servers.choose_for_suspect(
+                &self.call.pool,
+                self.call.tier,
+                fingerprint,
+                &exclude,
+            );
+        }
+        servers.choose(&self.call.pool, self.call.tier, prefix_hash, &exclude)
     }
 
     fn no_server(&mut self) -> Refusal {
--- a/crates/node/src/entry/servers.rs
+++ b/crates/node/src/entry/servers.rs
@@ -4,10 +4,10 @@
 use std::sync::{Arc, Mutex, PoisonError, RwLock};
 use std::time::{Duration, Instant};
 
-use tanagerford_core::ids::{PoolId, ServerId, TierId, ZoneId};
+use tanagerford_core::ids::{Fingerprint, PoolId, ServerId, TierId, ZoneId};
 use tanagerford_core::order::{OrderKey, shard_owner};
 use tanagerford_core::routing::{
-    Answer, Attempt, LoadHint, RouteRequest, Router, RouterSettings, Server,
+    Answer, Attempt, Choice, LoadHint, RouteRequest, Router, RouterSettings, Server,
 };
 use tanagerford_link::message;
 
@@ -94,11 +94,25 @@
             prefix_hash,
         };
         let choice = lock(&router).choose(self.now(), &request, exclude)?;
-        Some(Chosen {
-            server: choice.server,
-            pool: pool.to_owned(),
-            attempt: Some(choice.attempt),
-        })
+        Some(Chosen::new(pool, choice))
+    }
+
+    /// Chooses the server for a request that is suspected of crashing servers: the same one for all its copies.
+    pub(crate) fn choose_for_suspect(
+        &self,
+        pool: &str,
+        tier: TierId,
+        fingerprint: Fingerprint,
+        exclude: &[ServerId],
+    ) -> Option<Chosen> {
+        let router = self.router(pool)?;
+        let request = RouteRequest {
+            pool,
+            tier,
+            prefix_hash: None,
+        };
+        let choice = lock(&router).choose_for_suspect(&request, fingerprint, exclude)?;
+        Some(Chosen::new(pool, choice))
     }
 
     /// Records an answer, with what it tells about its server.
@@ -164,9 +178,17 @@
 }
 
 impl Chosen {
-    /// Returns the sidecar that owns the shard of an order, among the `reachable` ones.
-    pub(crate) fn owner_of(key: &OrderKey, pool: &str, reachable: &[ServerId]) -> Option<Self> {
-        let names = reachable.iter().map(String::as_str);
+    fn new(pool: &str, choice: Choice) -> Self {
+        Self {
+            server: choice.server,
+            pool: pool.to_owned(),
+            attempt: Some(choice.attempt),
+        }
+    }
+
+    /// Returns the sidecar that owns the shard of an order, among the `listed` ones.
+    pub(crate) fn owner_of(key: &OrderKey, pool: &str, listed: &[ServerId]) -> Option<Self> {
+        let names = listed.iter().map(String::as_str);
         let owner = shard_owner(pool, key.shard(ORDER_SHARDS), names)?;
         Some(Self {
             server: owner.to_owned(),
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -10,7 +10,8 @@
 use error_stack::Report;
 use tanagerford_core::config::active::ActiveConfiguration;
 use tanagerford_core::ids::{Generation, Incarnation};
-use tanagerford_core::membership::{Event, Item, Member, MemberState, Params, Profile, member_key};
+use tanagerford_core::membership::{Event, Item, Member, MemberState, Params, Profile};
+use tanagerford_core::subset::{Participant, watchers};
 use tanagerford_gossip::{Gossip, Settings, Snapshot, StartError};
 use tanagerford_link::message::{Frame, frame};
 use tanagerford_link::{Link, LinkHandler, LinkOptions, connect};
@@ -286,20 +287,21 @@
 
 /// Returns whether this process is one of those that watch the key-value service for its availability zone.
 fn is_watcher(members: &Snapshot) -> bool {
-    let zone = &members.own.profile.availability_zone;
     let live = members.members.iter().chain([&members.own]);
-    let in_zone = live
-        .filter(|member| member.takes_work() && member.profile.availability_zone == *zone)
-        .map(|member| member.profile.process_id.as_str());
-    let mut ranked: Vec<_> = in_zone
-        .map(|process_id| (member_key(process_id), process_id))
+    let live: Vec<_> = live
+        .filter(|member| member.takes_work())
+        .map(participant)
         .collect();
-    ranked.sort_unstable();
     let own = members.own.profile.process_id.as_str();
-    ranked
-        .iter()
-        .take(WATCHERS_PER_ZONE)
-        .any(|(_, process_id)| *process_id == own)
+    watchers(&live, WATCHERS_PER_ZONE).contains(own)
+}
+
+/// Returns a member as the assignment of subsets sees it.
+pub(crate) fn participant(member: &Member) -> Participant<'_> {
+    Participant {
+        process_id: &member.profile.process_id,
+        availability_zone: &member.profile.availability_zone,
+    }
 }
 
 /// Fetches configuration from peers.
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, PoisonError, RwLock};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -18,6 +18,9 @@
 /// Longest pause before a lost link is dialled again.
 const MAX_BACKOFF: Duration = Duration::from_secs(5);
 
+/// Time for which an unused link that was opened on demand is kept.
+const ON_DEMAND_KEPT: Duration = Duration::from_mins(1);
+
 /// Interval at which the dialling thread looks for links to open.
 const DIAL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -49,6 +52,8 @@
     options: LinkOptions,
     handler: Arc<H>,
     slots: Mutex<HashMap<ServerId, Slot>>,
+    /// All sidecars of the fleet; links to others than the targets are opened on demand.
+    directory: RwLock<HashMap<ServerId, Target>>,
     /// Links to servers that are no targets any more; closed once their last attempt has ended.
     retired: Mutex<Vec<Link>>,
     stopped: Flag,
@@ -61,6 +66,8 @@
     dialling: bool,
     failures: u32,
     not_before: Instant,
+    /// Last use of a link that was opened on demand; `None` for a link to a target.
+    used_at: Option<Instant>,
 }
 
 impl<H: EntryLinks> LinkPool<H> {
@@ -74,6 +81,7 @@
             options,
             handler,
             slots: Mutex::default(),
+            directory: RwLock::default(),
             retired: Mutex::default(),
             stopped: Flag::default(),
         });
@@ -84,6 +92,73 @@
         Ok(pool)
     }
 
+    /// Replaces the list of all sidecars.
+    pub fn set_directory(&self, sidecars: impl IntoIterator<Item = Target>) {
+        let sidecars = sidecars.into_iter();
+        let named = sidecars.map(|target| (target.server.clone(), target));
+        *self
+            .directory
+            .write()
+            .unwrap_or_else(PoisonError::into_inner) = named.collect();
+    }
+
+    /// Returns the sidecars of `pool` that do not leave, except those in `exclude`.
+    #[must_use]
+    pub fn listed_servers(&self, pool: &str, exclude: &[ServerId]) -> Vec<ServerId> {
+        let directory = self
+            .directory
+            .read()
+            .unwrap_or_else(PoisonError::into_inner);
+        let listed = directory.values().filter(|target| {
+            target.pool == pool && !target.leaving && !exclude.contains(&target.server)
+        });
+        listed.map(|target| target.server.clone()).collect()
+    }
+
+    /// Returns the link to any listed sidecar; opens it if there is none, which blocks for the time of the handshake.
+    /// A link that was opened on demand is closed after it was not used for a while.
+    #[must_use]
+    pub fn get_or_open(&self, server: &str) -> Option<Link> {
+        if let Some(link) = self.touch(server) {
+            return Some(link);
+        }
+        let target = {
+            let directory = self
+                .directory
+                .read()
+                .unwrap_or_else(PoisonError::into_inner);
+            directory.get(server)?.clone()
+        };
+        let link = match connect(target.address, &self.options, Arc::clone(&self.handler)) {
+            Ok(link) => link,
+            Err(error) => {
+                tracing::debug!(server, %error, "cannot open a link on demand");
+                return None;
+            }
+        };
+        let mut slots = lock(&self.slots);
+        let slot = slots.entry(target.server.clone()).or_insert_with(|| Slot {
+            used_at: Some(Instant::now()),
+            ..Slot::new(target)
+        });
+        if slot.is_open() {
+            // Another request opened a link in the meantime.
+            link.close();
+        } else {
+            slot.link = Some(link);
+        }
+        slot.link.clone()
+    }
+
+    fn touch(&self, server: &str) -> Option<Link> {
+        let mut slots = lock(&self.slots);
+        let slot = slots.get_mut(server)?;
+        if let Some(used_at) = &mut slot.used_at {
+            *used_at = Instant::now();
+        }
+        slot.link.clone().filter(|link| !link.is_lost())
+    }
+
     /// Replaces the targets. Links to targets that stay are kept; other links are closed once they are idle.
     pub fn set_targets(&self, targets: impl IntoIterator<Item = Target>) {
         let mut slots = lock(&self.slots);
@@ -93,8 +168,15 @@
                 .remove(&target.server)
                 .filter(|slot| slot.target.address == target.address);
             let slot = kept.unwrap_or_else(|| Slot::new(target.clone()));
-            slots.insert(target.server.clone(), Slot { target, ..slot });
+            let slot = Slot {
+                target,
+                used_at: None,
+                ..slot
+            };
+            slots.insert(slot.target.server.clone(), slot);
         }
+        let on_demand = old.extract_if(|_, slot| slot.is_in_use());
+        slots.extend(on_demand);
         let removed = old.into_values().filter_map(|slot| slot.link);
         lock(&self.retired).extend(removed);
     }
@@ -127,19 +209,6 @@
         closed.map(|slot| slot.target.server.clone()).collect()
     }
 
-    /// Returns the servers of `pool` with an open link that do not leave, except those in `exclude`.
-    #[must_use]
-    pub fn open_servers(&self, pool: &str, exclude: &[ServerId]) -> Vec<ServerId> {
-        let slots = lock(&self.slots);
-        let open = slots
-            .values()
-            .filter(|slot| slot.target.pool == pool && slot.is_open() && !slot.target.leaving);
-        open.map(|slot| &slot.target.server)
-            .filter(|server| !exclude.contains(server))
-            .cloned()
-            .collect()
-    }
-
     /// Stops dialling and closes all links.
     pub fn stop(&self) {
         self.stopped.raise();
@@ -165,6 +234,12 @@
     }
 
     fn close_retired(&self) {
+        let unused = {
+            let mut slots = lock(&self.slots);
+            let unused = slots.extract_if(|_, slot| slot.used_at.is_some() && !slot.is_in_use());
+            unused.filter_map(|(_, slot)| slot.link).collect::<Vec<_>>()
+        };
+        lock(&self.retired).extend(unused);
         lock(&self.retired).retain(|link| {
             let keep = !link.is_lost() && !self.handler.is_idle(link);
             if !keep {
@@ -179,7 +254,8 @@
         let mut slots = lock(&self.slots);
         let due = slots
             .values_mut()
-            .filter(|slot| !slot.dialling && !slot.is_open() && slot.not_before <= now);
+            .filter(|slot| !slot.dialling && !slot.is_open() && slot.not_before <= now)
+            .filter(|slot| slot.used_at.is_none());
         due.map(|slot| {
             slot.dialling = true;
             slot.target.clone()
@@ -219,9 +295,15 @@
             dialling: false,
             failures: 0,
             not_before: Instant::now(),
+            used_at: None,
         }
     }
 
+    /// Returns whether the link was opened on demand and used not long ago.
+    fn is_in_use(&self) -> bool {
+        self.is_open() && self.used_at.is_some_and(|at| at.elapsed() < ON_DEMAND_KEPT)
+    }
+
     fn is_open(&self) -> bool {
         self.link.as_ref().is_some_and(|link| !link.is_lost())
     }
--- a/examples/path/fleet.rs
+++ b/examples/path/fleet.rs
@@ -194,6 +194,7 @@
         gossip_listen: local(),
         operator_listen: local(),
         seeds,
+        vm_list: None,
     }
 }
 
