--- a/crates/core/benches/decision.rs
+++ b/crates/core/benches/decision.rs
@@ -7,7 +7,9 @@
 use std::time::Duration;
 
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
-use tanagerford_core::admission::{Action, Admission, AdmissionSettings, FinishKind, Request};
+use tanagerford_core::admission::{
+    Action, Admission, AdmissionSettings, ClassSettings, FinishKind, Request,
+};
 use tanagerford_core::routing::{
     Answer, Attempt, LoadHint, RouteRequest, Router, RouterSettings, Server,
 };
@@ -24,6 +26,10 @@
 const ENTRY_GAP: Duration = Duration::from_micros(250);
 /// Time between two requests at the sidecar.
 const SIDECAR_GAP: Duration = Duration::from_millis(50);
+/// Longest wait with which admission sheds load early, so that a handful of requests wait.
+const WAIT_LIMIT: Duration = Duration::from_secs(10);
+/// Longest wait with which the queues fill up.
+const LONG_WAIT_LIMIT: Duration = Duration::from_hours(1);
 
 /// Workspace, prefix and tier of the `number`-th request.
 fn workspace(number: u64, workspaces: u64) -> u64 {
@@ -119,14 +125,20 @@
 struct Sidecar {
     admission: Admission,
     workspaces: u64,
+    wait_limit: Duration,
     running: VecDeque<u64>,
     number: u64,
     now: Duration,
 }
 
 impl Sidecar {
-    fn new(workspaces: u64) -> Self {
+    fn new(workspaces: u64, wait_limit: Duration) -> Self {
+        let class = ClassSettings {
+            longest_wait: wait_limit,
+            ..ClassSettings::default()
+        };
         let settings = AdmissionSettings {
+            classes: [("chat".to_owned(), class)].into(),
             reserved_permille: vec![400, 200, 100, 50],
             prior_batch: 64,
             ..AdmissionSettings::default()
@@ -134,6 +146,7 @@
         let mut sidecar = Self {
             admission: Admission::new(settings),
             workspaces,
+            wait_limit,
             running: VecDeque::new(),
             number: 0,
             now: Duration::ZERO,
@@ -156,8 +169,8 @@
             model: "small".to_owned(),
             prompt_tokens: 1000,
             max_tokens: 400,
-            wait_limit: Duration::from_secs(10),
-            deadline: self.now + Duration::from_mins(1),
+            wait_limit: self.wait_limit,
+            deadline: self.now + self.wait_limit + Duration::from_mins(1),
             resumable: true,
             max_company: None,
         };
@@ -210,16 +223,18 @@
 
 fn admission_by_workspaces(criterion: &mut Criterion) {
     let mut group = criterion.benchmark_group("admission_by_workspaces");
-    for workspaces in [WORKSPACES / 16, WORKSPACES / 4, WORKSPACES, WORKSPACES * 4] {
-        let mut sidecar = Sidecar::new(workspaces);
-        let id = BenchmarkId::from_parameter(workspaces);
-        group.bench_function(id, |bencher| bencher.iter(|| sidecar.request()));
+    for (name, wait_limit) in [("short_queue", WAIT_LIMIT), ("long_queue", LONG_WAIT_LIMIT)] {
+        for workspaces in [WORKSPACES / 16, WORKSPACES / 4, WORKSPACES, WORKSPACES * 4] {
+            let mut sidecar = Sidecar::new(workspaces, wait_limit);
+            let id = BenchmarkId::new(name, workspaces);
+            group.bench_function(id, |bencher| bencher.iter(|| sidecar.request()));
+        }
     }
 }
 
 fn choice_and_admission(criterion: &mut Criterion) {
     let mut entry = Entry::new(WORKERS, WORKSPACES, true);
-    let mut sidecar = Sidecar::new(WORKSPACES);
+    let mut sidecar = Sidecar::new(WORKSPACES, WAIT_LIMIT);
     criterion.bench_function("choice_and_admission", |bencher| {
         bencher.iter(|| {
             entry.request();
