Let the non-interference test see leaks through the capacity estimate

The fake engine had the same pace for all tiers, so gaps of lower tiers that were fed to a higher tier's capacity changed nothing. Lower tiers are now slower in the random traces.

--- a/crates/core/tests/admission_engine/mod.rs
+++ b/crates/core/tests/admission_engine/mod.rs
@@ -19,6 +19,8 @@
     pub workspace: &'static str,
     pub resumable: bool,
     pub max_company: Option<u32>,
+    /// Steps per token.
+    pub pace: u64,
 }
 
 impl Job {
@@ -32,6 +34,7 @@
             workspace: "acme",
             resumable: true,
             max_company: None,
+            pace: 1,
         }
     }
 
@@ -87,6 +90,8 @@
                 workspace,
                 resumable,
                 max_company,
+                // Lower tiers are slower, so gaps that leak into a higher tier's capacity show.
+                pace: u64::from(tier) + 1,
             },
         );
         made.collect()
@@ -146,7 +151,7 @@
             let stopped = actions
                 .iter()
                 .any(|action| matches!(action, Action::Preempt { id: gone, .. } if *gone == id));
-            if stopped {
+            if stopped || (at_ms / STEP_MS) % jobs[&id].pace != 0 {
                 continue;
             }
             let count = generated.entry(id).or_default();
