Refuse truthfully after a hand-over, suspect only what ran, and wait for completions of orders at a stop

Only requests that reached the engine are suspected now. - A request that was preempted before its first token could be refused as not-run, although the engine had begun it. It now ends as preempted, with the outcome unknown. An engine's 5xx answer also counts as unknown. - An entry without configuration answered unauthorized in place of not_ready. - A sidecar that stopped during an outage gave up unwritten completions after 2 s; it now waits as long as the stop may. - The latency of a plain call was taken at its first part; it is now taken at its end.

--- a/crates/node/src/entry/handler.rs
+++ b/crates/node/src/entry/handler.rs
@@ -1,6 +1,7 @@
 //! Answers callers.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use http::{HeaderName, HeaderValue, Method, StatusCode, header};
 use tanagerford_caller::headers;
@@ -16,6 +17,12 @@
 use super::relay::{Relay, Start, Step};
 use super::state::{EntryState, FrameHandler};
 
+/// Advice while the entry has no configuration; it asks the key-value service and its peers twice a second.
+const NOT_READY_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Advice when a class has no place left at the entry.
+const CLASS_FULL_RETRY_AFTER: Duration = Duration::from_millis(250);
+
 /// Handler of the callers' listener.
 pub(crate) struct CallerHandler {
     state: Arc<EntryState>,
@@ -29,6 +36,10 @@
 
     async fn answer(&self, request: Request, request_id: &str) -> Result<Reply, Refusal> {
         let configuration = self.state.configuration();
+        if configuration.generation() == 0 {
+            let text = "the entry has no configuration yet";
+            return Err(Refusal::new(Code::NotReady, text).retry_after(NOT_READY_RETRY_AFTER));
+        }
         let path = request.uri.path();
         if request.method == Method::GET && path == "/v1/models" {
             call::authenticate(&configuration, &request.headers)?;
@@ -63,7 +74,7 @@
                     Code::ClassFull,
                     format!("class {class} has no place left at this entry"),
                 )
-                .retry_after(std::time::Duration::from_millis(250))
+                .retry_after(CLASS_FULL_RETRY_AFTER)
             });
         let result = match place {
             Ok(place) => {
--- a/crates/node/src/entry/relay.rs
+++ b/crates/node/src/entry/relay.rs
@@ -112,7 +112,9 @@
             match self.await_start().await {
                 Ok(start) => {
                     self.delivered = true;
-                    self.observe_start();
+                    if matches!(self.call.kind, Kind::Model { .. }) {
+                        self.observe_latency();
+                    }
                     return Ok(start);
                 }
                 Err(Failure::OwnedElsewhere(claim)) => {
@@ -317,7 +319,11 @@
             "backend server did not finish the request: {}",
             finish.detail
         );
-        let refusal = Refusal::new(Code::ServerFailed, message);
+        let code = match outcome {
+            AttemptOutcome::Preempted => Code::PreemptedTooLong,
+            _ => Code::ServerFailed,
+        };
+        let refusal = Refusal::new(code, message);
         Failure::Ended { outcome, refusal }
     }
 
@@ -462,7 +468,8 @@
         self.running.take().map(|running| running.chosen)
     }
 
-    fn observe_start(&self) {
+    /// Records the time to the first token, or to the whole answer of a service call.
+    fn observe_latency(&self) {
         let latency = self.call.received_at.elapsed();
         self.state.metrics.observe_first_answer(
             &self.call.class.name,
@@ -479,6 +486,9 @@
             let result = if self.complete { "complete" } else { "cut" };
             let (class, tier) = (&self.call.class.name, self.call.tier);
             self.state.metrics.count_request(class, tier, result);
+            if self.complete && matches!(self.call.kind, Kind::Service) {
+                self.observe_latency();
+            }
             tracing::info!(
                 request_id = self.call.request_id,
                 class,
--- a/crates/node/src/sidecar/mod.rs
+++ b/crates/node/src/sidecar/mod.rs
@@ -159,7 +159,9 @@
         }
         self.state.stopped.raise();
         if let Some(orders) = self.state.orders() {
-            finished &= orders.stop(FLUSH_TIMEOUT);
+            // An unwritten completion would leave its order unknown, so the stop waits for the key-value service.
+            let left = deadline.saturating_duration_since(Instant::now());
+            finished &= orders.stop(left.max(FLUSH_TIMEOUT));
         }
         self.server.stop();
         self.state.close_links(FLUSH_TIMEOUT);
--- a/crates/node/src/sidecar/model.rs
+++ b/crates/node/src/sidecar/model.rs
@@ -318,9 +318,13 @@
     status: u16,
     body: &str,
 ) -> Result<FinishKind, Superseded> {
-    if status == TOO_MANY_REQUESTS || status >= 500 {
-        let detail = format!("engine refused the request with status {status}");
-        return refuse(backend, run, "overloaded", &detail);
+    if status == TOO_MANY_REQUESTS {
+        return refuse(backend, run, "overloaded", "engine is full");
+    }
+    if status >= 500 {
+        let detail = format!("engine failed with status {status}");
+        run.finish(Outcome::Failed, &detail, Some(wire_load(backend.load())))?;
+        return Ok(FinishKind::Failed);
     }
     run.send_head(status, vec![content_type("application/json")])?;
     run.send_chunk(body.as_bytes().to_vec(), 0)?;
@@ -344,6 +348,8 @@
     backend: &ModelBackend,
     run: &Run<'_>,
 ) -> Result<FinishKind, Superseded> {
+    // The request never reached the engine, so it is not among those that may have crashed it.
+    run.retract()?;
     backend.notice_crash(state);
     refuse(backend, run, "server_down", "cannot connect to the engine")
 }
--- a/crates/node/src/sidecar/service.rs
+++ b/crates/node/src/sidecar/service.rs
@@ -234,6 +234,11 @@
         }
         Claimed::Refused(refusal) => {
             state.remove(work.id);
+            tracing::info!(
+                request_id = work.submit.request_id,
+                code = refusal.code,
+                "refused an order"
+            );
             work.refuse(refusal);
         }
     }
@@ -252,6 +257,12 @@
             "handed a call to the service"
         );
         call(backend, work, &run);
+        let elapsed = work.received_at.elapsed();
+        tracing::info!(
+            request_id = work.submit.request_id,
+            elapsed_ms = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX),
+            "call has ended"
+        );
     }
     state.remove(work.id);
     backend.decide(state, |pool, now| pool.on_finish(now, work.id));
--- a/crates/node/src/sidecar/work.rs
+++ b/crates/node/src/sidecar/work.rs
@@ -43,6 +43,8 @@
     chunks: u64,
     tokens: u32,
     head_sent: bool,
+    /// Whether the work may have reached the backend server.
+    handed_over: bool,
     stage: Stage,
     cancel: Option<CancelHandle>,
     /// What is known about crashes that the work may have caused; sent with its end.
@@ -140,13 +142,14 @@
         progress.tokens
     }
 
-    /// Refuses the work. Work that has run in part is ended as preempted instead.
+    /// Refuses the work. Work that may have reached the backend server is ended as preempted instead, because a refusal
+    /// proves that nothing ran.
     pub(crate) fn refuse(&self, refusal: message::Refused) {
         let mut progress = lock(&self.progress);
         if progress.stage == Stage::Ended {
             return;
         }
-        if progress.head_sent {
+        if progress.handed_over {
             self.send_finish(&progress, Outcome::Preempted, &refusal.detail, refusal.load);
         } else {
             let attempt_id = self.submit.attempt_id;
@@ -194,7 +197,8 @@
 impl Run<'_> {
     /// Tells the entry that the work is handed to the backend server.
     pub(crate) fn accept(&self) -> Result<(), Superseded> {
-        self.sending(|_| {
+        self.sending(|progress| {
+            progress.handed_over = true;
             self.work.send(frame::Body::Accepted(message::Accepted {
                 attempt_id: self.work.submit.attempt_id,
             }));
@@ -251,9 +255,17 @@
         })
     }
 
+    /// Takes back that the work was handed over: the backend server provably did not get it.
+    pub(crate) fn retract(&self) -> Result<(), Superseded> {
+        self.sending(|progress| {
+            progress.handed_over = false;
+            progress.stage = Stage::Waiting;
+        })
+    }
+
     /// Refuses the work, which certainly did not run.
     pub(crate) fn refuse(&self, refusal: message::Refused) -> Result<(), Superseded> {
-        self.sending(|_| ())?;
+        self.retract()?;
         self.work.refuse(refusal);
         Ok(())
     }
--- a/crates/node/tests/failures.rs
+++ b/crates/node/tests/failures.rs
@@ -290,3 +290,36 @@
     wait_until(|| open_links(&fleet.entry) == 3);
     drop(second);
 }
+
+/// Guards against the quarantine of requests that never reached an engine that is down.
+#[test]
+fn a_request_that_finds_its_engine_down_is_not_suspected() {
+    let fleet = Fleet::start(1, &fast(), &configuration());
+    let dead = engine_backend(SocketAddr::from(([127, 0, 0, 1], 9)));
+    let seeds = vec![fleet.entry.gossip_address()];
+    let unreachable = start_sidecar("engine-dead", &dead, &fleet.kv, seeds);
+    wait_until(|| open_links(&fleet.entry) == 3);
+    for _ in 0..20 {
+        let answer = chat(&fleet, "the same ticket");
+        assert_ne!(code(&answer), "quarantined", "{}", answer.text);
+    }
+    assert_eq!(state(unreachable.operator_address())["suspects"], 0);
+}
+
+/// Guards against callers that are told that their key is unknown while the entry has no configuration.
+#[test]
+fn an_entry_without_configuration_is_not_ready() {
+    let kv = Arc::new(Memory::new());
+    let entry = start_entry("entry-0", &kv, vec![]);
+    let body = chat_body("ticket", 2, false);
+    let answer = post_to(
+        entry.address(),
+        common::KEY,
+        "/v1/chat/completions",
+        &[],
+        &body,
+    )
+    .expect("refusal arrives");
+    assert_eq!(answer.status, 503, "{}", answer.text);
+    assert_eq!(code(&answer), "not_ready");
+}
--- a/src/process.rs
+++ b/src/process.rs
@@ -73,7 +73,7 @@
     if finished {
         Ok(())
     } else {
-        let text = "work was still in flight when the time to stop had passed";
+        let text = "work was in flight or completions of orders were not written when the time to stop had passed";
         Err(Error::failed(text))
     }
 }
