--- a/crates/core/tests/admission_engine/mod.rs
+++ b/crates/core/tests/admission_engine/mod.rs
@@ -151,7 +151,7 @@
             let stopped = actions
                 .iter()
                 .any(|action| matches!(action, Action::Preempt { id: gone, .. } if *gone == id));
-            if stopped || (at_ms / STEP_MS) % jobs[&id].pace != 0 {
+            if stopped || !(at_ms / STEP_MS).is_multiple_of(jobs[&id].pace) {
                 continue;
             }
             let count = generated.entry(id).or_default();
--- a/examples/policy/main.rs
+++ b/examples/policy/main.rs
@@ -9,6 +9,7 @@
 mod gate;
 mod report;
 mod scenario;
+mod work;
 
 use getopts::Options;
 
--- a/examples/policy/report.rs
+++ b/examples/policy/report.rs
@@ -4,9 +4,10 @@
 
 use serde::Serialize;
 
-use crate::driver::{Driver, Work};
+use crate::driver::Driver;
 use crate::gate::Policy;
 use crate::scenario::{ARRIVAL_SECS, Scenario};
+use crate::work::Work;
 
 pub const TABLE_HEAD: &str = "scenario                 policy           tier class       requests  attain goodput    shed  wasted  wait_ms";
 
