Charge a tier of a plain service for the whole cost of its turn

Cause: a turn was due when the credit paid for the tier's mean call, but calls that cost more were not fully charged, so lower tiers took up to half as much again as their share from a saturated highest tier. The new test of the share fails on the old code with 65 thousandths instead of at most 60.

--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -39,7 +39,7 @@
 const MIN_RESERVED_PERMILLE: u32 = 10;
 
 /// Largest credit of a tier in milliseconds of call time, so that an idle time is not followed by a long preference.
-const MAX_CREDIT_MS: u64 = 10_000;
+const MAX_CREDIT_MS: i64 = 10_000;
 
 /// A call of a plain service that is offered to a sidecar.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -156,7 +156,7 @@
     offered_at: Duration,
     offered_ms_per_sec: f64,
     /// Reserved share of the call time that other tiers started while this one waited, in thousandths of milliseconds.
-    credit: u64,
+    credit: i64,
 }
 
 impl Tier {
@@ -176,7 +176,18 @@
 
     /// Returns whether the credit pays for the tier's mean call.
     fn is_owed(&self) -> bool {
-        self.credit >= 1_000 * u64::from(whole_ms(self.mean_ms()))
+        self.credit >= 1_000 * i64::from(whole_ms(self.mean_ms()))
+    }
+
+    /// Takes a started call off the credit. A call that uses its tier's turn may cost more than the mean call, so it can
+    /// leave a debt; the others only use up what is left.
+    fn charge(&mut self, expected_ms: u32) {
+        let floor = if self.is_owed() {
+            i64::MIN
+        } else {
+            self.credit.min(0)
+        };
+        self.credit = (self.credit - 1_000 * i64::from(expected_ms)).max(floor);
     }
 
     fn count_offer(&mut self, now: Duration, expected_ms: u32) {
@@ -416,11 +427,9 @@
         }
         for (index, other) in self.tiers.iter_mut().enumerate() {
             if index == tier {
-                other.credit = other
-                    .credit
-                    .saturating_sub(u64::from(waiting.tokens) * 1_000);
+                other.charge(waiting.tokens);
             } else if other.queue.len() > 0 {
-                let earned = u64::from(waiting.tokens) * u64::from(self.settings.reserved(index));
+                let earned = i64::from(waiting.tokens) * i64::from(self.settings.reserved(index));
                 other.credit = (other.credit + earned).min(MAX_CREDIT_MS * 1_000);
             }
         }
--- a/crates/core/tests/pool.rs
+++ b/crates/core/tests/pool.rs
@@ -4,7 +4,7 @@
 
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use tanagerford_core::admission::{Action, RefuseReason};
+use tanagerford_core::admission::{Action, ClassSettings, RefuseReason};
 use tanagerford_core::pool::{Call, Pool, PoolSettings};
 
 fn settings(concurrency: u32) -> PoolSettings {
@@ -162,3 +162,44 @@
     ));
     assert_eq!(pool.load().running, 1);
 }
+
+/// Guards against a lower tier that takes more than its reserved share from a saturated higher tier, here because its
+/// calls cost more than its mean call.
+#[test]
+fn a_lower_tier_takes_only_its_share_of_a_saturated_pool() {
+    let classes = ["long", "short"].map(|class| (class.to_owned(), ClassSettings::default()));
+    let mut pool = Pool::new(PoolSettings {
+        classes: classes.into(),
+        ..settings(8)
+    });
+    let mut ends: Vec<(u64, u64)> = Vec::new();
+    let mut busy_ms = [0; 2];
+    for step in 0..6_000_u64 {
+        let now = Duration::from_millis(step * 10);
+        let mut actions = Vec::new();
+        for (_, id) in ends.extract_if(.., |(at, _)| *at <= step) {
+            actions.extend(pool.on_finish(now, id));
+        }
+        // Odd numbers are calls of the lowest tier, and one in 64 of them is short.
+        for id in [step * 2, step * 2 + 1] {
+            let class = if id % 128 == 1 { "short" } else { "long" };
+            let call = Call {
+                class: class.to_owned(),
+                ..call(id, if id % 2 == 0 { 0 } else { 3 })
+            };
+            actions.extend(pool.offer(now, call));
+        }
+        for action in actions {
+            if let Action::Start { id } = action {
+                let call_ms = if id % 128 == 1 { 100 } else { 400 };
+                busy_ms[usize::from(id % 2 == 1)] += call_ms;
+                ends.push((step + call_ms / 10, id));
+            }
+        }
+    }
+    let permille = busy_ms[1] * 1_000 / (busy_ms[0] + busy_ms[1]);
+    assert!(
+        (30..=60).contains(&permille),
+        "{permille} thousandths, {busy_ms:?}"
+    );
+}
