--- a/crates/node/src/orders/log.rs
+++ b/crates/node/src/orders/log.rs
@@ -60,6 +60,32 @@
 /// A sidecar calls [`OrderLog::claim`] before it sends an order to its backend server, and sends it only after
 /// [`ClaimDecision::Run`]. It then calls [`OrderLog::finish`] with the answer, or [`OrderLog::abandon`] if the call was
 /// certainly not sent. If neither is certain it calls nothing: the order then stays unsettled.
+///
+/// ```
+/// use std::sync::Arc;
+/// use std::time::Duration;
+/// use tanagerford_core::order::{OrderKey, Owner, body_digest};
+/// use tanagerford_node::orders::{
+///     ClaimDecision, KeptAnswer, OrderLog, OrderRequest, OrderSettings, OrderStatus,
+/// };
+/// use tanagerford_platform::memory::Memory;
+///
+/// let owner = Owner { server: "w1".into(), incarnation: 1 };
+/// let log = OrderLog::start(Arc::new(Memory::new()), OrderSettings::new("plates", owner));
+/// let order = OrderRequest {
+///     key: OrderKey::new("north", "burn-17"),
+///     body: body_digest("POST", "/burn", b"plate 17"),
+///     released: None,
+/// };
+/// let wait = Duration::from_secs(5);
+/// assert!(matches!(log.claim(&order, wait), ClaimDecision::Run(_)));
+/// let answer = KeptAnswer { status: 201, headers: Vec::new(), body: "burnt".into() };
+/// assert!(log.finish(&order.key, answer));
+/// assert!(matches!(log.claim(&order, wait), ClaimDecision::Answered(_)));
+/// assert!(matches!(log.query(&order.key), OrderStatus::Done(Some(_))));
+/// assert_eq!(log.query(&OrderKey::new("north", "burn-18")), OrderStatus::NotRun);
+/// assert!(log.stop(wait));
+/// ```
 pub struct OrderLog {
     book: Arc<OrderBook>,
     wake: Arc<Wake>,
