--- a/tests/workdir/process.rs
+++ b/tests/workdir/process.rs
@@ -48,6 +48,12 @@
         log.iter().find(|line| line["message"] == message).cloned()
     }
 
+    /// Returns the count of log lines with this message.
+    pub fn count(&self, message: &str) -> usize {
+        let log = self.log.lock().expect("log is readable");
+        log.iter().filter(|line| line["message"] == message).count()
+    }
+
     /// Returns the log lines that carry this request id.
     pub fn lines_of(&self, request_id: &str) -> usize {
         let log = self.log.lock().expect("log is readable");
