--- a/crates/core/src/membership/budget.rs
+++ b/crates/core/src/membership/budget.rs
@@ -40,6 +40,11 @@
         self.level_bytes * 2.0 >= self.burst_bytes
     }
 
+    /// Returns whether more than `reserve_bytes` are left.
+    pub fn has_above(&self, reserve_bytes: u32) -> bool {
+        self.level_bytes > f64::from(reserve_bytes)
+    }
+
     /// Charges sent bytes. The level never falls below one negative burst.
     pub fn charge(&mut self, bytes: usize) {
         let bytes = u32::try_from(bytes).unwrap_or(u32::MAX);
--- a/crates/core/src/membership/params.rs
+++ b/crates/core/src/membership/params.rs
@@ -74,7 +74,7 @@
             reconnect_period: Duration::from_secs(10),
             dead_retention: Duration::from_mins(30),
             spread_bytes_per_second: 900,
-            exchange_bytes_per_second: 1_100,
+            exchange_bytes_per_second: 1_600,
             spread_burst_bytes: 32 * 1_024,
             exchange_burst_bytes: 96 * 1_024,
             max_members: 8_192,
--- a/crates/core/src/membership/sync.rs
+++ b/crates/core/src/membership/sync.rs
@@ -18,6 +18,9 @@
 /// Longest mean time between attempts to join, in probe periods.
 const MAX_JOIN_PERIODS: u32 = 10;
 
+/// Bytes of the anti-entropy budget that are kept for requests for profiles.
+const PROFILE_RESERVE_BYTES: u32 = 8 * 1_200;
+
 impl Membership {
     /// Asks seeds for the members while none is known, with growing and jittered delays.
     pub(super) fn join(&mut self, now: Duration) {
@@ -95,7 +98,7 @@
     /// goes; the peer asks again if it needs more.
     pub(super) fn on_sync(&mut self, from: SocketAddr, sender: MemberKey, digests: &[u32]) {
         // The rest of the budget is kept for requests for profiles, which the claims sent here lead to.
-        if !self.exchange_budget.is_ample() {
+        if !self.exchange_budget.has_above(PROFILE_RESERVE_BYTES) {
             self.counters.throttled += 1;
             return;
         }
--- /dev/null
+++ b/crates/core/tests/membership.rs
@@ -0,0 +1,156 @@
+//! Rules of the failure detector that a whole fleet does not show by itself.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tanagerford_core::membership::{
+    Action, Body, Event, Header, Item, ItemError, MemberState, Membership, Message, Params,
+    Profile, Role, Standing, Update, member_key,
+};
+
+fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+fn profile(name: &str, port: u16) -> Profile {
+    Profile {
+        process_id: name.into(),
+        role: Role::Sidecar,
+        pool: "large".into(),
+        availability_zone: "a".into(),
+        region: "north".into(),
+        link_address: address(port),
+        gossip_address: address(port),
+    }
+}
+
+fn claim(name: &str, incarnation: u64, refutation: u32, state: MemberState) -> Update {
+    Update {
+        key: member_key(name),
+        standing: Standing {
+            incarnation,
+            refutation,
+            state,
+        },
+        reporter: 1,
+        profile: Some(Arc::new(profile(name, 2))),
+    }
+}
+
+fn gossip(updates: Vec<Update>, items: Vec<Item>) -> Message {
+    let header = Header {
+        sender: member_key("peer"),
+        incarnation: 1,
+        refutation: 0,
+        is_leaving: false,
+        generation: 0,
+    };
+    Message {
+        header,
+        body: Body::Gossip,
+        updates,
+        items,
+    }
+}
+
+fn receive(membership: &mut Membership, updates: Vec<Update>) -> Vec<Action> {
+    membership.on_message(Duration::from_secs(1), address(2), gossip(updates, vec![]))
+}
+
+fn own() -> Membership {
+    Membership::new(Duration::ZERO, profile("own", 1), 5, Params::default(), 1)
+}
+
+fn state(membership: &Membership, name: &str) -> Option<MemberState> {
+    membership
+        .member(member_key(name))
+        .map(|member| member.standing.state)
+}
+
+/// Guards against a replayed or delayed datagram that brings an older claim back.
+#[test]
+fn older_claims_do_not_replace_newer_ones() {
+    let mut membership = own();
+    receive(
+        &mut membership,
+        vec![claim("other", 2, 1, MemberState::Leaving)],
+    );
+    for old in [
+        claim("other", 2, 0, MemberState::Dead),
+        claim("other", 2, 1, MemberState::Alive),
+        claim("other", 1, 9, MemberState::Dead),
+    ] {
+        receive(&mut membership, vec![old]);
+        assert_eq!(state(&membership, "other"), Some(MemberState::Leaving));
+    }
+}
+
+/// Guards against a live process that accepts its own death, or changes its incarnation to refute it.
+#[test]
+fn a_process_refutes_its_death_and_keeps_its_incarnation() {
+    let mut membership = own();
+    receive(&mut membership, vec![claim("own", 5, 3, MemberState::Dead)]);
+    let standing = membership.own().standing;
+    assert_eq!(
+        (standing.incarnation, standing.refutation, standing.state),
+        (5, 4, MemberState::Alive)
+    );
+}
+
+/// Guards against two processes with one id that both go on working.
+#[test]
+fn a_newer_process_with_the_same_id_is_reported_once() {
+    let mut membership = own();
+    let newer = || vec![claim("own", 6, 0, MemberState::Alive)];
+    let count = |actions: &[Action]| {
+        let is_superseded = |action: &&Action| {
+            matches!(action, Action::Notify(Event::Superseded { incarnation: 6 }))
+        };
+        actions.iter().filter(is_superseded).count()
+    };
+    assert_eq!(count(&receive(&mut membership, newer())), 1);
+    assert_eq!(count(&receive(&mut membership, newer())), 0);
+}
+
+/// Guards against a table that grows without bound.
+#[test]
+fn the_table_is_bounded() {
+    let params = Params {
+        max_members: 2,
+        ..Params::default()
+    };
+    let mut membership = Membership::new(Duration::ZERO, profile("own", 1), 5, params, 1);
+    for name in ["one", "two", "three"] {
+        receive(&mut membership, vec![claim(name, 1, 0, MemberState::Alive)]);
+    }
+    assert_eq!(membership.live_count(), 2);
+    assert_eq!(membership.counters().refused, 1);
+}
+
+/// Guards against items that are too long, too many or replaced by older versions.
+#[test]
+fn items_are_bounded_and_versioned() {
+    let params = Params {
+        max_items: 1,
+        item_bytes: 4,
+        ..Params::default()
+    };
+    let mut membership = Membership::new(Duration::ZERO, profile("own", 1), 5, params, 1);
+    let item = |key, version, bytes| Item {
+        key,
+        version,
+        value: vec![0; bytes].into(),
+    };
+    let now = Duration::ZERO;
+    assert_eq!(
+        membership.publish(now, item(1, 2, 5)),
+        Err(ItemError::TooLong)
+    );
+    assert_eq!(membership.publish(now, item(1, 2, 4)), Ok(()));
+    assert_eq!(
+        membership.publish(now, item(1, 1, 4)),
+        Err(ItemError::Outdated)
+    );
+    assert_eq!(membership.publish(now, item(2, 1, 4)), Err(ItemError::Full));
+}
