--- a/examples/capacity.rs
+++ b/examples/capacity.rs
@@ -104,7 +104,7 @@
     );
     let same = |name, value, target| row(name, value, value, target);
     same(
-        "gossip bytes/s, sent plus received (e)",
+        "gossip bytes/s, sent plus received (m)",
         bytes,
         BYTES_TARGET,
     );
