--- a/crates/gossip/tests/spread.rs
+++ b/crates/gossip/tests/spread.rs
@@ -86,6 +86,27 @@
     }
 }
 
+/// Guards against leaving members that are known late because those before them used up the bytes of dissemination.
+#[test]
+fn many_leaving_members_are_known_in_time_with_loss() {
+    let params = Params {
+        spread_burst_bytes: 4 * 1_024,
+        ..Params::default()
+    };
+    let mut fleet = Fleet::start_settled(SIZE, 8, &params);
+    fleet.loss = LOSS;
+    for subject in 0..60 {
+        fleet.leave(subject);
+        let knows = |state: Option<MemberState>| state == Some(MemberState::Leaving);
+        let time = fleet.run_until(LEAVING_TARGET, |fleet| fleet.all_see(subject, knows));
+        assert!(
+            time.is_some(),
+            "member {subject} is not known to leave after 3 s"
+        );
+        fleet.run_for(Duration::from_millis(1_500));
+    }
+}
+
 /// Guards against members that are declared dead because datagrams are lost.
 #[test]
 fn loss_alone_kills_nobody() {
