Give the clients of engines and services a resolver for one address

Cause: perf showed clone3, mmap and the contention on the memory map (osq_lock, rwsem_down_write_slowpath). The default resolver of ureq starts a thread for each call with a timeout, also for an IP address and a kept connection. The benchmark's callers did the same and now use timeouts that need no resolver thread. Ruled out: threads of the stand-in engine, which starts none without delays.

--- a/crates/engine/src/client.rs
+++ b/crates/engine/src/client.rs
@@ -7,8 +7,10 @@
 
 use serde::Deserialize;
 use ureq::Agent;
+use ureq::unversioned::transport::DefaultConnector;
 
 use crate::error::EngineError;
+use crate::resolver::FixedAddress;
 use crate::sse::{Event, EventReader};
 
 /// Longest time to connect to the engine, which runs on the same VM.
@@ -62,6 +64,7 @@
 #[derive(Debug)]
 pub struct EngineClient {
     base_url: String,
+    address: SocketAddr,
     idle: Mutex<Vec<Agent>>,
     control: Agent,
 }
@@ -91,8 +94,9 @@
     pub fn new(address: SocketAddr) -> Arc<Self> {
         Arc::new(Self {
             base_url: format!("http://{address}"),
+            address,
             idle: Mutex::default(),
-            control: agent(Some(CONTROL_TIMEOUT)),
+            control: agent(address, Some(CONTROL_TIMEOUT)),
         })
     }
 
@@ -104,7 +108,7 @@
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
             .pop();
-        let agent = idle.unwrap_or_else(|| agent(None));
+        let agent = idle.unwrap_or_else(|| agent(self.address, None));
         let handle = CancelHandle(agent.clone());
         (agent, handle)
     }
@@ -209,13 +213,13 @@
     }
 }
 
-fn agent(timeout: Option<Duration>) -> Agent {
-    Agent::config_builder()
+fn agent(address: SocketAddr, timeout: Option<Duration>) -> Agent {
+    let config = Agent::config_builder()
         .http_status_as_error(false)
         .timeout_connect(Some(CONNECT_TIMEOUT))
         .timeout_global(timeout)
         .max_idle_connections(1)
         .max_idle_connections_per_host(1)
-        .build()
-        .new_agent()
+        .build();
+    Agent::with_parts(config, DefaultConnector::default(), FixedAddress(address))
 }
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod client;
 mod error;
+mod resolver;
 mod sse;
 mod text;
 
--- a/crates/service/src/client.rs
+++ b/crates/service/src/client.rs
@@ -6,8 +6,10 @@
 
 use http::{HeaderName, HeaderValue, Method, Uri};
 use ureq::Agent;
+use ureq::unversioned::transport::DefaultConnector;
 
 use crate::error::ServiceError;
+use crate::resolver::FixedAddress;
 
 /// Longest time to connect to the service, which runs on the same VM.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -77,8 +79,8 @@
     pub fn new(address: SocketAddr, concurrency: usize) -> Self {
         Self {
             base_url: format!("http://{address}"),
-            repeatable: agent(concurrency),
-            once: agent(0),
+            repeatable: agent(address, concurrency),
+            once: agent(address, 0),
         }
     }
 
@@ -147,14 +149,14 @@
         .any(|header| header.eq_ignore_ascii_case(name))
 }
 
-fn agent(max_idle: usize) -> Agent {
-    Agent::config_builder()
+fn agent(address: SocketAddr, max_idle: usize) -> Agent {
+    let config = Agent::config_builder()
         .http_status_as_error(false)
         .allow_non_standard_methods(true)
         .max_redirects(0)
         .timeout_connect(Some(CONNECT_TIMEOUT))
         .max_idle_connections(max_idle)
         .max_idle_connections_per_host(max_idle)
-        .build()
-        .new_agent()
+        .build();
+    Agent::with_parts(config, DefaultConnector::default(), FixedAddress(address))
 }
--- a/crates/service/src/lib.rs
+++ b/crates/service/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod client;
 mod error;
+mod resolver;
 
 pub use client::{Answer, Call, Header, ServiceClient};
 pub use error::ServiceError;
--- a/examples/path/load.rs
+++ b/examples/path/load.rs
@@ -12,7 +12,7 @@
 use crate::fleet::{Fleet, KEY};
 use crate::samples::Samples;
 
-/// Longest time of one request.
+/// Longest time of the head and of the body of one answer.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Way of the requests.
@@ -107,9 +107,11 @@
     .to_string()
 }
 
+/// A timeout of the whole request would make `ureq` start a thread for each request, to resolve the address.
 fn agent() -> Agent {
     Agent::config_builder()
-        .timeout_global(Some(REQUEST_TIMEOUT))
+        .timeout_recv_response(Some(REQUEST_TIMEOUT))
+        .timeout_recv_body(Some(REQUEST_TIMEOUT))
         .build()
         .new_agent()
 }
