--- a/crates/node/src/entry/relay.rs
+++ b/crates/node/src/entry/relay.rs
@@ -62,9 +62,6 @@
     delivered_tokens: u32,
     delivered: bool,
     complete: bool,
-    /// Fires when the time limit of the call has passed. One timer serves all waits of the call: each new one is a
-    /// change to the process's only reactor and wakes it.
-    expiry: Timer,
     _place: Place,
 }
 
@@ -88,7 +85,6 @@
         place: Place,
     ) -> Self {
         let retry = RetryState::new(call.tier);
-        let expiry = Timer::after(call.time_left());
         Self {
             state,
             links,
@@ -101,7 +97,6 @@
             delivered_tokens: 0,
             delivered: false,
             complete: false,
-            expiry,
             _place: place,
         }
     }
@@ -271,14 +266,12 @@
     }
 
     async fn next_event(&mut self) -> Event {
+        let time_left = self.call.time_left();
         let Some(running) = &mut self.running else {
             return Event::Lost;
         };
-        let expiry = &mut self.expiry;
         let expired = async {
-            (&mut *expiry).await;
-            // A timer fires once; a later wait of the same call must expire, too.
-            *expiry = Timer::after(Duration::ZERO);
+            Timer::after(time_left).await;
             Event::Expired
         };
         future::or(running.attempt.next(), expired).await
