--- a/crates/node/src/entry/membership.rs
+++ b/crates/node/src/entry/membership.rs
@@ -37,8 +37,7 @@
 
     fn on_leaving(&self, leaving: &LeavingProcess) {
         self.state.servers.set_leaving(&leaving.process_id);
-        let own = &self.state.identity;
-        if leaving.process_id == own.process_id && leaving.incarnation == own.incarnation {
+        if leaving.is(&self.state.identity) {
             tracing::info!("the VM of this process is leaving; stopping gracefully");
             self.stop.raise();
         }
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -1,11 +1,13 @@
 //! Runtime of the entry.
 
 mod call;
+mod failure;
 mod handler;
 mod membership;
 mod operations;
 mod order;
 mod relay;
+mod running;
 mod servers;
 mod state;
 
--- a/crates/node/src/entry/relay.rs
+++ b/crates/node/src/entry/relay.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use async_io::Timer;
 use bytes::Bytes;
@@ -14,14 +14,15 @@
     AttemptOutcome, FinalOutcome, LinkPhase, Progress, RetryDecision, RetryState,
 };
 use tanagerford_core::routing::Answer;
-use tanagerford_core::straggler::PaceSample;
 use tanagerford_link::message::{self, Outcome};
 
-use crate::attempts::{Attempt, Event};
+use crate::attempts::Event;
 use crate::links::LinkPool;
 use crate::sync::lock;
 
 use super::call::{Call, Kind};
+use super::failure::Failure;
+use super::running::Running;
 use super::servers::{Chosen, load_hint};
 use super::state::{EntryState, FrameHandler};
 
@@ -52,7 +53,7 @@
     pub(super) state: Arc<EntryState>,
     pub(super) links: Arc<LinkPool<FrameHandler>>,
     pub(super) call: Call,
-    running: Option<Running>,
+    pub(super) running: Option<Running>,
     pub(super) tried: Vec<ServerId>,
     retry: RetryState,
     /// Refusal of the last attempt, reported when no further server can be tried.
@@ -65,18 +66,6 @@
     _place: Place,
 }
 
-/// Attempt in progress.
-#[derive(Debug)]
-struct Running {
-    attempt: Attempt,
-    chosen: Chosen,
-    phase: LinkPhase,
-    submitted_at: Instant,
-    first_token_at: Option<Instant>,
-    last_token_at: Option<Instant>,
-    tokens: u32,
-}
-
 impl Relay {
     pub(crate) fn new(
         state: Arc<EntryState>,
@@ -298,83 +287,6 @@
         }
     }
 
-    fn failure_of_finish(&mut self, finish: &message::Finish) -> Failure {
-        self.state.suspects.merge(&finish.suspicion);
-        let outcome = match finish.outcome() {
-            Outcome::Preempted => AttemptOutcome::Preempted,
-            Outcome::Crashed => AttemptOutcome::Crashed,
-            Outcome::Cancelled => AttemptOutcome::Cancelled,
-            Outcome::Unspecified | Outcome::Complete | Outcome::Failed => AttemptOutcome::Failed,
-        };
-        if let Some(chosen) = self.end_attempt() {
-            match outcome {
-                AttemptOutcome::Preempted | AttemptOutcome::Cancelled => {
-                    let load = finish.load.as_ref().map(load_hint);
-                    self.state.servers.on_refusal(chosen, load.as_ref());
-                }
-                _ => self.state.servers.on_failure(chosen),
-            }
-        }
-        let message = format!(
-            "backend server did not finish the request: {}",
-            finish.detail
-        );
-        let code = match outcome {
-            AttemptOutcome::Preempted => Code::PreemptedTooLong,
-            _ => Code::ServerFailed,
-        };
-        let refusal = Refusal::new(code, message);
-        Failure::Ended { outcome, refusal }
-    }
-
-    fn failure_of_refused(&mut self, refused: message::Refused) -> Failure {
-        if let Some(chosen) = self.end_attempt() {
-            let load = refused.load.as_ref().map(load_hint);
-            self.state.servers.on_refusal(chosen, load.as_ref());
-        }
-        if let Some(claim) = refused.claim {
-            return Failure::OwnedElsewhere(claim);
-        }
-        let mut refusal = Refusal::new(Code::from_wire(&refused.code), refused.detail);
-        if refused.retry_after_ms > 0 {
-            refusal = refusal.retry_after(Duration::from_millis(refused.retry_after_ms.into()));
-        }
-        let outcome = if refused.unknown {
-            AttemptOutcome::RefusedUnknown
-        } else {
-            AttemptOutcome::RefusedNotRun
-        };
-        Failure::Ended { outcome, refusal }
-    }
-
-    fn failure_of_loss(&mut self) -> Failure {
-        let phase = self
-            .running
-            .as_ref()
-            .map_or(LinkPhase::NotSent, |running| running.phase);
-        if let Some(chosen) = self.end_attempt() {
-            self.state.servers.on_failure(chosen);
-        }
-        let refusal = Refusal::new(Code::ServerFailed, "link to the sidecar was lost");
-        let outcome = AttemptOutcome::LinkLost { phase };
-        Failure::Ended { outcome, refusal }
-    }
-
-    /// The entry gives up; the attempt is cancelled, and the refusal says that it may have run.
-    fn failure_of_deadline(&mut self) -> Failure {
-        if let Some(chosen) = self.end_attempt() {
-            self.state.servers.on_ended(chosen);
-        }
-        let refusal = Refusal::new(
-            Code::DeadlineExceeded,
-            "the time limit of the call has passed",
-        );
-        Failure::Ended {
-            outcome: AttemptOutcome::Failed,
-            refusal,
-        }
-    }
-
     /// Lets the next attempt begin, or returns the refusal that ends the call.
     fn after(&mut self, outcome: AttemptOutcome, refusal: Refusal) -> Result<(), Refusal> {
         if refusal.code.is_final() && outcome == AttemptOutcome::RefusedNotRun {
@@ -464,7 +376,7 @@
     }
 
     /// Drops the running attempt, which cancels it if it has not ended, and returns its server.
-    fn end_attempt(&mut self) -> Option<Chosen> {
+    pub(super) fn end_attempt(&mut self) -> Option<Chosen> {
         self.running.take().map(|running| running.chosen)
     }
 
@@ -505,56 +417,3 @@
         }
     }
 }
-
-impl Running {
-    fn new(attempt: Attempt, chosen: Chosen) -> Self {
-        Self {
-            attempt,
-            chosen,
-            phase: LinkPhase::Sent,
-            submitted_at: Instant::now(),
-            first_token_at: None,
-            last_token_at: None,
-            tokens: 0,
-        }
-    }
-
-    fn count_tokens(&mut self, tokens: u32) {
-        if tokens == 0 {
-            return;
-        }
-        let now = Instant::now();
-        self.first_token_at.get_or_insert(now);
-        self.last_token_at = Some(now);
-        self.tokens += tokens;
-    }
-
-    /// Returns the speed of the finished answer; `None` when it is too short to tell.
-    fn pace(&self, call: &Call, load: Option<&message::Load>) -> Option<PaceSample> {
-        if let Kind::Service = call.kind {
-            return Some(PaceSample::Call {
-                kind: call.class_kind,
-                elapsed: self.submitted_at.elapsed(),
-            });
-        }
-        let elapsed = self.last_token_at?.duration_since(self.first_token_at?);
-        let batch = load.map_or(1, |load| load.running + 1);
-        (self.tokens > 1).then_some(PaceSample::Tokens {
-            tokens: self.tokens - 1,
-            elapsed,
-            batch,
-        })
-    }
-}
-
-/// Failure of an attempt.
-#[derive(Debug)]
-enum Failure {
-    /// The attempt has ended without a whole answer.
-    Ended {
-        outcome: AttemptOutcome,
-        refusal: Refusal,
-    },
-    /// Another sidecar has claimed the order.
-    OwnedElsewhere(message::Claim),
-}
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -8,16 +8,17 @@
 use tanagerford_core::ids::{Incarnation, PoolId};
 use tanagerford_core::membership::{Profile, Role};
 use tanagerford_core::order::Owner;
+use tanagerford_gossip::Gossip;
 use tanagerford_http::{Limits, ListenerHandle};
 use tanagerford_link::{FleetKey, Identity, LinkOptions};
-use tanagerford_operator::listener;
+use tanagerford_operator::listener::{self, Operated};
 use tanagerford_platform::kv::Kv;
 use tanagerford_platform::vm_list::VmListClient;
 
 use crate::config_feed::{ConfigFeed, FeedSettings};
 use crate::entry::{Entry, EntrySettings};
 use crate::exchange::ConfigExchange;
-use crate::fleet::{Fleet, FleetSettings};
+use crate::fleet::{Fleet, FleetSettings, FleetUser};
 use crate::orders::{OrderLog, OrderSettings};
 use crate::sidecar::{Backend, Sidecar, SidecarSettings};
 use crate::stop::StopSignal;
@@ -103,20 +104,70 @@
     Incarnation::try_from(now.as_millis()).unwrap_or(Incarnation::MAX)
 }
 
-/// Running entry process.
-pub struct EntryProcess {
-    entry: Entry,
+/// Role that a process runs.
+pub trait RoleRuntime {
+    /// Returns the address at which the role accepts its peers: callers of an entry, links of a sidecar.
+    fn address(&self) -> SocketAddr;
+
+    /// Returns the role as a user of the membership; it raises `stop` when the process has to end.
+    fn member(&self, stop: StopSignal) -> Arc<dyn FleetUser>;
+
+    /// Returns what the role offers to its operators; a drain raises `stop`.
+    fn operations(&self, gossip: Arc<Gossip>, stop: StopSignal) -> Arc<dyn Operated>;
+
+    /// Refuses new work and finishes what is in flight. Returns whether all had ended when `timeout` passed.
+    fn finish(self, timeout: Duration) -> bool;
+}
+
+/// Running process of one role.
+pub struct Process<R> {
+    role: R,
     fleet: Fleet,
     operators: ListenerHandle,
     stop: StopSignal,
 }
 
+/// Running entry process.
+pub type EntryProcess = Process<Entry>;
+
 /// Running sidecar process.
-pub struct SidecarProcess {
-    sidecar: Sidecar,
-    fleet: Fleet,
-    operators: ListenerHandle,
-    stop: StopSignal,
+pub type SidecarProcess = Process<Sidecar>;
+
+impl RoleRuntime for Entry {
+    fn address(&self) -> SocketAddr {
+        Self::address(self)
+    }
+
+    fn member(&self, stop: StopSignal) -> Arc<dyn FleetUser> {
+        Self::member(self, stop)
+    }
+
+    fn operations(&self, gossip: Arc<Gossip>, stop: StopSignal) -> Arc<dyn Operated> {
+        Self::operations(self, gossip, stop)
+    }
+
+    fn finish(self, timeout: Duration) -> bool {
+        self.drain().finish(timeout)
+    }
+}
+
+impl RoleRuntime for Sidecar {
+    fn address(&self) -> SocketAddr {
+        Self::address(self)
+    }
+
+    fn member(&self, stop: StopSignal) -> Arc<dyn FleetUser> {
+        Self::member(self, stop)
+    }
+
+    fn operations(&self, gossip: Arc<Gossip>, stop: StopSignal) -> Arc<dyn Operated> {
+        self.publish_crashes_to(Arc::clone(&gossip));
+        Self::operations(self, gossip, stop)
+    }
+
+    fn finish(self, timeout: Duration) -> bool {
+        self.drain().finish(timeout)
+    }
 }
 
 impl EntryProcess {
@@ -141,56 +192,10 @@
             zone: settings.availability_zone.clone(),
             balancer_notice: callers.balancer_notice,
         };
-        let entry =
-            Entry::start(entry_settings, Arc::clone(&exchange)).change_context(StartError)?;
+        let entry = Entry::start(entry_settings, Arc::clone(&exchange));
+        let entry = entry.change_context(StartError)?;
         let profile = settings.profile(Role::Entry, "", entry.link_address());
-        let member = entry.member(stop.clone());
-        let fleet_settings = settings.fleet(profile, &exchange);
-        let fleet = Fleet::join(fleet_settings, exchange, member).change_context(StartError)?;
-        let operated = entry.operations(Arc::clone(fleet.gossip()), stop.clone());
-        let operators = listener::start(settings.operator_listen, operated);
-        Ok(Self {
-            entry,
-            fleet,
-            operators: operators.change_context(StartError)?,
-            stop,
-        })
-    }
-
-    /// Returns the address of the callers' listener.
-    #[must_use]
-    pub fn address(&self) -> SocketAddr {
-        self.entry.address()
-    }
-
-    /// Returns the address of the operators' listener.
-    #[must_use]
-    pub fn operator_address(&self) -> SocketAddr {
-        self.operators.address()
-    }
-
-    /// Returns the address of the gossip socket.
-    #[must_use]
-    pub fn gossip_address(&self) -> SocketAddr {
-        self.fleet.gossip().local_address()
-    }
-
-    /// Serves until the stop is asked for, then stops gracefully. Returns whether every request had ended when
-    /// `timeout` passed.
-    #[must_use]
-    pub fn run(self, timeout: Duration) -> bool {
-        while !self.stop.wait(STOP_CHECK_INTERVAL) {}
-        self.stop(timeout)
-    }
-
-    /// Stops gracefully. Returns whether every request had ended when `timeout` passed.
-    #[must_use]
-    pub fn stop(mut self, timeout: Duration) -> bool {
-        self.fleet.leave();
-        let finished = self.entry.drain().finish(timeout);
-        self.fleet.stop();
-        self.operators.stop(OPERATOR_STOP_TIMEOUT);
-        finished
+        Self::join(entry, settings, profile, exchange, stop)
     }
 }
 
@@ -219,24 +224,36 @@
         let sidecar = Sidecar::start(&sidecar_settings, Arc::clone(&exchange), orders);
         let sidecar = sidecar.change_context(StartError)?;
         let profile = settings.profile(Role::Sidecar, &backend.pool, sidecar.address());
-        let member = sidecar.member(stop.clone());
+        Self::join(sidecar, settings, profile, exchange, stop)
+    }
+}
+
+impl<R: RoleRuntime> Process<R> {
+    /// Joins the fleet with a running role and opens the operators' listener.
+    fn join(
+        role: R,
+        settings: &ProcessSettings,
+        profile: Profile,
+        exchange: Arc<ConfigExchange>,
+        stop: StopSignal,
+    ) -> Result<Self, Report<StartError>> {
+        let member = role.member(stop.clone());
         let fleet_settings = settings.fleet(profile, &exchange);
         let fleet = Fleet::join(fleet_settings, exchange, member).change_context(StartError)?;
-        sidecar.publish_crashes_to(Arc::clone(fleet.gossip()));
-        let operated = sidecar.operations(Arc::clone(fleet.gossip()), stop.clone());
+        let operated = role.operations(Arc::clone(fleet.gossip()), stop.clone());
         let operators = listener::start(settings.operator_listen, operated);
         Ok(Self {
-            sidecar,
+            role,
             fleet,
             operators: operators.change_context(StartError)?,
             stop,
         })
     }
 
-    /// Returns the address of the link listener.
+    /// Returns the address at which the role accepts its peers.
     #[must_use]
     pub fn address(&self) -> SocketAddr {
-        self.sidecar.address()
+        self.role.address()
     }
 
     /// Returns the address of the operators' listener.
@@ -263,7 +280,7 @@
     #[must_use]
     pub fn stop(mut self, timeout: Duration) -> bool {
         self.fleet.leave();
-        let finished = self.sidecar.drain().finish(timeout);
+        let finished = self.role.finish(timeout);
         self.fleet.stop();
         self.operators.stop(OPERATOR_STOP_TIMEOUT);
         finished
--- a/crates/node/src/vm_watch.rs
+++ b/crates/node/src/vm_watch.rs
@@ -12,6 +12,7 @@
 use tanagerford_core::ids::Incarnation;
 use tanagerford_core::membership::{Item, Member, member_key};
 use tanagerford_gossip::Gossip;
+use tanagerford_link::Identity;
 use tanagerford_platform::vm_list::{Vm, VmListClient, VmState};
 
 use crate::fleet::FleetUser;
@@ -50,6 +51,12 @@
         (leaving.kind == ITEM_KIND).then_some(leaving)
     }
 
+    /// Returns whether this is the process with the given identity.
+    #[must_use]
+    pub fn is(&self, identity: &Identity) -> bool {
+        self.process_id == identity.process_id && self.incarnation == identity.incarnation
+    }
+
     fn of(member: &Member) -> Self {
         Self {
             kind: ITEM_KIND,
