--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -85,6 +85,45 @@
 /// assert!(admission.on_finish(Duration::from_millis(90), 7, FinishKind::Complete).is_empty());
 /// assert_eq!(admission.load().running, 0);
 /// ```
+///
+/// The runtime also passes on load reports, configurations, and the state of the engine and of the sidecar:
+///
+/// ```
+/// # use std::time::Duration;
+/// # use tanagerford_core::admission::{Action, Admission, AdmissionSettings, LoadReport, RefuseReason, Request};
+/// # let request = |id| Request {
+/// #     id,
+/// #     tier: 0,
+/// #     class: "chat".to_owned(),
+/// #     workspace: "acme".to_owned(),
+/// #     model: "small".to_owned(),
+/// #     prompt_tokens: 100,
+/// #     max_tokens: 500,
+/// #     wait_limit: Duration::from_secs(2),
+/// #     deadline: Duration::from_secs(60),
+/// #     resumable: true,
+/// #     max_company: None,
+/// # };
+/// let now = Duration::from_secs(1);
+/// let defaults = || AdmissionSettings { prior_tokens: 20, ..AdmissionSettings::default() };
+/// let settings = AdmissionSettings { reserved_permille: vec![0, 50], max_batch: 2, ..defaults() };
+/// let mut admission = Admission::new(defaults());
+/// admission.set_configuration(now, settings);
+/// admission.on_load_report(now, LoadReport { running: 4, token_gap: Duration::from_millis(30) });
+/// // One of the two places is kept for the lower tier, so the second request waits.
+/// assert_eq!(admission.offer(now, request(1)), [Action::Start { id: 1 }]);
+/// assert_eq!(admission.offer(now, request(2)), []);
+/// assert_eq!(admission.next_wakeup(), Some(Duration::from_secs(3)));
+/// assert_eq!(admission.on_tick(now), []);
+/// assert_eq!(admission.on_cancel(now, 1), [Action::Start { id: 2 }]);
+///
+/// assert!(admission.on_engine_down().is_empty());
+/// assert!(admission.is_idle());
+/// admission.on_engine_up();
+/// admission.leave(now);
+/// let refused = admission.offer(now, request(3));
+/// assert!(matches!(refused[..], [Action::Refuse { reason: RefuseReason::Leaving, .. }]));
+/// ```
 #[derive(Debug)]
 pub struct Admission {
     settings: AdmissionSettings,
@@ -115,6 +154,8 @@
 
     /// Takes over new settings. Requests keep the tier that they were offered with; requests of removed tiers move to
     /// the lowest tier that is left.
+    ///
+    /// See [`Admission`] for an example.
     pub fn set_configuration(&mut self, now: Duration, settings: AdmissionSettings) -> Vec<Action> {
         let tiers = settings.tiers();
         while self.tiers.len() < tiers {
@@ -131,6 +172,8 @@
     }
 
     /// Offers a request. The same call may start it, refuse it, or preempt and refuse others.
+    ///
+    /// See [`Admission`] for an example.
     pub fn offer(&mut self, now: Duration, request: Request) -> Vec<Action> {
         let id = request.id;
         if let Some(reason) = self.closed() {
@@ -157,6 +200,8 @@
     }
 
     /// Reports tokens that the engine generated for a request.
+    ///
+    /// See [`Admission`] for an example.
     pub fn on_token(&mut self, now: Duration, id: AttemptId, tokens: u32) -> Vec<Action> {
         let Some(entry) = self.entries.get_mut(&id).filter(|entry| entry.running) else {
             return Vec::new();
@@ -172,6 +217,8 @@
     }
 
     /// Reports that a started request has ended.
+    ///
+    /// See [`Admission`] for an example.
     pub fn on_finish(&mut self, now: Duration, id: AttemptId, how: FinishKind) -> Vec<Action> {
         let Some(entry) = self.entries.remove(&id) else {
             return Vec::new();
@@ -193,12 +240,16 @@
     }
 
     /// Reports that the caller has gone. The runtime stops the request at the engine if it was started.
+    ///
+    /// See [`Admission`] for an example.
     pub fn on_cancel(&mut self, now: Duration, id: AttemptId) -> Vec<Action> {
         self.on_finish(now, id, FinishKind::Failed)
     }
 
     /// Takes in the engine's own report, which lags. It includes the work of all tiers, so it corrects only the lowest
     /// tier's estimate.
+    ///
+    /// See [`Admission`] for an example.
     pub fn on_load_report(&mut self, now: Duration, report: LoadReport) -> Vec<Action> {
         let lowest = self.tiers.len() - 1;
         if report.running > 0 {
@@ -212,6 +263,8 @@
     }
 
     /// Refuses what waited too long and starts what has become possible.
+    ///
+    /// See [`Admission`] for an example.
     pub fn on_tick(&mut self, now: Duration) -> Vec<Action> {
         let mut actions = Vec::new();
         self.settle(now, 0, &mut actions);
@@ -219,6 +272,8 @@
     }
 
     /// Takes no new work from now on and refuses what waits and never ran.
+    ///
+    /// See [`Admission`] for an example.
     pub fn leave(&mut self, now: Duration) -> Vec<Action> {
         self.leaving = true;
         let mut actions = Vec::new();
@@ -233,6 +288,8 @@
 
     /// Reports that the engine is down. All started requests count as ended, what waits is refused at once, and offers
     /// are refused until [`Admission::on_engine_up`].
+    ///
+    /// See [`Admission`] for an example.
     pub fn on_engine_down(&mut self) -> Vec<Action> {
         self.down = true;
         for tier in &mut self.tiers {
@@ -245,11 +302,15 @@
     }
 
     /// Reports that the engine takes requests again.
+    ///
+    /// See [`Admission`] for an example.
     pub fn on_engine_up(&mut self) {
         self.down = false;
     }
 
     /// Returns the load for hints to entries.
+    ///
+    /// See [`Admission`] for an example.
     #[must_use]
     pub fn load(&self) -> Load {
         let running: usize = self.tiers.iter().map(|tier| tier.running.len()).sum();
@@ -270,12 +331,16 @@
     }
 
     /// Returns the time at which [`Admission::on_tick`] has to be called next; `None` while nothing waits.
+    ///
+    /// See [`Admission`] for an example.
     #[must_use]
     pub fn next_wakeup(&self) -> Option<Duration> {
         self.tiers.iter().filter_map(Tier::next_expiry).min()
     }
 
     /// Returns whether nothing runs or waits.
+    ///
+    /// See [`Admission`] for an example.
     #[must_use]
     pub fn is_idle(&self) -> bool {
         self.entries.is_empty()
--- a/crates/core/src/capacity.rs
+++ b/crates/core/src/capacity.rs
@@ -79,6 +79,8 @@
 
 impl Capacity {
     /// Returns an estimate that starts from the prior.
+    ///
+    /// See [`Capacity`] for an example.
     #[must_use]
     pub fn new(settings: CapacitySettings) -> Self {
         let mut capacity = Self {
@@ -103,6 +105,8 @@
     }
 
     /// Adds an observed time between tokens at a batch size.
+    ///
+    /// See [`Capacity`] for an example.
     pub fn observe(&mut self, batch: u32, token_gap: Duration) {
         self.add(batch, token_gap, 1.0);
     }
@@ -114,12 +118,16 @@
 
     /// Returns the largest batch up to which requests are started: the largest that meets the between-token target with
     /// a margin.
+    ///
+    /// See [`Capacity`] for an example.
     #[must_use]
     pub fn limit(&self) -> u32 {
         self.limit
     }
 
     /// Returns the largest batch that meets the between-token target without a margin.
+    ///
+    /// See [`Capacity`] for an example.
     #[must_use]
     pub fn hard_limit(&self) -> u32 {
         self.hard_limit
--- a/crates/core/src/estimate.rs
+++ b/crates/core/src/estimate.rs
@@ -146,6 +146,9 @@
 ///     estimator.record(key, 40);
 /// }
 /// assert_eq!(estimator.expected(key, 1_000), 40);
+/// assert!((9..=12).contains(&estimator.remaining(key, 30, 1_000)));
+/// assert_eq!(estimator.len(), 2);
+/// assert!(!estimator.is_empty());
 /// ```
 #[derive(Debug)]
 pub struct OutputEstimator {
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -224,6 +224,18 @@
 /// assert_eq!(pool.offer(Duration::ZERO, call(1)), [Action::Start { id: 1 }]);
 /// assert_eq!(pool.offer(Duration::ZERO, call(2)), []);
 /// assert_eq!(pool.on_finish(Duration::from_millis(90), 1), [Action::Start { id: 2 }]);
+///
+/// // A running call continues when its caller has gone; a waiting one ends.
+/// let now = Duration::from_millis(90);
+/// assert_eq!(pool.on_cancel(now, 2), []);
+/// pool.offer(now, call(3));
+/// assert_eq!(pool.next_wakeup(), Some(now + Duration::from_secs(2)));
+/// assert_eq!(pool.on_tick(now), []);
+/// assert_eq!((pool.load().running, pool.load().waiting), (1, 1));
+/// assert_eq!(pool.on_server_down().len(), 1);
+/// pool.on_server_up();
+/// assert!(pool.is_idle());
+/// assert!(pool.leave().is_empty());
 /// ```
 #[derive(Debug)]
 pub struct Pool {
@@ -249,6 +261,8 @@
     }
 
     /// Takes over new settings. Calls of removed tiers move to the lowest tier that is left.
+    ///
+    /// See [`Pool`] for an example.
     pub fn set_configuration(&mut self, now: Duration, settings: PoolSettings) -> Vec<Action> {
         let tiers = settings.tiers();
         self.tiers
@@ -268,6 +282,8 @@
     }
 
     /// Offers a call. The same call may start it or refuse calls.
+    ///
+    /// See [`Pool`] for an example.
     pub fn offer(&mut self, now: Duration, call: Call) -> Vec<Action> {
         let id = call.id;
         if self.leaving || self.down {
@@ -301,6 +317,8 @@
     }
 
     /// Reports that a started call has ended.
+    ///
+    /// See [`Pool`] for an example.
     pub fn on_finish(&mut self, now: Duration, id: AttemptId) -> Vec<Action> {
         if let Some(entry) = self.entries.remove(&id) {
             self.tiers[entry.tier].queue.remove(id);
@@ -312,6 +330,8 @@
     }
 
     /// Reports that the caller has gone. A call that was started continues, since its effect is not undone.
+    ///
+    /// See [`Pool`] for an example.
     pub fn on_cancel(&mut self, now: Duration, id: AttemptId) -> Vec<Action> {
         let waits = self
             .entries
@@ -325,6 +345,8 @@
     }
 
     /// Refuses what waited too long and starts what has become possible.
+    ///
+    /// See [`Pool`] for an example.
     pub fn on_tick(&mut self, now: Duration) -> Vec<Action> {
         let mut actions = Vec::new();
         for tier in 0..self.tiers.len() {
@@ -339,6 +361,8 @@
     }
 
     /// Takes no new work from now on and refuses what waits.
+    ///
+    /// See [`Pool`] for an example.
     pub fn leave(&mut self) -> Vec<Action> {
         self.leaving = true;
         self.refuse_waiting(RefuseReason::Leaving)
@@ -346,6 +370,8 @@
 
     /// Reports that the backend server is down. All started calls count as ended, what waits is refused at once, and
     /// offers are refused until [`Pool::on_server_up`].
+    ///
+    /// See [`Pool`] for an example.
     pub fn on_server_down(&mut self) -> Vec<Action> {
         self.down = true;
         for tier in &mut self.tiers {
@@ -356,11 +382,15 @@
     }
 
     /// Reports that the backend server takes calls again.
+    ///
+    /// See [`Pool`] for an example.
     pub fn on_server_up(&mut self) {
         self.down = false;
     }
 
     /// Returns the load for hints to entries.
+    ///
+    /// See [`Pool`] for an example.
     #[must_use]
     pub fn load(&self) -> Load {
         let waiting: usize = self.tiers.iter().map(|tier| tier.queue.len()).sum();
@@ -379,6 +409,8 @@
     }
 
     /// Returns the time at which [`Pool::on_tick`] has to be called next; `None` while nothing waits.
+    ///
+    /// See [`Pool`] for an example.
     #[must_use]
     pub fn next_wakeup(&self) -> Option<Duration> {
         self.tiers
@@ -388,6 +420,8 @@
     }
 
     /// Returns whether nothing runs or waits.
+    ///
+    /// See [`Pool`] for an example.
     #[must_use]
     pub fn is_idle(&self) -> bool {
         self.entries.is_empty()
