--- a/crates/engine/src/client.rs
+++ b/crates/engine/src/client.rs
@@ -6,10 +6,12 @@
 use std::time::Duration;
 
 use serde::Deserialize;
-use ureq::Agent;
+use ureq::http::Response;
 use ureq::unversioned::transport::DefaultConnector;
+use ureq::{Agent, Body};
 
 use crate::error::EngineError;
+use crate::orders::{Models, OrderRequest};
 use crate::resolver::FixedAddress;
 use crate::sse::{Event, EventReader};
 
@@ -172,6 +174,32 @@
         serde_json::from_str(&text).map_err(|_| EngineError::Malformed)
     }
 
+    /// Gives an order to the engine.
+    ///
+    /// # Errors
+    ///
+    /// See [`EngineError`]; [`EngineError::Refused`] with status 409 means that the fencing number is outdated.
+    pub fn order(&self, order: &OrderRequest) -> Result<(), EngineError> {
+        let body = serde_json::to_vec(order).map_err(|_| EngineError::Malformed)?;
+        let response = self
+            .control
+            .post(format!("{}/admin/orders", self.base_url))
+            .header("Content-Type", "application/json")
+            .send(&body[..])?;
+        read_success(response).map(drop)
+    }
+
+    /// Reads the engine's models.
+    ///
+    /// # Errors
+    ///
+    /// See [`EngineError`].
+    pub fn models(&self) -> Result<Models, EngineError> {
+        let url = format!("{}/admin/models", self.base_url);
+        let text = read_success(self.control.get(url).call()?)?;
+        serde_json::from_str(&text).map_err(|_| EngineError::Malformed)
+    }
+
     /// Returns whether the engine answers its health check.
     #[must_use]
     pub fn is_healthy(&self) -> bool {
@@ -213,6 +241,22 @@
     }
 }
 
+fn read_success(mut response: Response<Body>) -> Result<String, EngineError> {
+    let status = response.status();
+    let body = response
+        .body_mut()
+        .with_config()
+        .limit(MAX_ANSWER_BYTES)
+        .read_to_string()?;
+    if status.is_success() {
+        return Ok(body);
+    }
+    Err(EngineError::Refused {
+        status: status.as_u16(),
+        body,
+    })
+}
+
 fn agent(address: SocketAddr, timeout: Option<Duration>) -> Agent {
     let config = Agent::config_builder()
         .http_status_as_error(false)
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -5,10 +5,12 @@
 
 mod client;
 mod error;
+mod orders;
 mod resolver;
 mod sse;
 mod text;
 
 pub use client::{CancelHandle, EngineClient, EngineStream, Generate, LoadReport};
 pub use error::EngineError;
+pub use orders::{FenceNumber, Models, OrderKind, OrderRequest};
 pub use sse::{Event, EventReader};
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod links;
 pub mod metrics;
 pub mod orders;
+pub mod placement;
 pub mod process;
 pub mod sidecar;
 pub mod stop;
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -1,6 +1,6 @@
 //! Stand-in for a model engine: deterministic text, seeded timing, prefix cache, lagging load report, crash on demand.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
@@ -51,6 +51,10 @@
     pub crash_on: Option<String>,
     /// Time that the engine is down after a crash.
     pub restart_after: Duration,
+    /// Whether an order with an outdated fencing number is refused with status 409; else the number is ignored.
+    pub checks_fence: bool,
+    /// Largest count of models that the engine holds together.
+    pub model_capacity: usize,
 }
 
 impl Default for Behaviour {
@@ -65,6 +69,8 @@
             load_report_lag: Duration::from_millis(500),
             crash_on: None,
             restart_after: Duration::from_millis(200),
+            checks_fence: true,
+            model_capacity: 4,
         }
     }
 }
@@ -102,6 +108,46 @@
     reports: Mutex<VecDeque<(Instant, u32)>>,
     generated_tokens: AtomicU64,
     requests: AtomicU64,
+    models: Mutex<EngineModels>,
+}
+
+/// Models of the engine, the highest fencing number that it has seen and the count of its orders.
+#[derive(Debug, Default)]
+struct EngineModels {
+    loaded: BTreeSet<String>,
+    highest_fence: Option<OrderFence>,
+    counts: OrderCounts,
+}
+
+/// Count of orders by kind.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct OrderCounts {
+    /// Orders to load a model that were carried out.
+    pub load: u64,
+    /// Orders to unload a model that were carried out.
+    pub unload: u64,
+    /// Orders that were refused for their outdated fencing number.
+    pub refused: u64,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Deserialize)]
+struct OrderFence {
+    generation: u64,
+    incarnation: u64,
+}
+
+#[derive(Debug, Clone, Copy, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum OrderKind {
+    Load,
+    Unload,
+}
+
+#[derive(Debug, Deserialize)]
+struct OrderBody {
+    kind: OrderKind,
+    model: String,
+    fence: OrderFence,
 }
 
 #[derive(Debug, Deserialize)]
@@ -155,6 +201,7 @@
             reports: Mutex::default(),
             generated_tokens: AtomicU64::new(0),
             requests: AtomicU64::new(0),
+            models: Mutex::default(),
         });
         let listener =
             Listener::bind(address, Limits::default())?.start(EngineHandler(Arc::clone(&state)))?;
@@ -191,6 +238,18 @@
         self.state.epoch.load(Ordering::Acquire)
     }
 
+    /// Returns the count of orders by kind.
+    #[must_use]
+    pub fn orders(&self) -> OrderCounts {
+        lock(&self.state.models).counts
+    }
+
+    /// Returns the models that are loaded.
+    #[must_use]
+    pub fn models(&self) -> BTreeSet<String> {
+        lock(&self.state.models).loaded.clone()
+    }
+
     /// Cuts all streams and refuses work until the engine has restarted.
     pub fn crash(&self) {
         self.state.crash();
@@ -213,6 +272,8 @@
         match request.uri.path() {
             "/health" => plain(StatusCode::OK, "ok"),
             "/load" => self.0.load_report(),
+            "/admin/models" => self.0.model_report(),
+            "/admin/orders" => self.0.order(&request),
             "/v1/chat/completions" | "/v1/completions" => self.0.generate(&request),
             _ => plain(StatusCode::NOT_FOUND, "no such path"),
         }
@@ -229,6 +290,34 @@
         *lock(&self.down_until) = Some(Instant::now() + restart_after);
         self.epoch.fetch_add(1, Ordering::AcqRel);
         lock(&self.prefixes).clear();
+        lock(&self.models).loaded.clear();
+    }
+
+    fn model_report(&self) -> Reply {
+        let capacity = lock(&self.behaviour).model_capacity;
+        let loaded = lock(&self.models).loaded.clone();
+        let report = json!({"loaded": loaded, "loading": [], "capacity": capacity});
+        plain(StatusCode::OK, &report.to_string())
+    }
+
+    fn order(&self, request: &Request) -> Reply {
+        if request.method != http::Method::POST {
+            return plain(StatusCode::METHOD_NOT_ALLOWED, "orders are posted");
+        }
+        let Ok(order) = serde_json::from_slice::<OrderBody>(&request.body) else {
+            return plain(StatusCode::BAD_REQUEST, "body is not an order");
+        };
+        let (checks_fence, capacity) = {
+            let behaviour = lock(&self.behaviour);
+            (behaviour.checks_fence, behaviour.model_capacity)
+        };
+        let mut models = lock(&self.models);
+        if checks_fence && models.highest_fence > Some(order.fence) {
+            models.counts.refused += 1;
+            return plain(StatusCode::CONFLICT, "fencing number is outdated");
+        }
+        models.highest_fence = models.highest_fence.max(Some(order.fence));
+        models.carry_out(order, capacity)
     }
 
     fn is_down(&self) -> bool {
@@ -335,6 +424,25 @@
     }
 }
 
+impl EngineModels {
+    fn carry_out(&mut self, order: OrderBody, capacity: usize) -> Reply {
+        match order.kind {
+            OrderKind::Load => {
+                if self.loaded.len() >= capacity && !self.loaded.contains(&order.model) {
+                    return plain(StatusCode::INSUFFICIENT_STORAGE, "no room for the model");
+                }
+                self.counts.load += 1;
+                self.loaded.insert(order.model);
+            }
+            OrderKind::Unload => {
+                self.counts.unload += 1;
+                self.loaded.remove(&order.model);
+            }
+        }
+        plain(StatusCode::ACCEPTED, "accepted")
+    }
+}
+
 /// Counts a request as running while it lives.
 struct RunningGuard(Arc<State>);
 
