Give the first servers of a model request a short wait, and refuse waiting copies of a quarantined request

The policy measurement does both; the running entry and sidecar did not, so a busy server kept a request for its whole wait while others were free.

--- a/crates/node/src/entry/call.rs
+++ b/crates/node/src/entry/call.rs
@@ -66,6 +66,12 @@
         Duration::from_millis(self.class.longest_wait_ms).saturating_sub(self.received_at.elapsed())
     }
 
+    /// Returns the longest wait at a server while others remain to be tried: a quarter of the first-token target, so that
+    /// the target can still be met elsewhere.
+    pub(crate) fn short_wait(&self) -> Duration {
+        (self.target() / 4).min(self.wait_left())
+    }
+
     /// Returns the time left until the entry gives up on the whole call.
     pub(crate) fn time_left(&self) -> Duration {
         CALL_TIMEOUT.saturating_sub(self.received_at.elapsed())
@@ -87,10 +93,10 @@
         )
     }
 
-    /// Returns the message that asks a sidecar to run the call.
-    pub(crate) fn to_submit(&self, resume_tokens: u32) -> Submit {
+    /// Returns the message that asks a sidecar to run the call and to refuse it if it cannot start within `wait_limit`.
+    pub(crate) fn to_submit(&self, resume_tokens: u32, wait_limit: Duration) -> Submit {
         Submit {
-            wait_limit_ms: milliseconds(self.wait_left()),
+            wait_limit_ms: milliseconds(wait_limit),
             deadline_ms: milliseconds(self.time_left()),
             resume_tokens,
             ..self.submit.clone()
--- a/crates/node/src/entry/relay.rs
+++ b/crates/node/src/entry/relay.rs
@@ -32,6 +32,9 @@
 /// Time that another attempt needs at least: a round trip between availability zones and the sidecar's decision.
 const ATTEMPT_TIME: Duration = Duration::from_millis(10);
 
+/// Attempts that get a short wait. The policy measurement uses the same number.
+const SHORT_WAIT_ATTEMPTS: usize = 2;
+
 /// Start of an answer.
 #[derive(Debug)]
 pub(crate) struct Start {
@@ -172,7 +175,8 @@
     fn begin_attempt(&mut self) -> Result<(), Refusal> {
         while let Some(chosen) = self.choose() {
             let server = chosen.server.clone();
-            let mut submit = self.call.to_submit(self.delivered_tokens);
+            let wait_limit = self.wait_limit(&server);
+            let mut submit = self.call.to_submit(self.delivered_tokens, wait_limit);
             submit.released.clone_from(&self.released);
             submit.suspicion = self.state.suspects.summary_of(submit.fingerprint);
             let cancel_on_drop = self.call.is_repeatable();
@@ -202,6 +206,20 @@
         Err(self.no_server())
     }
 
+    /// Returns how long the request may wait at `server`. The first servers of a model request get little time, so that a
+    /// busy one refuses it at once and the next is tried; the last one may take the whole wait.
+    fn wait_limit(&self, server: &ServerId) -> Duration {
+        let is_model = matches!(self.call.kind, Kind::Model { .. });
+        let mut tried = self.tried.clone();
+        tried.push(server.clone());
+        let others_remain = self.links.has_open(&self.call.pool, &tried);
+        if is_model && others_remain && self.tried.len() < SHORT_WAIT_ATTEMPTS {
+            self.call.short_wait()
+        } else {
+            self.call.wait_left()
+        }
+    }
+
     fn choose(&self) -> Option<Chosen> {
         if let Some(key) = self.call.order_key {
             let listed = self.links.listed_servers(&self.call.pool, &self.tried);
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -209,6 +209,18 @@
         closed.map(|slot| slot.target.server.clone()).collect()
     }
 
+    /// Returns whether a server of `pool` that does not leave has an open link, apart from those in `exclude`.
+    #[must_use]
+    pub fn has_open(&self, pool: &str, exclude: &[ServerId]) -> bool {
+        lock(&self.slots).values().any(|slot| {
+            let target = &slot.target;
+            target.pool == pool
+                && !target.leaving
+                && slot.is_open()
+                && !exclude.contains(&target.server)
+        })
+    }
+
     /// Stops dialling and closes all links.
     pub fn stop(&self) {
         self.stopped.raise();
--- a/crates/node/src/sidecar/model.rs
+++ b/crates/node/src/sidecar/model.rs
@@ -8,7 +8,7 @@
 };
 use tanagerford_core::config::Configuration;
 use tanagerford_core::ids::{AttemptId, TierId};
-use tanagerford_core::suspect::Running;
+use tanagerford_core::suspect::{Running, Verdict};
 use tanagerford_engine::{EngineClient, EngineError, EngineStream, Generate};
 use tanagerford_link::message::{self, Outcome};
 
@@ -241,6 +241,18 @@
     let Some(run) = work.begin_run(Some(cancel)) else {
         return;
     };
+    if state.suspects.verdict(work.submit.fingerprint) == Verdict::Refuse {
+        // The request waited while a copy of it crashed another engine.
+        let detail = "the request crashed backend servers while it waited";
+        if run
+            .refuse(not_run("quarantined", detail, None, None))
+            .is_ok()
+        {
+            state.remove(work.id);
+            backend.on_finish(state, work.id, FinishKind::Failed);
+        }
+        return;
+    }
     if run.accept().is_err() {
         return;
     }
