Keep models that an engine held before its first placement

A placement without an entry for a server says nothing about it, so its sidecar gives no order, and the planner adopts what such a server reports. Tests cover a late answer to a lease renewal and a server that still loads. The count of live members for the weight store comes from the membership.

--- a/crates/node/src/placement/mod.rs
+++ b/crates/node/src/placement/mod.rs
@@ -12,7 +12,7 @@
 pub use planner::{Plan, PlannerRunner};
 pub use record::{PLACEMENT_KEY, PLANNER_KEY, REPORT_PREFIX, held_key, report_key, slot_key};
 pub use slot::{SlotRunner, SlotSettings};
-pub use thread::{start_planner, start_slot};
+pub use thread::{live_members, start_planner, start_slot};
 
 use std::time::Duration;
 
--- a/crates/node/src/placement/planner.rs
+++ b/crates/node/src/placement/planner.rs
@@ -4,7 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tanagerford_core::placement::{Lease, ModelName, Placement};
+use tanagerford_core::ids::ServerId;
+use tanagerford_core::placement::{Lease, ModelName, Placement, ServerReport};
 use tanagerford_platform::kv::{Call, Commit, Kv, LeaseId, Refusal, Revision, Transaction, Write};
 
 use super::record::{self, PLACEMENT_KEY, PLANNER_KEY, PlacementValue};
@@ -59,7 +60,14 @@
         let found = record::read::<PlacementValue>(&*self.kv, PLACEMENT_KEY, timeout)?;
         let placement: Placement = found.value.map(Into::into).unwrap_or_default();
         let reports = record::read_reports(&*self.kv, timeout)?;
-        let placement = placement.next(&reports, demand)?;
+        let adopted = adopt(&placement, &reports);
+        let next = adopted.next(&reports, demand);
+        let placement = next.or_else(|| {
+            (adopted.wanted != placement.wanted).then_some(Placement {
+                generation: placement.generation + 1,
+                wanted: adopted.wanted,
+            })
+        })?;
         Some(Plan {
             placement,
             base: found.revision,
@@ -121,3 +129,17 @@
         }
     }
 }
+
+/// Returns the placement with the models that servers without an entry have loaded already, so that the first plan that
+/// names such a server takes nothing from it that no other server holds.
+fn adopt(placement: &Placement, reports: &BTreeMap<ServerId, ServerReport>) -> Placement {
+    let mut adopted = placement.clone();
+    for (server, report) in reports {
+        if !placement.wanted.contains_key(server) && !report.loaded.is_empty() {
+            let since = placement.generation + 1;
+            let models = report.loaded.iter().map(|model| (model.clone(), since));
+            adopted.wanted.insert(server.clone(), models.collect());
+        }
+    }
+    adopted
+}
--- a/crates/node/src/placement/slot.rs
+++ b/crates/node/src/placement/slot.rs
@@ -184,6 +184,11 @@
         let timeout = self.settings.pace.timeout;
         let found = record::read::<PlacementValue>(&*self.kv, PLACEMENT_KEY, timeout)?;
         let placement: Placement = found.value?.into();
+        // A placement without an entry for this server was made before its first report; it says nothing about the
+        // models that the engine holds already.
+        if !placement.wanted.contains_key(&self.settings.server) {
+            return None;
+        }
         Some(SeenPlacement {
             placement,
             read_under,
--- a/crates/node/src/placement/thread.rs
+++ b/crates/node/src/placement/thread.rs
@@ -5,11 +5,23 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
+use tanagerford_core::membership::MemberState;
 use tanagerford_core::placement::ModelName;
+use tanagerford_gossip::Gossip;
 
 use super::{PlannerRunner, SlotRunner};
 use crate::stop::StopSignal;
 
+/// Returns the count of live members, this process included. Members that load nothing count as well, which only makes
+/// loads slower than the weight store allows.
+#[must_use]
+pub fn live_members(gossip: &Gossip) -> u32 {
+    let snapshot = gossip.members();
+    let others = snapshot.members.iter();
+    let live = others.filter(|member| member.standing.state == MemberState::Alive);
+    u32::try_from(live.count() + 1).unwrap_or(u32::MAX)
+}
+
 /// Runs `runner` every `interval` until `stop` is raised. `live_members` returns the count of live members that share
 /// the weight store's rate.
 ///
--- a/crates/node/tests/placement.rs
+++ b/crates/node/tests/placement.rs
@@ -3,7 +3,8 @@
 
 use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use serde_json::json;
@@ -13,7 +14,9 @@
 use tanagerford_node::placement::{
     LeasePace, PLACEMENT_KEY, PlannerRunner, SlotRunner, SlotSettings,
 };
-use tanagerford_platform::kv::{Call, Commit, Kv, Transaction, Write};
+use tanagerford_platform::kv::{
+    Call, Commit, KeyValue, Kv, LeaseId, Revision, Transaction, WatchEvent, Write,
+};
 use tanagerford_platform::memory::{Faults, Memory};
 use tanagerford_platform::weight_store::WeightStore;
 use tanagerford_standin::engine::{Behaviour, Engine, OrderCounts};
@@ -222,6 +225,86 @@
     }
 }
 
+/// Client whose first renewal of a lease takes effect at once and is answered after the lease has ended again and
+/// another sidecar has taken the slot.
+struct LateRenewal {
+    memory: Memory,
+    late_by_s: AtomicU64,
+    successor: Mutex<Option<SlotRunner>>,
+}
+
+impl Kv for LateRenewal {
+    fn get(&self, key: &str, timeout: Duration) -> Call<Option<KeyValue>> {
+        self.memory.get(key, timeout)
+    }
+
+    fn list(&self, prefix: &str, timeout: Duration) -> Call<Vec<KeyValue>> {
+        self.memory.list(prefix, timeout)
+    }
+
+    fn commit(&self, transaction: &Transaction, timeout: Duration) -> Call<Commit> {
+        self.memory.commit(transaction, timeout)
+    }
+
+    fn grant_lease(&self, ttl: Duration, timeout: Duration) -> Call<LeaseId> {
+        self.memory.grant_lease(ttl, timeout)
+    }
+
+    fn renew_lease(&self, lease: LeaseId, timeout: Duration) -> Call<Duration> {
+        let answer = self.memory.renew_lease(lease, timeout);
+        let successor = self.successor.lock().expect("no test thread panics").take();
+        if let Some(mut successor) = successor {
+            let late_by = LeasePace::default().ttl + Duration::from_secs(1);
+            self.memory.advance(late_by);
+            self.late_by_s.store(late_by.as_secs(), Ordering::Release);
+            successor.step(&|| late_by, 1);
+            assert_eq!(successor.slot().incarnation, 2);
+        }
+        answer
+    }
+
+    fn revoke_lease(&self, lease: LeaseId, timeout: Duration) -> Call<()> {
+        self.memory.revoke_lease(lease, timeout)
+    }
+
+    fn watch(&self, prefix: &str, from: Revision, timeout: Duration) -> Call<Vec<WatchEvent>> {
+        self.memory.watch(prefix, from, timeout)
+    }
+}
+
+/// Guards against a lease that the sidecar counts from the arrival of a late answer, when the slot is another's already.
+#[test]
+fn a_lease_counts_from_before_its_renewal_was_sent() {
+    let world = World::new();
+    let engine = engine(false);
+    let successor = world.sidecar("w1", &engine);
+    let kv = Arc::new(LateRenewal {
+        memory: world.memory.client(),
+        late_by_s: AtomicU64::new(0),
+        successor: Mutex::new(Some(successor)),
+    });
+    let settings = SlotSettings {
+        server: "w1".into(),
+        pace: LeasePace::default(),
+        weight_store: WeightStore::new(FAST_LOADS_PER_HOUR),
+    };
+    let client = EngineClient::new(engine.address());
+    let mut old = SlotRunner::new(Arc::clone(&kv) as Arc<dyn Kv>, client, settings);
+    let clock = || world.now.get() + Duration::from_secs(kv.late_by_s.load(Ordering::Acquire));
+    old.step(&clock, 1);
+    assert_eq!(old.slot().incarnation, 1);
+    world.pass(Duration::from_secs(1));
+    world.want(1, &["m"]);
+    // The successor's own first load is not due yet, so any order is the old sidecar's.
+    old.step(&clock, 1);
+    assert_ne!(
+        kv.late_by_s.load(Ordering::Acquire),
+        0,
+        "the renewal was late"
+    );
+    assert_eq!(engine.orders(), OrderCounts::default());
+}
+
 /// Guards against a planner that takes a model from its last server while another server is still to load it.
 #[test]
 fn the_last_server_of_a_model_is_never_taken_away() {
@@ -254,6 +337,57 @@
     assert!(unloads > 0, "surplus servers give the model up");
 }
 
+/// Guards against a planner that counts a server as a holder of a model because it is wanted there and reports, although
+/// it has not loaded the model yet.
+#[test]
+fn a_server_that_still_loads_does_not_count_as_a_holder() {
+    let world = World::new();
+    let (first, second) = (engine(true), engine(false));
+    let mut loading = world.sidecar("w1", &first);
+    let mut holder = world.sidecar("w2", &second);
+    let mut planner = world.planner("a");
+    let clock = || world.now.get();
+    world.run(&mut holder, 1);
+    assert!(planner.step(&clock, &demand(&[("m", 1)])));
+    world.run(&mut holder, 2);
+    assert_eq!(second.models(), set(&["m"]));
+    world.run(&mut loading, 1);
+    assert!(planner.step(&clock, &demand(&[("m", 2)])));
+    assert!(world.stored()["wanted"]["w1"]["m"].is_u64());
+    planner.step(&clock, &demand(&[("m", 1)]));
+    world.run(&mut holder, 3);
+    assert_eq!(second.models(), set(&["m"]));
+}
+
+/// Guards against a first placement that unloads the models that an engine held before any planner knew of it.
+#[test]
+fn models_loaded_before_the_first_placement_are_kept() {
+    let world = World::new();
+    let (first, second) = (engine(true), engine(true));
+    let mut known = world.sidecar("w1", &first);
+    let mut late = world.sidecar("w2", &second);
+    let order = OrderRequest {
+        kind: OrderKind::Load,
+        model: "m".into(),
+        fence: FenceNumber {
+            generation: 0,
+            incarnation: 0,
+        },
+    };
+    let client = EngineClient::new(second.address());
+    assert_eq!(client.order(&order), Ok(()));
+    let mut planner = world.planner("a");
+    let clock = || world.now.get();
+    world.run(&mut known, 1);
+    assert!(planner.step(&clock, &demand(&[("n", 1)])));
+    world.run(&mut late, 3);
+    assert_eq!(second.models(), set(&["m"]));
+    assert!(planner.step(&clock, &demand(&[("n", 1)])));
+    world.run(&mut late, 3);
+    assert_eq!(second.models(), set(&["m"]));
+    assert_eq!(second.orders().unload, 0);
+}
+
 /// Guards against an outage of the key-value service that changes the models of an engine or stops its service, and
 /// against a sidecar that does not go on after the outage.
 #[test]
