--- a/examples/capacity.rs
+++ b/examples/capacity/main.rs
@@ -1,9 +1,14 @@
 //! Measures slopes on this machine and derives the cost per role at the stated size:
 //! `cargo run --release --example capacity`. `docs/CAPACITY.md` explains the table.
 
-#[path = "../crates/gossip/tests/fleet/mod.rs"]
+#[path = "../../crates/gossip/tests/fleet/mod.rs"]
 mod fleet;
 
+mod decisions;
+mod links;
+mod slopes;
+mod transfer;
+
 use std::collections::BTreeMap;
 use std::hint::black_box;
 use std::net::SocketAddr;
@@ -25,6 +30,7 @@
 const ZONES: usize = 8;
 const POOLS: usize = 13;
 const WORKSPACES: usize = 1_100;
+const TIERS: u8 = 4;
 const REQUESTS_PER_SECOND: f64 = 4_100.0;
 const TOKENS_PER_SECOND: f64 = 1_000_000.0;
 const CHANGES_PER_DAY: f64 = 3_400.0;
@@ -52,6 +58,8 @@
 fn main() {
     // First, because memory that the fleets below free would be used again and hide the growth.
     let member_bytes = memory_per_member();
+    let slopes = slopes::measure();
+    slopes.print();
     let runtime_percent = runtime_cost();
     println!(
         "{RUNTIMES} runtimes on loopback: {runtime_percent:.3}% of a core each, threads, sockets and timers included"
@@ -139,9 +147,7 @@
     per_node("requests/s (a)", REQUESTS_PER_SECOND);
     per_node("tokens/s (a)", TOKENS_PER_SECOND);
     println!("configuration watchers in all: {}", watcher_count());
-    println!(
-        "not measured here: routing, admission, claim pages, configuration sections (not part of this branch yet)"
-    );
+    slopes.print_roles(links_per_entry, links_per_server);
 }
 
 fn per_node(name: &str, total: f64) {
@@ -326,6 +332,15 @@
     ratio(ticks, 100)
 }
 
+/// Number in the line `name` of the status of this process.
+fn status_value(name: &str) -> usize {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let mut lines = status.lines();
+    let value = lines.find_map(|line| line.strip_prefix(name));
+    let number = value.and_then(|value| value.split_whitespace().next());
+    number.and_then(|number| number.parse().ok()).unwrap_or(0)
+}
+
 fn resident_bytes() -> usize {
     let statm = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
     let pages = statm
@@ -386,12 +401,12 @@
     watchers(&participants(&names), WATCHERS_PER_ZONE).len()
 }
 
-/// Bytes of the configuration and the time to decode it in milliseconds.
-fn configuration_cost() -> (usize, f64) {
+/// JSON text of a configuration of the stated size.
+fn configuration_text() -> String {
     let workspace = |index: usize| {
         serde_json::json!({
             "name": format!("workspace-{index:04}"),
-            "key_sha256": ["0".repeat(64)],
+            "key_sha256": [format!("{index:064x}")],
             "tier": format!("tier-{}", index % 4),
         })
     };
@@ -407,7 +422,12 @@
         })).collect::<Vec<_>>(),
         "services": [],
     });
-    let text = value.to_string();
+    value.to_string()
+}
+
+/// Bytes of the configuration and the time to decode it in milliseconds.
+fn configuration_cost() -> (usize, f64) {
+    let text = configuration_text();
     let decoded: Result<Configuration, _> = serde_json::from_str(&text);
     assert!(decoded.is_ok(), "the example's configuration is malformed");
     let elapsed_us = time_us(100, || {
