Resolve the class of the models in the capacity example

The configuration named a class that it did not define, so the example ended at the section measurement. Links are measured last, because the memory that they free hid the growth of later measurements.

--- a/examples/capacity/main.rs
+++ b/examples/capacity/main.rs
@@ -415,7 +415,10 @@
         "tiers": (0..4).map(|tier| serde_json::json!({
             "name": format!("tier-{tier}"), "weight": 1, "reserved_permille": 50
         })).collect::<Vec<_>>(),
-        "classes": [],
+        "classes": [serde_json::json!({
+            "name": "chat", "target": {"tokens": {"first_token_ms": 500, "token_gap_ms": 38}},
+            "priority": 0, "longest_wait_ms": 10_000, "max_in_flight": 256
+        })],
         "workspaces": (0..WORKSPACES).map(workspace).collect::<Vec<_>>(),
         "models": (0..POOLS).map(|model| serde_json::json!({
             "name": format!("model-{model:02}"), "pool": format!("model-{model:02}"), "class": "chat"
--- a/examples/capacity/slopes.rs
+++ b/examples/capacity/slopes.rs
@@ -47,7 +47,6 @@
     let configuration: Configuration =
         serde_json::from_str(&configuration_text()).expect("the configuration is well formed");
     Slopes {
-        links: links::link_cost(),
         routers: SERVER_COUNTS.map(decisions::router_cost),
         estimators: ESTIMATOR_KEYS.map(decisions::estimator_cost),
         suspects: SUSPECT_RECORDS.map(decisions::suspect_cost),
@@ -55,12 +54,18 @@
         sections: transfer::section_cost(&configuration),
         admissions: WAIT_LIMITS.map(decisions::admission_cost),
         chunk: transfer::chunk_cost(),
+        // Last, because links free so much memory that it would hide the growth of everything after them.
+        links: links::link_cost(),
     }
 }
 
 impl Slopes {
     /// Prints what was measured.
     pub fn print(&self) {
+        println!(
+            "frame in the queue of a link: {} B",
+            size_of::<tanagerford_link::message::Frame>()
+        );
         match &self.links {
             Ok(cost) => println!(
                 "idle link, per end, of {} ends: {:.2} threads, {:.0} KiB resident, {:.0} KiB of address space, \
