--- a/examples/capacity/slopes.rs
+++ b/examples/capacity/slopes.rs
@@ -9,8 +9,9 @@
 use crate::links::LinkCost;
 use crate::transfer::{ChunkCost, PageCost, SectionCost};
 use crate::{
-    CHANGES_PER_DAY, CORE_TARGET_PERCENT, ENTRIES, MEMORY_TARGET_MB, POOLS, REQUESTS_PER_SECOND,
-    TOKENS_PER_SECOND, WORKERS, WORKSPACES, configuration_text, decisions, links, row, transfer,
+    BYTES_TARGET, CHANGES_PER_DAY, CORE_TARGET_PERCENT, ENTRIES, MEMORY_TARGET_MB, POOLS,
+    REQUESTS_PER_SECOND, TOKENS_PER_SECOND, WORKERS, WORKSPACES, configuration_text, decisions,
+    links, row, transfer,
 };
 
 /// Servers that an entry has links to, then all workers, then more.
@@ -69,12 +70,14 @@
         match &self.links {
             Ok(cost) => println!(
                 "idle link, per end, of {} ends: {:.2} threads, {:.0} KiB resident, {:.0} KiB of address space, \
-                 {:.4}% of a core",
+                 {:.4}% of a core, {:.2} frames/s and {:.0} B/s sent plus received",
                 cost.ends,
                 cost.threads,
                 cost.resident_bytes / 1024.0,
                 cost.reserved_bytes / 1024.0,
-                cost.core_percent
+                cost.core_percent,
+                cost.frames_per_second,
+                cost.bytes_per_second
             ),
             Err(error) => println!("idle link: not measured: {error}"),
         }
@@ -152,22 +155,7 @@
     pub fn print_roles(&self, entry_links: f64, sidecar_links: f64) {
         let none = f64::NAN;
         let (entries, workers) = (ratio(ENTRIES, 1), ratio(WORKERS, 1));
-        if let Ok(link) = &self.links {
-            let both = |name, value: f64, target| {
-                row(name, value * entry_links, value * sidecar_links, target);
-            };
-            both("threads of links (e)", link.threads, none);
-            let resident = link.resident_bytes / 1e6;
-            both("memory of idle links, MB (e)", resident, MEMORY_TARGET_MB);
-            let reserved = link.reserved_bytes / 1e6;
-            both("address space of links, MB (e)", reserved, none);
-            let core = link.core_percent;
-            both(
-                "processor of idle links, % of a core (e)",
-                core,
-                CORE_TARGET_PERCENT,
-            );
-        }
+        self.print_links(entry_links, sidecar_links);
         let router = &self.routers[0];
         let router_memory = router.bytes_per_server * ratio(router.servers, 1) / 1e6;
         row(
@@ -249,6 +237,31 @@
             none,
         );
     }
+
+    fn print_links(&self, entry_links: f64, sidecar_links: f64) {
+        if let Ok(link) = &self.links {
+            let both = |name, value: f64, target| {
+                row(name, value * entry_links, value * sidecar_links, target);
+            };
+            both("threads of links (e)", link.threads, f64::NAN);
+            let resident = link.resident_bytes / 1e6;
+            both("memory of idle links, MB (e)", resident, MEMORY_TARGET_MB);
+            let reserved = link.reserved_bytes / 1e6;
+            both("address space of links, MB (e)", reserved, f64::NAN);
+            let bytes = link.bytes_per_second;
+            both(
+                "bytes/s of idle links, with headers (e)",
+                bytes,
+                BYTES_TARGET,
+            );
+            let core = link.core_percent;
+            both(
+                "processor of idle links, % of a core (e)",
+                core,
+                CORE_TARGET_PERCENT,
+            );
+        }
+    }
 }
 
 fn megabytes(bytes: usize) -> f64 {
