--- a/crates/core/src/membership/detector.rs
+++ b/crates/core/src/membership/detector.rs
@@ -371,7 +371,8 @@
         self.report_generation(now, header);
     }
 
-    /// Returns the suspicion or death of the sender that it has not refuted yet, to tell it at once.
+    /// Returns what the sender has to learn at once: its suspicion or death that it has not refuted yet, or that a newer
+    /// process has its id. Nobody else sends to a replaced process, because its id has a new address.
     fn doubt_about(&self, header: Header) -> Option<Update> {
         let record = self.table.get(header.sender)?;
         let is_doubted = matches!(
@@ -379,7 +380,9 @@
             MemberState::Suspect | MemberState::Dead
         );
         let is_current = record.standing.incarnation == header.incarnation;
-        (is_doubted && is_current).then(|| record.to_update(header.sender, false))
+        let is_replaced = record.standing.incarnation > header.incarnation;
+        let has_to_know = is_replaced || (is_doubted && is_current);
+        has_to_know.then(|| record.to_update(header.sender, false))
     }
 
     fn on_body(
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -113,6 +113,43 @@
     assert_eq!(count(&receive(&mut membership, newer())), 0);
 }
 
+/// Guards against a replaced process that goes on working because nobody sends to its old address any more: whoever hears
+/// from it has to tell it.
+#[test]
+fn a_replaced_process_is_told_of_its_successor() {
+    let mut membership = own();
+    receive(
+        &mut membership,
+        vec![claim("peer", 7, 0, MemberState::Alive)],
+    );
+    // Enough rounds that the claim is not disseminated any more, with signs of life of the newer process.
+    for round in 0..200 {
+        let now = Duration::from_secs(1) + Duration::from_millis(100) * round;
+        let mut alive = gossip(vec![], vec![]);
+        alive.header.incarnation = 7;
+        membership.on_message(now, address(2), alive);
+        membership.tick(now);
+    }
+    // The ping comes from an address that the table does not know, with an older incarnation.
+    let ping = Message {
+        body: Body::Ping {
+            probe: 1,
+            target: member_key("own"),
+        },
+        ..gossip(vec![], vec![])
+    };
+    let actions = membership.on_message(Duration::from_secs(22), address(9), ping);
+    let told = actions.iter().any(|action| {
+        let Action::Send { to, message } = action else {
+            return false;
+        };
+        let newer =
+            |update: &Update| update.key == member_key("peer") && update.standing.incarnation == 7;
+        *to == address(9) && message.updates.iter().any(newer)
+    });
+    assert!(told, "{actions:?}");
+}
+
 /// Guards against a table that grows without bound.
 #[test]
 fn the_table_is_bounded() {
