--- a/crates/engine/src/client.rs
+++ b/crates/engine/src/client.rs
@@ -6,13 +6,13 @@
 use std::time::Duration;
 
 use serde::Deserialize;
+use tanagerford_http::client::FixedAddress;
 use ureq::http::Response;
 use ureq::unversioned::transport::DefaultConnector;
 use ureq::{Agent, Body};
 
 use crate::error::EngineError;
 use crate::orders::{Models, OrderRequest};
-use crate::resolver::FixedAddress;
 use crate::sse::{Event, EventReader};
 
 /// Longest time to connect to the engine, which runs on the same VM.
@@ -260,6 +260,8 @@
 fn agent(address: SocketAddr, timeout: Option<Duration>) -> Agent {
     let config = Agent::config_builder()
         .http_status_as_error(false)
+        // A proxy named by the environment must not see calls to a backend server on the same VM.
+        .proxy(None)
         .timeout_connect(Some(CONNECT_TIMEOUT))
         .timeout_global(timeout)
         .max_idle_connections(1)
--- a/crates/engine/src/error.rs
+++ b/crates/engine/src/error.rs
@@ -2,6 +2,8 @@
 
 use std::fmt;
 
+use tanagerford_http::client::is_unsent;
+
 /// Why a call to an engine failed.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum EngineError {
@@ -37,15 +39,10 @@
 
 impl From<ureq::Error> for EngineError {
     fn from(error: ureq::Error) -> Self {
-        match error {
-            ureq::Error::ConnectionFailed | ureq::Error::HostNotFound => Self::Unreachable,
-            ureq::Error::Timeout(ureq::Timeout::Connect | ureq::Timeout::Resolve) => {
-                Self::Unreachable
-            }
-            ureq::Error::Io(error) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
-                Self::Unreachable
-            }
-            _ => Self::Lost,
+        if is_unsent(&error) {
+            Self::Unreachable
+        } else {
+            Self::Lost
         }
     }
 }
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -6,7 +6,6 @@
 mod client;
 mod error;
 mod orders;
-mod resolver;
 mod sse;
 mod text;
 
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -5,6 +5,7 @@
 //! which also lets the listener notice a caller that disconnects while its request waits.
 
 mod body;
+pub mod client;
 mod connection;
 mod listener;
 
--- a/crates/service/src/client.rs
+++ b/crates/service/src/client.rs
@@ -5,11 +5,11 @@
 use std::time::Duration;
 
 use http::{HeaderName, HeaderValue, Method, Uri};
+use tanagerford_http::client::FixedAddress;
 use ureq::Agent;
 use ureq::unversioned::transport::DefaultConnector;
 
 use crate::error::ServiceError;
-use crate::resolver::FixedAddress;
 
 /// Longest time to connect to the service, which runs on the same VM.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -152,6 +152,8 @@
 fn agent(address: SocketAddr, max_idle: usize) -> Agent {
     let config = Agent::config_builder()
         .http_status_as_error(false)
+        // A proxy named by the environment must not see calls to a backend server on the same VM.
+        .proxy(None)
         .allow_non_standard_methods(true)
         .max_redirects(0)
         .timeout_connect(Some(CONNECT_TIMEOUT))
--- a/crates/service/src/error.rs
+++ b/crates/service/src/error.rs
@@ -2,6 +2,8 @@
 
 use std::fmt;
 
+use tanagerford_http::client::is_unsent;
+
 /// Why a call to a plain service failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ServiceError {
@@ -28,14 +30,8 @@
 impl From<ureq::Error> for ServiceError {
     fn from(error: ureq::Error) -> Self {
         match error {
-            ureq::Error::ConnectionFailed | ureq::Error::HostNotFound => Self::Unreachable,
-            ureq::Error::Timeout(ureq::Timeout::Connect | ureq::Timeout::Resolve) => {
-                Self::Unreachable
-            }
-            ureq::Error::Io(error) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
-                Self::Unreachable
-            }
             ureq::Error::BadUri(_) => Self::Invalid,
+            error if is_unsent(&error) => Self::Unreachable,
             _ => Self::Lost,
         }
     }
--- a/crates/service/src/lib.rs
+++ b/crates/service/src/lib.rs
@@ -2,7 +2,6 @@
 
 mod client;
 mod error;
-mod resolver;
 
 pub use client::{Answer, Call, Header, ServiceClient};
 pub use error::ServiceError;
