--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -23,7 +23,7 @@
 
 use crate::estimate::{EstimateKey, OutputEstimator};
 use crate::ids::{AttemptId, TierId};
-use queue::{Hopeless, ServiceRate, Waiting};
+use queue::{LateStart, ServiceRate, Waiting};
 use tier::{Running, Tier};
 
 /// Interval at which the runtime calls [`Admission::on_tick`] while there is work.
@@ -504,8 +504,8 @@
     fn shed_for(&mut self, now: Duration, id: AttemptId, actions: &mut Vec<Action>) {
         while let Some(entry) = self.entries.get(&id).filter(|entry| !entry.running) {
             let tier = entry.tier;
-            let hopeless = self.hopeless(now, tier);
-            let Some(found) = hopeless.into_iter().find(|hopeless| hopeless.id == id) else {
+            let late_starts = self.late_starts(now, tier);
+            let Some(found) = late_starts.into_iter().find(|late| late.id == id) else {
                 return;
             };
             let victim = self.tiers[tier]
@@ -524,18 +524,18 @@
                 continue;
             }
             state.reviewed_at = now;
-            for found in self.hopeless(now, tier) {
+            for found in self.late_starts(now, tier) {
                 self.refuse(found.id, RefuseReason::WaitTooLong, found.excess, actions);
             }
         }
     }
 
-    fn hopeless(&self, now: Duration, tier: usize) -> Vec<Hopeless> {
+    fn late_starts(&self, now: Duration, tier: usize) -> Vec<LateStart> {
         let above = self.tiers[..tier].iter().map(Tier::running).sum();
         let rate = self.rate(tier, above);
         self.tiers[tier]
             .queue
-            .hopeless(now, rate, self.settings.quantum_tokens)
+            .late_starts(now, rate, self.settings.quantum_tokens)
     }
 
     /// Returns why offers are refused, if they are.
--- a/crates/core/src/admission/queue.rs
+++ b/crates/core/src/admission/queue.rs
@@ -68,7 +68,7 @@
 
 /// A waiting request whose predicted start is too late.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) struct Hopeless {
+pub(crate) struct LateStart {
     pub id: AttemptId,
     pub priority: u8,
     /// How much earlier than predicted the request would have to start.
@@ -215,7 +215,7 @@
     }
 
     /// Returns the waiting requests, in service order, that are predicted to start too late.
-    pub fn hopeless(&self, now: Duration, rate: ServiceRate, quantum: u32) -> Vec<Hopeless> {
+    pub fn late_starts(&self, now: Duration, rate: ServiceRate, quantum: u32) -> Vec<LateStart> {
         let preempted = self.waiting.values().filter(|waiting| waiting.preempted);
         let on_time = self.fresh().filter(|waiting| waiting.on_time_until >= now);
         let late = self.fresh().filter(|waiting| waiting.on_time_until < now);
@@ -228,7 +228,7 @@
                 .is_some_and(|account| account.credit > 0);
             review.visit(waiting, owed);
         }
-        review.hopeless
+        review.late_starts
     }
 
     /// Returns the waiting request that is given up first in favour of a class with the given priority.
@@ -328,7 +328,7 @@
     active: f64,
     ahead: f64,
     own_ahead: BTreeMap<&'a str, f64>,
-    hopeless: Vec<Hopeless>,
+    late_starts: Vec<LateStart>,
 }
 
 impl<'a> Review<'a> {
@@ -340,7 +340,7 @@
             active: f64::from(active),
             ahead: 0.0,
             own_ahead: BTreeMap::new(),
-            hopeless: Vec::new(),
+            late_starts: Vec::new(),
         }
     }
 
@@ -350,7 +350,7 @@
         let fair = (*own + self.quantum) * self.active;
         let predicted = self.predict(waiting, self.ahead.min(fair));
         if predicted > waiting.start_by && !waiting.preempted && !owed {
-            self.hopeless.push(Hopeless {
+            self.late_starts.push(LateStart {
                 id: waiting.id,
                 priority: waiting.priority,
                 excess: predicted.saturating_sub(waiting.start_by),
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -507,10 +507,10 @@
             .filter(|entry| entry.running.is_none())
         {
             let tier = entry.tier;
-            let hopeless = self.tiers[tier]
+            let late_starts = self.tiers[tier]
                 .queue
-                .hopeless(now, self.rate(tier), QUANTUM_MS);
-            let Some(found) = hopeless.into_iter().find(|hopeless| hopeless.id == id) else {
+                .late_starts(now, self.rate(tier), QUANTUM_MS);
+            let Some(found) = late_starts.into_iter().find(|late| late.id == id) else {
                 return;
             };
             let victim = self.tiers[tier]
