Share the conversion of wire times, and admit calls of the entry in one place

Cause: three copies of the conversion to milliseconds, and a quarantined call was counted by a copy of the code that counts every other refusal. Behaviour is unchanged.

--- a/crates/node/src/entry/call.rs
+++ b/crates/node/src/entry/call.rs
@@ -15,6 +15,8 @@
 use tanagerford_link::message::{self, Submit};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::wire::milliseconds;
+
 /// Tokens of an answer whose request names no limit.
 const DEFAULT_MAX_TOKENS: u32 = 1_024;
 
@@ -104,10 +106,6 @@
     }
 }
 
-fn milliseconds(duration: Duration) -> u32 {
-    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
-}
-
 /// Finds the customer of an API key.
 pub(crate) fn authenticate<'config>(
     configuration: &'config ActiveConfiguration,
--- a/crates/node/src/entry/handler.rs
+++ b/crates/node/src/entry/handler.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use http::{HeaderName, HeaderValue, Method, StatusCode, header};
+use tanagerford_caller::class_gate::Place;
 use tanagerford_caller::headers;
 use tanagerford_caller::openai::{self, Assembler, Interface};
 use tanagerford_caller::refusal::{Code, Refusal};
@@ -59,42 +60,34 @@
 
     async fn run(&self, call: Call) -> Result<Reply, Refusal> {
         let (class, tier) = (call.class.name.clone(), call.tier);
-        if self.state.suspects.verdict(call.submit.fingerprint) == Verdict::Refuse {
-            let refusal = Refusal::new(Code::Quarantined, "the request crashed backend servers");
-            let metrics = &self.state.metrics;
-            metrics.count_request(&class, tier, refusal.code.as_str());
-            return Err(refusal);
-        }
-        let place = self
-            .state
-            .class_gate
-            .enter(&class, tier, call.class.max_in_flight)
-            .ok_or_else(|| {
-                Refusal::new(
-                    Code::ClassFull,
-                    format!("class {class} has no place left at this entry"),
-                )
-                .retry_after(CLASS_FULL_RETRY_AFTER)
-            });
-        let result = match place {
+        let result = match self.admit(&call) {
             Ok(place) => {
-                let relay = Relay::new(
-                    Arc::clone(&self.state),
-                    Arc::clone(&self.links),
-                    call,
-                    place,
-                );
-                answer_call(relay).await
+                let (state, links) = (Arc::clone(&self.state), Arc::clone(&self.links));
+                answer_call(Relay::new(state, links, call, place)).await
             }
             Err(refusal) => Err(refusal),
         };
         if let Err(refusal) = &result {
-            self.state
-                .metrics
-                .count_request(&class, tier, refusal.code.as_str());
+            let code = refusal.code.as_str();
+            self.state.metrics.count_request(&class, tier, code);
         }
         result
     }
+
+    /// Takes a place for a call, unless the call is quarantined or its class is full.
+    fn admit(&self, call: &Call) -> Result<Place, Refusal> {
+        if self.state.suspects.verdict(call.submit.fingerprint) == Verdict::Refuse {
+            let text = "the request crashed backend servers";
+            return Err(Refusal::new(Code::Quarantined, text));
+        }
+        let class = &call.class;
+        let gate = &self.state.class_gate;
+        let place = gate.enter(&class.name, call.tier, class.max_in_flight);
+        place.ok_or_else(|| {
+            let text = format!("class {} has no place left at this entry", class.name);
+            Refusal::new(Code::ClassFull, text).retry_after(CLASS_FULL_RETRY_AFTER)
+        })
+    }
 }
 
 impl Handler for CallerHandler {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,4 +15,5 @@
 pub mod suspects;
 pub mod sync;
 pub mod vm_watch;
+mod wire;
 pub mod workers;
--- a/crates/node/src/sidecar/order.rs
+++ b/crates/node/src/sidecar/order.rs
@@ -7,6 +7,7 @@
 use tanagerford_link::message::{self, OrderStatus as WireStatus, Submit};
 
 use crate::orders::{ClaimDecision, KeptAnswer, OrderLog, OrderRequest, OrderStatus};
+use crate::wire::milliseconds;
 
 use super::refusal::{not_run, unknown};
 use super::work::Work;
@@ -119,7 +120,3 @@
         attempt: claim.attempt,
     }
 }
-
-fn milliseconds(duration: Duration) -> u32 {
-    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
-}
--- a/crates/node/src/sidecar/refusal.rs
+++ b/crates/node/src/sidecar/refusal.rs
@@ -4,6 +4,8 @@
 
 use tanagerford_link::message;
 
+use crate::wire::milliseconds;
+
 /// Advice when the backend server cannot be reached or is full.
 pub(crate) const SERVER_RETRY_AFTER: Duration = Duration::from_millis(250);
 
@@ -14,11 +16,10 @@
     retry_after: Option<Duration>,
     load: Option<message::Load>,
 ) -> message::Refused {
-    let milliseconds = retry_after.map_or(0, |delay| delay.as_millis());
     message::Refused {
         code: code.to_owned(),
         detail: detail.to_owned(),
-        retry_after_ms: u32::try_from(milliseconds).unwrap_or(u32::MAX),
+        retry_after_ms: retry_after.map_or(0, milliseconds),
         load,
         ..message::Refused::default()
     }
