--- /dev/null
+++ b/crates/core/src/dispatch/cost.rs
@@ -0,0 +1,172 @@
+//! What a server would cost a call, in milliseconds.
+
+use std::time::Duration;
+
+use super::{Demand, Flight, Origin, ServerState};
+
+/// Time in which half of the recent prefill work is forgotten.
+pub(super) const RECENT_HALF_LIFE: Duration = Duration::from_secs(2);
+/// Age after which a reported load is ignored.
+const REPORT_LIFETIME: Duration = Duration::from_millis(1_000);
+/// Requests that run above the known ones when a report says so are counted at most up to the report.
+const FULL_PENALTY_MS: f64 = 400.0;
+
+/// Weights of the estimate.
+#[derive(Debug, Clone)]
+pub struct CostSettings {
+    /// Prompt tokens that a server reads in a millisecond.
+    pub prefill_tokens_per_ms: f64,
+    /// Uncached tokens from which a prompt counts as long: more than one prefill chunk delays the streams of the
+    /// server by more than one step.
+    pub long_prompt_tokens: u32,
+    /// Cost of a long prompt for each stream that it would delay, in milliseconds.
+    pub disturbed_stream_ms: f64,
+    /// Cost of a stream on a server that spends its whole time on prefill, in milliseconds.
+    pub busy_prefill_ms: f64,
+    /// Time that one more running request adds to each step, in milliseconds, times the tokens of an event.
+    pub running_request_ms: f64,
+    /// Largest cost of the position in the common order, in milliseconds.
+    pub order_ms: f64,
+    /// Cost of leaving the availability zone, in milliseconds.
+    pub other_zone_ms: f64,
+    /// Cost of a kilobyte that leaves the availability zone, in milliseconds.
+    pub other_zone_ms_per_kb: f64,
+    /// Cost of reading a prompt that the server does not hold, beside the time it takes: a factor of that time.
+    pub read_again_factor: f64,
+    /// Cost of a server that fails every call, in milliseconds.
+    pub failing_ms: f64,
+}
+
+impl Default for CostSettings {
+    fn default() -> Self {
+        Self {
+            prefill_tokens_per_ms: 90.0,
+            long_prompt_tokens: 2_048,
+            disturbed_stream_ms: 10.0,
+            busy_prefill_ms: 400.0,
+            running_request_ms: 0.7,
+            order_ms: 60.0,
+            other_zone_ms: 5.0,
+            other_zone_ms_per_kb: 3.0,
+            read_again_factor: 1.0,
+            failing_ms: 2_000.0,
+        }
+    }
+}
+
+/// Returns `part / whole` for counts.
+pub(super) fn ratio(part: usize, whole: usize) -> f64 {
+    let part = u32::try_from(part).unwrap_or(u32::MAX);
+    let whole = u32::try_from(whole.max(1)).unwrap_or(u32::MAX);
+    f64::from(part) / f64::from(whole)
+}
+
+fn milliseconds(duration: Duration) -> f64 {
+    duration.as_secs_f64() * 1_000.0
+}
+
+impl ServerState {
+    pub(super) fn cost_ms(
+        &self,
+        settings: &CostSettings,
+        zone: &str,
+        now: Duration,
+        demand: &Demand,
+    ) -> f64 {
+        let work_ms = if demand.prompt_tokens == 0 {
+            self.queue_ms(now)
+        } else {
+            self.engine_ms(settings, now, demand)
+        };
+        let slowness = self.health.slowness(now);
+        let failing_ms = self.health.failure_share(now) * settings.failing_ms;
+        work_ms * slowness + failing_ms + self.distance_ms(settings, zone, demand)
+    }
+
+    /// Cost at a plain service: the share of its slots that is taken.
+    fn queue_ms(&self, now: Duration) -> f64 {
+        let slots = f64::from(self.spec.slots.max(1));
+        let taken = f64::from(self.running(now)) / slots;
+        taken * 15.0 + (taken - 1.0).max(0.0) * FULL_PENALTY_MS
+    }
+
+    fn engine_ms(&self, settings: &CostSettings, now: Duration, demand: &Demand) -> f64 {
+        let missing = self.cache.missing_tokens(&demand.parts, demand.prompt_tokens);
+        let prefill_ms = f64::from(missing) / settings.prefill_tokens_per_ms;
+        let backlog_ms = milliseconds(self.prefill_done.saturating_sub(now));
+        let running = self.running(now);
+        let full = f64::from((running + 1).saturating_sub(self.spec.slots));
+        let own_ms = backlog_ms
+            + prefill_ms * (1.0 + settings.read_again_factor)
+            + f64::from(running) * settings.running_request_ms
+            + full * FULL_PENALTY_MS;
+        let neighbours_ms = if demand.prompt_tokens >= settings.long_prompt_tokens {
+            f64::from(self.streams) * settings.disturbed_stream_ms
+                + (1.0 - self.rank) * settings.order_ms
+        } else {
+            self.prefill_share(now) * settings.busy_prefill_ms + self.rank * settings.order_ms
+        };
+        own_ms + neighbours_ms
+    }
+
+    fn distance_ms(&self, settings: &CostSettings, zone: &str, demand: &Demand) -> f64 {
+        if self.spec.zone == zone {
+            return 0.0;
+        }
+        let kilobytes = ratio(demand.body_bytes, 1_000);
+        settings.other_zone_ms + kilobytes * settings.other_zone_ms_per_kb
+    }
+
+    /// Requests at the server: those that are known of, or more if the server recently said so.
+    fn running(&self, now: Duration) -> u32 {
+        let known = self.in_flight();
+        match self.reported {
+            Some((at, load)) if now.saturating_sub(at) < REPORT_LIFETIME => {
+                known.max(load.running + load.waiting)
+            }
+            _ => known,
+        }
+    }
+
+    /// Share of the recent time that the server spent on prefill.
+    fn prefill_share(&self, now: Duration) -> f64 {
+        let window_ms = milliseconds(RECENT_HALF_LIFE) / std::f64::consts::LN_2;
+        self.recent_prefill(now) / window_ms
+    }
+
+    fn recent_prefill(&self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.recent_at);
+        let half_lives = age.as_secs_f64() / RECENT_HALF_LIFE.as_secs_f64();
+        self.recent_prefill_ms * 0.5_f64.powf(half_lives)
+    }
+
+    pub(super) fn start(
+        &mut self,
+        settings: &CostSettings,
+        now: Duration,
+        origin: Origin,
+        demand: &Demand,
+        longest: Duration,
+    ) {
+        let is_long = demand.prompt_tokens >= settings.long_prompt_tokens;
+        let flight = Flight {
+            is_stream: demand.prompt_tokens > 0 && !is_long,
+            expires: now + longest,
+        };
+        self.streams += u32::from(flight.is_stream);
+        if let Some(replaced) = self.flights.insert(origin, flight) {
+            self.streams -= u32::from(replaced.is_stream);
+        }
+        if demand.prompt_tokens == 0 {
+            return;
+        }
+        let missing = self.cache.missing_tokens(&demand.parts, demand.prompt_tokens);
+        let prefill_ms = f64::from(missing) / settings.prefill_tokens_per_ms;
+        self.prefill_done = self.prefill_done.max(now) + Duration::from_secs_f64(prefill_ms / 1_000.0);
+        if is_long {
+            self.recent_prefill_ms = self.recent_prefill(now) + prefill_ms;
+            self.recent_at = now;
+        }
+        self.cache.insert(now, &demand.parts);
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod admission;
 pub mod capacity;
 pub mod config;
+pub mod dispatch;
 pub mod estimate;
 pub mod generation;
 pub mod ids;
--- /dev/null
+++ b/crates/gateway/src/attempt.rs
@@ -0,0 +1,398 @@
+//! Serves a call: chooses servers, sends the call, and decides what a failed attempt allows.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use async_io::Timer;
+use bytes::{Bytes, BytesMut};
+use futures_lite::future;
+use http::{Response, StatusCode};
+use tanagerford_core::dispatch::{CallEnd, Choice, Origin};
+use tanagerford_core::ids::ServerId;
+use tanagerford_http::outbound::{Answer, ExchangeError};
+use tanagerford_http::{Body, Reply};
+
+use crate::call::{Call, Repeat};
+use crate::codec::{AnswerHead, Codec, Sending};
+use crate::fleet::{BackendServer, PoolState};
+use crate::gateway::Gateway;
+use crate::refusal::Refusal;
+use crate::relay::Relay;
+
+/// Longest time to establish a connection to a server; another server is asked after it.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Least remaining time with which a call is sent to a server.
+const MIN_REMAINING: Duration = Duration::from_millis(5);
+/// Servers that one call is sent to at most, refusals included.
+const MAX_SENDS: usize = 4;
+/// Largest answer that is held until it is whole; longer ones are passed on as they arrive.
+const MAX_HELD_BYTES: usize = 256 * 1024;
+/// Silence, as a multiple of the latency objective, after which a call that may be repeated goes to another server.
+const SILENCE_FACTOR: u32 = 3;
+/// Time to the first part of an answer that a plain service is expected to need beside its queue.
+const PLAIN_EXPECTED: Duration = Duration::from_millis(40);
+/// Time to the first part of an answer that a model engine is expected to need beside queue and prefill.
+const ENGINE_EXPECTED: Duration = Duration::from_millis(150);
+
+/// Call in flight at a server; its drop tells the beliefs that it has ended.
+pub(crate) struct Flight {
+    pub(crate) server: Arc<BackendServer>,
+    pub(crate) pool: Arc<PoolState>,
+    pub(crate) sent: Instant,
+    expected: Duration,
+    origin: Origin,
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        self.pool.beliefs().on_end(&self.server.id, self.origin);
+    }
+}
+
+impl Flight {
+    /// Returns how much slower than expected the first part of the answer came.
+    fn slowness(&self) -> f64 {
+        let ratio = self.sent.elapsed().as_secs_f64() / self.expected.as_secs_f64();
+        if ratio < 1.5 { 1.0 } else { ratio }
+    }
+}
+
+/// Answer of a server to one attempt, checked as far as its head and first part.
+pub(crate) struct Begun {
+    pub(crate) flight: Flight,
+    pub(crate) answer: Answer,
+    pub(crate) first: Option<Bytes>,
+}
+
+/// How an attempt failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum AttemptError {
+    /// No connection; nothing was sent.
+    Unreachable,
+    /// The server did not run the call.
+    NotRun,
+    /// The server may have run the call.
+    Broken,
+    /// No part of the answer came in time; the server may be running the call.
+    Silent,
+}
+
+impl AttemptError {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Unreachable => "unreachable",
+            Self::NotRun => "not_run",
+            Self::Broken => "broken",
+            Self::Silent => "silent",
+        }
+    }
+
+    fn call_end(self) -> CallEnd {
+        match self {
+            Self::Unreachable => CallEnd::Unreachable,
+            Self::NotRun => CallEnd::Refused,
+            Self::Broken => CallEnd::Broken,
+            Self::Silent => CallEnd::Silent,
+        }
+    }
+}
+
+/// Attempts of one call so far.
+#[derive(Debug, Default)]
+pub(crate) struct Attempts {
+    pub(crate) tried: Vec<ServerId>,
+    /// Calls that may have run.
+    runs: u32,
+}
+
+impl Attempts {
+    /// Records that an attempt that had begun to answer has failed.
+    pub(crate) fn add_run(&mut self) {
+        self.runs += 1;
+    }
+}
+
+impl<C: Codec> Gateway<C> {
+    pub(crate) async fn run(self: &Arc<Self>, call: Arc<Call>) -> Reply {
+        let hash = xxhash_rust::xxh3::xxh3_64(call.id.as_bytes());
+        let pool = call.route.pick_pool(hash).and_then(|name| self.fleet.pool(name).map(|pool| (name.clone(), pool)));
+        let Some((pool_name, pool)) = pool else {
+            return self.refuse(Some(&call.id), Refusal::NoServer, call.arrived);
+        };
+        let now = self.fleet.now();
+        self.with_budget(&pool_name, |budget| budget.on_request(now, &self.settings.budget));
+        let mut attempts = Attempts::default();
+        let mut last = None;
+        loop {
+            if last.is_some_and(|error| !self.may_repeat(&call, &pool_name, &attempts, error)) {
+                break;
+            }
+            let resume = call.resume_after;
+            match self.attempt(&call, &pool, &mut attempts, resume).await {
+                Ok(begun) => return self.deliver(call, pool, attempts, begun).await,
+                Err(Some(error)) => last = Some(error),
+                Err(None) => break,
+            }
+        }
+        let refusal = self.refusal(&call, &attempts, last);
+        self.refuse(Some(&call.id), refusal, call.arrived)
+    }
+
+    fn refusal(&self, call: &Call, attempts: &Attempts, last: Option<AttemptError>) -> Refusal {
+        let is_expired = call.deadline() <= Instant::now() + MIN_REMAINING;
+        match last {
+            _ if attempts.runs > 0 && is_expired => Refusal::TimedOut,
+            _ if attempts.runs > 0 => Refusal::ServerFailed,
+            _ if is_expired => Refusal::Expired,
+            Some(AttemptError::NotRun) => Refusal::Overloaded,
+            _ => Refusal::NoServer,
+        }
+    }
+
+    /// Returns whether the call may be sent to another server after `error`, and takes it from the budget.
+    pub(crate) fn may_repeat(
+        &self,
+        call: &Call,
+        pool: &str,
+        attempts: &Attempts,
+        error: AttemptError,
+    ) -> bool {
+        if attempts.tried.len() >= MAX_SENDS {
+            return false;
+        }
+        match error {
+            AttemptError::Unreachable => true,
+            AttemptError::NotRun => self.try_repeat(&pool.to_owned()),
+            AttemptError::Broken | AttemptError::Silent => {
+                call.repeat() != Repeat::AtMostOnce
+                    && attempts.runs < call.route.max_attempts
+                    && self.try_repeat(&pool.to_owned())
+            }
+        }
+    }
+
+    /// Sends the call to one server and waits for the first part of its answer. `Err(None)` means that no server is
+    /// left or the time is up.
+    pub(crate) async fn attempt(
+        self: &Arc<Self>,
+        call: &Arc<Call>,
+        pool: &Arc<PoolState>,
+        attempts: &mut Attempts,
+        resume_after: Option<u64>,
+    ) -> Result<Begun, Option<AttemptError>> {
+        let deadline = call.deadline();
+        let remaining = deadline.saturating_duration_since(Instant::now());
+        if remaining < MIN_REMAINING {
+            return Err(None);
+        }
+        let (flight, choice) = self.start(call, pool, attempts, remaining).ok_or(None)?;
+        attempts.tried.push(flight.server.id.clone());
+        let result = self.exchange(call, &flight, remaining, resume_after, attempts).await;
+        let server = &flight.server.id;
+        let end = match &result {
+            Ok(_) => CallEnd::Answered { slowness: flight.slowness() },
+            Err(error) => error.call_end(),
+        };
+        pool.beliefs().on_outcome(self.fleet.now(), server, end);
+        let name = result.as_ref().map_or_else(|error| error.name(), |_| "answered");
+        self.metrics.attempt(name);
+        tracing::info!(
+            request = call.id,
+            route = call.route.name,
+            server,
+            outcome = name,
+            sends = attempts.tried.len(),
+            cost_ms = choice.cost_ms,
+            uncached_tokens = choice.uncached_tokens,
+            in_flight = choice.in_flight,
+            candidates = choice.candidates,
+            after_ms = flight.sent.elapsed().as_millis(),
+            "attempt"
+        );
+        match result {
+            Ok((answer, first)) => Ok(Begun { flight, answer, first }),
+            Err(error) => {
+                attempts.runs += u32::from(matches!(error, AttemptError::Broken | AttemptError::Silent));
+                Err(Some(error))
+            }
+        }
+    }
+
+    fn start(
+        &self,
+        call: &Call,
+        pool: &Arc<PoolState>,
+        attempts: &Attempts,
+        remaining: Duration,
+    ) -> Option<(Flight, Choice)> {
+        let now = self.fleet.now();
+        let number = self.next_call.fetch_add(1, Ordering::Relaxed);
+        let origin = Origin::Own(number);
+        let mut beliefs = pool.beliefs();
+        let choice = beliefs.choose(now, &call.demand, &attempts.tried)?;
+        let server = Arc::clone(pool.servers.get(&choice.server)?);
+        beliefs.on_start(now, &choice.server, origin, &call.demand, remaining);
+        drop(beliefs);
+        let is_engine = call.demand.prompt_tokens > 0;
+        let expected = if is_engine {
+            ENGINE_EXPECTED + Duration::from_secs_f64(choice.cost_ms.max(0.0) / 1_000.0)
+        } else {
+            PLAIN_EXPECTED
+        };
+        let flight = Flight {
+            server,
+            pool: Arc::clone(pool),
+            sent: Instant::now(),
+            expected,
+            origin,
+        };
+        Some((flight, choice))
+    }
+
+    async fn exchange(
+        &self,
+        call: &Call,
+        flight: &Flight,
+        remaining: Duration,
+        resume_after: Option<u64>,
+        attempts: &Attempts,
+    ) -> Result<(Answer, Option<Bytes>), AttemptError> {
+        let sending = Sending {
+            server: &flight.server,
+            remaining,
+            resume_after,
+        };
+        let request = self.codec.request(call, sending);
+        let silence = silence_limit(call, remaining, attempts);
+        let expired = async {
+            Timer::after(silence).await;
+            Err(AttemptError::Silent)
+        };
+        let exchange = async {
+            let connect = CONNECT_TIMEOUT.min(remaining);
+            let sent = self.outbound.send(flight.server.address, request, connect, true);
+            let mut answer = sent.await.map_err(|error| attempt_error(call, &error))?;
+            let head = self.codec.answer_head(&answer.head);
+            self.check_head(call, flight, &head, answer.head.status())?;
+            let first = answer.next().await.map_err(|_| AttemptError::Broken)?;
+            Ok((answer, first))
+        };
+        future::or(exchange, expired).await
+    }
+
+    fn check_head(
+        &self,
+        call: &Call,
+        flight: &Flight,
+        head: &AnswerHead,
+        status: StatusCode,
+    ) -> Result<(), AttemptError> {
+        if head.id.as_ref().is_some_and(|id| *id != call.id) {
+            tracing::warn!(request = call.id, server = flight.server.id, other = head.id, "answer belongs to another call");
+            return Err(AttemptError::Broken);
+        }
+        if let Some(load) = head.load {
+            flight.pool.beliefs().on_load(self.fleet.now(), &flight.server.id, load);
+        }
+        if head.is_other_server {
+            flight.pool.beliefs().on_outcome(self.fleet.now(), &flight.server.id, CallEnd::Restarted);
+            return Err(AttemptError::NotRun);
+        }
+        if head.is_not_run {
+            return Err(AttemptError::NotRun);
+        }
+        if status.is_success() && (!head.is_sealed || head.id.is_none()) {
+            return Err(AttemptError::Broken);
+        }
+        Ok(())
+    }
+
+    async fn deliver(
+        self: &Arc<Self>,
+        call: Arc<Call>,
+        pool: Arc<PoolState>,
+        attempts: Attempts,
+        begun: Begun,
+    ) -> Reply {
+        self.metrics.first_part(call.arrived.elapsed());
+        let status = begun.answer.head.status();
+        if call.route.is_stream && status.is_success() {
+            let mut head = clone_head(&begun.answer.head);
+            self.codec.strip_answer(&mut head);
+            head.headers_mut().remove(http::header::CONTENT_LENGTH);
+            let relay = Relay::new(Arc::clone(self), call, pool, attempts, begun);
+            return self.finish(head.map(|()| relay.into_body()));
+        }
+        self.deliver_whole(call, begun).await
+    }
+
+    /// Holds the answer until it is whole, so that a cut one can be told from a whole one.
+    async fn deliver_whole(self: &Arc<Self>, call: Arc<Call>, begun: Begun) -> Reply {
+        let Begun { flight, mut answer, first } = begun;
+        let mut body = BytesMut::new();
+        body.extend_from_slice(&first.unwrap_or_default());
+        loop {
+            let remaining = call.deadline().saturating_duration_since(Instant::now());
+            let part = future::or(async { answer.next().await.map_err(|_| Refusal::ServerFailed) }, async {
+                Timer::after(remaining).await;
+                Err(Refusal::TimedOut)
+            });
+            match part.await {
+                Ok(Some(part)) => body.extend_from_slice(&part),
+                Ok(None) => break,
+                Err(refusal) => {
+                    flight.pool.beliefs().on_outcome(self.fleet.now(), &flight.server.id, CallEnd::Broken);
+                    return self.refuse(Some(&call.id), refusal, call.arrived);
+                }
+            }
+            if body.len() > MAX_HELD_BYTES {
+                tracing::debug!(request = call.id, bytes = body.len(), "holding a large answer");
+            }
+        }
+        let mut head = clone_head(&answer.head);
+        if head.status().is_server_error() {
+            flight.pool.beliefs().on_outcome(self.fleet.now(), &flight.server.id, CallEnd::Failed);
+        }
+        self.codec.strip_answer(&mut head);
+        head.headers_mut().remove(http::header::CONTENT_LENGTH);
+        tracing::info!(
+            request = call.id,
+            route = call.route.name,
+            server = flight.server.id,
+            status = head.status().as_u16(),
+            bytes = body.len(),
+            total_ms = call.arrived.elapsed().as_millis(),
+            "answered"
+        );
+        self.finish(head.map(|()| Body::whole(body.freeze())))
+    }
+}
+
+/// Returns how long an attempt may be silent. Only a call that may still go to another server is cut before its
+/// deadline.
+fn silence_limit(call: &Call, remaining: Duration, attempts: &Attempts) -> Duration {
+    let can_repeat = call.repeat() != Repeat::AtMostOnce && attempts.runs + 1 < call.route.max_attempts;
+    if can_repeat {
+        remaining.min(call.route.target_latency * SILENCE_FACTOR)
+    } else {
+        remaining
+    }
+}
+
+fn attempt_error(call: &Call, error: &ExchangeError) -> AttemptError {
+    match error {
+        ExchangeError::Connect(_) | ExchangeError::NotSent => AttemptError::Unreachable,
+        ExchangeError::Broken(error) => {
+            tracing::debug!(request = call.id, %error, "exchange broke");
+            AttemptError::Broken
+        }
+    }
+}
+
+fn clone_head(head: &Response<()>) -> Response<()> {
+    let mut copy = Response::new(());
+    *copy.status_mut() = head.status();
+    *copy.headers_mut() = head.headers().clone();
+    copy
+}
--- /dev/null
+++ b/crates/gateway/src/call.rs
@@ -0,0 +1,74 @@
+//! A caller's request, independent of the protocol that carried it.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Uri};
+use tanagerford_core::dispatch::Demand;
+
+use crate::table::{Route, Workspace};
+
+/// Name that a caller gives one attempt of a request.
+pub type CallId = String;
+
+/// What may be done with a request that may have run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Repeat {
+    /// It may run again from the start.
+    Idempotent,
+    /// A stream that may go on at another server after the last event that arrived.
+    Resumable,
+    /// It must run at most once.
+    AtMostOnce,
+}
+
+/// A caller's request with everything that decides how it is served.
+#[derive(Debug)]
+pub struct Call {
+    /// Name that the caller gave this attempt; answers of servers are checked against it.
+    pub id: CallId,
+    /// Method.
+    pub method: Method,
+    /// Target as it was sent.
+    pub target: Uri,
+    /// Headers that are passed on.
+    pub headers: HeaderMap,
+    /// Whole body.
+    pub body: Bytes,
+    /// Route of the request.
+    pub route: Arc<Route>,
+    /// Workspace of the key; `None` on public routes.
+    pub workspace: Option<Arc<Workspace>>,
+    /// What the request asks of a model engine; empty for plain services.
+    pub demand: Demand,
+    /// Number of the last event that the caller has already got, if it resumes a stream.
+    pub resume_after: Option<u64>,
+    /// Time at which the request's head arrived.
+    pub arrived: Instant,
+    /// Time at which the caller stops waiting, if it said so.
+    pub caller_deadline: Option<Instant>,
+}
+
+impl Call {
+    /// Returns what may be repeated of this call.
+    #[must_use]
+    pub fn repeat(&self) -> Repeat {
+        self.route.repeat
+    }
+
+    /// Returns the time at which the call must have its final answer: the route's timeout or the end of the caller's
+    /// patience, whichever is first.
+    #[must_use]
+    pub fn deadline(&self) -> Instant {
+        let timeout = self.arrived + self.route.timeout;
+        self.caller_deadline.map_or(timeout, |end| end.min(timeout))
+    }
+
+    /// Returns the rank of the call; 0 is served first. A workspace's rank goes before the route's.
+    #[must_use]
+    pub fn priority(&self) -> u8 {
+        let workspace = self.workspace.as_ref().and_then(|w| w.priority);
+        workspace.unwrap_or(self.route.priority)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/gateway.rs
@@ -0,0 +1,272 @@
+//! The entry: accepts calls, checks route and key, and has them served.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError, RwLock};
+use std::time::{Duration, Instant};
+
+use async_io::Timer;
+use bytes::Bytes;
+use futures_lite::future;
+use http::Request;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use tanagerford_core::ids::PoolId;
+use tanagerford_http::Reply;
+use tanagerford_http::outbound::{Outbound, SharedExecutor};
+use tanagerford_http::server::{ServerLimits, Service};
+
+use crate::budget::{BudgetLimits, RetryBudget};
+use crate::call::Call;
+use crate::codec::{CallHead, Codec};
+use crate::fleet::{BackendServer, Fleet};
+use crate::metrics::Metrics;
+use crate::refusal::Refusal;
+use crate::table::{CallerLimits, RoutingTable, Version};
+
+/// Longest time to read a body; the caller's own deadline usually ends the request before.
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+/// Factor by which connections are kept open beyond the idle limit of the configuration, so that a close does not cross
+/// the request of a caller that keeps the limit, also after the limit was raised.
+const IDLE_FACTOR: u32 = 3;
+
+/// Settings of an entry.
+#[derive(Debug, Clone)]
+pub struct GatewaySettings {
+    /// Limits of repeated calls.
+    pub budget: BudgetLimits,
+    /// Count of entries that share the budget as long as it is not known.
+    pub assumed_entries: usize,
+}
+
+/// Entry without sidecars.
+pub struct Gateway<C> {
+    pub(crate) codec: C,
+    pub(crate) outbound: Arc<Outbound>,
+    pub(crate) fleet: Arc<Fleet>,
+    pub(crate) settings: GatewaySettings,
+    pub(crate) metrics: Metrics,
+    pub(crate) next_call: AtomicU64,
+    table: RwLock<Option<Arc<RoutingTable>>>,
+    budgets: Mutex<HashMap<PoolId, RetryBudget>>,
+    entries: AtomicUsize,
+    is_stopping: AtomicBool,
+}
+
+impl<C: Codec> Gateway<C> {
+    /// Creates an entry that knows no configuration yet.
+    #[must_use]
+    pub fn new(
+        codec: C,
+        fleet: Arc<Fleet>,
+        settings: GatewaySettings,
+        executor: SharedExecutor,
+    ) -> Arc<Self> {
+        Arc::new(Self {
+            codec,
+            outbound: Outbound::new(executor),
+            fleet,
+            entries: AtomicUsize::new(settings.assumed_entries),
+            settings,
+            metrics: Metrics::default(),
+            next_call: AtomicU64::new(0),
+            table: RwLock::default(),
+            budgets: Mutex::default(),
+            is_stopping: AtomicBool::new(false),
+        })
+    }
+
+    /// Returns the configuration in force.
+    #[must_use]
+    pub fn table(&self) -> Option<Arc<RoutingTable>> {
+        let table = self.table.read().unwrap_or_else(PoisonError::into_inner);
+        table.clone()
+    }
+
+    /// Puts a configuration in force unless it is older than the present one; returns whether it did.
+    pub fn set_table(&self, table: RoutingTable) -> bool {
+        let mut current = self.table.write().unwrap_or_else(PoisonError::into_inner);
+        let old = current.as_ref().map(|table| table.version);
+        if old.is_some_and(|version| version >= table.version) {
+            return false;
+        }
+        tracing::info!(version = table.version, old, "configuration in force");
+        *current = Some(Arc::new(table));
+        true
+    }
+
+    /// Returns the version of the configuration in force.
+    #[must_use]
+    pub fn version(&self) -> Option<Version> {
+        self.table().map(|table| table.version)
+    }
+
+    /// Replaces the backend servers.
+    pub fn set_servers(&self, servers: impl Iterator<Item = BackendServer>, table: &RoutingTable) {
+        self.fleet.set_servers(servers, table);
+    }
+
+    /// Sets the count of entries that share the budget.
+    pub fn set_entries(&self, entries: usize) {
+        self.entries.store(entries.max(1), Ordering::Relaxed);
+    }
+
+    /// Returns whether new callers should be sent here.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        !self.is_stopping.load(Ordering::Acquire)
+            && self.table().is_some()
+            && self.fleet.pools().iter().any(|(_, pool)| !pool.servers.is_empty())
+    }
+
+    /// Begins the stop: not ready, and every answer closes its connection.
+    pub fn begin_stop(&self) {
+        self.is_stopping.store(true, Ordering::Release);
+    }
+
+    /// Returns the metrics in the text format of Prometheus.
+    #[must_use]
+    pub fn metrics_text(&self) -> String {
+        self.metrics.text()
+    }
+
+    pub(crate) fn with_budget<T>(
+        &self,
+        pool: &PoolId,
+        act: impl FnOnce(&mut RetryBudget) -> T,
+    ) -> T {
+        let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
+        act(budgets.entry(pool.clone()).or_default())
+    }
+
+    pub(crate) fn try_repeat(&self, pool: &PoolId) -> bool {
+        let now = self.fleet.now();
+        let entries = self.entries.load(Ordering::Relaxed);
+        self.with_budget(pool, |budget| {
+            budget.try_repeat(now, &self.settings.budget, entries)
+        })
+    }
+
+    async fn serve(self: &Arc<Self>, request: Request<Incoming>) -> Reply {
+        let arrived = Instant::now();
+        let (parts, body) = request.into_parts();
+        let head = match self.codec.call_head(&parts) {
+            Ok(head) => head,
+            Err(refusal) => return self.refuse(None, refusal, arrived),
+        };
+        let limits = self.table().map(|table| table.limits).unwrap_or_default();
+        let patience = head.patience.unwrap_or(BODY_TIMEOUT).min(BODY_TIMEOUT);
+        let body = match read_body(body, limits, patience).await {
+            Ok(body) => body,
+            Err(refusal) => return self.refuse(Some(&head.id), refusal, arrived),
+        };
+        match self.admit(&parts, head, body, arrived) {
+            Ok(call) => self.run(Arc::new(call)).await,
+            Err((id, refusal)) => self.refuse(Some(&id), refusal, arrived),
+        }
+    }
+
+    fn admit(
+        &self,
+        parts: &http::request::Parts,
+        head: CallHead,
+        body: Bytes,
+        arrived: Instant,
+    ) -> Result<Call, (String, Refusal)> {
+        let Some(table) = self.table() else {
+            return Err((head.id, Refusal::NoConfiguration));
+        };
+        let Some(route) = table.route(&head.host, parts.uri.path()) else {
+            return Err((head.id, Refusal::NoRoute));
+        };
+        let mut workspace = None;
+        if table.needs_key() && !route.is_public {
+            workspace = head.key.as_deref().and_then(|key| table.workspace(key));
+            if workspace.is_none() {
+                return Err((head.id, Refusal::UnknownKey));
+            }
+        }
+        let mut demand = head.demand;
+        demand.body_bytes = body.len();
+        Ok(Call {
+            id: head.id,
+            method: parts.method.clone(),
+            target: parts.uri.clone(),
+            headers: head.headers,
+            body,
+            route: Arc::clone(route),
+            workspace: workspace.cloned(),
+            demand,
+            resume_after: head.resume_after,
+            arrived,
+            caller_deadline: head.patience.map(|patience| arrived + patience),
+        })
+    }
+
+    pub(crate) fn refuse(&self, id: Option<&str>, refusal: Refusal, arrived: Instant) -> Reply {
+        self.metrics.refused(refusal);
+        tracing::info!(
+            request = id.unwrap_or(""),
+            reason = refusal.name(),
+            not_run = refusal.is_not_run(),
+            configuration = self.version(),
+            after_ms = arrived.elapsed().as_millis(),
+            "refused"
+        );
+        self.finish(self.codec.refuse(id, refusal))
+    }
+
+    /// Closes the connection after the answer while the process stops.
+    pub(crate) fn finish(&self, mut reply: Reply) -> Reply {
+        if self.is_stopping.load(Ordering::Acquire) {
+            let close = http::HeaderValue::from_static("close");
+            reply.headers_mut().insert(http::header::CONNECTION, close);
+        }
+        reply
+    }
+}
+
+/// Callers' side of an entry, for a listener.
+pub struct CallerService<C>(pub Arc<Gateway<C>>);
+
+impl<C: Codec> Service for CallerService<C> {
+    async fn answer(&self, request: Request<Incoming>, _peer: SocketAddr) -> Reply {
+        let has_coding = request.headers().contains_key(http::header::TRANSFER_ENCODING);
+        let mut reply = self.0.serve(request).await;
+        // A request with both a length and a coding hides a second request behind its end; the HTTP library drops the
+        // length, so every coded request ends its connection.
+        if has_coding {
+            let close = http::HeaderValue::from_static("close");
+            reply.headers_mut().insert(http::header::CONNECTION, close);
+        }
+        reply
+    }
+
+    fn limits(&self) -> ServerLimits {
+        let limits = self.0.table().map(|table| table.limits).unwrap_or_default();
+        ServerLimits {
+            max_header_bytes: limits.max_header_bytes,
+            idle_timeout: limits.idle_timeout * IDLE_FACTOR,
+        }
+    }
+}
+
+async fn read_body(
+    body: Incoming,
+    limits: CallerLimits,
+    patience: Duration,
+) -> Result<Bytes, Refusal> {
+    let read = async {
+        match Limited::new(body, limits.max_body_bytes).collect().await {
+            Ok(collected) => Ok(collected.to_bytes()),
+            Err(error) if error.is::<LengthLimitError>() => Err(Refusal::TooLarge),
+            Err(_) => Err(Refusal::Malformed),
+        }
+    };
+    let expired = async {
+        Timer::after(patience).await;
+        Err(Refusal::SlowBody)
+    };
+    future::or(read, expired).await
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,21 @@
+//! Entry that calls backend servers itself, without sidecars.
+//!
+//! A [`Codec`] translates between a caller-side protocol and the neutral [`Call`]; everything else here knows neither
+//! the wire nor the platform: routes and keys ([`table`]), the choice of servers ([`fleet`]), attempts, answers and the
+//! stop of the process.
+
+mod attempt;
+pub mod budget;
+pub mod call;
+pub mod codec;
+pub mod events;
+pub mod fleet;
+pub mod gateway;
+mod metrics;
+pub mod refusal;
+mod relay;
+pub mod table;
+
+pub use call::Call;
+pub use codec::Codec;
+pub use gateway::Gateway;
--- /dev/null
+++ b/crates/gateway/src/relay.rs
@@ -0,0 +1,170 @@
+//! Passes a stream of events on to its caller, and goes on at another server where the route allows it.
+
+use std::io;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use async_io::Timer;
+use bytes::Bytes;
+use futures_lite::{future, stream};
+use tanagerford_core::dispatch::CallEnd;
+use tanagerford_http::Body;
+
+use crate::attempt::{AttemptError, Attempts, Begun};
+use crate::call::{Call, Repeat};
+use crate::codec::Codec;
+use crate::events::EventSplitter;
+use crate::fleet::PoolState;
+use crate::gateway::Gateway;
+
+/// Pause between events after which a stream that may be resumed goes on at another server.
+const RESUME_AFTER: Duration = Duration::from_millis(800);
+
+pub(crate) struct Relay<C> {
+    gateway: Arc<Gateway<C>>,
+    call: Arc<Call>,
+    pool: Arc<PoolState>,
+    attempts: Attempts,
+    begun: Begun,
+    events: EventSplitter,
+    events_sent_bytes: usize,
+}
+
+/// Why a stream does not go on at its server.
+#[derive(Debug, Clone, Copy)]
+enum RelayError {
+    Broken,
+    Silent,
+    Expired,
+}
+
+impl<C: Codec> Relay<C> {
+    pub(crate) fn new(
+        gateway: Arc<Gateway<C>>,
+        call: Arc<Call>,
+        pool: Arc<PoolState>,
+        attempts: Attempts,
+        begun: Begun,
+    ) -> Self {
+        Self {
+            events: EventSplitter::after(call.resume_after),
+            gateway,
+            call,
+            pool,
+            attempts,
+            begun,
+            events_sent_bytes: 0,
+        }
+    }
+
+    pub(crate) fn into_body(self) -> Body {
+        Body::streamed(stream::unfold(Some(self), |relay| async {
+            let mut relay = relay?;
+            match relay.next().await {
+                Ok(Some(data)) => {
+                    relay.events_sent_bytes += data.len();
+                    Some((Ok(data), Some(relay)))
+                }
+                Ok(None) => {
+                    relay.log("answered");
+                    None
+                }
+                Err(error) => {
+                    relay.log(&format!("cut: {error:?}"));
+                    Some((Err(io::Error::from(io::ErrorKind::ConnectionAborted)), None))
+                }
+            }
+        }))
+    }
+
+    fn log(&self, outcome: &str) {
+        tracing::info!(
+            request = self.call.id,
+            route = self.call.route.name,
+            server = self.begun.flight.server.id,
+            outcome,
+            sends = self.attempts.tried.len(),
+            last_event = self.events.last_id(),
+            bytes = self.events_sent_bytes,
+            total_ms = self.call.arrived.elapsed().as_millis(),
+            "stream ended"
+        );
+    }
+
+    /// Returns the next complete events, or `None` at the end of the stream.
+    async fn next(&mut self) -> Result<Option<Bytes>, RelayError> {
+        loop {
+            match self.next_from_server().await {
+                Ok(Some(data)) if data.is_empty() => {}
+                Ok(next) => return Ok(next),
+                Err(error) => self.resume(error).await?,
+            }
+        }
+    }
+
+    async fn next_from_server(&mut self) -> Result<Option<Bytes>, RelayError> {
+        let part = match self.begun.first.take() {
+            Some(first) => Some(first),
+            None => self.read().await?,
+        };
+        match part {
+            Some(data) => self.events.push(&data).map(Some).map_err(|error| {
+                tracing::warn!(request = self.call.id, ?error, "events of a server cannot be used");
+                RelayError::Broken
+            }),
+            None if self.events.has_partial() => Err(RelayError::Broken),
+            None => Ok(None),
+        }
+    }
+
+    async fn read(&mut self) -> Result<Option<Bytes>, RelayError> {
+        let remaining = self.call.deadline().saturating_duration_since(Instant::now());
+        let can_resume = self.call.repeat() == Repeat::Resumable;
+        let (wait, error) = if can_resume && RESUME_AFTER < remaining {
+            (RESUME_AFTER, RelayError::Silent)
+        } else {
+            (remaining, RelayError::Expired)
+        };
+        let answer = &mut self.begun.answer;
+        let part = async { answer.next().await.map_err(|_| RelayError::Broken) };
+        let expired = async {
+            Timer::after(wait).await;
+            Err(error)
+        };
+        future::or(part, expired).await
+    }
+
+    /// Goes on at another server after the last event that was passed on.
+    async fn resume(&mut self, error: RelayError) -> Result<(), RelayError> {
+        let server = &self.begun.flight.server.id;
+        let (end, attempt_error) = match error {
+            RelayError::Expired => return Err(error),
+            RelayError::Silent => (CallEnd::Silent, AttemptError::Silent),
+            RelayError::Broken => (CallEnd::Broken, AttemptError::Broken),
+        };
+        self.pool.beliefs().on_outcome(self.gateway.fleet.now(), server, end);
+        if self.call.repeat() != Repeat::Resumable {
+            return Err(error);
+        }
+        self.attempts.add_run();
+        let pool_name = self.begun.flight.server.pool.clone();
+        let mut last = attempt_error;
+        self.events.drop_partial();
+        loop {
+            if !self.gateway.may_repeat(&self.call, &pool_name, &self.attempts, last) {
+                return Err(error);
+            }
+            let after = self.events.last_id();
+            let attempt = self.gateway.attempt(&self.call, &self.pool, &mut self.attempts, after);
+            match attempt.await {
+                Ok(begun) if begun.answer.head.status().is_success() => {
+                    self.begun = begun;
+                    return Ok(());
+                }
+                Ok(_) => return Err(error),
+                Err(Some(next)) => last = next,
+                Err(None) => return Err(error),
+            }
+        }
+    }
+}
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -8,6 +8,8 @@
 pub mod client;
 mod connection;
 mod listener;
+pub mod outbound;
+pub mod server;
 
 pub use body::{Body, SendError, StreamSender, stream};
 pub use connection::{Reply, Request};
--- a/crates/platform/src/etcd.rs
+++ b/crates/kv/src/etcd.rs
@@ -30,8 +30,8 @@
     ///
     /// ```
     /// use std::time::Duration;
-    /// use tanagerford_platform::etcd::Etcd;
-    /// use tanagerford_platform::kv::{Call, Kv, Refusal};
+    /// use tanagerford_kv::etcd::Etcd;
+    /// use tanagerford_kv::kv::{Call, Kv, Refusal};
     ///
     /// // Nothing listens on port 1 of the loopback address.
     /// let etcd = Etcd::new(vec!["http://127.0.0.1:1".to_owned()]);
--- a/crates/platform/src/memory.rs
+++ b/crates/kv/src/memory.rs
@@ -57,7 +57,7 @@
     /// Returns the count of all calls.
     ///
     /// ```
-    /// use tanagerford_platform::memory::Calls;
+    /// use tanagerford_kv::memory::Calls;
     ///
     /// let calls = Calls { get: 2, watch: 1, ..Calls::default() };
     /// assert_eq!(calls.total(), 3);
@@ -144,8 +144,8 @@
     ///
     /// ```
     /// use std::time::Duration;
-    /// use tanagerford_platform::kv::{Call, Commit, Kv, Transaction, Write};
-    /// use tanagerford_platform::memory::Memory;
+    /// use tanagerford_kv::kv::{Call, Commit, Kv, Transaction, Write};
+    /// use tanagerford_kv::memory::Memory;
     ///
     /// let memory = Memory::new();
     /// let write = Write::Put { key: "a".into(), value: b"1".to_vec(), lease: None };
@@ -164,8 +164,8 @@
     ///
     /// ```
     /// use std::time::Duration;
-    /// use tanagerford_platform::kv::{Call, Kv, Refusal};
-    /// use tanagerford_platform::memory::Memory;
+    /// use tanagerford_kv::kv::{Call, Kv, Refusal};
+    /// use tanagerford_kv::memory::Memory;
     ///
     /// let memory = Memory::with_virtual_clock();
     /// let timeout = Duration::from_secs(1);
@@ -203,7 +203,7 @@
     /// Returns a client of the same store with faults and counters of its own.
     ///
     /// ```
-    /// use tanagerford_platform::memory::{Faults, Memory};
+    /// use tanagerford_kv::memory::{Faults, Memory};
     ///
     /// let memory = Memory::new();
     /// let other = memory.client();
--- a/crates/platform/src/vm_list.rs
+++ b/crates/kv/src/vm_list.rs
@@ -77,7 +77,7 @@
     ///
     /// ```
     /// use std::time::Duration;
-    /// use tanagerford_platform::vm_list::{VmListClient, VmListError};
+    /// use tanagerford_kv::vm_list::{VmListClient, VmListError};
     ///
     /// // Nothing listens on port 1 of the loopback address.
     /// let client = VmListClient::new("http://127.0.0.1:1");
@@ -114,7 +114,7 @@
 /// Fails if it is not the JSON of a list or has more than [`MAX_VMS`] entries.
 ///
 /// ```
-/// use tanagerford_platform::vm_list::{VmState, decode};
+/// use tanagerford_kv::vm_list::{VmState, decode};
 ///
 /// let text = br#"{"vms": [{"address": "10.0.0.1", "availability_zone": "a", "state": "leaving"}]}"#;
 /// assert_eq!(decode(text).unwrap()[0].state, VmState::Leaving);
--- a/crates/platform/src/weight_store.rs
+++ b/crates/kv/src/weight_store.rs
@@ -13,7 +13,7 @@
     ///
     /// ```
     /// use std::time::Duration;
-    /// use tanagerford_platform::weight_store::WeightStore;
+    /// use tanagerford_kv::weight_store::WeightStore;
     ///
     /// let store = WeightStore::new(1_800);
     /// assert_eq!(store.load_interval(4), Duration::from_secs(8));
--- a/crates/platform/src/wire.rs
+++ b/crates/kv/src/wire.rs
@@ -22,7 +22,7 @@
     /// Returns the value, or 0 for a negative one, which no revision has.
     ///
     /// ```
-    /// use tanagerford_platform::wire::Int64;
+    /// use tanagerford_kv::wire::Int64;
     ///
     /// assert_eq!(serde_json::from_str::<Int64>("\"7\"").unwrap().unsigned(), 7);
     /// ```
@@ -340,7 +340,7 @@
 /// Returns the end of the range of all keys that begin with `prefix`.
 ///
 /// ```
-/// use tanagerford_platform::wire::prefix_end;
+/// use tanagerford_kv::wire::prefix_end;
 ///
 /// assert_eq!(prefix_end("a/"), b"a0");
 /// assert_eq!(prefix_end(""), b"\0");
--- a/crates/platform/tests/etcd.rs
+++ b/crates/kv/tests/etcd.rs
@@ -7,12 +7,12 @@
 
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use tanagerford_platform::etcd::Etcd;
-use tanagerford_platform::kv::{Call, Commit, Compare, KeyValue, Kv, Refusal, Transaction, Write};
-use tanagerford_platform::memory::{Faults, Memory};
-use tanagerford_platform::vm_list::{Vm, VmListClient, VmListError, VmState, decode};
-use tanagerford_platform::weight_store::WeightStore;
-use tanagerford_platform::wire;
+use tanagerford_kv::etcd::Etcd;
+use tanagerford_kv::kv::{Call, Commit, Compare, KeyValue, Kv, Refusal, Transaction, Write};
+use tanagerford_kv::memory::{Faults, Memory};
+use tanagerford_kv::vm_list::{Vm, VmListClient, VmListError, VmState, decode};
+use tanagerford_kv::weight_store::WeightStore;
+use tanagerford_kv::wire;
 use tanagerford_standin::kv::KvStandin;
 use tanagerford_standin::vm_list::VmListStandin;
 
--- a/crates/platform/tests/memory.rs
+++ b/crates/kv/tests/memory.rs
@@ -3,8 +3,8 @@
 use std::thread;
 use std::time::Duration;
 
-use tanagerford_platform::kv::{Call, Commit, Compare, Kv, LeaseId, Refusal, Transaction, Write};
-use tanagerford_platform::memory::{Faults, Memory};
+use tanagerford_kv::kv::{Call, Commit, Compare, Kv, LeaseId, Refusal, Transaction, Write};
+use tanagerford_kv::memory::{Faults, Memory};
 
 const TIMEOUT: Duration = Duration::from_secs(10);
 const TTL: Duration = Duration::from_secs(3);
--- a/crates/node/examples/watch_calls.rs
+++ b/crates/node/examples/watch_calls.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use tanagerford_node::config_feed::store::{HEAD_KEY, PREFIX};
-use tanagerford_platform::kv::{Kv, Revision, Transaction, Write};
-use tanagerford_platform::memory::Memory;
+use tanagerford_kv::kv::{Kv, Revision, Transaction, Write};
+use tanagerford_kv::memory::Memory;
 
 /// Three watchers in each of eight availability zones.
 const WATCHERS: usize = 24;
--- a/crates/node/src/config_feed.rs
+++ b/crates/node/src/config_feed.rs
@@ -24,7 +24,7 @@
 use tanagerford_core::config::section::{SectionError, SectionUpdate, Sections};
 use tanagerford_core::generation::{Comparison, Decision, Replica};
 use tanagerford_core::ids::Generation;
-use tanagerford_platform::kv::{Kv, Revision, WatchEvent};
+use tanagerford_kv::kv::{Kv, Revision, WatchEvent};
 
 use self::store::ReadError;
 
@@ -124,7 +124,7 @@
     /// ```
     /// use std::sync::Arc;
     /// use tanagerford_node::config_feed::{ConfigFeed, FeedSettings};
-    /// use tanagerford_platform::memory::Memory;
+    /// use tanagerford_kv::memory::Memory;
     ///
     /// let feed = ConfigFeed::new(Arc::new(Memory::new()), FeedSettings::default());
     /// assert_eq!(feed.load().unwrap(), 0);
--- a/crates/node/src/config_feed/publish.rs
+++ b/crates/node/src/config_feed/publish.rs
@@ -13,7 +13,7 @@
     Answer, Head, PublishOutcome, PublishStep, Publisher, Swap, WriteId,
 };
 use tanagerford_core::ids::Generation;
-use tanagerford_platform::kv::{Call, Commit, Compare, Kv, Transaction, Write};
+use tanagerford_kv::kv::{Call, Commit, Compare, Kv, Transaction, Write};
 
 use super::store::{self, DIGEST_KEY, HEAD_KEY, Stored};
 
--- a/crates/node/src/config_feed/store.rs
+++ b/crates/node/src/config_feed/store.rs
@@ -12,7 +12,7 @@
     MAX_SECTION_BYTES, Section, SectionName, SectionUpdate, Sections,
 };
 use tanagerford_core::generation::{Head, HeadRead};
-use tanagerford_platform::kv::{Call, KeyValue, Kv, Revision, WatchEvent};
+use tanagerford_kv::kv::{Call, KeyValue, Kv, Revision, WatchEvent};
 
 /// Prefix of all keys of the configuration.
 pub const PREFIX: &str = "tanagerford/config/";
@@ -66,7 +66,7 @@
 /// ```
 /// use std::time::Duration;
 /// use tanagerford_node::config_feed::store::{Stored, read};
-/// use tanagerford_platform::memory::Memory;
+/// use tanagerford_kv::memory::Memory;
 ///
 /// assert_eq!(read(&Memory::new(), Duration::from_secs(1)).unwrap(), Stored::default());
 /// ```
--- a/crates/node/src/config_feed/watcher.rs
+++ b/crates/node/src/config_feed/watcher.rs
@@ -4,7 +4,7 @@
 
 use crossbeam::channel::{Receiver, RecvTimeoutError};
 use tanagerford_core::generation::{WatchAction, WatchMonitor};
-use tanagerford_platform::kv::{Call, Refusal, Revision};
+use tanagerford_kv::kv::{Call, Refusal, Revision};
 
 use super::Shared;
 use super::store::{self, PREFIX};
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -15,7 +15,7 @@
 use tanagerford_gossip::{Gossip, Settings, Snapshot, StartError};
 use tanagerford_link::message::{Frame, frame};
 use tanagerford_link::{Link, LinkHandler, LinkOptions, connect};
-use tanagerford_platform::vm_list::VmListClient;
+use tanagerford_kv::vm_list::VmListClient;
 
 use crate::exchange::ConfigExchange;
 use crate::sync::Flag;
--- a/crates/node/src/orders/batch.rs
+++ b/crates/node/src/orders/batch.rs
@@ -1,7 +1,7 @@
 //! A group of changes that is written in one transaction.
 
 use tanagerford_core::order::{PagePut, Staged, Verdict};
-use tanagerford_platform::kv::{Compare, Transaction, Write};
+use tanagerford_kv::kv::{Compare, Transaction, Write};
 
 use super::cell::Queued;
 
--- a/crates/node/src/orders/book.rs
+++ b/crates/node/src/orders/book.rs
@@ -10,7 +10,7 @@
     Begin, Change, ClaimId, Found, GateAnswer, Look, OrderKey, OrderStep, Owner, Pacer, Page,
     PageNumber, RecordState, Settlement, Shard, StoredPage, Verdict, Wrote, look, resolve,
 };
-use tanagerford_platform::kv::{Call, Commit, KeyValue, Kv};
+use tanagerford_kv::kv::{Call, Commit, KeyValue, Kv};
 
 use super::answers::Answers;
 use super::batch::{Batch, Part, Phase};
--- a/crates/node/src/orders/log.rs
+++ b/crates/node/src/orders/log.rs
@@ -7,7 +7,7 @@
 
 use tanagerford_core::ids::Incarnation;
 use tanagerford_core::order::{OrderKey, Owner, Settlement};
-use tanagerford_platform::kv::Kv;
+use tanagerford_kv::kv::Kv;
 
 use super::cell::lock;
 use super::{
@@ -68,7 +68,7 @@
 /// use tanagerford_node::orders::{
 ///     ClaimDecision, KeptAnswer, OrderLog, OrderRequest, OrderSettings, OrderStatus,
 /// };
-/// use tanagerford_platform::memory::Memory;
+/// use tanagerford_kv::memory::Memory;
 ///
 /// let owner = Owner { server: "w1".into(), incarnation: 1 };
 /// let log = OrderLog::start(Arc::new(Memory::new()), OrderSettings::new("plates", owner));
--- a/crates/node/src/placement/planner.rs
+++ b/crates/node/src/placement/planner.rs
@@ -6,7 +6,7 @@
 
 use tanagerford_core::ids::ServerId;
 use tanagerford_core::placement::{Lease, ModelName, Placement, ServerReport};
-use tanagerford_platform::kv::{Call, Commit, Kv, LeaseId, Refusal, Revision, Transaction, Write};
+use tanagerford_kv::kv::{Call, Commit, Kv, LeaseId, Refusal, Revision, Transaction, Write};
 
 use super::record::{self, PLACEMENT_KEY, PLANNER_KEY, PlacementValue};
 use super::{Clock, LeasePace};
--- a/crates/node/src/placement/record.rs
+++ b/crates/node/src/placement/record.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 use tanagerford_core::ids::{Generation, Incarnation, ServerId};
 use tanagerford_core::placement::{ModelName, Placement, ServerReport};
-use tanagerford_platform::kv::{Call, Compare, KeyValue, Kv, LeaseId, Revision, Write};
+use tanagerford_kv::kv::{Call, Compare, KeyValue, Kv, LeaseId, Revision, Write};
 
 /// Key of the wanted placement.
 pub const PLACEMENT_KEY: &str = "placement/wanted";
--- a/crates/node/src/placement/slot.rs
+++ b/crates/node/src/placement/slot.rs
@@ -10,8 +10,8 @@
     SlotRecord,
 };
 use tanagerford_engine::{EngineClient, EngineError, FenceNumber, Models, OrderKind, OrderRequest};
-use tanagerford_platform::kv::{Call, Commit, Kv, LeaseId, Refusal, Revision, Transaction};
-use tanagerford_platform::weight_store::WeightStore;
+use tanagerford_kv::kv::{Call, Commit, Kv, LeaseId, Refusal, Revision, Transaction};
+use tanagerford_kv::weight_store::WeightStore;
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::record::{self, PLACEMENT_KEY, PlacementValue, ReportValue, SlotValue};
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -12,8 +12,8 @@
 use tanagerford_http::{Limits, ListenerHandle};
 use tanagerford_link::{FleetKey, Identity, LinkOptions};
 use tanagerford_operator::listener::{self, Operated};
-use tanagerford_platform::kv::Kv;
-use tanagerford_platform::vm_list::VmListClient;
+use tanagerford_kv::kv::Kv;
+use tanagerford_kv::vm_list::VmListClient;
 
 use crate::config_feed::{ConfigFeed, FeedSettings};
 use crate::entry::{Entry, EntrySettings};
--- a/crates/node/src/vm_watch.rs
+++ b/crates/node/src/vm_watch.rs
@@ -13,7 +13,7 @@
 use tanagerford_core::membership::{Item, Member, member_key};
 use tanagerford_gossip::Gossip;
 use tanagerford_link::Identity;
-use tanagerford_platform::vm_list::{Vm, VmListClient, VmState};
+use tanagerford_kv::vm_list::{Vm, VmListClient, VmState};
 
 use crate::fleet::FleetUser;
 use crate::sync::Flag;
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -22,7 +22,7 @@
 };
 use tanagerford_node::sidecar::Backend;
 use tanagerford_node::stop::StopSignal;
-use tanagerford_platform::memory::Memory;
+use tanagerford_kv::memory::Memory;
 use tanagerford_standin::{engine, service};
 
 /// API key of the workspace in the highest tier.
--- a/crates/node/tests/config_feed.rs
+++ b/crates/node/tests/config_feed.rs
@@ -15,9 +15,9 @@
 use tanagerford_node::config_feed::publish::{Pace, Publication, PublishError, publish};
 use tanagerford_node::config_feed::store::{HEAD_KEY, Stored, decode_head, decode_section, read};
 use tanagerford_node::config_feed::{ConfigFeed, FeedError, FeedSettings, message};
-use tanagerford_platform::etcd::Etcd;
-use tanagerford_platform::kv::{Call, Commit, Kv, Transaction, Write};
-use tanagerford_platform::memory::{Faults, Memory};
+use tanagerford_kv::etcd::Etcd;
+use tanagerford_kv::kv::{Call, Commit, Kv, Transaction, Write};
+use tanagerford_kv::memory::{Faults, Memory};
 use tanagerford_standin::kv::KvStandin;
 
 const TIMEOUT: Duration = Duration::from_secs(10);
--- a/crates/node/tests/failures.rs
+++ b/crates/node/tests/failures.rs
@@ -14,8 +14,8 @@
 use tanagerford_core::config::Workspace;
 use tanagerford_node::process::SidecarProcess;
 use tanagerford_node::stop::StopSignal;
-use tanagerford_platform::memory::{Faults, Memory};
-use tanagerford_platform::vm_list::{Vm, VmListClient, VmState};
+use tanagerford_kv::memory::{Faults, Memory};
+use tanagerford_kv::vm_list::{Vm, VmListClient, VmState};
 use tanagerford_standin::engine::{Behaviour, Engine};
 use tanagerford_standin::service;
 use tanagerford_standin::vm_list::VmListStandin;
--- a/crates/node/tests/placement.rs
+++ b/crates/node/tests/placement.rs
@@ -14,11 +14,11 @@
 use tanagerford_node::placement::{
     LeasePace, PLACEMENT_KEY, PlannerRunner, SlotRunner, SlotSettings,
 };
-use tanagerford_platform::kv::{
+use tanagerford_kv::kv::{
     Call, Commit, KeyValue, Kv, LeaseId, Revision, Transaction, WatchEvent, Write,
 };
-use tanagerford_platform::memory::{Faults, Memory};
-use tanagerford_platform::weight_store::WeightStore;
+use tanagerford_kv::memory::{Faults, Memory};
+use tanagerford_kv::weight_store::WeightStore;
 use tanagerford_standin::engine::{Behaviour, Engine, OrderCounts};
 
 const TIMEOUT: Duration = Duration::from_secs(1);
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -11,7 +11,7 @@
 use tanagerford_node::orders::{
     KeptAnswer, OrderBook, OrderClock, OrderRequest, OrderSettings, StepHook,
 };
-use tanagerford_platform::kv::{
+use tanagerford_kv::kv::{
     Call, Commit, KeyValue, Kv, LeaseId, Refusal, Revision, Transaction, WatchEvent, Write,
 };
 
--- a/crates/standin/src/kv.rs
+++ b/crates/standin/src/kv.rs
@@ -8,11 +8,11 @@
 use http::StatusCode;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use tanagerford_platform::kv::{
+use tanagerford_kv::kv::{
     Call, Commit, Compare, KeyValue, Kv, LeaseId, Refusal, Transaction, WatchEvent, Write,
 };
-use tanagerford_platform::memory::Memory;
-use tanagerford_platform::wire::{self, Base64, Int64, code};
+use tanagerford_kv::memory::Memory;
+use tanagerford_kv::wire::{self, Base64, Int64, code};
 
 use self::listener::{Exchange, Listener, Reply, Stream};
 
@@ -40,9 +40,9 @@
     ///
     /// ```
     /// use std::time::Duration;
-    /// use tanagerford_platform::etcd::Etcd;
-    /// use tanagerford_platform::kv::{Call, Kv};
-    /// use tanagerford_platform::memory::Memory;
+    /// use tanagerford_kv::etcd::Etcd;
+    /// use tanagerford_kv::kv::{Call, Kv};
+    /// use tanagerford_kv::memory::Memory;
     /// use tanagerford_standin::kv::KvStandin;
     ///
     /// let standin = KvStandin::start(Memory::new()).unwrap();
--- a/crates/standin/src/kv/listener.rs
+++ b/crates/standin/src/kv/listener.rs
@@ -20,7 +20,7 @@
 use hyper::service::service_fn;
 use serde::Serialize;
 use smol_hyper::rt::FuturesIo;
-use tanagerford_platform::wire;
+use tanagerford_kv::wire;
 
 /// Longest body of a request, in bytes.
 const MAX_BODY_BYTES: usize = 8 << 20;
--- a/crates/standin/src/vm_list.rs
+++ b/crates/standin/src/vm_list.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use http::{Method, StatusCode};
-use tanagerford_platform::vm_list::{Vm, VmListAnswer};
+use tanagerford_kv::vm_list::{Vm, VmListAnswer};
 
 use crate::kv::listener::{Listener, Reply};
 
@@ -32,7 +32,7 @@
     ///
     /// ```
     /// use std::time::Duration;
-    /// use tanagerford_platform::vm_list::VmListClient;
+    /// use tanagerford_kv::vm_list::VmListClient;
     /// use tanagerford_standin::vm_list::VmListStandin;
     ///
     /// let standin = VmListStandin::start(vec![], Duration::ZERO).unwrap();
--- a/examples/order_calls.rs
+++ b/examples/order_calls.rs
@@ -22,10 +22,10 @@
 use tanagerford_node::orders::{
     ClaimDecision, KeptAnswer, OrderBook, OrderClock, OrderRequest, OrderSettings, Ticket,
 };
-use tanagerford_platform::kv::{
+use tanagerford_kv::kv::{
     Call, Commit, KeyValue, Kv, LeaseId, Revision, Transaction, WatchEvent, Write,
 };
-use tanagerford_platform::memory::Memory;
+use tanagerford_kv::memory::Memory;
 
 const POOL: &str = "orders";
 const CALL_TIME: Duration = Duration::from_millis(3);
--- a/examples/path/fleet.rs
+++ b/examples/path/fleet.rs
@@ -14,7 +14,7 @@
 };
 use tanagerford_node::sidecar::Backend;
 use tanagerford_node::stop::StopSignal;
-use tanagerford_platform::memory::Memory;
+use tanagerford_kv::memory::Memory;
 use tanagerford_standin::{engine, service};
 
 /// Engines; each runs at least 16 requests together from the start, so admission lets 64 callers in without a wait.
--- a/examples/standins.rs
+++ b/examples/standins.rs
@@ -13,7 +13,7 @@
 use std::{env, fs, io, thread};
 
 use serde_json::{Value, json};
-use tanagerford_platform::memory::Memory;
+use tanagerford_kv::memory::Memory;
 use tanagerford_standin::kv::KvStandin;
 use tanagerford_standin::{engine, service};
 
--- a/src/cmd/config.rs
+++ b/src/cmd/config.rs
@@ -8,7 +8,7 @@
 use tanagerford_core::config::decode::decode;
 use tanagerford_node::config_feed::publish::{Pace, Publication, PublishError, publish};
 use tanagerford_node::config_feed::store::{self, Stored};
-use tanagerford_platform::etcd::Etcd;
+use tanagerford_kv::etcd::Etcd;
 use ureq::Agent;
 
 use crate::config::{self, CALL_TIMEOUT};
--- a/src/cmd/entry.rs
+++ b/src/cmd/entry.rs
@@ -8,7 +8,7 @@
 use tanagerford_node::process::{CallerSettings, EntryProcess};
 use tanagerford_node::stop::StopSignal;
 use tanagerford_operator::check::settings::Role;
-use tanagerford_platform::etcd::Etcd;
+use tanagerford_kv::etcd::Etcd;
 
 use crate::error::Error;
 use crate::{config, process, util};
--- /dev/null
+++ b/src/cmd/gateway.rs
@@ -0,0 +1,158 @@
+//! Runs an entry of the users' platform, which calls backend servers without sidecars.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use async_executor::Executor;
+use futures_lite::future;
+use getopts::Options;
+use http::{Request, StatusCode};
+use hyper::body::Incoming;
+use signal_hook::consts::{SIGHUP, SIGTERM};
+use signal_hook::iterator::Signals;
+use tanagerford_core::dispatch::CostSettings;
+use tanagerford_gateway::Gateway;
+use tanagerford_gateway::fleet::Fleet;
+use tanagerford_gateway::gateway::{CallerService, GatewaySettings};
+use tanagerford_http::outbound::SharedExecutor;
+use tanagerford_http::server::{Server, ServerLimits, ServerStop, Service};
+use tanagerford_http::{Body, Reply};
+use tanagerford_platform::READINESS_PATH;
+use tanagerford_platform::codec::PlatformCodec;
+use tanagerford_platform::feed::Feed;
+use tanagerford_platform::settings::{self, PlatformSettings, SETTINGS_VARIABLE};
+use tanagerford_platform::store::Store;
+
+use crate::error::Error;
+use crate::{process, util};
+
+const USAGE: &str = "\
+Usage: tanagerford gateway [OPTIONS]
+
+Runs an entry of the users' platform until SIGTERM. The platform's settings
+file is named by --settings or the variable TANAGERFORD_NODE_FILE.
+
+Options:
+      --settings FILE        settings file of the platform
+  -h, --help                 print this text
+";
+
+/// Part of the time between SIGTERM and SIGKILL after which connections that are still kept open are closed.
+const KEEP_SHARE: (u32, u32) = (5, 8);
+/// Part of the time between SIGTERM and SIGKILL after which the process ends in any case.
+const END_SHARE: (u32, u32) = (15, 16);
+/// Time until the platform sends no new connections: two questions, a second apart, with a reserve.
+const READINESS_NOTICE: Duration = Duration::from_millis(2_500);
+/// Interval at which a stopping process looks whether connections are still open.
+const STOP_POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Entries that share the retry budget as long as their count is not known.
+const ASSUMED_ENTRIES: usize = 16;
+
+type PlatformGateway = Gateway<PlatformCodec>;
+
+pub fn run(arguments: &[String]) -> Result<(), Error> {
+    let mut options = Options::new();
+    options.optopt("", "settings", "", "FILE");
+    let matches = util::parse(&mut options, arguments, USAGE)?;
+    let path = match matches.opt_str("settings") {
+        Some(path) => path,
+        None => std::env::var(SETTINGS_VARIABLE)
+            .map_err(|_| Error::usage(format!("--settings or {SETTINGS_VARIABLE} is missing"), USAGE))?,
+    };
+    let settings = load(&path)?;
+    process::start_queued_logging()?;
+    serve(&path, &settings)
+}
+
+fn load(path: &str) -> Result<PlatformSettings, Error> {
+    let content = util::read_file(path)?;
+    let text = String::from_utf8(content).map_err(|error| Error::failed(format!("{path}: {error}")))?;
+    settings::decode(&text).map_err(|error| Error::failed(format!("{path}: {error}")))
+}
+
+fn serve(path: &str, settings: &PlatformSettings) -> Result<(), Error> {
+    let missing = |name: &str| Error::failed(format!("{path}: no address for {name}"));
+    let callers = settings.callers.ok_or_else(|| missing("callers"))?;
+    let readiness = settings.readiness.ok_or_else(|| missing("readiness"))?;
+    let mut signals = Signals::new([SIGTERM, SIGHUP])?;
+    let executor: SharedExecutor = Arc::new(Executor::new());
+    let fleet = Arc::new(Fleet::new(settings.zone.clone(), CostSettings::default()));
+    let gateway_settings = GatewaySettings {
+        budget: settings.budget,
+        assumed_entries: ASSUMED_ENTRIES,
+    };
+    let gateway = Gateway::new(PlatformCodec, fleet, gateway_settings, Arc::clone(&executor));
+    let server = Server::bind(callers, Arc::clone(&executor))?;
+    let stop = server.stopper();
+    server.start(Arc::new(CallerService(Arc::clone(&gateway))));
+    let readiness = Server::bind(readiness, Arc::clone(&executor))?;
+    readiness.start(Arc::new(Readiness(Arc::clone(&gateway))));
+    Feed::new(Store::new(settings.store), Arc::clone(&gateway)).start()?;
+    for index in 0..settings.cores {
+        let executor = Arc::clone(&executor);
+        let builder = thread::Builder::new().name(format!("worker-{index}"));
+        builder.spawn(move || async_io::block_on(executor.run(future::pending::<()>())))?;
+    }
+    tracing::info!(vm = settings.vm, zone = settings.zone, %callers, store = %settings.store, "entry has started");
+    for signal in signals.forever() {
+        if signal == SIGTERM {
+            break;
+        }
+        match load(path) {
+            Ok(read) if read == *settings => tracing::info!("settings read again; nothing changed"),
+            Ok(_) => tracing::info!("settings changed; they are used from the next start"),
+            Err(error) => tracing::warn!(?error, "changed settings cannot be read; the old ones stay"),
+        }
+    }
+    finish(&gateway, &stop, settings.stop_grace);
+    Ok(())
+}
+
+/// Serves on until the callers have left or the time is up.
+fn finish(gateway: &PlatformGateway, stop: &ServerStop, grace: Duration) {
+    let began = Instant::now();
+    gateway.begin_stop();
+    tracing::info!(open_connections = stop.open_connections(), "stop has begun");
+    let keep_until = began + grace * KEEP_SHARE.0 / KEEP_SHARE.1;
+    let end_at = began + grace * END_SHARE.0 / END_SHARE.1;
+    // The platform sends new connections until it has asked twice without success.
+    thread::sleep(READINESS_NOTICE);
+    wait_closed(stop, keep_until);
+    stop.end_connections();
+    wait_closed(stop, end_at);
+    tracing::info!(open_connections = stop.open_connections(), "entry has stopped");
+    // The log writer has its own thread; it needs a moment for the last lines.
+    thread::sleep(STOP_POLL_INTERVAL);
+}
+
+/// Waits until no connection is open, but not longer than `until`.
+fn wait_closed(stop: &ServerStop, until: Instant) {
+    while stop.open_connections() > 0 && Instant::now() < until {
+        thread::sleep(STOP_POLL_INTERVAL);
+    }
+}
+
+struct Readiness(Arc<PlatformGateway>);
+
+impl Service for Readiness {
+    async fn answer(&self, request: Request<Incoming>, _peer: SocketAddr) -> Reply {
+        let (status, body) = match request.uri().path() {
+            READINESS_PATH if self.0.is_ready() => (StatusCode::OK, String::new()),
+            READINESS_PATH => (StatusCode::SERVICE_UNAVAILABLE, String::new()),
+            "/metrics" => (StatusCode::OK, self.0.metrics_text()),
+            _ => (StatusCode::NOT_FOUND, String::new()),
+        };
+        let mut reply = Reply::new(Body::whole(body));
+        *reply.status_mut() = status;
+        reply
+    }
+
+    fn limits(&self) -> ServerLimits {
+        ServerLimits {
+            max_header_bytes: 16 * 1024,
+            idle_timeout: Duration::from_mins(1),
+        }
+    }
+}
--- a/src/cmd/sheet.rs
+++ b/src/cmd/sheet.rs
@@ -4,7 +4,7 @@
 use tanagerford_node::config_feed::publish::{Pace, Publication, publish};
 use tanagerford_node::config_feed::store;
 use tanagerford_operator::check::sheet;
-use tanagerford_platform::etcd::Etcd;
+use tanagerford_kv::etcd::Etcd;
 
 use crate::cmd::config::base;
 use crate::config::{self, CALL_TIMEOUT};
--- a/src/cmd/standalone.rs
+++ b/src/cmd/standalone.rs
@@ -15,8 +15,8 @@
 };
 use tanagerford_node::sidecar::Backend;
 use tanagerford_node::stop::StopSignal;
-use tanagerford_platform::kv::Kv;
-use tanagerford_platform::memory::Memory;
+use tanagerford_kv::kv::Kv;
+use tanagerford_kv::memory::Memory;
 use tanagerford_standin::{engine, service};
 
 use crate::error::Error;
--- a/src/config.rs
+++ b/src/config.rs
@@ -4,7 +4,7 @@
 
 use getopts::{Matches, Options};
 use tanagerford_operator::check::settings::{self, Settings};
-use tanagerford_platform::etcd::Etcd;
+use tanagerford_kv::etcd::Etcd;
 
 use crate::error::Error;
 use crate::util;
--- a/src/main.rs
+++ b/src/main.rs
@@ -17,6 +17,7 @@
   check FILE...              check settings, configurations and tier sheets
   sheet load FILE            load a tier sheet
   entry                      run an entry
+  gateway                    run an entry of the users' platform
   sidecar                    run the sidecar of a backend server
   standalone                 run everything with stand-ins in one process
   state ADDRESS              print the state of a process
@@ -45,6 +46,7 @@
         "check" => cmd::check::run(rest),
         "config" => cmd::config::run(rest),
         "drain" => cmd::drain::run(rest),
+        "gateway" => cmd::gateway::run(rest),
         "entry" => cmd::entry::run(rest),
         "order" => cmd::order::run(rest),
         "sidecar" => cmd::sidecar::run(rest),
--- a/src/process.rs
+++ b/src/process.rs
@@ -2,6 +2,8 @@
 
 use std::io::Write;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread;
 use std::time::Duration;
 
@@ -11,7 +13,7 @@
 use tanagerford_node::process::{ProcessSettings, new_incarnation};
 use tanagerford_node::stop::StopSignal;
 use tanagerford_operator::check::settings::Settings;
-use tanagerford_platform::vm_list::VmListClient;
+use tanagerford_kv::vm_list::VmListClient;
 use tracing_subscriber::EnvFilter;
 
 use crate::error::Error;
@@ -53,6 +55,66 @@
     }
 }
 
+/// Log lines that wait for the standard output; more are dropped and counted.
+const LOG_QUEUE_LINES: usize = 4_096;
+
+/// Writer that hands log lines to a thread of its own, so that a full or closed standard output costs lines and never
+/// blocks a request.
+#[derive(Debug, Clone)]
+struct LogQueue {
+    lines: crossbeam::channel::Sender<Vec<u8>>,
+    dropped: Arc<AtomicU64>,
+}
+
+impl Write for LogQueue {
+    fn write(&mut self, line: &[u8]) -> std::io::Result<usize> {
+        if self.lines.try_send(line.to_vec()).is_err() {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+        Ok(line.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Writes logs as JSON lines to the standard output without ever blocking; `TANAGERFORD_LOG` sets the level.
+pub fn start_queued_logging() -> Result<(), Error> {
+    let (lines, received) = crossbeam::channel::bounded::<Vec<u8>>(LOG_QUEUE_LINES);
+    let dropped = Arc::new(AtomicU64::new(0));
+    let queue = LogQueue {
+        lines,
+        dropped: Arc::clone(&dropped),
+    };
+    let filter =
+        EnvFilter::try_from_env("TANAGERFORD_LOG").unwrap_or_else(|_| EnvFilter::new("info"));
+    let started = tracing_subscriber::fmt()
+        .json()
+        .flatten_event(true)
+        .with_env_filter(filter)
+        .with_writer(move || queue.clone())
+        .try_init();
+    started.map_err(|error| Error::failed(format!("cannot start logging: {error}")))?;
+    let writer = thread::Builder::new().name("log-writer".to_owned());
+    writer.spawn(move || write_lines(&received, &dropped))?;
+    Ok(())
+}
+
+fn write_lines(lines: &crossbeam::channel::Receiver<Vec<u8>>, dropped: &AtomicU64) {
+    let mut output = std::io::stdout();
+    for line in lines {
+        let lost = dropped.swap(0, Ordering::Relaxed);
+        if lost > 0 {
+            // The count goes the same way as the lines; when even that fails, there is no place left to tell it.
+            let _ = writeln!(output, "{{\"level\":\"WARN\",\"message\":\"log lines dropped\",\"count\":{lost}}}");
+        }
+        if output.write_all(&line).is_err() {
+            dropped.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
 /// Raises `stop` on SIGTERM and SIGINT.
 pub fn raise_on_signal(stop: &StopSignal) -> Result<(), Error> {
     let mut signals = Signals::new([SIGTERM, SIGINT])?;
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -6,7 +6,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::thread;
 
-use tanagerford_platform::memory::Memory;
+use tanagerford_kv::memory::Memory;
 use tanagerford_standin::kv::KvStandin;
 use workdir::Workdir;
 
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use serde_json::{Value, json};
-use tanagerford_platform::memory::Memory;
+use tanagerford_kv::memory::Memory;
 use tanagerford_standin::kv::KvStandin;
 use tanagerford_standin::{engine, service};
 use workdir::Workdir;
--- a/tests/sheet.rs
+++ b/tests/sheet.rs
@@ -4,7 +4,7 @@
 
 use std::thread;
 
-use tanagerford_platform::memory::{Faults, Memory};
+use tanagerford_kv::memory::{Faults, Memory};
 use tanagerford_standin::kv::KvStandin;
 use workdir::{Run, Workdir};
 
