--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -1,9 +1,8 @@
 //! Choice of a backend server by an entry that calls the servers itself.
 //!
-//! A [`Pool`] keeps what one entry believes about the servers of a pool: calls in flight (its own and those that other
-//! entries of its availability zone announce), prefill work that is still queued, prompt parts in the servers' caches,
-//! and recent failures. [`Pool::choose`] estimates what each server would cost the call, in milliseconds, and takes the
-//! cheapest.
+//! A [`Pool`] keeps what one entry believes about the servers of a pool: calls in flight and prompts that wait for their
+//! first token (its own and those in the summaries of other entries), prompt parts in the servers' caches, and recent
+//! failures. [`Pool::choose`] estimates what each server would cost the call, in milliseconds, and takes the cheapest.
 //!
 //! Long prefills delay the tokens of every stream on the same server, so long prompts and streams are drawn to opposite
 //! ends of one order of the servers that all entries compute alike.
@@ -79,36 +78,61 @@
     pub uncached_tokens: u32,
     /// Requests believed to be in flight at the server.
     pub in_flight: u32,
+    /// Prompt tokens that wait before this call's.
+    pub waiting_tokens: u32,
+    /// Estimated time to the first token, in milliseconds; 0 for plain services.
+    pub first_token_ms: f64,
     /// Servers that could have been chosen.
     pub candidates: usize,
 }
 
-/// Where a call came from, for the estimate of what is in flight.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Origin {
-    /// A call of this entry.
-    Own(u64),
-    /// A call that another entry announced; the first number tells the entries apart.
-    Peer(u64, u64),
+/// Number of a call of this entry.
+pub type CallNumber = u64;
+
+/// Number that tells other entries apart.
+pub type PeerNumber = u64;
+
+/// Load that one entry puts on a server.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct EntryLoad {
+    /// Calls in flight.
+    pub flights: u32,
+    /// Calls in flight whose tokens are being generated and whose caller is hurt by pauses.
+    pub streams: u32,
+    /// Prompt tokens of calls that have no first token yet.
+    pub waiting_tokens: u32,
+    /// Tokens of prompts and expected answers of all calls in flight.
+    pub memory_tokens: u32,
 }
 
-/// Call that is believed to be in flight.
-#[derive(Debug)]
-struct Flight {
-    is_stream: bool,
-    /// Time after which the call is taken as ended, in case its end is never told.
-    expires: Duration,
+impl EntryLoad {
+    fn add(self, other: Self) -> Self {
+        Self {
+            flights: self.flights + other.flights,
+            streams: self.streams + other.streams,
+            waiting_tokens: self.waiting_tokens.saturating_add(other.waiting_tokens),
+            memory_tokens: self.memory_tokens.saturating_add(other.memory_tokens),
+        }
+    }
+}
+
+/// Load that another entry told, and when.
+#[derive(Debug, Clone, Copy)]
+struct PeerLoad {
+    load: EntryLoad,
+    told: Duration,
 }
 
+/// Age after which the load that another entry told is ignored: it may have stopped.
+const PEER_LIFETIME: Duration = Duration::from_secs(4);
+
 #[derive(Debug)]
 struct ServerState {
     spec: ServerSpec,
     /// Position in the common order of the servers, from 0 to 1.
     rank: f64,
-    flights: BTreeMap<Origin, Flight>,
-    streams: u32,
-    /// Time at which the prefill work queued so far is done.
-    prefill_done: Duration,
+    flights: BTreeMap<CallNumber, EntryLoad>,
+    peers: BTreeMap<PeerNumber, PeerLoad>,
     /// Prefill time that was queued recently; halves each [`cost::RECENT_HALF_LIFE`].
     recent_prefill_ms: f64,
     recent_at: Duration,
@@ -207,36 +231,63 @@
         Some(Choice {
             server: id.clone(),
             cost_ms,
-            uncached_tokens: state.cache.missing_tokens(&demand.parts, demand.prompt_tokens),
-            in_flight: state.in_flight(),
+            uncached_tokens: state
+                .cache
+                .missing_tokens(&demand.parts, demand.prompt_tokens),
+            in_flight: state.running(now),
+            waiting_tokens: state.load(now).waiting_tokens,
+            first_token_ms: state.first_token_ms(&self.settings, now, demand),
             candidates: candidates.len(),
         })
     }
 
-    /// Records that a call was sent to a server; `longest` bounds how long it can be in flight.
-    pub fn on_start(
-        &mut self,
-        now: Duration,
-        server: &str,
-        origin: Origin,
-        demand: &Demand,
-        longest: Duration,
-    ) {
+    /// Records that a call was sent to a server.
+    pub fn on_start(&mut self, now: Duration, server: &str, call: CallNumber, demand: &Demand) {
+        if let Some(state) = self.servers.get_mut(server) {
+            state.start(&self.settings, now, call, demand);
+        }
+    }
+
+    /// Records that the first part of a call's answer has arrived.
+    pub fn on_first_part(&mut self, server: &str, call: CallNumber) {
+        let state = self.servers.get_mut(server);
+        if let Some(flight) = state.and_then(|state| state.flights.get_mut(&call)) {
+            flight.waiting_tokens = 0;
+        }
+    }
+
+    /// Records that a call has ended.
+    pub fn on_end(&mut self, server: &str, call: CallNumber) {
+        if let Some(state) = self.servers.get_mut(server) {
+            state.flights.remove(&call);
+        }
+    }
+
+    /// Takes the load that another entry puts on a server.
+    pub fn on_peer_load(&mut self, now: Duration, peer: PeerNumber, server: &str, load: EntryLoad) {
         let Some(state) = self.servers.get_mut(server) else {
             return;
         };
-        state.start(&self.settings, now, origin, demand, longest);
+        if load == EntryLoad::default() {
+            state.peers.remove(&peer);
+        } else {
+            state.peers.insert(peer, PeerLoad { load, told: now });
+        }
     }
 
-    /// Records that a call has ended.
-    pub fn on_end(&mut self, server: &str, origin: Origin) {
-        if let Some(state) = self.servers.get_mut(server)
-            && let Some(flight) = state.flights.remove(&origin)
-        {
-            state.streams -= u32::from(flight.is_stream);
+    /// Records that another entry sent a server a prompt with a part that may be shared.
+    pub fn on_peer_part(&mut self, now: Duration, server: &str, part: PromptPart) {
+        if let Some(state) = self.servers.get_mut(server) {
+            state.cache.insert(now, &[part]);
         }
     }
 
+    /// Returns the load that this entry puts on each server.
+    pub fn own_loads(&self) -> impl Iterator<Item = (&ServerId, EntryLoad)> {
+        let servers = self.servers.iter();
+        servers.map(|(id, state)| (id, state.own_load()))
+    }
+
     /// Records how an own call went, for the health of the server.
     pub fn on_outcome(&mut self, now: Duration, server: &str, end: CallEnd) {
         if let Some(state) = self.servers.get_mut(server) {
@@ -254,21 +305,6 @@
         }
     }
 
-    /// Removes calls whose end was never told.
-    pub fn expire(&mut self, now: Duration) {
-        for state in self.servers.values_mut() {
-            state.flights.retain(|_, flight| flight.expires > now);
-            let streams = state.flights.values().filter(|flight| flight.is_stream);
-            state.streams = u32::try_from(streams.count()).unwrap_or(u32::MAX);
-        }
-    }
-
-    /// Returns the names of the servers with their believed count of calls in flight.
-    pub fn in_flight(&self) -> impl Iterator<Item = (&ServerId, u32)> {
-        let servers = self.servers.iter();
-        servers.map(|(id, state)| (id, state.in_flight()))
-    }
-
     /// Returns the slots of all servers together.
     #[must_use]
     pub fn slots(&self) -> u32 {
@@ -283,8 +319,7 @@
             spec,
             rank: 0.0,
             flights: BTreeMap::new(),
-            streams: 0,
-            prefill_done: Duration::ZERO,
+            peers: BTreeMap::new(),
             recent_prefill_ms: 0.0,
             recent_at: Duration::ZERO,
             reported: None,
@@ -292,7 +327,17 @@
         }
     }
 
-    fn in_flight(&self) -> u32 {
-        u32::try_from(self.flights.len()).unwrap_or(u32::MAX)
+    fn own_load(&self) -> EntryLoad {
+        let flights = self.flights.values().copied();
+        flights.fold(EntryLoad::default(), EntryLoad::add)
+    }
+
+    /// Load of all entries.
+    fn load(&self, now: Duration) -> EntryLoad {
+        let recent = self
+            .peers
+            .values()
+            .filter(|peer| now.saturating_sub(peer.told) < PEER_LIFETIME);
+        recent.fold(self.own_load(), |sum, peer| sum.add(peer.load))
     }
 }
--- a/crates/core/src/dispatch/cache.rs
+++ b/crates/core/src/dispatch/cache.rs
@@ -47,7 +47,9 @@
     /// ```
     #[must_use]
     pub fn missing_tokens(&self, parts: &[PromptPart], prompt_tokens: u32) -> u32 {
-        let held = parts.iter().take_while(|part| self.parts.contains_key(&part.id));
+        let held = parts
+            .iter()
+            .take_while(|part| self.parts.contains_key(&part.id));
         let held_tokens: u32 = held.map(|part| part.tokens).sum();
         prompt_tokens.saturating_sub(held_tokens)
     }
--- a/crates/core/src/dispatch/cost.rs
+++ b/crates/core/src/dispatch/cost.rs
@@ -2,20 +2,22 @@
 
 use std::time::Duration;
 
-use super::{Demand, Flight, Origin, ServerState};
+use super::{CallNumber, Demand, EntryLoad, ServerState};
 
 /// Time in which half of the recent prefill work is forgotten.
 pub(super) const RECENT_HALF_LIFE: Duration = Duration::from_secs(2);
 /// Age after which a reported load is ignored.
 const REPORT_LIFETIME: Duration = Duration::from_millis(1_000);
-/// Requests that run above the known ones when a report says so are counted at most up to the report.
+/// Cost of each request beyond the slots of a server, in milliseconds.
 const FULL_PENALTY_MS: f64 = 400.0;
 
 /// Weights of the estimate.
 #[derive(Debug, Clone)]
 pub struct CostSettings {
-    /// Prompt tokens that a server reads in a millisecond.
+    /// Prompt tokens that a server reads in a millisecond beside the streams that it serves.
     pub prefill_tokens_per_ms: f64,
+    /// Time to the first token beside queue and prefill, in milliseconds.
+    pub first_token_base_ms: f64,
     /// Uncached tokens from which a prompt counts as long: more than one prefill chunk delays the streams of the
     /// server by more than one step.
     pub long_prompt_tokens: u32,
@@ -40,20 +42,29 @@
 impl Default for CostSettings {
     fn default() -> Self {
         Self {
-            prefill_tokens_per_ms: 90.0,
+            prefill_tokens_per_ms: 65.0,
+            first_token_base_ms: 70.0,
             long_prompt_tokens: 2_048,
-            disturbed_stream_ms: 10.0,
+            disturbed_stream_ms: 20.0,
             busy_prefill_ms: 400.0,
             running_request_ms: 0.7,
             order_ms: 60.0,
             other_zone_ms: 5.0,
             other_zone_ms_per_kb: 3.0,
-            read_again_factor: 1.0,
+            read_again_factor: 3.0,
             failing_ms: 2_000.0,
         }
     }
 }
 
+impl CostSettings {
+    /// Returns whether the prompt of a call delays the streams of its server noticeably.
+    #[must_use]
+    pub fn is_long(&self, demand: &Demand) -> bool {
+        demand.prompt_tokens >= self.long_prompt_tokens
+    }
+}
+
 /// Returns `part / whole` for counts.
 pub(super) fn ratio(part: usize, whole: usize) -> f64 {
     let part = u32::try_from(part).unwrap_or(u32::MAX);
@@ -91,17 +102,20 @@
     }
 
     fn engine_ms(&self, settings: &CostSettings, now: Duration, demand: &Demand) -> f64 {
-        let missing = self.cache.missing_tokens(&demand.parts, demand.prompt_tokens);
+        let load = self.load(now);
+        let missing = self
+            .cache
+            .missing_tokens(&demand.parts, demand.prompt_tokens);
         let prefill_ms = f64::from(missing) / settings.prefill_tokens_per_ms;
-        let backlog_ms = milliseconds(self.prefill_done.saturating_sub(now));
+        let backlog_ms = f64::from(load.waiting_tokens) / settings.prefill_tokens_per_ms;
         let running = self.running(now);
         let full = f64::from((running + 1).saturating_sub(self.spec.slots));
         let own_ms = backlog_ms
             + prefill_ms * (1.0 + settings.read_again_factor)
             + f64::from(running) * settings.running_request_ms
             + full * FULL_PENALTY_MS;
-        let neighbours_ms = if demand.prompt_tokens >= settings.long_prompt_tokens {
-            f64::from(self.streams) * settings.disturbed_stream_ms
+        let neighbours_ms = if settings.is_long(demand) {
+            f64::from(load.streams) * settings.disturbed_stream_ms
                 + (1.0 - self.rank) * settings.order_ms
         } else {
             self.prefill_share(now) * settings.busy_prefill_ms + self.rank * settings.order_ms
@@ -109,6 +123,23 @@
         own_ms + neighbours_ms
     }
 
+    /// Estimated time to the first token.
+    pub(super) fn first_token_ms(
+        &self,
+        settings: &CostSettings,
+        now: Duration,
+        demand: &Demand,
+    ) -> f64 {
+        if demand.prompt_tokens == 0 {
+            return 0.0;
+        }
+        let missing = self
+            .cache
+            .missing_tokens(&demand.parts, demand.prompt_tokens);
+        let tokens = self.load(now).waiting_tokens.saturating_add(missing);
+        settings.first_token_base_ms + f64::from(tokens) / settings.prefill_tokens_per_ms
+    }
+
     fn distance_ms(&self, settings: &CostSettings, zone: &str, demand: &Demand) -> f64 {
         if self.spec.zone == zone {
             return 0.0;
@@ -118,8 +149,8 @@
     }
 
     /// Requests at the server: those that are known of, or more if the server recently said so.
-    fn running(&self, now: Duration) -> u32 {
-        let known = self.in_flight();
+    pub(super) fn running(&self, now: Duration) -> u32 {
+        let known = self.load(now).flights;
         match self.reported {
             Some((at, load)) if now.saturating_sub(at) < REPORT_LIFETIME => {
                 known.max(load.running + load.waiting)
@@ -144,26 +175,22 @@
         &mut self,
         settings: &CostSettings,
         now: Duration,
-        origin: Origin,
+        call: CallNumber,
         demand: &Demand,
-        longest: Duration,
     ) {
-        let is_long = demand.prompt_tokens >= settings.long_prompt_tokens;
-        let flight = Flight {
-            is_stream: demand.prompt_tokens > 0 && !is_long,
-            expires: now + longest,
+        let is_long = settings.is_long(demand);
+        let missing = self
+            .cache
+            .missing_tokens(&demand.parts, demand.prompt_tokens);
+        let flight = EntryLoad {
+            flights: 1,
+            streams: u32::from(demand.prompt_tokens > 0 && !is_long),
+            waiting_tokens: missing,
+            memory_tokens: demand.prompt_tokens.saturating_add(demand.output_tokens),
         };
-        self.streams += u32::from(flight.is_stream);
-        if let Some(replaced) = self.flights.insert(origin, flight) {
-            self.streams -= u32::from(replaced.is_stream);
-        }
-        if demand.prompt_tokens == 0 {
-            return;
-        }
-        let missing = self.cache.missing_tokens(&demand.parts, demand.prompt_tokens);
-        let prefill_ms = f64::from(missing) / settings.prefill_tokens_per_ms;
-        self.prefill_done = self.prefill_done.max(now) + Duration::from_secs_f64(prefill_ms / 1_000.0);
+        self.flights.insert(call, flight);
         if is_long {
+            let prefill_ms = f64::from(missing) / settings.prefill_tokens_per_ms;
             self.recent_prefill_ms = self.recent_prefill(now) + prefill_ms;
             self.recent_at = now;
         }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -8,7 +8,7 @@
 use bytes::{Bytes, BytesMut};
 use futures_lite::future;
 use http::{Response, StatusCode};
-use tanagerford_core::dispatch::{CallEnd, Choice, Origin};
+use tanagerford_core::dispatch::{CallEnd, CallNumber, Choice};
 use tanagerford_core::ids::ServerId;
 use tanagerford_http::outbound::{Answer, ExchangeError};
 use tanagerford_http::{Body, Reply};
@@ -17,6 +17,7 @@
 use crate::codec::{AnswerHead, Codec, Sending};
 use crate::fleet::{BackendServer, PoolState};
 use crate::gateway::Gateway;
+use crate::peers::Summaries;
 use crate::refusal::Refusal;
 use crate::relay::Relay;
 
@@ -32,21 +33,23 @@
 const SILENCE_FACTOR: u32 = 3;
 /// Time to the first part of an answer that a plain service is expected to need beside its queue.
 const PLAIN_EXPECTED: Duration = Duration::from_millis(40);
-/// Time to the first part of an answer that a model engine is expected to need beside queue and prefill.
-const ENGINE_EXPECTED: Duration = Duration::from_millis(150);
+/// Time that the first token of a model engine may take beyond the estimate before the engine counts as slow.
+const ENGINE_MARGIN: Duration = Duration::from_millis(80);
 
 /// Call in flight at a server; its drop tells the beliefs that it has ended.
 pub(crate) struct Flight {
     pub(crate) server: Arc<BackendServer>,
     pub(crate) pool: Arc<PoolState>,
     pub(crate) sent: Instant,
+    summaries: Arc<Summaries>,
     expected: Duration,
-    origin: Origin,
+    number: CallNumber,
 }
 
 impl Drop for Flight {
     fn drop(&mut self) {
-        self.pool.beliefs().on_end(&self.server.id, self.origin);
+        self.summaries.changed();
+        self.pool.beliefs().on_end(&self.server.id, self.number);
     }
 }
 
@@ -116,12 +119,17 @@
 impl<C: Codec> Gateway<C> {
     pub(crate) async fn run(self: &Arc<Self>, call: Arc<Call>) -> Reply {
         let hash = xxhash_rust::xxh3::xxh3_64(call.id.as_bytes());
-        let pool = call.route.pick_pool(hash).and_then(|name| self.fleet.pool(name).map(|pool| (name.clone(), pool)));
+        let pool = call
+            .route
+            .pick_pool(hash)
+            .and_then(|name| self.fleet.pool(name).map(|pool| (name.clone(), pool)));
         let Some((pool_name, pool)) = pool else {
             return self.refuse(Some(&call.id), Refusal::NoServer, call.arrived);
         };
         let now = self.fleet.now();
-        self.with_budget(&pool_name, |budget| budget.on_request(now, &self.settings.budget));
+        self.with_budget(&pool_name, |budget| {
+            budget.on_request(now, &self.settings.budget)
+        });
         let mut attempts = Attempts::default();
         let mut last = None;
         loop {
@@ -186,16 +194,23 @@
         if remaining < MIN_REMAINING {
             return Err(None);
         }
-        let (flight, choice) = self.start(call, pool, attempts, remaining).ok_or(None)?;
+        let (flight, choice) = self.start(call, pool, attempts).ok_or(None)?;
         attempts.tried.push(flight.server.id.clone());
-        let result = self.exchange(call, &flight, remaining, resume_after, attempts).await;
+        self.summaries.sent(&flight.server, &call.demand);
+        let result = self
+            .exchange(call, &flight, remaining, resume_after, attempts)
+            .await;
         let server = &flight.server.id;
         let end = match &result {
-            Ok(_) => CallEnd::Answered { slowness: flight.slowness() },
+            Ok(_) => CallEnd::Answered {
+                slowness: flight.slowness(),
+            },
             Err(error) => error.call_end(),
         };
         pool.beliefs().on_outcome(self.fleet.now(), server, end);
-        let name = result.as_ref().map_or_else(|error| error.name(), |_| "answered");
+        let name = result
+            .as_ref()
+            .map_or_else(|error| error.name(), |_| "answered");
         self.metrics.attempt(name);
         tracing::info!(
             request = call.id,
@@ -206,14 +221,26 @@
             cost_ms = choice.cost_ms,
             uncached_tokens = choice.uncached_tokens,
             in_flight = choice.in_flight,
+            waiting_tokens = choice.waiting_tokens,
+            first_token_ms = choice.first_token_ms,
             candidates = choice.candidates,
             after_ms = flight.sent.elapsed().as_millis(),
             "attempt"
         );
         match result {
-            Ok((answer, first)) => Ok(Begun { flight, answer, first }),
+            Ok((answer, first)) => {
+                pool.beliefs()
+                    .on_first_part(&flight.server.id, flight.number);
+                self.summaries.changed();
+                Ok(Begun {
+                    flight,
+                    answer,
+                    first,
+                })
+            }
             Err(error) => {
-                attempts.runs += u32::from(matches!(error, AttemptError::Broken | AttemptError::Silent));
+                attempts.runs +=
+                    u32::from(matches!(error, AttemptError::Broken | AttemptError::Silent));
                 Err(Some(error))
             }
         }
@@ -224,19 +251,17 @@
         call: &Call,
         pool: &Arc<PoolState>,
         attempts: &Attempts,
-        remaining: Duration,
     ) -> Option<(Flight, Choice)> {
         let now = self.fleet.now();
         let number = self.next_call.fetch_add(1, Ordering::Relaxed);
-        let origin = Origin::Own(number);
         let mut beliefs = pool.beliefs();
         let choice = beliefs.choose(now, &call.demand, &attempts.tried)?;
         let server = Arc::clone(pool.servers.get(&choice.server)?);
-        beliefs.on_start(now, &choice.server, origin, &call.demand, remaining);
+        beliefs.on_start(now, &choice.server, number, &call.demand);
         drop(beliefs);
-        let is_engine = call.demand.prompt_tokens > 0;
-        let expected = if is_engine {
-            ENGINE_EXPECTED + Duration::from_secs_f64(choice.cost_ms.max(0.0) / 1_000.0)
+        let first_token = Duration::from_secs_f64(choice.first_token_ms / 1_000.0);
+        let expected = if call.demand.prompt_tokens > 0 {
+            ENGINE_MARGIN + first_token
         } else {
             PLAIN_EXPECTED
         };
@@ -244,8 +269,9 @@
             server,
             pool: Arc::clone(pool),
             sent: Instant::now(),
+            summaries: Arc::clone(&self.summaries),
             expected,
-            origin,
+            number,
         };
         Some((flight, choice))
     }
@@ -271,7 +297,9 @@
         };
         let exchange = async {
             let connect = CONNECT_TIMEOUT.min(remaining);
-            let sent = self.outbound.send(flight.server.address, request, connect, true);
+            let sent = self
+                .outbound
+                .send(flight.server.address, request, connect, true);
             let mut answer = sent.await.map_err(|error| attempt_error(call, &error))?;
             let head = self.codec.answer_head(&answer.head);
             self.check_head(call, flight, &head, answer.head.status())?;
@@ -289,14 +317,26 @@
         status: StatusCode,
     ) -> Result<(), AttemptError> {
         if head.id.as_ref().is_some_and(|id| *id != call.id) {
-            tracing::warn!(request = call.id, server = flight.server.id, other = head.id, "answer belongs to another call");
+            tracing::warn!(
+                request = call.id,
+                server = flight.server.id,
+                other = head.id,
+                "answer belongs to another call"
+            );
             return Err(AttemptError::Broken);
         }
         if let Some(load) = head.load {
-            flight.pool.beliefs().on_load(self.fleet.now(), &flight.server.id, load);
+            flight
+                .pool
+                .beliefs()
+                .on_load(self.fleet.now(), &flight.server.id, load);
         }
         if head.is_other_server {
-            flight.pool.beliefs().on_outcome(self.fleet.now(), &flight.server.id, CallEnd::Restarted);
+            flight.pool.beliefs().on_outcome(
+                self.fleet.now(),
+                &flight.server.id,
+                CallEnd::Restarted,
+            );
             return Err(AttemptError::NotRun);
         }
         if head.is_not_run {
@@ -329,30 +369,48 @@
 
     /// Holds the answer until it is whole, so that a cut one can be told from a whole one.
     async fn deliver_whole(self: &Arc<Self>, call: Arc<Call>, begun: Begun) -> Reply {
-        let Begun { flight, mut answer, first } = begun;
+        let Begun {
+            flight,
+            mut answer,
+            first,
+        } = begun;
         let mut body = BytesMut::new();
         body.extend_from_slice(&first.unwrap_or_default());
         loop {
             let remaining = call.deadline().saturating_duration_since(Instant::now());
-            let part = future::or(async { answer.next().await.map_err(|_| Refusal::ServerFailed) }, async {
-                Timer::after(remaining).await;
-                Err(Refusal::TimedOut)
-            });
+            let part = future::or(
+                async { answer.next().await.map_err(|_| Refusal::ServerFailed) },
+                async {
+                    Timer::after(remaining).await;
+                    Err(Refusal::TimedOut)
+                },
+            );
             match part.await {
                 Ok(Some(part)) => body.extend_from_slice(&part),
                 Ok(None) => break,
                 Err(refusal) => {
-                    flight.pool.beliefs().on_outcome(self.fleet.now(), &flight.server.id, CallEnd::Broken);
+                    flight.pool.beliefs().on_outcome(
+                        self.fleet.now(),
+                        &flight.server.id,
+                        CallEnd::Broken,
+                    );
                     return self.refuse(Some(&call.id), refusal, call.arrived);
                 }
             }
             if body.len() > MAX_HELD_BYTES {
-                tracing::debug!(request = call.id, bytes = body.len(), "holding a large answer");
+                tracing::debug!(
+                    request = call.id,
+                    bytes = body.len(),
+                    "holding a large answer"
+                );
             }
         }
         let mut head = clone_head(&answer.head);
         if head.status().is_server_error() {
-            flight.pool.beliefs().on_outcome(self.fleet.now(), &flight.server.id, CallEnd::Failed);
+            flight
+                .pool
+                .beliefs()
+                .on_outcome(self.fleet.now(), &flight.server.id, CallEnd::Failed);
         }
         self.codec.strip_answer(&mut head);
         head.headers_mut().remove(http::header::CONTENT_LENGTH);
@@ -372,7 +430,8 @@
 /// Returns how long an attempt may be silent. Only a call that may still go to another server is cut before its
 /// deadline.
 fn silence_limit(call: &Call, remaining: Duration, attempts: &Attempts) -> Duration {
-    let can_repeat = call.repeat() != Repeat::AtMostOnce && attempts.runs + 1 < call.route.max_attempts;
+    let can_repeat =
+        call.repeat() != Repeat::AtMostOnce && attempts.runs + 1 < call.route.max_attempts;
     if can_repeat {
         remaining.min(call.route.target_latency * SILENCE_FACTOR)
     } else {
--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -51,7 +51,8 @@
     /// ```
     pub fn try_repeat(&mut self, now: Duration, limits: &BudgetLimits, entries: usize) -> bool {
         self.forget(now, limits);
-        let count = |queue: &VecDeque<Duration>| f64::from(u32::try_from(queue.len()).unwrap_or(u32::MAX));
+        let count =
+            |queue: &VecDeque<Duration>| f64::from(u32::try_from(queue.len()).unwrap_or(u32::MAX));
         let entries = f64::from(u32::try_from(entries.max(1)).unwrap_or(u32::MAX));
         let allowed = limits.ratio * count(&self.requests) + limits.extra / entries;
         if count(&self.repeats) + 1.0 > allowed * USED_SHARE {
@@ -63,7 +64,10 @@
 
     fn forget(&mut self, now: Duration, limits: &BudgetLimits) {
         for queue in [&mut self.requests, &mut self.repeats] {
-            while queue.front().is_some_and(|at| now.saturating_sub(*at) > limits.window) {
+            while queue
+                .front()
+                .is_some_and(|at| now.saturating_sub(*at) > limits.window)
+            {
                 queue.pop_front();
             }
         }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -73,7 +73,10 @@
 
     /// Replaces the servers. Those that take no new work are left out; calls in flight at them go on.
     pub fn set_servers(&self, servers: impl Iterator<Item = BackendServer>, table: &RoutingTable) {
-        let memory: HashMap<_, _> = table.pools().map(|pool| (&pool.name, pool.memory_tokens)).collect();
+        let memory: HashMap<_, _> = table
+            .pools()
+            .map(|pool| (&pool.name, pool.memory_tokens))
+            .collect();
         let mut by_pool: HashMap<PoolId, BTreeMap<ServerId, Arc<BackendServer>>> = HashMap::new();
         for server in servers.filter(|server| server.is_ready) {
             let pool = by_pool.entry(server.pool.clone()).or_default();
@@ -100,7 +103,9 @@
     pub fn pools(&self) -> Vec<(PoolId, Arc<PoolState>)> {
         let pools = self.pools.read().unwrap_or_else(PoisonError::into_inner);
         let pairs = pools.iter();
-        pairs.map(|(name, pool)| (name.clone(), Arc::clone(pool))).collect()
+        pairs
+            .map(|(name, pool)| (name.clone(), Arc::clone(pool)))
+            .collect()
     }
 }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -22,6 +22,7 @@
 use crate::codec::{CallHead, Codec};
 use crate::fleet::{BackendServer, Fleet};
 use crate::metrics::Metrics;
+use crate::peers::Summaries;
 use crate::refusal::Refusal;
 use crate::table::{CallerLimits, RoutingTable, Version};
 
@@ -47,6 +48,7 @@
     pub(crate) fleet: Arc<Fleet>,
     pub(crate) settings: GatewaySettings,
     pub(crate) metrics: Metrics,
+    pub(crate) summaries: Arc<Summaries>,
     pub(crate) next_call: AtomicU64,
     table: RwLock<Option<Arc<RoutingTable>>>,
     budgets: Mutex<HashMap<PoolId, RetryBudget>>,
@@ -70,6 +72,7 @@
             entries: AtomicUsize::new(settings.assumed_entries),
             settings,
             metrics: Metrics::default(),
+            summaries: Arc::default(),
             next_call: AtomicU64::new(0),
             table: RwLock::default(),
             budgets: Mutex::default(),
@@ -117,7 +120,11 @@
     pub fn is_ready(&self) -> bool {
         !self.is_stopping.load(Ordering::Acquire)
             && self.table().is_some()
-            && self.fleet.pools().iter().any(|(_, pool)| !pool.servers.is_empty())
+            && self
+                .fleet
+                .pools()
+                .iter()
+                .any(|(_, pool)| !pool.servers.is_empty())
     }
 
     /// Begins the stop: not ready, and every answer closes its connection.
@@ -125,6 +132,18 @@
         self.is_stopping.store(true, Ordering::Release);
     }
 
+    /// Returns the servers that the entries tell each other of.
+    #[must_use]
+    pub fn fleet(&self) -> &Arc<Fleet> {
+        &self.fleet
+    }
+
+    /// Returns what this entry has to tell the others.
+    #[must_use]
+    pub fn summaries(&self) -> &Arc<Summaries> {
+        &self.summaries
+    }
+
     /// Returns the metrics in the text format of Prometheus.
     #[must_use]
     pub fn metrics_text(&self) -> String {
@@ -232,7 +251,9 @@
 
 impl<C: Codec> Service for CallerService<C> {
     async fn answer(&self, request: Request<Incoming>, _peer: SocketAddr) -> Reply {
-        let has_coding = request.headers().contains_key(http::header::TRANSFER_ENCODING);
+        let has_coding = request
+            .headers()
+            .contains_key(http::header::TRANSFER_ENCODING);
         let mut reply = self.0.serve(request).await;
         // A request with both a length and a coding hides a second request behind its end; the HTTP library drops the
         // length, so every coded request ends its connection.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod fleet;
 pub mod gateway;
 mod metrics;
+pub mod peers;
 pub mod refusal;
 mod relay;
 pub mod table;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -34,8 +34,16 @@
         let refusals = Family::<Reason, Counter>::default();
         let attempts = Family::<Reason, Counter>::default();
         let first_part = Histogram::new(LATENCY_BUCKETS);
-        registry.register("refusals", "answers of the entry itself, by reason", refusals.clone());
-        registry.register("attempts", "calls to backend servers, by their end", attempts.clone());
+        registry.register(
+            "refusals",
+            "answers of the entry itself, by reason",
+            refusals.clone(),
+        );
+        registry.register(
+            "attempts",
+            "calls to backend servers, by their end",
+            attempts.clone(),
+        );
         registry.register(
             "first_part_seconds",
             "time from a request's head to the first part of its answer",
--- /dev/null
+++ b/crates/gateway/src/peers.rs
@@ -0,0 +1,352 @@
+//! Load summaries that the entries send each other.
+//!
+//! Every entry sees only its own part of the calls. Each tells the others what it puts on every server and which shared
+//! prompt parts it sent where. A summary replaces the previous one of its sender, so lost, repeated and reordered
+//! datagrams do no harm. Entries of the same availability zone are told almost at once, others in larger intervals:
+//! bytes between zones cost money, and most calls stay in their zone.
+
+use std::collections::{BTreeMap, HashMap};
+use std::io;
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use async_io::{Async, Timer};
+use prost::Message;
+use tanagerford_core::dispatch::{Demand, EntryLoad, PromptPart};
+use tanagerford_core::ids::{ServerId, ZoneId};
+use tanagerford_http::outbound::SharedExecutor;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::codec::Codec;
+use crate::fleet::BackendServer;
+use crate::gateway::Gateway;
+use crate::table::Version;
+
+/// Interval of summaries to entries of the same availability zone while the load changes.
+const NEAR_INTERVAL: Duration = Duration::from_millis(15);
+/// Near intervals between two summaries to other availability zones.
+const FAR_EVERY: u32 = 4;
+/// Near intervals between two summaries without a change.
+const HEARTBEAT_EVERY: u32 = 66;
+/// Silence after which an entry is not counted any more.
+const PEER_TIMEOUT: Duration = Duration::from_secs(5);
+/// Smallest part of a prompt that is worth telling, in tokens.
+const MIN_PART_TOKENS: u32 = 512;
+/// Parts that wait for a summary; the oldest are dropped beyond it.
+const MAX_WAITING_PARTS: usize = 64;
+/// Largest datagram, in bytes.
+const MAX_DATAGRAM_BYTES: usize = 8 * 1024;
+
+/// Short number of a server in summaries.
+type ServerNumber = u32;
+
+/// What an entry tells the others.
+#[derive(Clone, PartialEq, Message)]
+struct Summary {
+    /// Number of the entry's process.
+    #[prost(fixed64, tag = "1")]
+    boot: u64,
+    /// Number of the summary; a smaller one than the last is out of date.
+    #[prost(uint64, tag = "2")]
+    sequence: u64,
+    /// Version of the configuration in force at the entry; 0 for none.
+    #[prost(uint64, tag = "3")]
+    version: Version,
+    #[prost(message, repeated, tag = "4")]
+    loads: Vec<ServerLoad>,
+    #[prost(message, repeated, tag = "5")]
+    parts: Vec<SentPart>,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+struct ServerLoad {
+    #[prost(fixed32, tag = "1")]
+    server: ServerNumber,
+    #[prost(uint32, tag = "2")]
+    flights: u32,
+    #[prost(uint32, tag = "3")]
+    streams: u32,
+    #[prost(uint32, tag = "4")]
+    waiting_tokens: u32,
+    #[prost(uint32, tag = "5")]
+    memory_tokens: u32,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+struct SentPart {
+    #[prost(fixed32, tag = "1")]
+    server: ServerNumber,
+    #[prost(fixed64, tag = "2")]
+    part: u64,
+    #[prost(uint32, tag = "3")]
+    tokens: u32,
+}
+
+/// Another entry.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Peer {
+    /// Address of its summaries.
+    pub address: SocketAddr,
+    /// Availability zone.
+    pub zone: ZoneId,
+}
+
+/// What this entry has to tell, and to whom.
+#[derive(Debug, Default)]
+pub struct Summaries {
+    is_changed: AtomicBool,
+    near_parts: Mutex<Vec<SentPart>>,
+    far_parts: Mutex<Vec<SentPart>>,
+    peers: Mutex<BTreeMap<String, Peer>>,
+}
+
+/// What is remembered of another entry's summaries.
+#[derive(Debug)]
+struct Heard {
+    sequence: u64,
+    version: Version,
+    at: Duration,
+    servers: Vec<ServerNumber>,
+}
+
+fn number(server: &str) -> ServerNumber {
+    let hash = xxh3_64(server.as_bytes());
+    u32::try_from(hash >> 32).unwrap_or(u32::MAX)
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Summaries {
+    /// Records that the load of this entry has changed.
+    pub fn changed(&self) {
+        self.is_changed.store(true, Ordering::Release);
+    }
+
+    /// Records that a call was sent to a server.
+    pub fn sent(&self, server: &BackendServer, demand: &Demand) {
+        self.changed();
+        // The last part belongs to the request itself; nobody else sends it.
+        let shared = demand
+            .parts
+            .split_last()
+            .map_or(&[][..], |(_, shared)| shared);
+        let parts = shared.iter().filter(|part| part.tokens >= MIN_PART_TOKENS);
+        for part in parts {
+            let sent = SentPart {
+                server: number(&server.id),
+                part: part.id,
+                tokens: part.tokens,
+            };
+            for queue in [&self.near_parts, &self.far_parts] {
+                let mut queue = lock(queue);
+                if queue.len() >= MAX_WAITING_PARTS {
+                    queue.remove(0);
+                }
+                queue.push(sent);
+            }
+        }
+    }
+
+    /// Sets where another entry is reached; `None` when it has left.
+    pub fn set_peer(&self, name: &str, peer: Option<Peer>) {
+        let mut peers = lock(&self.peers);
+        match peer {
+            Some(peer) => drop(peers.insert(name.to_owned(), peer)),
+            None => drop(peers.remove(name)),
+        }
+    }
+}
+
+/// Sends and receives summaries.
+pub struct PeerExchange<C> {
+    gateway: Arc<Gateway<C>>,
+    socket: Async<UdpSocket>,
+    zone: ZoneId,
+    own_address: SocketAddr,
+    boot: u64,
+    heard: Mutex<HashMap<u64, Heard>>,
+}
+
+impl<C: Codec> PeerExchange<C> {
+    /// Binds the socket for summaries.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address cannot be bound.
+    pub fn bind(
+        gateway: Arc<Gateway<C>>,
+        address: SocketAddr,
+        zone: impl Into<ZoneId>,
+    ) -> io::Result<Arc<Self>> {
+        Ok(Arc::new(Self {
+            gateway,
+            socket: Async::<UdpSocket>::bind(address)?,
+            zone: zone.into(),
+            own_address: address,
+            boot: rand::random(),
+            heard: Mutex::default(),
+        }))
+    }
+
+    /// Starts sending and receiving in tasks of the executor.
+    pub fn start(self: Arc<Self>, executor: &SharedExecutor) {
+        executor.spawn(Arc::clone(&self).send_all()).detach();
+        executor.spawn(self.receive_all()).detach();
+    }
+
+    async fn send_all(self: Arc<Self>) {
+        let mut sequence = 0;
+        let mut is_far_due = false;
+        let mut tick = 0_u32;
+        loop {
+            Timer::after(NEAR_INTERVAL).await;
+            tick = tick.wrapping_add(1);
+            let summaries = self.gateway.summaries();
+            let is_heartbeat = tick.is_multiple_of(HEARTBEAT_EVERY);
+            let is_changed = summaries.is_changed.swap(false, Ordering::AcqRel) || is_heartbeat;
+            is_far_due |= is_changed;
+            if is_changed {
+                sequence += 1;
+                let parts = std::mem::take(&mut *lock(&summaries.near_parts));
+                self.send(sequence, parts, true).await;
+            }
+            if is_far_due && tick.is_multiple_of(FAR_EVERY) {
+                is_far_due = false;
+                sequence += 1;
+                let parts = std::mem::take(&mut *lock(&summaries.far_parts));
+                self.send(sequence, parts, false).await;
+            }
+            if is_heartbeat {
+                self.count_entries();
+            }
+        }
+    }
+
+    async fn send(&self, sequence: u64, parts: Vec<SentPart>, is_near: bool) {
+        let peers: Vec<SocketAddr> = {
+            let peers = lock(&self.gateway.summaries().peers);
+            let others = peers
+                .values()
+                .filter(|peer| peer.address != self.own_address);
+            let chosen = others.filter(|peer| (peer.zone == self.zone) == is_near);
+            chosen.map(|peer| peer.address).collect()
+        };
+        if peers.is_empty() {
+            return;
+        }
+        let datagram = self.summary(sequence, parts).encode_to_vec();
+        for peer in peers {
+            if let Err(error) = self.socket.send_to(&datagram, peer).await {
+                tracing::debug!(%peer, %error, "summary was not sent");
+            }
+        }
+    }
+
+    fn summary(&self, sequence: u64, parts: Vec<SentPart>) -> Summary {
+        let mut loads = Vec::new();
+        for (_, pool) in self.gateway.fleet().pools() {
+            let beliefs = pool.beliefs();
+            let own = beliefs.own_loads().filter(|(_, load)| load.flights > 0);
+            loads.extend(own.map(|(id, load)| ServerLoad {
+                server: number(id),
+                flights: load.flights,
+                streams: load.streams,
+                waiting_tokens: load.waiting_tokens,
+                memory_tokens: load.memory_tokens,
+            }));
+        }
+        Summary {
+            boot: self.boot,
+            sequence,
+            version: self.gateway.version().unwrap_or(0),
+            loads,
+            parts,
+        }
+    }
+
+    async fn receive_all(self: Arc<Self>) {
+        let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+        loop {
+            match self.socket.recv_from(&mut buffer).await {
+                Ok((length, sender)) => match Summary::decode(&buffer[..length]) {
+                    Ok(summary) => self.take(&summary),
+                    Err(error) => tracing::debug!(%sender, %error, "datagram is no summary"),
+                },
+                Err(error) => {
+                    tracing::debug!(%error, "cannot receive a summary");
+                    Timer::after(NEAR_INTERVAL).await;
+                }
+            }
+        }
+    }
+
+    fn take(&self, summary: &Summary) {
+        let now = self.gateway.fleet().now();
+        let mut heard = lock(&self.heard);
+        let known = heard.entry(summary.boot).or_insert_with(|| {
+            tracing::info!(peer = summary.boot, "heard of another entry");
+            Heard {
+                sequence: 0,
+                version: 0,
+                at: now,
+                servers: Vec::new(),
+            }
+        });
+        if summary.sequence <= known.sequence {
+            return;
+        }
+        known.sequence = summary.sequence;
+        known.version = summary.version;
+        known.at = now;
+        let present: Vec<_> = summary.loads.iter().map(|load| load.server).collect();
+        let ended = std::mem::replace(&mut known.servers, present);
+        drop(heard);
+        let mut loads: HashMap<ServerNumber, EntryLoad> = ended
+            .into_iter()
+            .map(|server| (server, EntryLoad::default()))
+            .collect();
+        loads.extend(summary.loads.iter().map(|load| {
+            let told = EntryLoad {
+                flights: load.flights,
+                streams: load.streams,
+                waiting_tokens: load.waiting_tokens,
+                memory_tokens: load.memory_tokens,
+            };
+            (load.server, told)
+        }));
+        self.apply(now, summary, &loads);
+    }
+
+    fn apply(&self, now: Duration, summary: &Summary, loads: &HashMap<ServerNumber, EntryLoad>) {
+        for (_, pool) in self.gateway.fleet().pools() {
+            let names: HashMap<ServerNumber, &ServerId> =
+                pool.servers.keys().map(|id| (number(id), id)).collect();
+            let mut beliefs = pool.beliefs();
+            for (server, load) in loads {
+                if let Some(id) = names.get(server) {
+                    beliefs.on_peer_load(now, summary.boot, id, *load);
+                }
+            }
+            for sent in &summary.parts {
+                if let Some(id) = names.get(&sent.server) {
+                    let part = PromptPart {
+                        id: sent.part,
+                        tokens: sent.tokens,
+                    };
+                    beliefs.on_peer_part(now, id, part);
+                }
+            }
+        }
+    }
+
+    fn count_entries(&self) {
+        let now = self.gateway.fleet().now();
+        let mut heard = lock(&self.heard);
+        heard.retain(|_, peer| now.saturating_sub(peer.at) < PEER_TIMEOUT);
+        self.gateway.set_entries(heard.len() + 1);
+    }
+}
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -109,7 +109,11 @@
         };
         match part {
             Some(data) => self.events.push(&data).map(Some).map_err(|error| {
-                tracing::warn!(request = self.call.id, ?error, "events of a server cannot be used");
+                tracing::warn!(
+                    request = self.call.id,
+                    ?error,
+                    "events of a server cannot be used"
+                );
                 RelayError::Broken
             }),
             None if self.events.has_partial() => Err(RelayError::Broken),
@@ -118,7 +122,10 @@
     }
 
     async fn read(&mut self) -> Result<Option<Bytes>, RelayError> {
-        let remaining = self.call.deadline().saturating_duration_since(Instant::now());
+        let remaining = self
+            .call
+            .deadline()
+            .saturating_duration_since(Instant::now());
         let can_resume = self.call.repeat() == Repeat::Resumable;
         let (wait, error) = if can_resume && RESUME_AFTER < remaining {
             (RESUME_AFTER, RelayError::Silent)
@@ -142,7 +149,9 @@
             RelayError::Silent => (CallEnd::Silent, AttemptError::Silent),
             RelayError::Broken => (CallEnd::Broken, AttemptError::Broken),
         };
-        self.pool.beliefs().on_outcome(self.gateway.fleet.now(), server, end);
+        self.pool
+            .beliefs()
+            .on_outcome(self.gateway.fleet.now(), server, end);
         if self.call.repeat() != Repeat::Resumable {
             return Err(error);
         }
@@ -151,11 +160,16 @@
         let mut last = attempt_error;
         self.events.drop_partial();
         loop {
-            if !self.gateway.may_repeat(&self.call, &pool_name, &self.attempts, last) {
+            if !self
+                .gateway
+                .may_repeat(&self.call, &pool_name, &self.attempts, last)
+            {
                 return Err(error);
             }
             let after = self.events.last_id();
-            let attempt = self.gateway.attempt(&self.call, &self.pool, &mut self.attempts, after);
+            let attempt = self
+                .gateway
+                .attempt(&self.call, &self.pool, &mut self.attempts, after);
             match attempt.await {
                 Ok(begun) if begun.answer.head.status().is_success() => {
                     self.begun = begun;
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -125,7 +125,10 @@
             version,
             limits,
             routes: by_host,
-            pools: pools.into_iter().map(|pool| (pool.name.clone(), pool)).collect(),
+            pools: pools
+                .into_iter()
+                .map(|pool| (pool.name.clone(), pool))
+                .collect(),
             workspaces,
         }
     }
@@ -135,7 +138,9 @@
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let name = host.split_once(':').map_or(host, |(name, _)| name);
         let routes = self.routes.get(&name.to_ascii_lowercase())?;
-        routes.iter().find(|route| path.starts_with(&route.path_prefix))
+        routes
+            .iter()
+            .find(|route| path.starts_with(&route.path_prefix))
     }
 
     /// Returns whether requests need a key unless their route is public.
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -179,9 +179,10 @@
         .with_interval(KEEPALIVE_INTERVAL);
     SockRef::from(stream.get_ref()).set_tcp_keepalive(&keepalive)?;
     let limits = service.limits();
-    let handler = service_fn(|request| async move {
-        Ok::<_, Infallible>(service.answer(request, peer).await)
-    });
+    let handler =
+        service_fn(
+            |request| async move { Ok::<_, Infallible>(service.answer(request, peer).await) },
+        );
     let connection = http1::Builder::new()
         .timer(SmolTimer::new())
         .header_read_timeout(limits.idle_timeout)
--- a/crates/node/examples/watch_calls.rs
+++ b/crates/node/examples/watch_calls.rs
@@ -4,9 +4,9 @@
 
 use std::time::Duration;
 
-use tanagerford_node::config_feed::store::{HEAD_KEY, PREFIX};
 use tanagerford_kv::kv::{Kv, Revision, Transaction, Write};
 use tanagerford_kv::memory::Memory;
+use tanagerford_node::config_feed::store::{HEAD_KEY, PREFIX};
 
 /// Three watchers in each of eight availability zones.
 const WATCHERS: usize = 24;
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -13,9 +13,9 @@
 use tanagerford_core::membership::{Event, Item, Member, MemberState, Params, Profile};
 use tanagerford_core::subset::{Participant, watchers};
 use tanagerford_gossip::{Gossip, Settings, Snapshot, StartError};
+use tanagerford_kv::vm_list::VmListClient;
 use tanagerford_link::message::{Frame, frame};
 use tanagerford_link::{Link, LinkHandler, LinkOptions, connect};
-use tanagerford_kv::vm_list::VmListClient;
 
 use crate::exchange::ConfigExchange;
 use crate::sync::Flag;
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -10,10 +10,10 @@
 use tanagerford_core::order::Owner;
 use tanagerford_gossip::Gossip;
 use tanagerford_http::{Limits, ListenerHandle};
-use tanagerford_link::{FleetKey, Identity, LinkOptions};
-use tanagerford_operator::listener::{self, Operated};
 use tanagerford_kv::kv::Kv;
 use tanagerford_kv::vm_list::VmListClient;
+use tanagerford_link::{FleetKey, Identity, LinkOptions};
+use tanagerford_operator::listener::{self, Operated};
 
 use crate::config_feed::{ConfigFeed, FeedSettings};
 use crate::entry::{Entry, EntrySettings};
--- a/crates/node/src/vm_watch.rs
+++ b/crates/node/src/vm_watch.rs
@@ -12,8 +12,8 @@
 use tanagerford_core::ids::Incarnation;
 use tanagerford_core::membership::{Item, Member, member_key};
 use tanagerford_gossip::Gossip;
-use tanagerford_link::Identity;
 use tanagerford_kv::vm_list::{Vm, VmListClient, VmState};
+use tanagerford_link::Identity;
 
 use crate::fleet::FleetUser;
 use crate::sync::Flag;
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -14,6 +14,7 @@
 };
 use tanagerford_core::ids::Incarnation;
 use tanagerford_http::Limits;
+use tanagerford_kv::memory::Memory;
 use tanagerford_link::FleetKey;
 use tanagerford_node::config_feed::publish::{Pace, Publication, publish};
 use tanagerford_node::config_feed::store::read;
@@ -22,7 +23,6 @@
 };
 use tanagerford_node::sidecar::Backend;
 use tanagerford_node::stop::StopSignal;
-use tanagerford_kv::memory::Memory;
 use tanagerford_standin::{engine, service};
 
 /// API key of the workspace in the highest tier.
--- a/crates/node/tests/config_feed.rs
+++ b/crates/node/tests/config_feed.rs
@@ -11,13 +11,13 @@
 use tanagerford_core::config::decode::decode;
 use tanagerford_core::config::section::{SectionName, SectionUpdate, digest};
 use tanagerford_core::generation::{Comparison, Decision};
+use tanagerford_kv::etcd::Etcd;
+use tanagerford_kv::kv::{Call, Commit, Kv, Transaction, Write};
+use tanagerford_kv::memory::{Faults, Memory};
 use tanagerford_link::message::{ConfigSection, ConfigSections};
 use tanagerford_node::config_feed::publish::{Pace, Publication, PublishError, publish};
 use tanagerford_node::config_feed::store::{HEAD_KEY, Stored, decode_head, decode_section, read};
 use tanagerford_node::config_feed::{ConfigFeed, FeedError, FeedSettings, message};
-use tanagerford_kv::etcd::Etcd;
-use tanagerford_kv::kv::{Call, Commit, Kv, Transaction, Write};
-use tanagerford_kv::memory::{Faults, Memory};
 use tanagerford_standin::kv::KvStandin;
 
 const TIMEOUT: Duration = Duration::from_secs(10);
--- a/crates/node/tests/failures.rs
+++ b/crates/node/tests/failures.rs
@@ -12,10 +12,10 @@
     start_sidecar, state, wait_until,
 };
 use tanagerford_core::config::Workspace;
-use tanagerford_node::process::SidecarProcess;
-use tanagerford_node::stop::StopSignal;
 use tanagerford_kv::memory::{Faults, Memory};
 use tanagerford_kv::vm_list::{Vm, VmListClient, VmState};
+use tanagerford_node::process::SidecarProcess;
+use tanagerford_node::stop::StopSignal;
 use tanagerford_standin::engine::{Behaviour, Engine};
 use tanagerford_standin::service;
 use tanagerford_standin::vm_list::VmListStandin;
--- a/crates/node/tests/placement.rs
+++ b/crates/node/tests/placement.rs
@@ -11,14 +11,14 @@
 use tanagerford_engine::{
     EngineClient, EngineError, FenceNumber, Generate, OrderKind, OrderRequest,
 };
-use tanagerford_node::placement::{
-    LeasePace, PLACEMENT_KEY, PlannerRunner, SlotRunner, SlotSettings,
-};
 use tanagerford_kv::kv::{
     Call, Commit, KeyValue, Kv, LeaseId, Revision, Transaction, WatchEvent, Write,
 };
 use tanagerford_kv::memory::{Faults, Memory};
 use tanagerford_kv::weight_store::WeightStore;
+use tanagerford_node::placement::{
+    LeasePace, PLACEMENT_KEY, PlannerRunner, SlotRunner, SlotSettings,
+};
 use tanagerford_standin::engine::{Behaviour, Engine, OrderCounts};
 
 const TIMEOUT: Duration = Duration::from_secs(1);
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -8,12 +8,12 @@
 use std::time::Duration;
 
 use tanagerford_core::order::{OrderKey, Owner};
-use tanagerford_node::orders::{
-    KeptAnswer, OrderBook, OrderClock, OrderRequest, OrderSettings, StepHook,
-};
 use tanagerford_kv::kv::{
     Call, Commit, KeyValue, Kv, LeaseId, Refusal, Revision, Transaction, WatchEvent, Write,
 };
+use tanagerford_node::orders::{
+    KeptAnswer, OrderBook, OrderClock, OrderRequest, OrderSettings, StepHook,
+};
 
 /// What happens to the next call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/examples/order_calls.rs
+++ b/examples/order_calls.rs
@@ -19,13 +19,13 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use tanagerford_core::order::{OrderKey, Owner, PacerLimits, shard_owner};
-use tanagerford_node::orders::{
-    ClaimDecision, KeptAnswer, OrderBook, OrderClock, OrderRequest, OrderSettings, Ticket,
-};
 use tanagerford_kv::kv::{
     Call, Commit, KeyValue, Kv, LeaseId, Revision, Transaction, WatchEvent, Write,
 };
 use tanagerford_kv::memory::Memory;
+use tanagerford_node::orders::{
+    ClaimDecision, KeptAnswer, OrderBook, OrderClock, OrderRequest, OrderSettings, Ticket,
+};
 
 const POOL: &str = "orders";
 const CALL_TIME: Duration = Duration::from_millis(3);
--- a/examples/path/fleet.rs
+++ b/examples/path/fleet.rs
@@ -6,6 +6,7 @@
 
 use tanagerford_core::config::Configuration;
 use tanagerford_http::Limits;
+use tanagerford_kv::memory::Memory;
 use tanagerford_link::FleetKey;
 use tanagerford_node::config_feed::publish::{Pace, Publication, publish};
 use tanagerford_node::config_feed::store::Stored;
@@ -14,7 +15,6 @@
 };
 use tanagerford_node::sidecar::Backend;
 use tanagerford_node::stop::StopSignal;
-use tanagerford_kv::memory::Memory;
 use tanagerford_standin::{engine, service};
 
 /// Engines; each runs at least 16 requests together from the start, so admission lets 64 callers in without a wait.
--- a/src/cmd/config.rs
+++ b/src/cmd/config.rs
@@ -6,9 +6,9 @@
 use getopts::{Matches, Options};
 use serde::Deserialize;
 use tanagerford_core::config::decode::decode;
+use tanagerford_kv::etcd::Etcd;
 use tanagerford_node::config_feed::publish::{Pace, Publication, PublishError, publish};
 use tanagerford_node::config_feed::store::{self, Stored};
-use tanagerford_kv::etcd::Etcd;
 use ureq::Agent;
 
 use crate::config::{self, CALL_TIMEOUT};
--- a/src/cmd/entry.rs
+++ b/src/cmd/entry.rs
@@ -5,10 +5,10 @@
 
 use getopts::Options;
 use tanagerford_http::Limits;
+use tanagerford_kv::etcd::Etcd;
 use tanagerford_node::process::{CallerSettings, EntryProcess};
 use tanagerford_node::stop::StopSignal;
 use tanagerford_operator::check::settings::Role;
-use tanagerford_kv::etcd::Etcd;
 
 use crate::error::Error;
 use crate::{config, process, util};
--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -16,11 +16,13 @@
 use tanagerford_gateway::Gateway;
 use tanagerford_gateway::fleet::Fleet;
 use tanagerford_gateway::gateway::{CallerService, GatewaySettings};
+use tanagerford_gateway::peers::PeerExchange;
 use tanagerford_http::outbound::SharedExecutor;
 use tanagerford_http::server::{Server, ServerLimits, ServerStop, Service};
 use tanagerford_http::{Body, Reply};
 use tanagerford_platform::READINESS_PATH;
 use tanagerford_platform::codec::PlatformCodec;
+use tanagerford_platform::entries;
 use tanagerford_platform::feed::Feed;
 use tanagerford_platform::settings::{self, PlatformSettings, SETTINGS_VARIABLE};
 use tanagerford_platform::store::Store;
@@ -58,8 +60,12 @@
     let matches = util::parse(&mut options, arguments, USAGE)?;
     let path = match matches.opt_str("settings") {
         Some(path) => path,
-        None => std::env::var(SETTINGS_VARIABLE)
-            .map_err(|_| Error::usage(format!("--settings or {SETTINGS_VARIABLE} is missing"), USAGE))?,
+        None => std::env::var(SETTINGS_VARIABLE).map_err(|_| {
+            Error::usage(
+                format!("--settings or {SETTINGS_VARIABLE} is missing"),
+                USAGE,
+            )
+        })?,
     };
     let settings = load(&path)?;
     process::start_queued_logging()?;
@@ -68,7 +74,8 @@
 
 fn load(path: &str) -> Result<PlatformSettings, Error> {
     let content = util::read_file(path)?;
-    let text = String::from_utf8(content).map_err(|error| Error::failed(format!("{path}: {error}")))?;
+    let text =
+        String::from_utf8(content).map_err(|error| Error::failed(format!("{path}: {error}")))?;
     settings::decode(&text).map_err(|error| Error::failed(format!("{path}: {error}")))
 }
 
@@ -83,13 +90,21 @@
         budget: settings.budget,
         assumed_entries: ASSUMED_ENTRIES,
     };
-    let gateway = Gateway::new(PlatformCodec, fleet, gateway_settings, Arc::clone(&executor));
+    let gateway = Gateway::new(
+        PlatformCodec,
+        fleet,
+        gateway_settings,
+        Arc::clone(&executor),
+    );
     let server = Server::bind(callers, Arc::clone(&executor))?;
     let stop = server.stopper();
     server.start(Arc::new(CallerService(Arc::clone(&gateway))));
     let readiness = Server::bind(readiness, Arc::clone(&executor))?;
     readiness.start(Arc::new(Readiness(Arc::clone(&gateway))));
-    Feed::new(Store::new(settings.store), Arc::clone(&gateway)).start()?;
+    let exchange = PeerExchange::bind(Arc::clone(&gateway), settings.peers, settings.zone.clone())?;
+    exchange.start(&executor);
+    let store = Store::new(settings.store);
+    Feed::new(store, Arc::clone(&gateway), entries::registration(settings)).start()?;
     for index in 0..settings.cores {
         let executor = Arc::clone(&executor);
         let builder = thread::Builder::new().name(format!("worker-{index}"));
@@ -103,7 +118,9 @@
         match load(path) {
             Ok(read) if read == *settings => tracing::info!("settings read again; nothing changed"),
             Ok(_) => tracing::info!("settings changed; they are used from the next start"),
-            Err(error) => tracing::warn!(?error, "changed settings cannot be read; the old ones stay"),
+            Err(error) => {
+                tracing::warn!(?error, "changed settings cannot be read; the old ones stay")
+            }
         }
     }
     finish(&gateway, &stop, settings.stop_grace);
@@ -122,7 +139,10 @@
     wait_closed(stop, keep_until);
     stop.end_connections();
     wait_closed(stop, end_at);
-    tracing::info!(open_connections = stop.open_connections(), "entry has stopped");
+    tracing::info!(
+        open_connections = stop.open_connections(),
+        "entry has stopped"
+    );
     // The log writer has its own thread; it needs a moment for the last lines.
     thread::sleep(STOP_POLL_INTERVAL);
 }
--- a/src/cmd/sheet.rs
+++ b/src/cmd/sheet.rs
@@ -1,10 +1,10 @@
 //! Loads a tier sheet.
 
 use getopts::Options;
+use tanagerford_kv::etcd::Etcd;
 use tanagerford_node::config_feed::publish::{Pace, Publication, publish};
 use tanagerford_node::config_feed::store;
 use tanagerford_operator::check::sheet;
-use tanagerford_kv::etcd::Etcd;
 
 use crate::cmd::config::base;
 use crate::config::{self, CALL_TIMEOUT};
--- a/src/cmd/sidecar.rs
+++ b/src/cmd/sidecar.rs
@@ -3,11 +3,11 @@
 use std::sync::Arc;
 
 use getopts::Options;
+use tanagerford_kv::etcd::Etcd;
 use tanagerford_node::process::{BackendSettings, SidecarProcess};
 use tanagerford_node::sidecar::Backend;
 use tanagerford_node::stop::StopSignal;
 use tanagerford_operator::check::settings::{BackendKind, Role};
-use tanagerford_kv::etcd::Etcd;
 
 use crate::error::Error;
 use crate::{config, process, util};
--- a/src/cmd/standalone.rs
+++ b/src/cmd/standalone.rs
@@ -7,6 +7,8 @@
 use getopts::Options;
 use tanagerford_core::config::Configuration;
 use tanagerford_http::Limits;
+use tanagerford_kv::kv::Kv;
+use tanagerford_kv::memory::Memory;
 use tanagerford_link::FleetKey;
 use tanagerford_node::config_feed::publish::{Pace, Publication, publish};
 use tanagerford_node::config_feed::store::Stored;
@@ -15,8 +17,6 @@
 };
 use tanagerford_node::sidecar::Backend;
 use tanagerford_node::stop::StopSignal;
-use tanagerford_kv::kv::Kv;
-use tanagerford_kv::memory::Memory;
 use tanagerford_standin::{engine, service};
 
 use crate::error::Error;
--- a/src/config.rs
+++ b/src/config.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use getopts::{Matches, Options};
-use tanagerford_operator::check::settings::{self, Settings};
 use tanagerford_kv::etcd::Etcd;
+use tanagerford_operator::check::settings::{self, Settings};
 
 use crate::error::Error;
 use crate::util;
--- a/src/process.rs
+++ b/src/process.rs
@@ -9,11 +9,11 @@
 
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
+use tanagerford_kv::vm_list::VmListClient;
 use tanagerford_link::FleetKey;
 use tanagerford_node::process::{ProcessSettings, new_incarnation};
 use tanagerford_node::stop::StopSignal;
 use tanagerford_operator::check::settings::Settings;
-use tanagerford_kv::vm_list::VmListClient;
 use tracing_subscriber::EnvFilter;
 
 use crate::error::Error;
@@ -107,7 +107,10 @@
         let lost = dropped.swap(0, Ordering::Relaxed);
         if lost > 0 {
             // The count goes the same way as the lines; when even that fails, there is no place left to tell it.
-            let _ = writeln!(output, "{{\"level\":\"WARN\",\"message\":\"log lines dropped\",\"count\":{lost}}}");
+            let _ = writeln!(
+                output,
+                "{{\"level\":\"WARN\",\"message\":\"log lines dropped\",\"count\":{lost}}}"
+            );
         }
         if output.write_all(&line).is_err() {
             dropped.fetch_add(1, Ordering::Relaxed);
