Close idle connections as soon as a stopping entry gets no new ones

Cause: an entry kept idle connections until 5 s after SIGTERM and ended at 7.5 s, so a stream that a kept connection began at 6.5 s was cut. Ruled out: new connections (the platform had taken the entry out). Now idle connections end with the readiness notice, 2.5 s after SIGTERM.

--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -41,11 +41,11 @@
   -h, --help                 print this text
 ";
 
-/// Part of the time between SIGTERM and SIGKILL after which connections that are still kept open are closed.
-const KEEP_SHARE: (u32, u32) = (5, 8);
 /// Part of the time between SIGTERM and SIGKILL after which the process ends in any case.
 const END_SHARE: (u32, u32) = (15, 16);
-/// Time until the platform sends no new connections: two questions, a second apart, with a reserve.
+/// Time until the platform sends no new connections: two questions, a second apart, with a reserve. Idle connections
+/// are closed after it, and later ones before their request is read: a stream that began still later could not end
+/// before the process does.
 const READINESS_NOTICE: Duration = Duration::from_millis(2_500);
 /// Interval at which a stopping process looks whether connections are still open.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -132,11 +132,8 @@
     let began = Instant::now();
     gateway.begin_stop();
     tracing::info!(open_connections = stop.open_connections(), "stop has begun");
-    let keep_until = began + grace * KEEP_SHARE.0 / KEEP_SHARE.1;
     let end_at = began + grace * END_SHARE.0 / END_SHARE.1;
-    // The platform sends new connections until it has asked twice without success.
     thread::sleep(READINESS_NOTICE);
-    wait_closed(stop, keep_until);
     stop.end_connections();
     wait_closed(stop, end_at);
     tracing::info!(
