Wait at the entry with long prompts that would make streams late

Ruled out: the estimate of the first token (311 ms estimated, 341 ms measured at the worst). A long prompt now waits up to two fifths of its objective for a server with room and is then told to come back in 1.2 s.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -82,6 +82,8 @@
     pub waiting_tokens: u32,
     /// Estimated time to the first token, in milliseconds; 0 for plain services.
     pub first_token_ms: f64,
+    /// Streams of the server that would probably be late because of this call.
+    pub harmed_streams: f64,
     /// Servers that could have been chosen.
     pub candidates: usize,
 }
@@ -237,6 +239,7 @@
             in_flight: state.running(now),
             waiting_tokens: state.load(now).waiting_tokens,
             first_token_ms: state.first_token_ms(&self.settings, now, demand),
+            harmed_streams: state.harmed_streams(&self.settings, now, demand),
             candidates: candidates.len(),
         })
     }
--- a/crates/core/src/dispatch/cost.rs
+++ b/crates/core/src/dispatch/cost.rs
@@ -7,10 +7,18 @@
 /// Time in which half of the recent prefill work is forgotten.
 pub(super) const RECENT_HALF_LIFE: Duration = Duration::from_secs(2);
 /// Age after which a reported load is ignored.
-const REPORT_LIFETIME: Duration = Duration::from_millis(1_000);
+const REPORT_LIFETIME: Duration = Duration::from_secs(1);
 /// Cost of each request beyond the slots of a server, in milliseconds.
 const FULL_PENALTY_MS: f64 = 400.0;
 
+/// Share of the pause limit that is planned for; the rest covers the way of an event to its caller and what other
+/// entries send at the same moment.
+const PAUSE_SHARE: f64 = 0.85;
+/// Excess over the planned pause at which a stream is certainly late.
+const CERTAIN_EXCESS: f64 = 0.3;
+/// Cost of a stream whose own events would come at twice the limit, in milliseconds.
+const LATE_OWN_MS: f64 = 600.0;
+
 /// Weights of the estimate.
 #[derive(Debug, Clone)]
 pub struct CostSettings {
@@ -21,7 +29,21 @@
     /// Uncached tokens from which a prompt counts as long: more than one prefill chunk delays the streams of the
     /// server by more than one step.
     pub long_prompt_tokens: u32,
-    /// Cost of a long prompt for each stream that it would delay, in milliseconds.
+    /// Prompt tokens that a server reads between two steps of the running requests.
+    pub chunk_tokens: u32,
+    /// Time that a whole chunk adds to a step, in milliseconds.
+    pub chunk_ms: f64,
+    /// Time of a step of one request, in milliseconds.
+    pub step_ms: f64,
+    /// Time that each running request adds to a step, in milliseconds.
+    pub step_request_ms: f64,
+    /// Tokens that an event of a stream holds.
+    pub event_tokens: u32,
+    /// Longest pause between events with which a stream counts as on time, in milliseconds.
+    pub pause_limit_ms: f64,
+    /// Cost of each stream that pauses twice as long as its limit, in milliseconds; less for shorter pauses.
+    pub late_stream_ms: f64,
+    /// Cost of a long prompt for each stream of its server, in milliseconds.
     pub disturbed_stream_ms: f64,
     /// Cost of a stream on a server that spends its whole time on prefill, in milliseconds.
     pub busy_prefill_ms: f64,
@@ -45,8 +67,15 @@
             prefill_tokens_per_ms: 65.0,
             first_token_base_ms: 70.0,
             long_prompt_tokens: 2_048,
-            disturbed_stream_ms: 20.0,
-            busy_prefill_ms: 400.0,
+            chunk_tokens: 2_048,
+            chunk_ms: 30.0,
+            step_ms: 3.0,
+            step_request_ms: 0.12,
+            event_tokens: 6,
+            pause_limit_ms: 200.0,
+            late_stream_ms: 100.0,
+            disturbed_stream_ms: 4.0,
+            busy_prefill_ms: 200.0,
             running_request_ms: 0.7,
             order_ms: 60.0,
             other_zone_ms: 5.0,
@@ -114,15 +143,46 @@
             + prefill_ms * (1.0 + settings.read_again_factor)
             + f64::from(running) * settings.running_request_ms
             + full * FULL_PENALTY_MS;
+        let tokens = load.waiting_tokens.saturating_add(missing);
+        let excess = self.pause_excess(settings, running + 1, tokens);
         let neighbours_ms = if settings.is_long(demand) {
-            f64::from(load.streams) * settings.disturbed_stream_ms
+            let streams = f64::from(load.streams);
+            streams * (settings.disturbed_stream_ms + excess * settings.late_stream_ms)
                 + (1.0 - self.rank) * settings.order_ms
         } else {
-            self.prefill_share(now) * settings.busy_prefill_ms + self.rank * settings.order_ms
+            excess * LATE_OWN_MS
+                + self.prefill_share(now) * settings.busy_prefill_ms
+                + self.rank * settings.order_ms
         };
         own_ms + neighbours_ms
     }
 
+    /// Streams of the server that would probably be late if it took the call now.
+    pub(super) fn harmed_streams(
+        &self,
+        settings: &CostSettings,
+        now: Duration,
+        demand: &Demand,
+    ) -> f64 {
+        if !settings.is_long(demand) {
+            return 0.0;
+        }
+        let load = self.load(now);
+        let missing = self.cache.missing_tokens(&demand.parts, demand.prompt_tokens);
+        let tokens = load.waiting_tokens.saturating_add(missing);
+        let excess = self.pause_excess(settings, self.running(now) + 1, tokens);
+        f64::from(load.streams) * (excess / CERTAIN_EXCESS).min(1.0)
+    }
+
+    /// Share of the pause limit by which the events of the server's streams would come too late.
+    fn pause_excess(&self, settings: &CostSettings, running: u32, waiting_tokens: u32) -> f64 {
+        let chunks = waiting_tokens.div_ceil(settings.chunk_tokens.max(1));
+        let step_ms = settings.step_ms + f64::from(running) * settings.step_request_ms;
+        let pause_ms = f64::from(settings.event_tokens) * step_ms
+            + f64::from(chunks.min(settings.event_tokens)) * settings.chunk_ms;
+        (pause_ms / settings.pause_limit_ms - PAUSE_SHARE).max(0.0)
+    }
+
     /// Estimated time to the first token.
     pub(super) fn first_token_ms(
         &self,
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -27,6 +27,14 @@
 const MIN_REMAINING: Duration = Duration::from_millis(5);
 /// Servers that one call is sent to at most, refusals included.
 const MAX_SENDS: usize = 4;
+/// Streams that a long prompt may make late; a bet that the estimate is too careful.
+const MAX_HARMED_STREAMS: f64 = 3.0;
+/// Streams that a call of the next lower rank may make late less.
+const HARMED_PER_RANK: f64 = 0.3;
+/// Share of the latency objective for which a long prompt waits for room, as a fraction.
+const ROOM_SHARE: (u32, u32) = (2, 5);
+/// Interval at which a waiting call looks for room.
+const ROOM_INTERVAL: Duration = Duration::from_millis(15);
 /// Largest answer that is held until it is whole; longer ones are passed on as they arrive.
 const MAX_HELD_BYTES: usize = 256 * 1024;
 /// Silence, as a multiple of the latency objective, after which a call that may be repeated goes to another server.
@@ -130,6 +138,9 @@
         self.with_budget(&pool_name, |budget| {
             budget.on_request(now, &self.settings.budget)
         });
+        if !self.wait_for_room(&call, &pool).await {
+            return self.refuse(Some(&call.id), Refusal::Overloaded, call.arrived);
+        }
         let mut attempts = Attempts::default();
         let mut last = None;
         loop {
@@ -147,6 +158,37 @@
         self.refuse(Some(&call.id), refusal, call.arrived)
     }
 
+    /// Waits until some server can take the call without making streams late; returns whether there is one.
+    ///
+    /// Only long prompts wait. A call that waits longer than a part of its latency objective is refused, so that its
+    /// caller can come back when the burst is over.
+    async fn wait_for_room(&self, call: &Call, pool: &PoolState) -> bool {
+        let until = call.arrived + call.route.target_latency * ROOM_SHARE.0 / ROOM_SHARE.1;
+        let allowed = MAX_HARMED_STREAMS - HARMED_PER_RANK * f64::from(call.priority());
+        loop {
+            let choice = pool.beliefs().choose(self.fleet.now(), &call.demand, &[]);
+            let Some(choice) = choice else {
+                return true;
+            };
+            if choice.harmed_streams <= allowed.max(0.0) {
+                return true;
+            }
+            if Instant::now() >= until {
+                tracing::info!(
+                    request = call.id,
+                    route = call.route.name,
+                    server = choice.server,
+                    harmed_streams = choice.harmed_streams,
+                    waiting_tokens = choice.waiting_tokens,
+                    in_flight = choice.in_flight,
+                    "no room for a long prompt"
+                );
+                return false;
+            }
+            Timer::after(ROOM_INTERVAL).await;
+        }
+    }
+
     fn refusal(&self, call: &Call, attempts: &Attempts, last: Option<AttemptError>) -> Refusal {
         let is_expired = call.deadline() <= Instant::now() + MIN_REMAINING;
         match last {
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -72,8 +72,11 @@
     #[must_use]
     pub fn retry_after(self) -> Option<Duration> {
         match self {
-            Self::NoConfiguration => Some(Duration::from_millis(300)),
-            Self::NoServer | Self::Overloaded => Some(Duration::from_millis(150)),
+            // Reading the configuration takes up to a second after the store's return.
+            Self::NoConfiguration => Some(Duration::from_secs(1)),
+            Self::NoServer => Some(Duration::from_millis(150)),
+            // A burst outlasts a short wait, and a caller that is refused twice is worse off than one that waits once.
+            Self::Overloaded => Some(Duration::from_millis(1_200)),
             Self::Quarantined => Some(Duration::from_secs(30)),
             _ => None,
         }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -28,6 +28,11 @@
     begun: Begun,
     events: EventSplitter,
     events_sent_bytes: usize,
+    /// Time from the request's head to the first event.
+    first_event: Option<Duration>,
+    /// Time at which the last events were passed on.
+    last_sent: Instant,
+    longest_pause: Duration,
 }
 
 /// Why a stream does not go on at its server.
@@ -54,6 +59,9 @@
             attempts,
             begun,
             events_sent_bytes: 0,
+            first_event: None,
+            last_sent: Instant::now(),
+            longest_pause: Duration::ZERO,
         }
     }
 
@@ -62,7 +70,7 @@
             let mut relay = relay?;
             match relay.next().await {
                 Ok(Some(data)) => {
-                    relay.events_sent_bytes += data.len();
+                    relay.on_sent(&data);
                     Some((Ok(data), Some(relay)))
                 }
                 Ok(None) => {
@@ -77,6 +85,17 @@
         }))
     }
 
+    fn on_sent(&mut self, data: &Bytes) {
+        let now = Instant::now();
+        self.events_sent_bytes += data.len();
+        if self.first_event.is_none() {
+            self.first_event = Some(now - self.call.arrived);
+        } else {
+            self.longest_pause = self.longest_pause.max(now - self.last_sent);
+        }
+        self.last_sent = now;
+    }
+
     fn log(&self, outcome: &str) {
         tracing::info!(
             request = self.call.id,
@@ -84,6 +103,8 @@
             server = self.begun.flight.server.id,
             outcome,
             sends = self.attempts.tried.len(),
+            first_event_ms = self.first_event.map(|time| time.as_millis()),
+            longest_pause_ms = self.longest_pause.as_millis(),
             last_event = self.events.last_id(),
             bytes = self.events_sent_bytes,
             total_ms = self.call.arrived.elapsed().as_millis(),
