--- a/crates/core/src/dispatch/cost.rs
+++ b/crates/core/src/dispatch/cost.rs
@@ -13,7 +13,7 @@
 
 /// Share of the pause limit that is planned for; the rest covers the way of an event to its caller and what other
 /// entries send at the same moment.
-const PAUSE_SHARE: f64 = 0.85;
+const PAUSE_SHARE: f64 = 0.8;
 /// Excess over the planned pause at which a stream is certainly late.
 const CERTAIN_EXCESS: f64 = 0.3;
 /// Cost of a stream whose own events would come at twice the limit, in milliseconds.
@@ -74,10 +74,10 @@
             event_tokens: 6,
             pause_limit_ms: 200.0,
             late_stream_ms: 100.0,
-            disturbed_stream_ms: 4.0,
+            disturbed_stream_ms: 8.0,
             busy_prefill_ms: 200.0,
             running_request_ms: 0.7,
-            order_ms: 60.0,
+            order_ms: 100.0,
             other_zone_ms: 5.0,
             other_zone_ms_per_kb: 3.0,
             read_again_factor: 3.0,
@@ -168,7 +168,9 @@
             return 0.0;
         }
         let load = self.load(now);
-        let missing = self.cache.missing_tokens(&demand.parts, demand.prompt_tokens);
+        let missing = self
+            .cache
+            .missing_tokens(&demand.parts, demand.prompt_tokens);
         let tokens = load.waiting_tokens.saturating_add(missing);
         let excess = self.pause_excess(settings, self.running(now) + 1, tokens);
         f64::from(load.streams) * (excess / CERTAIN_EXCESS).min(1.0)
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -28,9 +28,9 @@
 /// Servers that one call is sent to at most, refusals included.
 const MAX_SENDS: usize = 4;
 /// Streams that a long prompt may make late; a bet that the estimate is too careful.
-const MAX_HARMED_STREAMS: f64 = 3.0;
+const MAX_HARMED_STREAMS: f64 = 1.0;
 /// Streams that a call of the next lower rank may make late less.
-const HARMED_PER_RANK: f64 = 0.3;
+const HARMED_PER_RANK: f64 = 0.1;
 /// Share of the latency objective for which a long prompt waits for room, as a fraction.
 const ROOM_SHARE: (u32, u32) = (2, 5);
 /// Interval at which a waiting call looks for room.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -27,7 +27,7 @@
 /// Interval of summaries to entries of the same availability zone while the load changes.
 const NEAR_INTERVAL: Duration = Duration::from_millis(15);
 /// Near intervals between two summaries to other availability zones.
-const FAR_EVERY: u32 = 4;
+const FAR_EVERY: u32 = 6;
 /// Near intervals between two summaries without a change.
 const HEARTBEAT_EVERY: u32 = 66;
 /// Silence after which an entry is not counted any more.
