--- a/crates/core/src/dispatch/cost.rs
+++ b/crates/core/src/dispatch/cost.rs
@@ -92,6 +92,15 @@
     pub fn is_long(&self, demand: &Demand) -> bool {
         demand.prompt_tokens >= self.long_prompt_tokens
     }
+
+    /// Share of the pause limit by which the events of a server's streams would come too late.
+    fn pause_excess(&self, running: u32, waiting_tokens: u32) -> f64 {
+        let chunks = waiting_tokens.div_ceil(self.chunk_tokens.max(1));
+        let step_ms = self.step_ms + f64::from(running) * self.step_request_ms;
+        let pause_ms = f64::from(self.event_tokens) * step_ms
+            + f64::from(chunks.min(self.event_tokens)) * self.chunk_ms;
+        (pause_ms / self.pause_limit_ms - PAUSE_SHARE).max(0.0)
+    }
 }
 
 /// Returns `part / whole` for counts.
@@ -144,7 +153,7 @@
             + f64::from(running) * settings.running_request_ms
             + full * FULL_PENALTY_MS;
         let tokens = load.waiting_tokens.saturating_add(missing);
-        let excess = self.pause_excess(settings, running + 1, tokens);
+        let excess = settings.pause_excess(running + 1, tokens);
         let neighbours_ms = if settings.is_long(demand) {
             let streams = f64::from(load.streams);
             streams * (settings.disturbed_stream_ms + excess * settings.late_stream_ms)
@@ -172,19 +181,10 @@
             .cache
             .missing_tokens(&demand.parts, demand.prompt_tokens);
         let tokens = load.waiting_tokens.saturating_add(missing);
-        let excess = self.pause_excess(settings, self.running(now) + 1, tokens);
+        let excess = settings.pause_excess(self.running(now) + 1, tokens);
         f64::from(load.streams) * (excess / CERTAIN_EXCESS).min(1.0)
     }
 
-    /// Share of the pause limit by which the events of the server's streams would come too late.
-    fn pause_excess(&self, settings: &CostSettings, running: u32, waiting_tokens: u32) -> f64 {
-        let chunks = waiting_tokens.div_ceil(settings.chunk_tokens.max(1));
-        let step_ms = settings.step_ms + f64::from(running) * settings.step_request_ms;
-        let pause_ms = f64::from(settings.event_tokens) * step_ms
-            + f64::from(chunks.min(settings.event_tokens)) * settings.chunk_ms;
-        (pause_ms / settings.pause_limit_ms - PAUSE_SHARE).max(0.0)
-    }
-
     /// Estimated time to the first token.
     pub(super) fn first_token_ms(
         &self,
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,12 +1,13 @@
 //! Serves a call: chooses servers, sends the call, and decides what a failed attempt allows.
 
+use std::io;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use async_io::Timer;
 use bytes::{Bytes, BytesMut};
-use futures_lite::future;
+use futures_lite::{StreamExt, future, stream};
 use http::{Response, StatusCode};
 use tanagerford_core::dispatch::{CallEnd, CallNumber, Choice};
 use tanagerford_core::ids::ServerId;
@@ -136,7 +137,7 @@
         };
         let now = self.fleet.now();
         self.with_budget(&pool_name, |budget| {
-            budget.on_request(now, &self.settings.budget)
+            budget.on_request(now, &self.settings.budget);
         });
         if !self.wait_for_room(&call, &pool).await {
             return self.refuse(Some(&call.id), Refusal::Overloaded, call.arrived);
@@ -154,7 +155,7 @@
                 Err(None) => break,
             }
         }
-        let refusal = self.refusal(&call, &attempts, last);
+        let refusal = refusal(&call, &attempts, last);
         self.refuse(Some(&call.id), refusal, call.arrived)
     }
 
@@ -189,17 +190,6 @@
         }
     }
 
-    fn refusal(&self, call: &Call, attempts: &Attempts, last: Option<AttemptError>) -> Refusal {
-        let is_expired = call.deadline() <= Instant::now() + MIN_REMAINING;
-        match last {
-            _ if attempts.runs > 0 && is_expired => Refusal::TimedOut,
-            _ if attempts.runs > 0 => Refusal::ServerFailed,
-            _ if is_expired => Refusal::Expired,
-            Some(AttemptError::NotRun) => Refusal::Overloaded,
-            _ => Refusal::NoServer,
-        }
-    }
-
     /// Returns whether the call may be sent to another server after `error`, and takes it from the budget.
     pub(crate) fn may_repeat(
         &self,
@@ -409,63 +399,124 @@
         self.deliver_whole(call, begun).await
     }
 
-    /// Holds the answer until it is whole, so that a cut one can be told from a whole one.
+    /// Holds the answer until it is whole, so that a cut one can be told from a whole one. A long one is passed on as it
+    /// arrives.
     async fn deliver_whole(self: &Arc<Self>, call: Arc<Call>, begun: Begun) -> Reply {
-        let Begun {
-            flight,
-            mut answer,
-            first,
-        } = begun;
+        let mut whole = HeldAnswer {
+            gateway: Arc::clone(self),
+            call,
+            begun,
+            bytes: 0,
+        };
+        let mut head = clone_head(&whole.begun.answer.head);
+        self.codec.strip_answer(&mut head);
         let mut body = BytesMut::new();
-        body.extend_from_slice(&first.unwrap_or_default());
         loop {
-            let remaining = call.deadline().saturating_duration_since(Instant::now());
-            let part = future::or(
-                async { answer.next().await.map_err(|_| Refusal::ServerFailed) },
-                async {
-                    Timer::after(remaining).await;
-                    Err(Refusal::TimedOut)
-                },
-            );
-            match part.await {
+            match whole.next().await {
                 Ok(Some(part)) => body.extend_from_slice(&part),
                 Ok(None) => break,
                 Err(refusal) => {
-                    flight.pool.beliefs().on_outcome(
-                        self.fleet.now(),
-                        &flight.server.id,
-                        CallEnd::Broken,
-                    );
+                    let call = &whole.call;
                     return self.refuse(Some(&call.id), refusal, call.arrived);
                 }
             }
             if body.len() > MAX_HELD_BYTES {
-                tracing::debug!(
-                    request = call.id,
-                    bytes = body.len(),
-                    "holding a large answer"
-                );
+                return self.finish(head.map(|()| whole.into_body(body.freeze())));
             }
         }
-        let mut head = clone_head(&answer.head);
-        if head.status().is_server_error() {
-            flight
-                .pool
-                .beliefs()
-                .on_outcome(self.fleet.now(), &flight.server.id, CallEnd::Failed);
-        }
-        self.codec.strip_answer(&mut head);
         head.headers_mut().remove(http::header::CONTENT_LENGTH);
+        self.finish(head.map(|()| Body::whole(body.freeze())))
+    }
+}
+
+/// Answer that is no stream of events.
+struct HeldAnswer<C> {
+    gateway: Arc<Gateway<C>>,
+    call: Arc<Call>,
+    begun: Begun,
+    /// Size of the body so far.
+    bytes: usize,
+}
+
+impl<C: Codec> HeldAnswer<C> {
+    /// Returns the next part of the body.
+    async fn next(&mut self) -> Result<Option<Bytes>, Refusal> {
+        if let Some(first) = self.begun.first.take() {
+            self.bytes += first.len();
+            return Ok(Some(first));
+        }
+        let deadline = self.call.deadline();
+        let remaining = deadline.saturating_duration_since(Instant::now());
+        let answer = &mut self.begun.answer;
+        let part = async { answer.next().await.map_err(|_| Refusal::ServerFailed) };
+        let expired = async {
+            Timer::after(remaining).await;
+            Err(Refusal::TimedOut)
+        };
+        let part = future::or(part, expired).await;
+        match &part {
+            Ok(Some(data)) => self.bytes += data.len(),
+            Ok(None) => self.on_whole(),
+            Err(_) => self.record(CallEnd::Broken),
+        }
+        part
+    }
+
+    fn on_whole(&self) {
+        let status = self.begun.answer.head.status();
+        if status.is_server_error() {
+            self.record(CallEnd::Failed);
+        }
         tracing::info!(
-            request = call.id,
-            route = call.route.name,
-            server = flight.server.id,
-            status = head.status().as_u16(),
-            bytes = body.len(),
-            total_ms = call.arrived.elapsed().as_millis(),
+            request = self.call.id,
+            route = self.call.route.name,
+            server = self.begun.flight.server.id,
+            status = status.as_u16(),
+            bytes = self.bytes,
+            total_ms = self.call.arrived.elapsed().as_millis(),
             "answered"
         );
-        self.finish(head.map(|()| Body::whole(body.freeze())))
+    }
+
+    fn record(&self, end: CallEnd) {
+        let flight = &self.begun.flight;
+        let now = self.gateway.fleet.now();
+        flight
+            .pool
+            .beliefs()
+            .on_outcome(now, &flight.server.id, end);
+    }
+
+    /// Passes on what was held and then each part as it arrives.
+    fn into_body(self, held: Bytes) -> Body {
+        let rest = stream::unfold(Some(self), |answer| async {
+            let mut answer = answer?;
+            match answer.next().await {
+                Ok(Some(part)) => Some((Ok(part), Some(answer))),
+                Ok(None) => None,
+                Err(refusal) => {
+                    tracing::warn!(
+                        request = answer.call.id,
+                        reason = refusal.name(),
+                        "answer is cut"
+                    );
+                    Some((Err(io::ErrorKind::ConnectionAborted.into()), None))
+                }
+            }
+        });
+        Body::streamed(stream::once(Ok(held)).chain(rest))
+    }
+}
+
+/// Returns what a call that no server answered is told.
+fn refusal(call: &Call, attempts: &Attempts, last: Option<AttemptError>) -> Refusal {
+    let is_expired = call.deadline() <= Instant::now() + MIN_REMAINING;
+    match last {
+        _ if attempts.runs > 0 && is_expired => Refusal::TimedOut,
+        _ if attempts.runs > 0 => Refusal::ServerFailed,
+        _ if is_expired => Refusal::Expired,
+        Some(AttemptError::NotRun) => Refusal::Overloaded,
+        _ => Refusal::NoServer,
     }
 }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -196,9 +196,8 @@
                     self.begun = begun;
                     return Ok(());
                 }
-                Ok(_) => return Err(error),
                 Err(Some(next)) => last = next,
-                Err(None) => return Err(error),
+                Ok(_) | Err(None) => return Err(error),
             }
         }
     }
--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -119,7 +119,7 @@
             Ok(read) if read == *settings => tracing::info!("settings read again; nothing changed"),
             Ok(_) => tracing::info!("settings changed; they are used from the next start"),
             Err(error) => {
-                tracing::warn!(?error, "changed settings cannot be read; the old ones stay")
+                tracing::warn!(?error, "changed settings cannot be read; the old ones stay");
             }
         }
     }
