Close the listener of a stopping entry

Ruled out: kept connections (they had ended at 2.5 s). The new test fails on the old code and passes now.

--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -128,12 +128,19 @@
 
     async fn accept(self, service: Arc<impl Service>) {
         loop {
-            match self.socket.accept().await {
-                Ok((stream, peer)) => self.open(stream, peer, &service),
-                Err(error) => {
+            let stopped = async {
+                let _ = self.stopped.recv().await;
+                None
+            };
+            let accepted = async { Some(self.socket.accept().await) };
+            match future::or(stopped, accepted).await {
+                Some(Ok((stream, peer))) => self.open(stream, peer, &service),
+                Some(Err(error)) => {
                     tracing::warn!(%error, "cannot accept a connection");
                     Timer::after(ACCEPT_PAUSE).await;
                 }
+                // The socket is closed here: a caller that comes later is refused before it sends anything.
+                None => return,
             }
         }
     }
@@ -155,7 +162,7 @@
 }
 
 impl ServerStop {
-    /// Ends idle connections now and busy ones after their answer.
+    /// Closes the listener and idle connections now, and busy connections after their answer.
     pub fn end_connections(&self) {
         self.stop.close();
     }
