Copy a newer configuration from a peer when the store turns an entry away

Cause: an entry that the store refuses kept its configuration, and with it keys that were taken back, for as long as the store refused it. Summaries carry the version; an entry that is still behind 300 ms after it heard of a newer version reads the document from that peer over TCP. Ruled out: polling the store more often, which it refuses all the same. Tests: peers (2), feed and store against a stand-in (7), path (20); all pass.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -50,7 +50,8 @@
     pub(crate) metrics: Metrics,
     pub(crate) summaries: Arc<Summaries>,
     pub(crate) next_call: AtomicU64,
-    table: RwLock<Option<Arc<RoutingTable>>>,
+    /// Configuration in force with the document that it was read from.
+    configuration: RwLock<Option<(Arc<RoutingTable>, Bytes)>>,
     budgets: Mutex<HashMap<PoolId, RetryBudget>>,
     entries: AtomicUsize,
     is_stopping: AtomicBool,
@@ -74,7 +75,7 @@
             metrics: Metrics::default(),
             summaries: Arc::default(),
             next_call: AtomicU64::new(0),
-            table: RwLock::default(),
+            configuration: RwLock::default(),
             budgets: Mutex::default(),
             is_stopping: AtomicBool::new(false),
         })
@@ -83,19 +84,36 @@
     /// Returns the configuration in force.
     #[must_use]
     pub fn table(&self) -> Option<Arc<RoutingTable>> {
-        let table = self.table.read().unwrap_or_else(PoisonError::into_inner);
-        table.clone()
+        let configuration = self
+            .configuration
+            .read()
+            .unwrap_or_else(PoisonError::into_inner);
+        configuration.as_ref().map(|(table, _)| Arc::clone(table))
     }
 
-    /// Puts a configuration in force unless it is older than the present one; returns whether it did.
-    pub fn set_table(&self, table: RoutingTable) -> bool {
-        let mut current = self.table.write().unwrap_or_else(PoisonError::into_inner);
-        let old = current.as_ref().map(|table| table.version);
+    /// Returns the document of the configuration in force.
+    #[must_use]
+    pub fn document(&self) -> Option<Bytes> {
+        let configuration = self
+            .configuration
+            .read()
+            .unwrap_or_else(PoisonError::into_inner);
+        configuration.as_ref().map(|(_, document)| document.clone())
+    }
+
+    /// Puts a configuration in force unless it is older than the present one; returns whether it did. `document` is
+    /// what the table was read from.
+    pub fn set_configuration(&self, table: RoutingTable, document: Bytes) -> bool {
+        let mut current = self
+            .configuration
+            .write()
+            .unwrap_or_else(PoisonError::into_inner);
+        let old = current.as_ref().map(|(table, _)| table.version);
         if old.is_some_and(|version| version >= table.version) {
             return false;
         }
         tracing::info!(version = table.version, old, "configuration in force");
-        *current = Some(Arc::new(table));
+        *current = Some((Arc::new(table), document));
         true
     }
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -4,6 +4,9 @@
 //! prompt parts it sent where. A summary replaces the previous one of its sender, so lost, repeated and reordered
 //! datagrams do no harm. Entries of the same availability zone are told almost at once, others in larger intervals:
 //! bytes between zones cost money, and most calls stay in their zone.
+//!
+//! A summary also tells the version of the sender's configuration. An entry that hears of a newer one than its own and
+//! does not get it from the store in time reads it from that peer: the store may turn single entries away.
 
 use std::collections::{BTreeMap, HashMap};
 use std::io;
@@ -13,16 +16,23 @@
 use std::time::Duration;
 
 use async_io::{Async, Timer};
+use bytes::{Bytes, BytesMut};
+use futures_lite::future;
+use http::{HeaderValue, Request, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
 use prost::Message;
 use tanagerford_core::dispatch::{Demand, EntryLoad, PromptPart};
 use tanagerford_core::ids::{ServerId, ZoneId};
 use tanagerford_http::outbound::SharedExecutor;
+use tanagerford_http::server::{Server, ServerLimits, Service};
+use tanagerford_http::{Body, Reply};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::codec::Codec;
 use crate::fleet::BackendServer;
 use crate::gateway::Gateway;
-use crate::table::Version;
+use crate::table::{RoutingTable, Version};
 
 /// Interval of summaries to entries of the same availability zone while the load changes.
 const NEAR_INTERVAL: Duration = Duration::from_millis(15);
@@ -39,6 +49,16 @@
 /// Largest datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 8 * 1024;
 
+/// Time for which an entry waits for the store before it asks a peer for a newer configuration.
+const STORE_HEAD_START: Duration = Duration::from_millis(300);
+/// Longest time of a peer's answer with a configuration.
+const COPY_TIMEOUT: Duration = Duration::from_secs(2);
+/// Path of the copy of the configuration.
+const CONFIGURATION_PATH: &str = "/configuration";
+
+/// Reads a configuration document; `None` when it cannot be read.
+pub type DecodeConfiguration = fn(&[u8]) -> Option<RoutingTable>;
+
 /// Short number of a server in summaries.
 type ServerNumber = u32;
 
@@ -106,7 +126,6 @@
 #[derive(Debug)]
 struct Heard {
     sequence: u64,
-    version: Version,
     at: Duration,
     servers: Vec<ServerNumber>,
 }
@@ -169,10 +188,39 @@
     own_address: SocketAddr,
     boot: u64,
     heard: Mutex<HashMap<u64, Heard>>,
+    decode: DecodeConfiguration,
+    /// Whether a copy of a newer configuration is being read.
+    is_copying: AtomicBool,
+    executor: SharedExecutor,
+}
+
+/// Gives peers the copy of the configuration.
+struct CopyService<C>(Arc<Gateway<C>>);
+
+impl<C: Codec> Service for CopyService<C> {
+    async fn answer(&self, request: Request<Incoming>, _peer: SocketAddr) -> Reply {
+        let document = self.0.document();
+        let (status, body) = match document {
+            Some(document) if request.uri().path() == CONFIGURATION_PATH => {
+                (StatusCode::OK, document)
+            }
+            _ => (StatusCode::NOT_FOUND, Bytes::new()),
+        };
+        let mut reply = Reply::new(Body::whole(body));
+        *reply.status_mut() = status;
+        reply
+    }
+
+    fn limits(&self) -> ServerLimits {
+        ServerLimits {
+            max_header_bytes: 8 * 1024,
+            idle_timeout: COPY_TIMEOUT,
+        }
+    }
 }
 
 impl<C: Codec> PeerExchange<C> {
-    /// Binds the socket for summaries.
+    /// Binds the sockets for summaries (UDP) and copies of the configuration (TCP) to the same port.
     ///
     /// # Errors
     ///
@@ -181,7 +229,12 @@
         gateway: Arc<Gateway<C>>,
         address: SocketAddr,
         zone: impl Into<ZoneId>,
+        decode: DecodeConfiguration,
+        executor: SharedExecutor,
     ) -> io::Result<Arc<Self>> {
+        let copies = Server::bind(address, Arc::clone(&executor))?;
+        let address = copies.address()?;
+        copies.start(Arc::new(CopyService(Arc::clone(&gateway))));
         Ok(Arc::new(Self {
             gateway,
             socket: Async::<UdpSocket>::bind(address)?,
@@ -189,13 +242,55 @@
             own_address: address,
             boot: rand::random(),
             heard: Mutex::default(),
+            decode,
+            is_copying: AtomicBool::new(false),
+            executor,
         }))
     }
 
+    /// Returns the bound address.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.own_address
+    }
+
     /// Starts sending and receiving in tasks of the executor.
-    pub fn start(self: Arc<Self>, executor: &SharedExecutor) {
-        executor.spawn(Arc::clone(&self).send_all()).detach();
-        executor.spawn(self.receive_all()).detach();
+    pub fn start(self: &Arc<Self>) {
+        self.executor.spawn(Arc::clone(self).send_all()).detach();
+        self.executor.spawn(Arc::clone(self).receive_all()).detach();
+    }
+
+    /// Reads the configuration from a peer unless the store delivers it first.
+    async fn copy_newer(self: Arc<Self>, peer: SocketAddr, version: Version) {
+        Timer::after(STORE_HEAD_START).await;
+        if self.gateway.version().unwrap_or(0) < version {
+            let expired = async {
+                Timer::after(COPY_TIMEOUT).await;
+                Err("timeout".to_owned())
+            };
+            match future::or(self.copy(peer), expired).await {
+                Ok(()) => tracing::info!(%peer, version, "configuration copied from a peer"),
+                Err(error) => tracing::warn!(%peer, version, error, "configuration was not copied"),
+            }
+        }
+        self.is_copying.store(false, Ordering::Release);
+    }
+
+    async fn copy(&self, peer: SocketAddr) -> Result<(), String> {
+        let mut request = Request::new(Full::new(Bytes::new()));
+        *request.uri_mut() = http::Uri::from_static(CONFIGURATION_PATH);
+        let host = HeaderValue::from_str(&peer.to_string()).map_err(|error| error.to_string())?;
+        request.headers_mut().insert(http::header::HOST, host);
+        let outbound = &self.gateway.outbound;
+        let sent = outbound.send(peer, request, COPY_TIMEOUT, false).await;
+        let mut answer = sent.map_err(|error| format!("{error:?}"))?;
+        let mut document = BytesMut::new();
+        while let Some(part) = answer.next().await.map_err(|error| error.to_string())? {
+            document.extend_from_slice(&part);
+        }
+        let table = (self.decode)(&document).ok_or("the document cannot be read")?;
+        self.gateway.set_configuration(table, document.freeze());
+        Ok(())
     }
 
     async fn send_all(self: Arc<Self>) {
@@ -273,7 +368,7 @@
         loop {
             match self.socket.recv_from(&mut buffer).await {
                 Ok((length, sender)) => match Summary::decode(&buffer[..length]) {
-                    Ok(summary) => self.take(&summary),
+                    Ok(summary) => self.take(&summary, sender),
                     Err(error) => tracing::debug!(%sender, %error, "datagram is no summary"),
                 },
                 Err(error) => {
@@ -284,14 +379,13 @@
         }
     }
 
-    fn take(&self, summary: &Summary) {
+    fn take(self: &Arc<Self>, summary: &Summary, sender: SocketAddr) {
         let now = self.gateway.fleet().now();
         let mut heard = lock(&self.heard);
         let known = heard.entry(summary.boot).or_insert_with(|| {
             tracing::info!(peer = summary.boot, "heard of another entry");
             Heard {
                 sequence: 0,
-                version: 0,
                 at: now,
                 servers: Vec::new(),
             }
@@ -300,11 +394,16 @@
             return;
         }
         known.sequence = summary.sequence;
-        known.version = summary.version;
         known.at = now;
         let present: Vec<_> = summary.loads.iter().map(|load| load.server).collect();
         let ended = std::mem::replace(&mut known.servers, present);
         drop(heard);
+        if summary.version > self.gateway.version().unwrap_or(0)
+            && !self.is_copying.swap(true, Ordering::AcqRel)
+        {
+            let copy = Arc::clone(self).copy_newer(sender, summary.version);
+            self.executor.spawn(copy).detach();
+        }
         let mut loads: HashMap<ServerNumber, EntryLoad> = ended
             .into_iter()
             .map(|server| (server, EntryLoad::default()))
--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -22,10 +22,10 @@
 use tanagerford_http::{Body, Reply};
 use tanagerford_platform::READINESS_PATH;
 use tanagerford_platform::codec::PlatformCodec;
-use tanagerford_platform::entries;
 use tanagerford_platform::feed::Feed;
 use tanagerford_platform::settings::{self, PlatformSettings, SETTINGS_VARIABLE};
 use tanagerford_platform::store::Store;
+use tanagerford_platform::{document, entries};
 
 use crate::error::Error;
 use crate::{process, util};
@@ -101,8 +101,14 @@
     server.start(Arc::new(CallerService(Arc::clone(&gateway))));
     let readiness = Server::bind(readiness, Arc::clone(&executor))?;
     readiness.start(Arc::new(Readiness(Arc::clone(&gateway))));
-    let exchange = PeerExchange::bind(Arc::clone(&gateway), settings.peers, settings.zone.clone())?;
-    exchange.start(&executor);
+    let exchange = PeerExchange::bind(
+        Arc::clone(&gateway),
+        settings.peers,
+        settings.zone.clone(),
+        document::read_copy,
+        Arc::clone(&executor),
+    )?;
+    exchange.start();
     let store = Store::new(settings.store);
     Feed::new(store, Arc::clone(&gateway), entries::registration(settings)).start()?;
     for index in 0..settings.cores {
