Let one long prompt a second in where every server is full of streams

Cause: a test of calm load showed that a cold long prompt counts as harm to every stream of its server, so where no server is free of streams long prompts would starve. The decision now stands in dispatch::RoomGate, apart from the waiting.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -10,6 +10,7 @@
 mod cache;
 mod cost;
 mod health;
+mod room;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -19,6 +20,7 @@
 pub use cache::PartCache;
 pub use cost::CostSettings;
 pub use health::{CallEnd, Health};
+pub use room::{Room, RoomGate};
 
 /// Number of one prompt part; equal parts have equal numbers.
 pub type PartId = u64;
@@ -68,7 +70,7 @@
 }
 
 /// Chosen server with what decided it.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct Choice {
     /// Name of the server.
     pub server: ServerId,
--- /dev/null
+++ b/crates/core/tests/dispatch.rs
@@ -0,0 +1,334 @@
+//! Tests of the choice of a server by an entry.
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use tanagerford_core::dispatch::{
+    CallEnd, Choice, CostSettings, Demand, EntryLoad, Pool, PromptPart, ReportedLoad, Room,
+    RoomGate, ServerSpec,
+};
+
+const NOW: Duration = Duration::from_secs(100);
+
+fn spec(id: impl Into<String>, zone: &str) -> ServerSpec {
+    ServerSpec {
+        id: id.into(),
+        zone: zone.to_owned(),
+        slots: 64,
+        memory_tokens: 300_000,
+    }
+}
+
+/// Pool of `count` servers in the zone of the entry.
+fn pool(count: usize) -> Pool {
+    let mut pool = Pool::new("zone-a", CostSettings::default());
+    let specs: Vec<_> = (0..count)
+        .map(|index| spec(format!("s-{index}"), "zone-a"))
+        .collect();
+    pool.set_servers(&specs);
+    pool
+}
+
+fn long_prompt(subject: u64, own: u64) -> Demand {
+    let part = |id, tokens| PromptPart { id, tokens };
+    Demand {
+        parts: vec![part(1, 2_520), part(subject, 3_780), part(own, 2_890)],
+        prompt_tokens: 9_190,
+        output_tokens: 54,
+        body_bytes: 18_000,
+    }
+}
+
+fn short_prompt(own: u64) -> Demand {
+    Demand {
+        parts: vec![PromptPart {
+            id: 1_000_000 + own,
+            tokens: 700,
+        }],
+        prompt_tokens: 700,
+        output_tokens: 290,
+        body_bytes: 1_700,
+    }
+}
+
+/// Guards against prompts that are read again on another server while the one that holds them is free.
+#[test]
+fn a_prompt_goes_where_its_shared_parts_are() {
+    let mut pool = pool(9);
+    let first = pool.choose(NOW, &long_prompt(7, 100), &[]).unwrap();
+    assert_eq!(first.uncached_tokens, 9_190);
+    pool.on_start(NOW, &first.server, 0, &long_prompt(7, 100));
+    pool.on_end(&first.server, 0);
+    let again = pool.choose(NOW, &long_prompt(7, 101), &[]).unwrap();
+    assert_eq!((again.server, again.uncached_tokens), (first.server, 2_890));
+}
+
+/// Guards against a hot prompt that overloads the one server that holds it: the busiest server of two fixed ones for each
+/// prefix had 2.2 times the mean load.
+#[test]
+fn a_hot_prompt_spreads_when_its_server_is_busy() {
+    let mut pool = pool(9);
+    let mut used = std::collections::BTreeSet::new();
+    for call in 0..40 {
+        let demand = long_prompt(7, 1_000 + call);
+        let choice = pool.choose(NOW, &demand, &[]).unwrap();
+        pool.on_start(NOW, &choice.server, call, &demand);
+        used.insert(choice.server);
+    }
+    assert!(used.len() > 3, "{used:?}");
+    let loads = pool.own_loads().map(|(_, load)| load.waiting_tokens);
+    let most = loads.max().unwrap();
+    assert!(most < 40 * 9_190 / 4, "{most}");
+}
+
+/// Guards against streams and long prompts that share servers while there is room to keep them apart: each chunk of a long
+/// prompt delays the tokens of all streams on its server.
+#[test]
+fn long_prompts_and_streams_use_different_servers() {
+    let mut pool = pool(9);
+    let mut with_streams = std::collections::BTreeSet::new();
+    let mut with_prompts = std::collections::BTreeSet::new();
+    for call in 0..60 {
+        let at = NOW + Duration::from_millis(20 * call);
+        let is_stream = call % 2 == 0;
+        let demand = if is_stream {
+            short_prompt(call)
+        } else {
+            long_prompt(call % 14, 1_000 + call)
+        };
+        let choice = pool.choose(at, &demand, &[]).unwrap();
+        pool.on_start(at, &choice.server, call, &demand);
+        pool.on_first_part(&choice.server, call);
+        if is_stream {
+            with_streams.insert(choice.server);
+        } else {
+            pool.on_end(&choice.server, call);
+            with_prompts.insert(choice.server);
+        }
+    }
+    let shared: Vec<_> = with_streams.intersection(&with_prompts).collect();
+    assert!(shared.is_empty(), "{shared:?}");
+}
+
+/// Replays the double burst of streams that fills every server (scale-2 of zpw-tanager, seconds 14 to 18). Guards against
+/// long prompts that are let in where they make running streams late, and against prompts that never find room.
+#[test]
+fn a_long_prompt_finds_no_room_among_many_streams() {
+    let mut pool = pool(2);
+    let mut call = 0;
+    let mut add_streams = |pool: &mut Pool, count: u64| {
+        for server in ["s-0", "s-1"] {
+            for _ in 0..count {
+                call += 1;
+                pool.on_start(NOW, server, call, &short_prompt(call));
+                pool.on_first_part(server, call);
+            }
+        }
+        call
+    };
+    pool.on_start(NOW, "s-0", 9_000, &long_prompt(7, 100));
+    pool.on_end("s-0", 9_000);
+    add_streams(&mut pool, 10);
+    let quiet = pool.choose(NOW, &long_prompt(7, 101), &[]).unwrap();
+    assert!(quiet.harmed_streams <= 1.0, "{quiet:?}");
+    let last = add_streams(&mut pool, 45);
+    pool.on_start(NOW, "s-0", 9_000, &long_prompt(7, 100));
+    pool.on_start(NOW, "s-1", 9_001, &long_prompt(8, 101));
+    let burst = pool.choose(NOW, &long_prompt(9, 102), &[]).unwrap();
+    assert!(burst.harmed_streams > 5.0, "{burst:?}");
+    for ended in 21..=last {
+        pool.on_end("s-0", ended);
+        pool.on_end("s-1", ended);
+    }
+    pool.on_first_part("s-0", 9_000);
+    let after = pool.choose(NOW, &long_prompt(7, 102), &[]).unwrap();
+    assert!(after.harmed_streams <= 1.0, "{after:?}");
+}
+
+/// Guards against long prompts that starve where every server is full of streams all day, and against a lower rank that
+/// enters where a higher one waits.
+#[test]
+fn long_prompts_are_slowed_but_never_starved() {
+    let mut gate = RoomGate::default();
+    let full = Choice {
+        harmed_streams: 30.0,
+        ..Choice::default()
+    };
+    let decisions = (0..100_u64)
+        .map(|tick| gate.decide(NOW + Duration::from_millis(100 * tick), &full, 0, false));
+    assert_eq!(decisions.filter(|room| *room == Room::Enter).count(), 10);
+    let narrow = Choice {
+        harmed_streams: 0.85,
+        ..Choice::default()
+    };
+    assert_eq!(gate.decide(NOW, &narrow, 1, true), Room::Enter);
+    assert_eq!(gate.decide(NOW, &narrow, 2, true), Room::Wait);
+}
+
+/// Guards against servers that look idle because other entries send to them.
+#[test]
+fn load_of_other_entries_counts_until_they_fall_silent() {
+    let mut pool = pool(2);
+    let busy = EntryLoad {
+        flights: 30,
+        streams: 0,
+        waiting_tokens: 60_000,
+        memory_tokens: 0,
+    };
+    let idle = pool.choose(NOW, &short_prompt(1), &[]).unwrap().server;
+    pool.on_peer_load(NOW, 5, &idle, busy);
+    let other = pool.choose(NOW, &short_prompt(1), &[]).unwrap().server;
+    assert_ne!(other, idle);
+    let later = NOW + Duration::from_secs(10);
+    assert_eq!(
+        pool.choose(later, &short_prompt(1), &[]).unwrap().server,
+        idle
+    );
+    pool.on_peer_load(NOW, 5, &idle, EntryLoad::default());
+    assert_eq!(
+        pool.choose(NOW, &short_prompt(1), &[]).unwrap().server,
+        idle
+    );
+}
+
+/// Guards against calls to a server that cannot be reached, and against a pool without servers when all of them fail.
+#[test]
+fn a_server_that_cannot_be_reached_is_left_out_for_a_while() {
+    let mut pool = pool(3);
+    let demand = Demand::default();
+    let down = pool.choose(NOW, &demand, &[]).unwrap().server;
+    pool.on_outcome(NOW, &down, CallEnd::Unreachable);
+    let choice = pool.choose(NOW, &demand, &[]).unwrap();
+    assert_ne!(choice.server, down);
+    assert_eq!(choice.candidates, 2);
+    let later = NOW + Duration::from_secs(1);
+    assert_eq!(pool.choose(later, &demand, &[]).unwrap().candidates, 3);
+    for server in ["s-0", "s-1", "s-2"] {
+        pool.on_outcome(NOW, server, CallEnd::Unreachable);
+    }
+    assert_eq!(pool.choose(NOW, &demand, &[]).unwrap().candidates, 3);
+}
+
+/// Guards against a server that fails part of its calls and goes on getting as many as the others.
+#[test]
+fn a_server_that_fails_or_is_slow_gets_fewer_calls() {
+    for end in [
+        CallEnd::Failed,
+        CallEnd::Broken,
+        CallEnd::Answered { slowness: 8.0 },
+    ] {
+        let mut pool = pool(2);
+        let demand = short_prompt(1);
+        let first = pool.choose(NOW, &demand, &[]).unwrap().server;
+        for _ in 0..4 {
+            pool.on_outcome(NOW, &first, end);
+        }
+        assert_ne!(
+            pool.choose(NOW, &demand, &[]).unwrap().server,
+            first,
+            "{end:?}"
+        );
+    }
+}
+
+/// Guards against a cache that outlives the restart of its server.
+#[test]
+fn a_restarted_server_holds_nothing() {
+    let mut pool = pool(1);
+    pool.on_start(NOW, "s-0", 0, &long_prompt(7, 100));
+    pool.on_outcome(NOW, "s-0", CallEnd::Restarted);
+    assert_eq!(
+        pool.choose(NOW, &long_prompt(7, 101), &[])
+            .unwrap()
+            .uncached_tokens,
+        9_190
+    );
+}
+
+/// Guards against large bodies that cross availability zones while a near server is as good.
+#[test]
+fn a_near_server_goes_first() {
+    let mut pool = Pool::new("zone-a", CostSettings::default());
+    pool.set_servers(&[spec("far", "zone-b"), spec("near", "zone-a")]);
+    assert_eq!(
+        pool.choose(NOW, &long_prompt(7, 100), &[]).unwrap().server,
+        "near"
+    );
+    let report = ReportedLoad {
+        running: 90,
+        waiting: 20,
+    };
+    pool.on_load(NOW, "near", report);
+    assert_eq!(
+        pool.choose(NOW, &long_prompt(7, 100), &[]).unwrap().server,
+        "far"
+    );
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    Start(u8),
+    FirstPart(usize),
+    End(usize),
+    Outcome(u8, u8),
+    Servers(u8),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        any::<u8>().prop_map(Step::Start),
+        any::<usize>().prop_map(Step::FirstPart),
+        any::<usize>().prop_map(Step::End),
+        (any::<u8>(), any::<u8>()).prop_map(|(server, end)| Step::Outcome(server, end)),
+        (1..6_u8).prop_map(Step::Servers),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 200, failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(9), ..ProptestConfig::default() })]
+
+    /// Guards against a choice of an excluded server, and against load that stays after every call has ended.
+    #[test]
+    fn any_history_leaves_no_load_behind(steps in proptest::collection::vec(step(), 1..80)) {
+        let mut pool = pool(4);
+        let mut running: Vec<(u64, String)> = Vec::new();
+        for (number, step) in (0_u64..).zip(&steps) {
+            let now = NOW + Duration::from_millis(7 * number);
+            match step {
+                Step::Start(kind) => {
+                    let demand = if kind % 2 == 0 { short_prompt(number) } else { long_prompt(u64::from(*kind), number) };
+                    let excluded = [format!("s-{}", kind % 4)];
+                    if let Some(choice) = pool.choose(now, &demand, &excluded) {
+                        prop_assert_ne!(&choice.server, &excluded[0]);
+                        prop_assert!(choice.cost_ms.is_finite() && choice.cost_ms >= 0.0);
+                        pool.on_start(now, &choice.server, number, &demand);
+                        running.push((number, choice.server));
+                    }
+                }
+                Step::FirstPart(index) if !running.is_empty() => {
+                    let (call, server) = &running[index % running.len()];
+                    pool.on_first_part(server, *call);
+                }
+                Step::End(index) if !running.is_empty() => {
+                    let (call, server) = running.swap_remove(index % running.len());
+                    pool.on_end(&server, call);
+                }
+                Step::Outcome(server, end) => {
+                    let ends = [CallEnd::Failed, CallEnd::Broken, CallEnd::Unreachable, CallEnd::Silent, CallEnd::Refused];
+                    pool.on_outcome(now, &format!("s-{}", server % 4), ends[usize::from(*end) % ends.len()]);
+                }
+                Step::Servers(count) => {
+                    let specs: Vec<_> = (0..*count).map(|index| spec(format!("s-{index}"), "zone-a")).collect();
+                    pool.set_servers(&specs);
+                }
+                Step::FirstPart(_) | Step::End(_) => {}
+            }
+        }
+        for (call, server) in running {
+            pool.on_end(&server, call);
+        }
+        for (_, load) in pool.own_loads() {
+            prop_assert_eq!(load, EntryLoad::default());
+        }
+    }
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,15 +1,15 @@
 //! Serves a call: chooses servers, sends the call, and decides what a failed attempt allows.
 
 use std::io;
-use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::sync::{Arc, PoisonError};
 use std::time::{Duration, Instant};
 
 use async_io::Timer;
 use bytes::{Bytes, BytesMut};
 use futures_lite::{StreamExt, future, stream};
 use http::{Response, StatusCode};
-use tanagerford_core::dispatch::{CallEnd, CallNumber, Choice};
+use tanagerford_core::dispatch::{CallEnd, CallNumber, Choice, Room};
 use tanagerford_core::ids::ServerId;
 use tanagerford_http::outbound::{Answer, ExchangeError};
 use tanagerford_http::{Body, Reply};
@@ -28,10 +28,6 @@
 const MIN_REMAINING: Duration = Duration::from_millis(5);
 /// Servers that one call is sent to at most, refusals included.
 const MAX_SENDS: usize = 4;
-/// Streams that a long prompt may make late; a bet that the estimate is too careful.
-const MAX_HARMED_STREAMS: f64 = 1.0;
-/// Streams that a call of the next lower rank may make late less.
-const HARMED_PER_RANK: f64 = 0.1;
 /// Share of the latency objective for which a long prompt waits for room, as a fraction.
 const ROOM_SHARE: (u32, u32) = (2, 5);
 /// Interval at which a waiting call looks for room.
@@ -165,31 +161,38 @@
     /// caller can come back when the burst is over.
     async fn wait_for_room(&self, call: &Call, pool: &PoolState) -> bool {
         let until = call.arrived + call.route.target_latency * ROOM_SHARE.0 / ROOM_SHARE.1;
-        let allowed = MAX_HARMED_STREAMS - HARMED_PER_RANK * f64::from(call.priority());
         loop {
-            let choice = pool.beliefs().choose(self.fleet.now(), &call.demand, &[]);
+            let now = self.fleet.now();
+            let choice = pool.beliefs().choose(now, &call.demand, &[]);
             let Some(choice) = choice else {
                 return true;
             };
-            if choice.harmed_streams <= allowed.max(0.0) {
-                return true;
-            }
-            if Instant::now() >= until {
-                tracing::info!(
-                    request = call.id,
-                    route = call.route.name,
-                    server = choice.server,
-                    harmed_streams = choice.harmed_streams,
-                    waiting_tokens = choice.waiting_tokens,
-                    in_flight = choice.in_flight,
-                    "no room for a long prompt"
-                );
-                return false;
+            let may_wait = Instant::now() < until;
+            match self.decide_room(now, &choice, call.priority(), may_wait) {
+                Room::Enter => return true,
+                Room::Wait => {}
+                Room::Refuse => {
+                    tracing::info!(
+                        request = call.id,
+                        route = call.route.name,
+                        server = choice.server,
+                        harmed_streams = choice.harmed_streams,
+                        waiting_tokens = choice.waiting_tokens,
+                        in_flight = choice.in_flight,
+                        "no room for a long prompt"
+                    );
+                    return false;
+                }
             }
             Timer::after(ROOM_INTERVAL).await;
         }
     }
 
+    fn decide_room(&self, now: Duration, choice: &Choice, rank: u8, may_wait: bool) -> Room {
+        let mut gate = self.room.lock().unwrap_or_else(PoisonError::into_inner);
+        gate.decide(now, choice, rank, may_wait)
+    }
+
     /// Returns whether the call may be sent to another server after `error`, and takes it from the budget.
     pub(crate) fn may_repeat(
         &self,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -12,6 +12,7 @@
 use http::Request;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
+use tanagerford_core::dispatch::RoomGate;
 use tanagerford_core::ids::PoolId;
 use tanagerford_http::Reply;
 use tanagerford_http::outbound::{Outbound, SharedExecutor};
@@ -50,6 +51,7 @@
     pub(crate) metrics: Metrics,
     pub(crate) summaries: Arc<Summaries>,
     pub(crate) next_call: AtomicU64,
+    pub(crate) room: Mutex<RoomGate>,
     /// Configuration in force with the document that it was read from.
     configuration: RwLock<Option<(Arc<RoutingTable>, Bytes)>>,
     budgets: Mutex<HashMap<PoolId, RetryBudget>>,
@@ -75,6 +77,7 @@
             metrics: Metrics::default(),
             summaries: Arc::default(),
             next_call: AtomicU64::new(0),
+            room: Mutex::default(),
             configuration: RwLock::default(),
             budgets: Mutex::default(),
             is_stopping: AtomicBool::new(false),
