--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -73,6 +73,12 @@
     pub(crate) first: Option<Bytes>,
 }
 
+impl Begun {
+    fn is_server_failure(&self) -> bool {
+        self.answer.head.status().is_server_error()
+    }
+}
+
 /// How an attempt failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum AttemptError {
@@ -84,6 +90,8 @@
     Broken,
     /// No part of the answer came in time; the server may be running the call.
     Silent,
+    /// The server ran the call and reports a failure.
+    Failed,
 }
 
 impl AttemptError {
@@ -93,6 +101,7 @@
             Self::NotRun => "not_run",
             Self::Broken => "broken",
             Self::Silent => "silent",
+            Self::Failed => "failed",
         }
     }
 
@@ -102,6 +111,7 @@
             Self::NotRun => CallEnd::Refused,
             Self::Broken => CallEnd::Broken,
             Self::Silent => CallEnd::Silent,
+            Self::Failed => CallEnd::Failed,
         }
     }
 }
@@ -140,17 +150,27 @@
         }
         let mut attempts = Attempts::default();
         let mut last = None;
+        // Failure that a server reported; its caller gets it when no other server does better.
+        let mut reported = None;
         loop {
             if last.is_some_and(|error| !self.may_repeat(&call, &pool_name, &attempts, error)) {
                 break;
             }
             let resume = call.resume_after;
             match self.attempt(&call, &pool, &mut attempts, resume).await {
+                Ok(begun) if begun.is_server_failure() && reported.is_none() => {
+                    attempts.runs += 1;
+                    last = Some(AttemptError::Failed);
+                    reported = Some(begun);
+                }
                 Ok(begun) => return self.deliver(call, pool, attempts, begun).await,
                 Err(Some(error)) => last = Some(error),
                 Err(None) => break,
             }
         }
+        if let Some(begun) = reported {
+            return self.deliver(call, pool, attempts, begun).await;
+        }
         let refusal = refusal(&call, &attempts, last);
         self.refuse(Some(&call.id), refusal, call.arrived)
     }
@@ -207,7 +227,7 @@
         match error {
             AttemptError::Unreachable => true,
             AttemptError::NotRun => self.try_repeat(&pool.to_owned()),
-            AttemptError::Broken | AttemptError::Silent => {
+            AttemptError::Broken | AttemptError::Silent | AttemptError::Failed => {
                 call.repeat() != Repeat::AtMostOnce
                     && attempts.runs < call.route.max_attempts
                     && self.try_repeat(&pool.to_owned())
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -13,7 +13,7 @@
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_io::{Async, Timer};
 use bytes::{Bytes, BytesMut};
@@ -23,23 +23,22 @@
 use hyper::body::Incoming;
 use prost::Message;
 use tanagerford_core::dispatch::{Demand, EntryLoad, PromptPart};
-use tanagerford_core::ids::{ServerId, ZoneId};
+use tanagerford_core::ids::ZoneId;
 use tanagerford_http::outbound::SharedExecutor;
 use tanagerford_http::server::{Server, ServerLimits, Service};
 use tanagerford_http::{Body, Reply};
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::codec::Codec;
-use crate::fleet::BackendServer;
+use crate::fleet::{BackendServer, ServerNumber, server_number};
 use crate::gateway::Gateway;
 use crate::table::{RoutingTable, Version};
 
 /// Interval of summaries to entries of the same availability zone while the load changes.
 const NEAR_INTERVAL: Duration = Duration::from_millis(15);
-/// Near intervals between two summaries to other availability zones.
-const FAR_EVERY: u32 = 6;
-/// Near intervals between two summaries without a change.
-const HEARTBEAT_EVERY: u32 = 66;
+/// Shortest interval of summaries to entries of other availability zones.
+const FAR_INTERVAL: Duration = Duration::from_millis(90);
+/// Interval of summaries while nothing changes.
+const HEARTBEAT: Duration = Duration::from_secs(1);
 /// Silence after which an entry is not counted any more.
 const PEER_TIMEOUT: Duration = Duration::from_secs(5);
 /// Smallest part of a prompt that is worth telling, in tokens.
@@ -59,9 +58,6 @@
 /// Reads a configuration document; `None` when it cannot be read.
 pub type DecodeConfiguration = fn(&[u8]) -> Option<RoutingTable>;
 
-/// Short number of a server in summaries.
-type ServerNumber = u32;
-
 /// What an entry tells the others.
 #[derive(Clone, PartialEq, Message)]
 struct Summary {
@@ -114,9 +110,10 @@
 }
 
 /// What this entry has to tell, and to whom.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Summaries {
-    is_changed: AtomicBool,
+    /// Holds one message while the load of this entry has changed since the last summary.
+    change: (async_channel::Sender<()>, async_channel::Receiver<()>),
     near_parts: Mutex<Vec<SentPart>>,
     far_parts: Mutex<Vec<SentPart>>,
     peers: Mutex<BTreeMap<String, Peer>>,
@@ -130,19 +127,40 @@
     servers: Vec<ServerNumber>,
 }
 
-fn number(server: &str) -> ServerNumber {
-    let hash = xxh3_64(server.as_bytes());
-    u32::try_from(hash >> 32).unwrap_or(u32::MAX)
-}
-
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+impl Default for Summaries {
+    fn default() -> Self {
+        Self {
+            change: async_channel::bounded(1),
+            near_parts: Mutex::default(),
+            far_parts: Mutex::default(),
+            peers: Mutex::default(),
+        }
+    }
+}
+
 impl Summaries {
     /// Records that the load of this entry has changed.
     pub fn changed(&self) {
-        self.is_changed.store(true, Ordering::Release);
+        // A full channel already holds a change that was not told yet.
+        let _ = self.change.0.try_send(());
+    }
+
+    /// Waits for a change; returns false when there was none for `longest`.
+    async fn wait_changed(&self, longest: Duration) -> bool {
+        let changed = async { self.change.1.recv().await.is_ok() };
+        let expired = async {
+            Timer::after(longest).await;
+            false
+        };
+        future::or(changed, expired).await
+    }
+
+    fn take_change(&self) {
+        let _ = self.change.1.try_recv();
     }
 
     /// Records that a call was sent to a server.
@@ -156,7 +174,7 @@
         let parts = shared.iter().filter(|part| part.tokens >= MIN_PART_TOKENS);
         for part in parts {
             let sent = SentPart {
-                server: number(&server.id),
+                server: server_number(&server.id),
                 part: part.id,
                 tokens: part.tokens,
             };
@@ -295,27 +313,24 @@
 
     async fn send_all(self: Arc<Self>) {
         let mut sequence = 0;
-        let mut is_far_due = false;
-        let mut tick = 0_u32;
+        let mut last_far = Instant::now();
+        let mut last_count = Instant::now();
         loop {
+            let is_heartbeat = !self.gateway.summaries().wait_changed(HEARTBEAT).await;
+            // Changes of the next moments go into the same summary.
             Timer::after(NEAR_INTERVAL).await;
-            tick = tick.wrapping_add(1);
-            let summaries = self.gateway.summaries();
-            let is_heartbeat = tick.is_multiple_of(HEARTBEAT_EVERY);
-            let is_changed = summaries.is_changed.swap(false, Ordering::AcqRel) || is_heartbeat;
-            is_far_due |= is_changed;
-            if is_changed {
-                sequence += 1;
-                let parts = std::mem::take(&mut *lock(&summaries.near_parts));
-                self.send(sequence, parts, true).await;
-            }
-            if is_far_due && tick.is_multiple_of(FAR_EVERY) {
-                is_far_due = false;
+            self.gateway.summaries().take_change();
+            sequence += 1;
+            let parts = std::mem::take(&mut *lock(&self.gateway.summaries().near_parts));
+            self.send(sequence, parts, true).await;
+            if is_heartbeat || last_far.elapsed() >= FAR_INTERVAL {
+                last_far = Instant::now();
                 sequence += 1;
-                let parts = std::mem::take(&mut *lock(&summaries.far_parts));
+                let parts = std::mem::take(&mut *lock(&self.gateway.summaries().far_parts));
                 self.send(sequence, parts, false).await;
             }
-            if is_heartbeat {
+            if last_count.elapsed() >= HEARTBEAT {
+                last_count = Instant::now();
                 self.count_entries();
             }
         }
@@ -347,7 +362,7 @@
             let beliefs = pool.beliefs();
             let own = beliefs.own_loads().filter(|(_, load)| load.flights > 0);
             loads.extend(own.map(|(id, load)| ServerLoad {
-                server: number(id),
+                server: server_number(id),
                 flights: load.flights,
                 streams: load.streams,
                 waiting_tokens: load.waiting_tokens,
@@ -422,16 +437,14 @@
 
     fn apply(&self, now: Duration, summary: &Summary, loads: &HashMap<ServerNumber, EntryLoad>) {
         for (_, pool) in self.gateway.fleet().pools() {
-            let names: HashMap<ServerNumber, &ServerId> =
-                pool.servers.keys().map(|id| (number(id), id)).collect();
             let mut beliefs = pool.beliefs();
             for (server, load) in loads {
-                if let Some(id) = names.get(server) {
+                if let Some(id) = pool.name(*server) {
                     beliefs.on_peer_load(now, summary.boot, id, *load);
                 }
             }
             for sent in &summary.parts {
-                if let Some(id) = names.get(&sent.server) {
+                if let Some(id) = pool.name(sent.server) {
                     let part = PromptPart {
                         id: sent.part,
                         tokens: sent.tokens,
