Report all findings of the platform's settings, and test the command gateway as a process

The settings were read by a derive that stops at the first fault. They are now read field by field with all findings, by tanagerford gateway and tanagerford check (*.toml).

--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -3,17 +3,22 @@
 use getopts::Options;
 use tanagerford_operator::check::{File, check, kind_of};
 
+use crate::cmd::gateway;
 use crate::error::Error;
 use crate::util;
 
 const USAGE: &str = "\
 Usage: tanagerford check FILE...
 
-Checks settings, configurations and tier sheets (*.csv), and prints all findings.
+Checks settings, settings of the users' platform (*.toml), configurations and
+tier sheets (*.csv), and prints all findings.
 If exactly one of the files is a configuration, the settings and sheets are also
 checked against it.
 ";
 
+/// End of the names of settings that the users' platform writes.
+const PLATFORM_SUFFIX: &str = ".toml";
+
 struct Args {
     paths: Vec<String>,
 }
@@ -33,11 +38,23 @@
 /// Runs the command.
 pub fn run(arguments: &[String]) -> Result<(), Error> {
     let args = Args::parse(arguments)?;
+    let (platform_paths, paths): (Vec<_>, Vec<_>) = args
+        .paths
+        .into_iter()
+        .partition(|path| path.ends_with(PLATFORM_SUFFIX));
+    let mut faulty_platform = Vec::new();
+    for path in platform_paths {
+        match gateway::load(&path) {
+            Ok(_) => util::print(&format!("{path}: correct settings of the platform"))?,
+            Err(Error::Findings(findings)) => faulty_platform.extend(findings),
+            Err(error) => return Err(error),
+        }
+    }
     let mut contents = Vec::new();
-    for path in &args.paths {
+    for path in &paths {
         contents.push(util::read_file(path)?);
     }
-    let named = args.paths.iter().zip(&contents);
+    let named = paths.iter().zip(&contents);
     let files: Vec<File> = named
         .map(|(name, content)| File { name, content })
         .collect();
@@ -48,6 +65,7 @@
         }
     }
     faulty.retain(|file| !file.findings.is_empty());
+    faulty.extend(faulty_platform);
     if faulty.is_empty() {
         return Ok(());
     }
--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -20,6 +20,7 @@
 use tanagerford_http::outbound::SharedExecutor;
 use tanagerford_http::server::{Server, ServerLimits, ServerStop, Service};
 use tanagerford_http::{Body, Reply};
+use tanagerford_operator::check::FileFindings;
 use tanagerford_platform::READINESS_PATH;
 use tanagerford_platform::codec::PlatformCodec;
 use tanagerford_platform::feed::Feed;
@@ -72,11 +73,14 @@
     serve(&path, &settings)
 }
 
-fn load(path: &str) -> Result<PlatformSettings, Error> {
+pub fn load(path: &str) -> Result<PlatformSettings, Error> {
     let content = util::read_file(path)?;
     let text =
         String::from_utf8(content).map_err(|error| Error::failed(format!("{path}: {error}")))?;
-    settings::decode(&text).map_err(|error| Error::failed(format!("{path}: {error}")))
+    settings::decode(&text).map_err(|findings| {
+        let name = path.to_owned();
+        FileFindings { name, findings }.into()
+    })
 }
 
 fn serve(path: &str, settings: &PlatformSettings) -> Result<(), Error> {
@@ -97,10 +101,12 @@
         Arc::clone(&executor),
     );
     let server = Server::bind(callers, Arc::clone(&executor))?;
+    let callers = server.address()?;
     let stop = server.stopper();
     server.start(Arc::new(CallerService(Arc::clone(&gateway))));
-    let readiness = Server::bind(readiness, Arc::clone(&executor))?;
-    readiness.start(Arc::new(Readiness(Arc::clone(&gateway))));
+    let readiness_server = Server::bind(readiness, Arc::clone(&executor))?;
+    let readiness = readiness_server.address()?;
+    readiness_server.start(Arc::new(Readiness(Arc::clone(&gateway))));
     let exchange = PeerExchange::bind(
         Arc::clone(&gateway),
         settings.peers,
@@ -111,12 +117,12 @@
     exchange.start();
     let store = Store::new(settings.store);
     Feed::new(store, Arc::clone(&gateway), entries::registration(settings)).start()?;
-    for index in 0..settings.cores {
+    for index in 0..settings.threads {
         let executor = Arc::clone(&executor);
         let builder = thread::Builder::new().name(format!("worker-{index}"));
         builder.spawn(move || async_io::block_on(executor.run(future::pending::<()>())))?;
     }
-    tracing::info!(vm = settings.vm, zone = settings.zone, %callers, store = %settings.store, "entry has started");
+    tracing::info!(vm = settings.vm, zone = settings.zone, %callers, %readiness, store = %settings.store, "entry has started");
     for signal in signals.forever() {
         if signal == SIGTERM {
             break;
--- a/tests/workdir/process.rs
+++ b/tests/workdir/process.rs
@@ -1,6 +1,6 @@
 //! Long-running processes of the binary, started in a workdir.
 
-use std::io::{BufRead, BufReader};
+use std::io::{BufRead, BufReader, Read};
 use std::net::SocketAddr;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::{Arc, Mutex};
@@ -12,6 +12,17 @@
 /// Longest time that a test waits for a state that must come.
 pub const PATIENCE: Duration = Duration::from_secs(30);
 
+/// Collects the lines of an output in a thread of its own.
+fn collect_lines(output: impl Read + Send + 'static, log: &Arc<Mutex<Vec<serde_json::Value>>>) {
+    let log = Arc::clone(log);
+    thread::spawn(move || {
+        for line in BufReader::new(output).lines().map_while(Result::ok) {
+            let value = serde_json::from_str(&line).unwrap_or(serde_json::Value::String(line));
+            log.lock().expect("log is readable").push(value);
+        }
+    });
+}
+
 /// Running process; it is killed when dropped.
 pub struct Process {
     child: Child,
@@ -24,19 +35,13 @@
         let mut child = Command::new(env!("CARGO_BIN_EXE_tanagerford"))
             .args(arguments)
             .current_dir(workdir.path())
-            .stdout(Stdio::null())
+            .stdout(Stdio::piped())
             .stderr(Stdio::piped())
             .spawn()
             .expect("the binary starts");
-        let stderr = child.stderr.take().expect("the log is piped");
         let log = Arc::new(Mutex::new(Vec::new()));
-        let lines = Arc::clone(&log);
-        thread::spawn(move || {
-            for line in BufReader::new(stderr).lines().map_while(Result::ok) {
-                let value = serde_json::from_str(&line).unwrap_or(serde_json::Value::String(line));
-                lines.lock().expect("log is readable").push(value);
-            }
-        });
+        collect_lines(child.stderr.take().expect("the output is piped"), &log);
+        collect_lines(child.stdout.take().expect("the output is piped"), &log);
         let process = Self { child, log };
         wait_until(|| process.logged(started).is_some());
         process
@@ -71,8 +76,17 @@
 
     /// Sends SIGTERM, as a service manager does.
     pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    /// Sends SIGHUP, as a service manager does after a change of the settings.
+    pub fn hang_up(&self) {
+        self.signal("-HUP");
+    }
+
+    fn signal(&self, signal: &str) {
         let id = self.child.id().to_string();
-        let sent = Command::new("kill").args(["-TERM", &id]).status();
+        let sent = Command::new("kill").args([signal, &id]).status();
         assert!(sent.expect("kill runs").success());
     }
 
