--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -257,6 +257,7 @@
             .await;
         let server = &flight.server.id;
         let end = match &result {
+            Ok((answer, _)) if answer.head.status().is_server_error() => CallEnd::Failed,
             Ok(_) => CallEnd::Answered {
                 slowness: flight.slowness(),
             },
@@ -487,9 +488,6 @@
 
     fn on_whole(&self) {
         let status = self.begun.answer.head.status();
-        if status.is_server_error() {
-            self.record(CallEnd::Failed);
-        }
         tracing::info!(
             request = self.call.id,
             route = self.call.route.name,
