Refuse requests that crashed two servers, at every entry

An entry that loses its connection looks 30 ms later whether the server still listens; if not, the lost calls are suspects, which entries tell each other in their summaries. The wire form of suspects moved to the core, so both kinds of entries share it.

--- a/crates/core/src/suspect.rs
+++ b/crates/core/src/suspect.rs
@@ -12,6 +12,7 @@
 //! summaries add to it, so removed entries do not come back either.
 
 mod limits;
+pub mod wire;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -145,6 +145,9 @@
         self.with_budget(&pool_name, |budget| {
             budget.on_request(now, &self.settings.budget);
         });
+        if self.quarantine.refuses(now, &call) {
+            return self.refuse(Some(&call.id), Refusal::Quarantined, call.arrived);
+        }
         if !self.wait_for_room(&call, &pool).await {
             return self.refuse(Some(&call.id), Refusal::Overloaded, call.arrived);
         }
@@ -295,6 +298,9 @@
                 })
             }
             Err(error) => {
+                if error == AttemptError::Broken {
+                    self.look_for_crash(call, &flight.server);
+                }
                 attempts.runs +=
                     u32::from(matches!(error, AttemptError::Broken | AttemptError::Silent));
                 Err(Some(error))
@@ -302,6 +308,14 @@
         }
     }
 
+    /// Finds out in a task of its own whether the server of a lost call has crashed.
+    pub(crate) fn look_for_crash(self: &Arc<Self>, call: &Arc<Call>, server: &Arc<BackendServer>) {
+        let quarantine = Arc::clone(&self.quarantine);
+        let fleet = Arc::clone(&self.fleet);
+        let task = quarantine.on_lost(Arc::clone(call), Arc::clone(server), move || fleet.now());
+        self.executor.spawn(task).detach();
+    }
+
     fn start(
         &self,
         call: &Call,
@@ -488,6 +502,9 @@
 
     fn on_whole(&self) {
         let status = self.begun.answer.head.status();
+        self.gateway
+            .quarantine
+            .on_success(self.gateway.fleet.now(), &self.call);
         tracing::info!(
             request = self.call.id,
             route = self.call.route.name,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -24,6 +24,7 @@
 use crate::fleet::{BackendServer, Fleet};
 use crate::metrics::Metrics;
 use crate::peers::Summaries;
+use crate::quarantine::Quarantine;
 use crate::refusal::Refusal;
 use crate::table::{CallerLimits, RoutingTable, Version};
 
@@ -50,6 +51,8 @@
     pub(crate) settings: GatewaySettings,
     pub(crate) metrics: Metrics,
     pub(crate) summaries: Arc<Summaries>,
+    pub(crate) quarantine: Arc<Quarantine>,
+    pub(crate) executor: SharedExecutor,
     pub(crate) next_call: AtomicU64,
     pub(crate) room: Mutex<RoomGate>,
     /// Configuration in force with the document that it was read from.
@@ -70,12 +73,14 @@
     ) -> Arc<Self> {
         Arc::new(Self {
             codec,
-            outbound: Outbound::new(executor),
+            outbound: Outbound::new(Arc::clone(&executor)),
             fleet,
             entries: AtomicUsize::new(settings.assumed_entries),
             settings,
             metrics: Metrics::default(),
             summaries: Arc::default(),
+            quarantine: Arc::default(),
+            executor,
             next_call: AtomicU64::new(0),
             room: Mutex::default(),
             configuration: RwLock::default(),
@@ -115,7 +120,14 @@
         if old.is_some_and(|version| version >= table.version) {
             return false;
         }
-        tracing::info!(version = table.version, old, "configuration in force");
+        let (workspace_ranks, route_ranks) = table.ranks();
+        tracing::info!(
+            version = table.version,
+            old,
+            ?workspace_ranks,
+            ?route_ranks,
+            "configuration in force"
+        );
         *current = Some((Arc::new(table), document));
         true
     }
@@ -165,6 +177,12 @@
         &self.summaries
     }
 
+    /// Returns the suspected requests.
+    #[must_use]
+    pub fn quarantine(&self) -> &Quarantine {
+        &self.quarantine
+    }
+
     /// Returns the metrics in the text format of Prometheus.
     #[must_use]
     pub fn metrics_text(&self) -> String {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod gateway;
 mod metrics;
 pub mod peers;
+pub mod quarantine;
 pub mod refusal;
 mod relay;
 pub mod table;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -74,6 +74,9 @@
     loads: Vec<ServerLoad>,
     #[prost(message, repeated, tag = "5")]
     parts: Vec<SentPart>,
+    /// Requests that are suspected of crashing servers.
+    #[prost(bytes = "vec", tag = "6")]
+    suspects: Vec<u8>,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, Message)]
@@ -375,6 +378,7 @@
             version: self.gateway.version().unwrap_or(0),
             loads,
             parts,
+            suspects: self.gateway.quarantine.summary(self.gateway.fleet().now()),
         }
     }
 
@@ -432,6 +436,7 @@
             };
             (load.server, told)
         }));
+        self.gateway.quarantine.merge(now, &summary.suspects);
         self.apply(now, summary, &loads);
     }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -74,6 +74,10 @@
                     Some((Ok(data), Some(relay)))
                 }
                 Ok(None) => {
+                    let gateway = &relay.gateway;
+                    gateway
+                        .quarantine
+                        .on_success(gateway.fleet.now(), &relay.call);
                     relay.log("answered");
                     None
                 }
@@ -173,6 +177,10 @@
         self.pool
             .beliefs()
             .on_outcome(self.gateway.fleet.now(), server, end);
+        if matches!(error, RelayError::Broken) {
+            let server = &self.begun.flight.server;
+            self.gateway.look_for_crash(&self.call, server);
+        }
         if self.call.repeat() != Repeat::Resumable {
             return Err(error);
         }
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -1,6 +1,6 @@
 //! The configuration as an entry uses it: routes by host and path, services, workspaces by key, and limits.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -155,6 +155,19 @@
         self.workspaces.as_ref()?.get(key)
     }
 
+    /// Returns the ranks of the workspaces that have one and of the routes.
+    #[must_use]
+    pub fn ranks(&self) -> (BTreeSet<u8>, BTreeSet<u8>) {
+        let workspaces = self.workspaces.iter().flat_map(HashMap::values);
+        let routes = self.routes.values().flatten();
+        (
+            workspaces
+                .filter_map(|workspace| workspace.priority)
+                .collect(),
+            routes.map(|route| route.priority).collect(),
+        )
+    }
+
     /// Returns the pools.
     pub fn pools(&self) -> impl Iterator<Item = &PoolSpec> {
         self.pools.values()
--- a/crates/node/src/suspects.rs
+++ b/crates/node/src/suspects.rs
@@ -4,58 +4,21 @@
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, Instant};
 
-use prost::Message;
 use tanagerford_core::ids::{Fingerprint, Incarnation};
 use tanagerford_core::membership::Item;
-use tanagerford_core::suspect::{
-    Running, SummaryEntry, SummaryRecord, SuspectTable, Verdict, WorkspaceHash,
-};
+use tanagerford_core::suspect::{Running, SuspectTable, Verdict, WorkspaceHash, wire};
 use tanagerford_gossip::Gossip;
 use tanagerford_link::Identity;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::sync::lock;
 
-/// Tells items of suspicion tables from other items.
-const ITEM_KIND: u32 = 0x7355_5350;
-
 /// Fingerprints in one item. An entry with two crashes takes at most 60 bytes, and an item 512.
 const ENTRIES_PER_ITEM: usize = 8;
 
 /// Newest fingerprints that a process spreads.
 const MAX_SPREAD: usize = 64;
 
-/// Wire form of a part of a suspicion table.
-#[derive(Clone, PartialEq, Message)]
-struct WireSummary {
-    #[prost(fixed32, tag = "1")]
-    kind: u32,
-    #[prost(message, repeated, tag = "2")]
-    entries: Vec<WireEntry>,
-}
-
-#[derive(Clone, PartialEq, Message)]
-struct WireEntry {
-    #[prost(fixed64, tag = "1")]
-    fingerprint: u64,
-    #[prost(fixed64, tag = "2")]
-    workspace: u64,
-    #[prost(message, repeated, tag = "3")]
-    records: Vec<WireRecord>,
-}
-
-#[derive(Clone, PartialEq, Message)]
-struct WireRecord {
-    #[prost(fixed64, tag = "1")]
-    crash_id: u64,
-    #[prost(uint32, tag = "2")]
-    age_ms: u32,
-    #[prost(uint32, tag = "3")]
-    share_permille: u32,
-    #[prost(bool, tag = "4")]
-    is_cleared: bool,
-}
-
 /// Suspicion table of a process.
 #[derive(Debug)]
 pub struct Suspects {
@@ -131,7 +94,7 @@
         }
         let mut summary = lock(&self.table).summary(self.now(), usize::MAX);
         summary.retain(|entry| entry.fingerprint == fingerprint);
-        encode(&summary)
+        wire::encode(&summary)
     }
 
     /// Takes an item from another process; items of other modules are ignored.
@@ -144,12 +107,8 @@
         if summary.is_empty() {
             return;
         }
-        match WireSummary::decode(summary) {
-            Ok(summary) if summary.kind == ITEM_KIND => {
-                let entries: Vec<_> = summary.entries.iter().map(summary_entry).collect();
-                lock(&self.table).merge(self.now(), &entries);
-            }
-            _ => {}
+        if let Some(entries) = wire::decode(summary) {
+            lock(&self.table).merge(self.now(), &entries);
         }
     }
 
@@ -172,7 +131,7 @@
             let item = Item {
                 key: xxh3_64_with_seed(&index.to_be_bytes(), self.seed),
                 version: self.version.fetch_add(1, Ordering::Relaxed),
-                value: encode(part).into(),
+                value: wire::encode(part).into(),
             };
             if let Err(error) = gossip.publish(item) {
                 tracing::warn!(?error, "cannot spread the suspicion table");
@@ -190,39 +149,3 @@
 pub fn workspace_hash(workspace: &str) -> WorkspaceHash {
     xxh3_64_with_seed(workspace.as_bytes(), 0)
 }
-
-fn encode(entries: &[SummaryEntry]) -> Vec<u8> {
-    let entries = entries.iter().map(|entry| WireEntry {
-        fingerprint: entry.fingerprint,
-        workspace: entry.workspace,
-        records: entry.records.iter().map(wire_record).collect(),
-    });
-    let summary = WireSummary {
-        kind: ITEM_KIND,
-        entries: entries.collect(),
-    };
-    summary.encode_to_vec()
-}
-
-fn wire_record(record: &SummaryRecord) -> WireRecord {
-    WireRecord {
-        crash_id: record.crash_id,
-        age_ms: u32::try_from(record.age.as_millis()).unwrap_or(u32::MAX),
-        share_permille: record.share_permille.into(),
-        is_cleared: record.is_cleared,
-    }
-}
-
-fn summary_entry(entry: &WireEntry) -> SummaryEntry {
-    let records = entry.records.iter().map(|record| SummaryRecord {
-        crash_id: record.crash_id,
-        age: Duration::from_millis(record.age_ms.into()),
-        share_permille: u16::try_from(record.share_permille).unwrap_or(u16::MAX),
-        is_cleared: record.is_cleared,
-    });
-    SummaryEntry {
-        fingerprint: entry.fingerprint,
-        workspace: entry.workspace,
-        records: records.collect(),
-    }
-}
