--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -65,10 +65,15 @@
         self.caller_deadline.map_or(timeout, |end| end.min(timeout))
     }
 
-    /// Returns the rank of the call; 0 is served first. A workspace's rank goes before the route's.
+    /// Returns the rank of the call; 0 is served first. The workspace's rank decides before the route's: among calls of
+    /// equal workspaces the route's rank still counts.
     #[must_use]
     pub fn priority(&self) -> u8 {
         let workspace = self.workspace.as_ref().and_then(|w| w.priority);
-        workspace.unwrap_or(self.route.priority)
+        let ranks = self.route.ranks.max(1);
+        workspace
+            .unwrap_or(0)
+            .saturating_mul(ranks)
+            .saturating_add(self.route.priority)
     }
 }
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -32,6 +32,8 @@
     pub target_latency: Duration,
     /// Rank of the route; 0 is served first.
     pub priority: u8,
+    /// Count of the ranks that the routes of the configuration use.
+    pub ranks: u8,
     /// Largest count of servers that one call may be sent to.
     pub max_attempts: u32,
     /// Whether requests need no key.
@@ -114,7 +116,11 @@
         limits: CallerLimits,
     ) -> Self {
         let mut by_host: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
-        for route in routes {
+        let routes: Vec<Route> = routes.into_iter().collect();
+        let highest = routes.iter().map(|route| route.priority).max();
+        let ranks = highest.map_or(1, |rank| rank.saturating_add(1));
+        for mut route in routes {
+            route.ranks = ranks;
             let host = by_host.entry(route.host.clone()).or_default();
             host.push(Arc::new(route));
         }
@@ -190,7 +196,7 @@
     ///     pools: vec![pool("old", 0), pool("new", 10)],
     ///     repeat: Repeat::Idempotent, is_stream: false,
     ///     timeout: Duration::from_secs(1), target_latency: Duration::from_millis(100),
-    ///     priority: 0, max_attempts: 1, is_public: false,
+    ///     priority: 0, ranks: 1, max_attempts: 1, is_public: false,
     /// };
     /// assert_eq!(route.pick_pool(7).unwrap(), "new");
     /// ```
