--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -84,6 +84,8 @@
     pub waiting_tokens: u32,
     /// Estimated time to the first token, in milliseconds; 0 for plain services.
     pub first_token_ms: f64,
+    /// Whether the prompt delays the streams of its server noticeably.
+    pub is_long: bool,
     /// Streams of the server that would probably be late because of this call.
     pub harmed_streams: f64,
     /// Servers that could have been chosen.
@@ -214,6 +216,13 @@
         }
     }
 
+    /// Sets what the configuration says of the pool's engines: tokens of an event of a stream, and the longest pause
+    /// between events with which a stream counts as on time.
+    pub fn set_streams(&mut self, event_tokens: u32, pause_limit: Duration) {
+        self.settings.event_tokens = event_tokens.max(1);
+        self.settings.pause_limit_ms = pause_limit.as_secs_f64() * 1_000.0;
+    }
+
     /// Chooses a server for a call, except those in `exclude`.
     #[must_use]
     pub fn choose(&self, now: Duration, demand: &Demand, exclude: &[ServerId]) -> Option<Choice> {
@@ -241,6 +250,7 @@
             in_flight: state.running(now),
             waiting_tokens: state.load(now).waiting_tokens,
             first_token_ms: state.first_token_ms(&self.settings, now, demand),
+            is_long: self.settings.is_long(demand),
             harmed_streams: state.harmed_streams(&self.settings, now, demand),
             candidates: candidates.len(),
         })
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -191,7 +191,7 @@
                 return true;
             };
             let may_wait = Instant::now() < until;
-            match self.decide_room(now, &choice, call.priority(), may_wait) {
+            match self.decide_room(call, &choice, may_wait) {
                 Room::Enter => return true,
                 Room::Wait => {}
                 Room::Refuse => {
@@ -200,6 +200,7 @@
                         route = call.route.name,
                         server = choice.server,
                         harmed_streams = choice.harmed_streams,
+                        first_token_ms = choice.first_token_ms,
                         waiting_tokens = choice.waiting_tokens,
                         in_flight = choice.in_flight,
                         "no room for a long prompt"
@@ -211,9 +212,12 @@
         }
     }
 
-    fn decide_room(&self, now: Duration, choice: &Choice, rank: u8, may_wait: bool) -> Room {
+    fn decide_room(&self, call: &Call, choice: &Choice, may_wait: bool) -> Room {
+        let late_at = call.arrived + call.route.target_latency;
+        let left = late_at.saturating_duration_since(Instant::now());
+        let left_ms = left.as_secs_f64() * 1_000.0;
         let mut gate = self.room.lock().unwrap_or_else(PoisonError::into_inner);
-        gate.decide(now, choice, rank, may_wait)
+        gate.decide(self.fleet.now(), choice, call.priority(), left_ms, may_wait)
     }
 
     /// Returns whether the call may be sent to another server after `error`, and takes it from the budget.
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -85,10 +85,7 @@
 
     /// Replaces the servers. Those that take no new work are left out; calls in flight at them go on.
     pub fn set_servers(&self, servers: impl Iterator<Item = BackendServer>, table: &RoutingTable) {
-        let memory: HashMap<_, _> = table
-            .pools()
-            .map(|pool| (&pool.name, pool.memory_tokens))
-            .collect();
+        let specs: HashMap<_, _> = table.pools().map(|pool| (&pool.name, pool)).collect();
         let mut by_pool: HashMap<PoolId, BTreeMap<ServerId, Arc<BackendServer>>> = HashMap::new();
         for server in servers.filter(|server| server.is_ready) {
             let pool = by_pool.entry(server.pool.clone()).or_default();
@@ -110,8 +107,15 @@
                 servers,
                 beliefs,
             };
-            let memory_tokens = memory.get(name).copied().flatten().unwrap_or(0);
-            state.beliefs().set_servers(&state.specs(memory_tokens));
+            let spec = specs.get(name);
+            let memory_tokens = spec.and_then(|spec| spec.memory_tokens).unwrap_or(0);
+            let mut pool_beliefs = state.beliefs();
+            pool_beliefs.set_servers(&state.specs(memory_tokens));
+            let event_tokens = spec.and_then(|spec| spec.event_tokens);
+            if let Some((event_tokens, limit)) = event_tokens.zip(table.pause_limit(name)) {
+                pool_beliefs.set_streams(event_tokens, limit);
+            }
+            drop(pool_beliefs);
             updated.insert(name.clone(), Arc::new(state));
         }
         *pools = updated;
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -34,6 +34,8 @@
     pub priority: u8,
     /// Count of the ranks that the routes of the configuration use.
     pub ranks: u8,
+    /// Longest pause between events of a stream that is on time.
+    pub pause_limit: Option<Duration>,
     /// Largest count of servers that one call may be sent to.
     pub max_attempts: u32,
     /// Whether requests need no key.
@@ -58,6 +60,8 @@
     pub max_connections: u32,
     /// Memory of each model engine in tokens; `None` for plain services.
     pub memory_tokens: Option<u64>,
+    /// Tokens that an event of an engine's stream holds.
+    pub event_tokens: Option<u32>,
 }
 
 /// Customer with its rank.
@@ -174,6 +178,15 @@
         )
     }
 
+    /// Returns the shortest pause limit of the routes that lead to a pool.
+    #[must_use]
+    pub fn pause_limit(&self, pool: &str) -> Option<Duration> {
+        let routes = self.routes.values().flatten();
+        let leading =
+            routes.filter(|route| route.pools.iter().any(|weighted| weighted.pool == pool));
+        leading.filter_map(|route| route.pause_limit).min()
+    }
+
     /// Returns the pools.
     pub fn pools(&self) -> impl Iterator<Item = &PoolSpec> {
         self.pools.values()
@@ -196,7 +209,7 @@
     ///     pools: vec![pool("old", 0), pool("new", 10)],
     ///     repeat: Repeat::Idempotent, is_stream: false,
     ///     timeout: Duration::from_secs(1), target_latency: Duration::from_millis(100),
-    ///     priority: 0, ranks: 1, max_attempts: 1, is_public: false,
+    ///     priority: 0, ranks: 1, pause_limit: None, max_attempts: 1, is_public: false,
     /// };
     /// assert_eq!(route.pick_pool(7).unwrap(), "new");
     /// ```
