--- a/crates/core/src/dispatch/cost.rs
+++ b/crates/core/src/dispatch/cost.rs
@@ -8,9 +8,10 @@
 pub(super) const RECENT_HALF_LIFE: Duration = Duration::from_secs(2);
 /// Age after which a reported load is ignored.
 const REPORT_LIFETIME: Duration = Duration::from_secs(1);
+/// Cost of a plain service whose slots are all taken, in milliseconds: about the time of one call.
+const FULL_SERVICE_MS: f64 = 15.0;
 /// Cost of each request beyond the slots of a server, in milliseconds.
 const FULL_PENALTY_MS: f64 = 400.0;
-
 /// Share of the pause limit that is planned for; the rest covers the way of an event to its caller and what other
 /// entries send at the same moment.
 const PAUSE_SHARE: f64 = 0.8;
@@ -26,8 +27,8 @@
     pub prefill_tokens_per_ms: f64,
     /// Time to the first token beside queue and prefill, in milliseconds.
     pub first_token_base_ms: f64,
-    /// Uncached tokens from which a prompt counts as long: more than one prefill chunk delays the streams of the
-    /// server by more than one step.
+    /// Tokens from which a prompt counts as long: more than one prefill chunk delays the streams of the server by more
+    /// than one step.
     pub long_prompt_tokens: u32,
     /// Prompt tokens that a server reads between two steps of the running requests.
     pub chunk_tokens: u32,
@@ -93,7 +94,7 @@
         demand.prompt_tokens >= self.long_prompt_tokens
     }
 
-    /// Share of the pause limit by which the events of a server's streams would come too late.
+    /// Returns by which share of the pause limit the events of a server's streams would come too late.
     fn pause_excess(&self, running: u32, waiting_tokens: u32) -> f64 {
         let chunks = waiting_tokens.div_ceil(self.chunk_tokens.max(1));
         let step_ms = self.step_ms + f64::from(running) * self.step_request_ms;
@@ -136,7 +137,7 @@
     fn queue_ms(&self, now: Duration) -> f64 {
         let slots = f64::from(self.spec.slots.max(1));
         let taken = f64::from(self.running(now)) / slots;
-        taken * 15.0 + (taken - 1.0).max(0.0) * FULL_PENALTY_MS
+        taken * FULL_SERVICE_MS + (taken - 1.0).max(0.0) * FULL_PENALTY_MS
     }
 
     fn engine_ms(&self, settings: &CostSettings, now: Duration, demand: &Demand) -> f64 {
@@ -166,7 +167,7 @@
         own_ms + neighbours_ms
     }
 
-    /// Streams of the server that would probably be late if it took the call now.
+    /// Returns the streams of the server that would probably be late if it took the call now.
     pub(super) fn harmed_streams(
         &self,
         settings: &CostSettings,
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,13 +1,12 @@
 //! Serves a call: chooses servers, sends the call, and decides what a failed attempt allows.
 
-use std::io;
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, PoisonError};
 use std::time::{Duration, Instant};
 
 use async_io::Timer;
 use bytes::{Bytes, BytesMut};
-use futures_lite::{StreamExt, future, stream};
+use futures_lite::future;
 use http::{Response, StatusCode};
 use tanagerford_core::dispatch::{CallEnd, CallNumber, Choice, Room};
 use tanagerford_core::ids::ServerId;
@@ -18,6 +17,7 @@
 use crate::codec::{AnswerHead, Codec, Sending};
 use crate::fleet::{BackendServer, PoolState};
 use crate::gateway::Gateway;
+use crate::held::HeldAnswer;
 use crate::peers::Summaries;
 use crate::refusal::Refusal;
 use crate::relay::Relay;
@@ -444,13 +444,8 @@
     /// Holds the answer until it is whole, so that a cut one can be told from a whole one. A long one is passed on as it
     /// arrives.
     async fn deliver_whole(self: &Arc<Self>, call: Arc<Call>, begun: Begun) -> Reply {
-        let mut whole = HeldAnswer {
-            gateway: Arc::clone(self),
-            call,
-            begun,
-            bytes: 0,
-        };
-        let mut head = clone_head(&whole.begun.answer.head);
+        let mut head = clone_head(&begun.answer.head);
+        let mut whole = HeldAnswer::new(Arc::clone(self), Arc::clone(&call), begun);
         self.codec.strip_answer(&mut head);
         let mut body = BytesMut::new();
         loop {
@@ -458,7 +453,6 @@
                 Ok(Some(part)) => body.extend_from_slice(&part),
                 Ok(None) => break,
                 Err(refusal) => {
-                    let call = &whole.call;
                     return self.refuse(Some(&call.id), refusal, call.arrived);
                 }
             }
@@ -471,85 +465,6 @@
     }
 }
 
-/// Answer that is no stream of events.
-struct HeldAnswer<C> {
-    gateway: Arc<Gateway<C>>,
-    call: Arc<Call>,
-    begun: Begun,
-    /// Size of the body so far.
-    bytes: usize,
-}
-
-impl<C: Codec> HeldAnswer<C> {
-    /// Returns the next part of the body.
-    async fn next(&mut self) -> Result<Option<Bytes>, Refusal> {
-        if let Some(first) = self.begun.first.take() {
-            self.bytes += first.len();
-            return Ok(Some(first));
-        }
-        let deadline = self.call.deadline();
-        let remaining = deadline.saturating_duration_since(Instant::now());
-        let answer = &mut self.begun.answer;
-        let part = async { answer.next().await.map_err(|_| Refusal::ServerFailed) };
-        let expired = async {
-            Timer::after(remaining).await;
-            Err(Refusal::TimedOut)
-        };
-        let part = future::or(part, expired).await;
-        match &part {
-            Ok(Some(data)) => self.bytes += data.len(),
-            Ok(None) => self.on_whole(),
-            Err(_) => self.record(CallEnd::Broken),
-        }
-        part
-    }
-
-    fn on_whole(&self) {
-        let status = self.begun.answer.head.status();
-        self.gateway
-            .quarantine
-            .on_success(self.gateway.fleet.now(), &self.call);
-        tracing::info!(
-            request = self.call.id,
-            route = self.call.route.name,
-            server = self.begun.flight.server.id,
-            status = status.as_u16(),
-            bytes = self.bytes,
-            total_ms = self.call.arrived.elapsed().as_millis(),
-            "answered"
-        );
-    }
-
-    fn record(&self, end: CallEnd) {
-        let flight = &self.begun.flight;
-        let now = self.gateway.fleet.now();
-        flight
-            .pool
-            .beliefs()
-            .on_outcome(now, &flight.server.id, end);
-    }
-
-    /// Passes on what was held and then each part as it arrives.
-    fn into_body(self, held: Bytes) -> Body {
-        let rest = stream::unfold(Some(self), |answer| async {
-            let mut answer = answer?;
-            match answer.next().await {
-                Ok(Some(part)) => Some((Ok(part), Some(answer))),
-                Ok(None) => None,
-                Err(refusal) => {
-                    tracing::warn!(
-                        request = answer.call.id,
-                        reason = refusal.name(),
-                        "answer is cut"
-                    );
-                    Some((Err(io::ErrorKind::ConnectionAborted.into()), None))
-                }
-            }
-        });
-        Body::streamed(stream::once(Ok(held)).chain(rest))
-    }
-}
-
 /// Returns what a call that no server answered is told.
 fn refusal(call: &Call, attempts: &Attempts, last: Option<AttemptError>) -> Refusal {
     let is_expired = call.deadline() <= Instant::now() + MIN_REMAINING;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod events;
 pub mod fleet;
 pub mod gateway;
+mod held;
 mod metrics;
 pub mod peers;
 pub mod quarantine;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -314,6 +314,7 @@
         Ok(())
     }
 
+    /// Sends a summary after each change, and at least once in each heartbeat interval.
     async fn send_all(self: Arc<Self>) {
         let mut sequence = 0;
         let mut last_far = Instant::now();
