--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -107,8 +107,6 @@
     pub streams: u32,
     /// Prompt tokens of calls that have no first token yet.
     pub waiting_tokens: u32,
-    /// Tokens of prompts and expected answers of all calls in flight.
-    pub memory_tokens: u32,
 }
 
 impl EntryLoad {
@@ -117,7 +115,6 @@
             flights: self.flights + other.flights,
             streams: self.streams + other.streams,
             waiting_tokens: self.waiting_tokens.saturating_add(other.waiting_tokens),
-            memory_tokens: self.memory_tokens.saturating_add(other.memory_tokens),
         }
     }
 }
@@ -241,17 +238,16 @@
             (cost_ms, *id, *state)
         });
         let (cost_ms, id, state) = priced.min_by(|a, b| a.0.total_cmp(&b.0))?;
+        let situation = state.situation(now, demand);
         Some(Choice {
             server: id.clone(),
             cost_ms,
-            uncached_tokens: state
-                .cache
-                .missing_tokens(&demand.parts, demand.prompt_tokens),
-            in_flight: state.running(now),
-            waiting_tokens: state.load(now).waiting_tokens,
-            first_token_ms: state.first_token_ms(&self.settings, now, demand),
+            uncached_tokens: situation.missing_tokens,
+            in_flight: situation.running,
+            waiting_tokens: situation.load.waiting_tokens,
+            first_token_ms: situation.first_token_ms(&self.settings, demand),
             is_long: self.settings.is_long(demand),
-            harmed_streams: state.harmed_streams(&self.settings, now, demand),
+            harmed_streams: situation.harmed_streams(&self.settings, demand),
             candidates: candidates.len(),
         })
     }
@@ -319,12 +315,6 @@
             state.reported = Some((now, load));
         }
     }
-
-    /// Returns the slots of all servers together.
-    #[must_use]
-    pub fn slots(&self) -> u32 {
-        self.servers.values().map(|state| state.spec.slots).sum()
-    }
 }
 
 impl ServerState {
--- a/crates/core/src/dispatch/cost.rs
+++ b/crates/core/src/dispatch/cost.rs
@@ -115,7 +115,67 @@
     duration.as_secs_f64() * 1_000.0
 }
 
+/// What a call would meet at a server.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Situation {
+    /// Load of all entries.
+    pub(super) load: EntryLoad,
+    /// Requests at the server: those that are known of, or more if the server recently said so.
+    pub(super) running: u32,
+    /// Prompt tokens of the call that the server has to read.
+    pub(super) missing_tokens: u32,
+}
+
+impl Situation {
+    /// Prompt tokens that wait once the call has been sent.
+    fn waiting_tokens(&self) -> u32 {
+        self.load.waiting_tokens.saturating_add(self.missing_tokens)
+    }
+
+    fn pause_excess(&self, settings: &CostSettings) -> f64 {
+        settings.pause_excess(self.running + 1, self.waiting_tokens())
+    }
+
+    /// Returns the streams of the server that would probably be late if it took the call now.
+    pub(super) fn harmed_streams(&self, settings: &CostSettings, demand: &Demand) -> f64 {
+        if !settings.is_long(demand) {
+            return 0.0;
+        }
+        let excess = self.pause_excess(settings);
+        f64::from(self.load.streams) * (excess / CERTAIN_EXCESS).min(1.0)
+    }
+
+    /// Returns the estimated time to the first token.
+    pub(super) fn first_token_ms(&self, settings: &CostSettings, demand: &Demand) -> f64 {
+        if demand.prompt_tokens == 0 {
+            return 0.0;
+        }
+        let tokens = f64::from(self.waiting_tokens());
+        settings.first_token_base_ms + tokens / settings.prefill_tokens_per_ms
+    }
+}
+
 impl ServerState {
+    pub(super) fn situation(&self, now: Duration, demand: &Demand) -> Situation {
+        let load = self.load(now);
+        let running = match self.reported {
+            Some((at, reported)) if now.saturating_sub(at) < REPORT_LIFETIME => {
+                load.flights.max(reported.running + reported.waiting)
+            }
+            _ => load.flights,
+        };
+        Situation {
+            load,
+            running,
+            missing_tokens: self.missing_tokens(demand),
+        }
+    }
+
+    fn missing_tokens(&self, demand: &Demand) -> u32 {
+        self.cache
+            .missing_tokens(&demand.parts, demand.prompt_tokens)
+    }
+
     pub(super) fn cost_ms(
         &self,
         settings: &CostSettings,
@@ -123,10 +183,11 @@
         now: Duration,
         demand: &Demand,
     ) -> f64 {
+        let situation = self.situation(now, demand);
         let work_ms = if demand.prompt_tokens == 0 {
-            self.queue_ms(now)
+            self.queue_ms(situation)
         } else {
-            self.engine_ms(settings, now, demand)
+            self.engine_ms(settings, now, demand, situation)
         };
         let slowness = self.health.slowness(now);
         let failing_ms = self.health.failure_share(now) * settings.failing_ms;
@@ -134,27 +195,32 @@
     }
 
     /// Cost at a plain service: the share of its slots that is taken.
-    fn queue_ms(&self, now: Duration) -> f64 {
+    fn queue_ms(&self, situation: Situation) -> f64 {
         let slots = f64::from(self.spec.slots.max(1));
-        let taken = f64::from(self.running(now)) / slots;
+        let taken = f64::from(situation.running) / slots;
         taken * FULL_SERVICE_MS + (taken - 1.0).max(0.0) * FULL_PENALTY_MS
     }
 
-    fn engine_ms(&self, settings: &CostSettings, now: Duration, demand: &Demand) -> f64 {
-        let load = self.load(now);
-        let missing = self
-            .cache
-            .missing_tokens(&demand.parts, demand.prompt_tokens);
-        let prefill_ms = f64::from(missing) / settings.prefill_tokens_per_ms;
+    fn engine_ms(
+        &self,
+        settings: &CostSettings,
+        now: Duration,
+        demand: &Demand,
+        situation: Situation,
+    ) -> f64 {
+        let Situation {
+            load,
+            running,
+            missing_tokens,
+        } = situation;
+        let prefill_ms = f64::from(missing_tokens) / settings.prefill_tokens_per_ms;
         let backlog_ms = f64::from(load.waiting_tokens) / settings.prefill_tokens_per_ms;
-        let running = self.running(now);
         let full = f64::from((running + 1).saturating_sub(self.spec.slots));
         let own_ms = backlog_ms
             + prefill_ms * (1.0 + settings.read_again_factor)
             + f64::from(running) * settings.running_request_ms
             + full * FULL_PENALTY_MS;
-        let tokens = load.waiting_tokens.saturating_add(missing);
-        let excess = settings.pause_excess(running + 1, tokens);
+        let excess = situation.pause_excess(settings);
         let neighbours_ms = if settings.is_long(demand) {
             let streams = f64::from(load.streams);
             streams * (settings.disturbed_stream_ms + excess * settings.late_stream_ms)
@@ -167,42 +233,6 @@
         own_ms + neighbours_ms
     }
 
-    /// Returns the streams of the server that would probably be late if it took the call now.
-    pub(super) fn harmed_streams(
-        &self,
-        settings: &CostSettings,
-        now: Duration,
-        demand: &Demand,
-    ) -> f64 {
-        if !settings.is_long(demand) {
-            return 0.0;
-        }
-        let load = self.load(now);
-        let missing = self
-            .cache
-            .missing_tokens(&demand.parts, demand.prompt_tokens);
-        let tokens = load.waiting_tokens.saturating_add(missing);
-        let excess = settings.pause_excess(self.running(now) + 1, tokens);
-        f64::from(load.streams) * (excess / CERTAIN_EXCESS).min(1.0)
-    }
-
-    /// Estimated time to the first token.
-    pub(super) fn first_token_ms(
-        &self,
-        settings: &CostSettings,
-        now: Duration,
-        demand: &Demand,
-    ) -> f64 {
-        if demand.prompt_tokens == 0 {
-            return 0.0;
-        }
-        let missing = self
-            .cache
-            .missing_tokens(&demand.parts, demand.prompt_tokens);
-        let tokens = self.load(now).waiting_tokens.saturating_add(missing);
-        settings.first_token_base_ms + f64::from(tokens) / settings.prefill_tokens_per_ms
-    }
-
     fn distance_ms(&self, settings: &CostSettings, zone: &str, demand: &Demand) -> f64 {
         if self.spec.zone == zone {
             return 0.0;
@@ -211,17 +241,6 @@
         settings.other_zone_ms + kilobytes * settings.other_zone_ms_per_kb
     }
 
-    /// Requests at the server: those that are known of, or more if the server recently said so.
-    pub(super) fn running(&self, now: Duration) -> u32 {
-        let known = self.load(now).flights;
-        match self.reported {
-            Some((at, load)) if now.saturating_sub(at) < REPORT_LIFETIME => {
-                known.max(load.running + load.waiting)
-            }
-            _ => known,
-        }
-    }
-
     /// Share of the recent time that the server spent on prefill.
     fn prefill_share(&self, now: Duration) -> f64 {
         let window_ms = milliseconds(RECENT_HALF_LIFE) / std::f64::consts::LN_2;
@@ -242,14 +261,11 @@
         demand: &Demand,
     ) {
         let is_long = settings.is_long(demand);
-        let missing = self
-            .cache
-            .missing_tokens(&demand.parts, demand.prompt_tokens);
+        let missing = self.missing_tokens(demand);
         let flight = EntryLoad {
             flights: 1,
             streams: u32::from(demand.prompt_tokens > 0 && !is_long),
             waiting_tokens: missing,
-            memory_tokens: demand.prompt_tokens.saturating_add(demand.output_tokens),
         };
         self.flights.insert(call, flight);
         if is_long {
--- a/crates/core/tests/dispatch.rs
+++ b/crates/core/tests/dispatch.rs
@@ -201,7 +201,6 @@
         flights: 30,
         streams: 0,
         waiting_tokens: 60_000,
-        memory_tokens: 0,
     };
     let idle = pool.choose(NOW, &short_prompt(1), &[]).unwrap().server;
     pool.on_peer_load(NOW, 5, &idle, busy);
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,17 +1,16 @@
 //! Serves a call: chooses servers, sends the call, and decides what a failed attempt allows.
 
+use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::sync::{Arc, PoisonError};
 use std::time::{Duration, Instant};
 
 use async_io::Timer;
 use bytes::{Bytes, BytesMut};
-use futures_lite::future;
 use http::{Response, StatusCode};
 use tanagerford_core::dispatch::{CallEnd, CallNumber, Choice, Room};
-use tanagerford_core::ids::ServerId;
+use tanagerford_core::ids::{PoolId, ServerId};
 use tanagerford_http::outbound::{Answer, ExchangeError};
-use tanagerford_http::{Body, Reply};
+use tanagerford_http::{Body, Reply, within};
 
 use crate::call::{Call, Repeat};
 use crate::codec::{AnswerHead, Codec, Sending};
@@ -21,6 +20,7 @@
 use crate::peers::Summaries;
 use crate::refusal::Refusal;
 use crate::relay::Relay;
+use crate::sync::lock;
 
 /// Longest time to establish a connection to a server; another server is asked after it.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -162,7 +162,7 @@
             let resume = call.resume_after;
             match self.attempt(&call, &pool, &mut attempts, resume).await {
                 Ok(begun) if begun.is_server_failure() && reported.is_none() => {
-                    attempts.runs += 1;
+                    attempts.add_run();
                     last = Some(AttemptError::Failed);
                     reported = Some(begun);
                 }
@@ -216,7 +216,7 @@
         let late_at = call.arrived + call.route.target_latency;
         let left = late_at.saturating_duration_since(Instant::now());
         let left_ms = left.as_secs_f64() * 1_000.0;
-        let mut gate = self.room.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut gate = lock(&self.room);
         gate.decide(self.fleet.now(), choice, call.priority(), left_ms, may_wait)
     }
 
@@ -224,7 +224,7 @@
     pub(crate) fn may_repeat(
         &self,
         call: &Call,
-        pool: &str,
+        pool: &PoolId,
         attempts: &Attempts,
         error: AttemptError,
     ) -> bool {
@@ -233,11 +233,11 @@
         }
         match error {
             AttemptError::Unreachable => true,
-            AttemptError::NotRun => self.try_repeat(&pool.to_owned()),
+            AttemptError::NotRun => self.try_repeat(pool),
             AttemptError::Broken | AttemptError::Silent | AttemptError::Failed => {
                 call.repeat() != Repeat::AtMostOnce
                     && attempts.runs < call.route.max_attempts
-                    && self.try_repeat(&pool.to_owned())
+                    && self.try_repeat(pool)
             }
         }
     }
@@ -365,10 +365,6 @@
         };
         let request = self.codec.request(call, sending);
         let silence = silence_limit(call, remaining, attempts);
-        let expired = async {
-            Timer::after(silence).await;
-            Err(AttemptError::Silent)
-        };
         let exchange = async {
             let connect = CONNECT_TIMEOUT.min(remaining);
             let sent = self
@@ -380,7 +376,8 @@
             let first = answer.next().await.map_err(|_| AttemptError::Broken)?;
             Ok((answer, first))
         };
-        future::or(exchange, expired).await
+        let ended = within(silence, exchange).await;
+        ended.unwrap_or(Err(AttemptError::Silent))
     }
 
     fn check_head(
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -8,6 +8,7 @@
 use tanagerford_core::dispatch::{CostSettings, Pool, ServerSpec};
 use tanagerford_core::ids::{PoolId, ServerId, ZoneId};
 
+use crate::sync::lock;
 use crate::table::RoutingTable;
 
 /// Backend server as the registry describes it.
@@ -135,7 +136,7 @@
 impl PoolState {
     /// Locks the beliefs about the servers.
     pub fn beliefs(&self) -> MutexGuard<'_, Pool> {
-        self.beliefs.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.beliefs)
     }
 
     /// Returns the name of the server with a short number.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -6,17 +6,14 @@
 use std::sync::{Arc, Mutex, PoisonError, RwLock};
 use std::time::{Duration, Instant};
 
-use async_io::Timer;
 use bytes::Bytes;
-use futures_lite::future;
-use http::Request;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http::{HeaderValue, Request, StatusCode, header};
 use hyper::body::Incoming;
 use tanagerford_core::dispatch::RoomGate;
 use tanagerford_core::ids::PoolId;
-use tanagerford_http::Reply;
 use tanagerford_http::outbound::{Outbound, SharedExecutor};
 use tanagerford_http::server::{ServerLimits, Service};
+use tanagerford_http::{Reply, read_body, within};
 
 use crate::budget::{BudgetLimits, RetryBudget};
 use crate::call::Call;
@@ -26,7 +23,8 @@
 use crate::peers::Summaries;
 use crate::quarantine::Quarantine;
 use crate::refusal::Refusal;
-use crate::table::{CallerLimits, RoutingTable, Version};
+use crate::sync::lock;
+use crate::table::{RoutingTable, Version};
 
 /// Longest time to read a body; the caller's own deadline usually ends the request before.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
@@ -194,7 +192,7 @@
         pool: &PoolId,
         act: impl FnOnce(&mut RetryBudget) -> T,
     ) -> T {
-        let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut budgets = lock(&self.budgets);
         act(budgets.entry(pool.clone()).or_default())
     }
 
@@ -215,11 +213,23 @@
         };
         let limits = self.table().map(|table| table.limits).unwrap_or_default();
         let patience = head.patience.unwrap_or(BODY_TIMEOUT).min(BODY_TIMEOUT);
-        let body = match read_body(body, limits, patience).await {
-            Ok(body) => body,
-            Err(refusal) => return self.refuse(Some(&head.id), refusal, arrived),
+        let refusal = match within(patience, read_body(body, limits.max_body_bytes)).await {
+            Some(Ok(body)) => return self.serve_whole(&parts, head, body, arrived).await,
+            Some(Err(StatusCode::PAYLOAD_TOO_LARGE)) => Refusal::TooLarge,
+            Some(Err(_)) => Refusal::Malformed,
+            None => Refusal::SlowBody,
         };
-        match self.admit(&parts, head, body, arrived) {
+        self.refuse(Some(&head.id), refusal, arrived)
+    }
+
+    async fn serve_whole(
+        self: &Arc<Self>,
+        parts: &http::request::Parts,
+        head: CallHead,
+        body: Bytes,
+        arrived: Instant,
+    ) -> Reply {
+        match self.admit(parts, head, body, arrived) {
             Ok(call) => self.run(Arc::new(call)).await,
             Err((id, refusal)) => self.refuse(Some(&id), refusal, arrived),
         }
@@ -278,8 +288,7 @@
     /// Closes the connection after the answer while the process stops.
     pub(crate) fn finish(&self, mut reply: Reply) -> Reply {
         if self.is_stopping.load(Ordering::Acquire) {
-            let close = http::HeaderValue::from_static("close");
-            reply.headers_mut().insert(http::header::CONNECTION, close);
+            close_connection(&mut reply);
         }
         reply
     }
@@ -290,15 +299,12 @@
 
 impl<C: Codec> Service for CallerService<C> {
     async fn answer(&self, request: Request<Incoming>, _peer: SocketAddr) -> Reply {
-        let has_coding = request
-            .headers()
-            .contains_key(http::header::TRANSFER_ENCODING);
+        let has_coding = request.headers().contains_key(header::TRANSFER_ENCODING);
         let mut reply = self.0.serve(request).await;
         // A request with both a length and a coding hides a second request behind its end; the HTTP library drops the
         // length, so every coded request ends its connection.
         if has_coding {
-            let close = http::HeaderValue::from_static("close");
-            reply.headers_mut().insert(http::header::CONNECTION, close);
+            close_connection(&mut reply);
         }
         reply
     }
@@ -312,21 +318,8 @@
     }
 }
 
-async fn read_body(
-    body: Incoming,
-    limits: CallerLimits,
-    patience: Duration,
-) -> Result<Bytes, Refusal> {
-    let read = async {
-        match Limited::new(body, limits.max_body_bytes).collect().await {
-            Ok(collected) => Ok(collected.to_bytes()),
-            Err(error) if error.is::<LengthLimitError>() => Err(Refusal::TooLarge),
-            Err(_) => Err(Refusal::Malformed),
-        }
-    };
-    let expired = async {
-        Timer::after(patience).await;
-        Err(Refusal::SlowBody)
-    };
-    future::or(read, expired).await
+/// Tells the caller that the connection ends with this answer.
+fn close_connection(reply: &mut Reply) {
+    let close = HeaderValue::from_static("close");
+    reply.headers_mut().insert(header::CONNECTION, close);
 }
--- a/crates/gateway/src/held.rs
+++ b/crates/gateway/src/held.rs
@@ -4,11 +4,10 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use async_io::Timer;
 use bytes::Bytes;
-use futures_lite::{StreamExt, future, stream};
+use futures_lite::{StreamExt, stream};
 use tanagerford_core::dispatch::CallEnd;
-use tanagerford_http::Body;
+use tanagerford_http::{Body, within};
 
 use crate::attempt::Begun;
 use crate::call::Call;
@@ -44,12 +43,10 @@
         let deadline = self.call.deadline();
         let remaining = deadline.saturating_duration_since(Instant::now());
         let answer = &mut self.begun.answer;
-        let part = async { answer.next().await.map_err(|_| Refusal::ServerFailed) };
-        let expired = async {
-            Timer::after(remaining).await;
-            Err(Refusal::TimedOut)
+        let part = match within(remaining, answer.next()).await {
+            Some(part) => part.map_err(|_| Refusal::ServerFailed),
+            None => Err(Refusal::TimedOut),
         };
-        let part = future::or(part, expired).await;
         match &part {
             Ok(Some(data)) => self.bytes += data.len(),
             Ok(None) => self.on_whole(),
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -12,12 +12,11 @@
 use std::io;
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use async_io::{Async, Timer};
 use bytes::{Bytes, BytesMut};
-use futures_lite::future;
 use http::{HeaderValue, Request, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -26,11 +25,12 @@
 use tanagerford_core::ids::ZoneId;
 use tanagerford_http::outbound::SharedExecutor;
 use tanagerford_http::server::{Server, ServerLimits, Service};
-use tanagerford_http::{Body, Reply};
+use tanagerford_http::{Body, Reply, within};
 
 use crate::codec::Codec;
 use crate::fleet::{BackendServer, ServerNumber, server_number};
 use crate::gateway::Gateway;
+use crate::sync::lock;
 use crate::table::{RoutingTable, Version};
 
 /// Interval of summaries to entries of the same availability zone while the load changes.
@@ -89,8 +89,6 @@
     streams: u32,
     #[prost(uint32, tag = "4")]
     waiting_tokens: u32,
-    #[prost(uint32, tag = "5")]
-    memory_tokens: u32,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, Message)]
@@ -130,10 +128,6 @@
     servers: Vec<ServerNumber>,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl Default for Summaries {
     fn default() -> Self {
         Self {
@@ -154,12 +148,7 @@
 
     /// Waits for a change; returns false when there was none for `longest`.
     async fn wait_changed(&self, longest: Duration) -> bool {
-        let changed = async { self.change.1.recv().await.is_ok() };
-        let expired = async {
-            Timer::after(longest).await;
-            false
-        };
-        future::or(changed, expired).await
+        within(longest, self.change.1.recv()).await.is_some()
     }
 
     fn take_change(&self) {
@@ -285,11 +274,8 @@
     async fn copy_newer(self: Arc<Self>, peer: SocketAddr, version: Version) {
         Timer::after(STORE_HEAD_START).await;
         if self.gateway.version().unwrap_or(0) < version {
-            let expired = async {
-                Timer::after(COPY_TIMEOUT).await;
-                Err("timeout".to_owned())
-            };
-            match future::or(self.copy(peer), expired).await {
+            let copied = within(COPY_TIMEOUT, self.copy(peer)).await;
+            match copied.unwrap_or_else(|| Err("timeout".to_owned())) {
                 Ok(()) => tracing::info!(%peer, version, "configuration copied from a peer"),
                 Err(error) => tracing::warn!(%peer, version, error, "configuration was not copied"),
             }
@@ -370,7 +356,6 @@
                 flights: load.flights,
                 streams: load.streams,
                 waiting_tokens: load.waiting_tokens,
-                memory_tokens: load.memory_tokens,
             }));
         }
         Summary {
@@ -433,7 +418,6 @@
                 flights: load.flights,
                 streams: load.streams,
                 waiting_tokens: load.waiting_tokens,
-                memory_tokens: load.memory_tokens,
             };
             (load.server, told)
         }));
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -5,17 +5,18 @@
 //! request is refused. Entries tell each other their suspects with their load, since callers repeat at any entry.
 
 use std::collections::HashMap;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use async_io::{Async, Timer};
-use futures_lite::future;
 use tanagerford_core::ids::{Fingerprint, ServerId};
 use tanagerford_core::suspect::{CrashId, Running, SuspectTable, Verdict, wire};
+use tanagerford_http::within;
 use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
 use crate::call::Call;
 use crate::fleet::BackendServer;
+use crate::sync::lock;
 
 /// Time after a lost connection at which the server is tried; the other connections of a crashed server end meanwhile.
 const CRASH_CHECK_DELAY: Duration = Duration::from_millis(30);
@@ -32,10 +33,6 @@
     lost: Mutex<HashMap<ServerId, Vec<Running>>>,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// Returns what stays the same when a caller repeats a request: workspace, path and body.
 fn running(call: &Call) -> Running {
     let workspace = call
@@ -93,15 +90,13 @@
             // Another lost call of the same server is already being looked into.
             return;
         };
-        let expired = async {
-            Timer::after(CRASH_CHECK_TIMEOUT).await;
-            false
-        };
-        let refused = async {
-            let tried = Async::<std::net::TcpStream>::connect(server.address).await;
-            tried.is_err_and(|error| error.kind() == std::io::ErrorKind::ConnectionRefused)
-        };
-        if !future::or(refused, expired).await {
+        let connect = Async::<std::net::TcpStream>::connect(server.address);
+        let refused = within(CRASH_CHECK_TIMEOUT, connect)
+            .await
+            .is_some_and(|tried| {
+                tried.is_err_and(|error| error.kind() == std::io::ErrorKind::ConnectionRefused)
+            });
+        if !refused {
             return;
         }
         tracing::warn!(
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -4,11 +4,10 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use async_io::Timer;
 use bytes::Bytes;
-use futures_lite::{future, stream};
+use futures_lite::stream;
 use tanagerford_core::dispatch::CallEnd;
-use tanagerford_http::Body;
+use tanagerford_http::{Body, within};
 
 use crate::attempt::{AttemptError, Attempts, Begun};
 use crate::call::{Call, Repeat};
@@ -158,12 +157,10 @@
             (remaining, RelayError::Expired)
         };
         let answer = &mut self.begun.answer;
-        let part = async { answer.next().await.map_err(|_| RelayError::Broken) };
-        let expired = async {
-            Timer::after(wait).await;
-            Err(error)
-        };
-        future::or(part, expired).await
+        match within(wait, answer.next()).await {
+            Some(part) => part.map_err(|_| RelayError::Broken),
+            None => Err(error),
+        }
     }
 
     /// Goes on at another server after the last event that was passed on.
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -124,7 +124,12 @@
     handler.handle(request).await
 }
 
-async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, StatusCode> {
+/// Reads a whole body of at most `max_bytes`.
+///
+/// # Errors
+///
+/// The status that tells the caller what was wrong.
+pub async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, StatusCode> {
     match Limited::new(body, max_bytes).collect().await {
         Ok(collected) => Ok(collected.to_bytes()),
         Err(error) if error.is::<LengthLimitError>() => Err(StatusCode::PAYLOAD_TOO_LARGE),
@@ -132,7 +137,18 @@
     }
 }
 
-async fn within<T>(timeout: std::time::Duration, future: impl Future<Output = T>) -> Option<T> {
+/// Waits for a future, but not longer than `timeout`; `None` when the time is up.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+/// use tanagerford_http::within;
+///
+/// let done = async_io::block_on(within(Duration::from_secs(9), async { 4 }));
+/// assert_eq!(done, Some(4));
+/// ```
+pub async fn within<T>(timeout: std::time::Duration, future: impl Future<Output = T>) -> Option<T> {
     let expired = async {
         Timer::after(timeout).await;
         None
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -12,5 +12,5 @@
 pub mod server;
 
 pub use body::{Body, SendError, StreamSender, stream};
-pub use connection::{Reply, Request};
+pub use connection::{Reply, Request, read_body, within};
 pub use listener::{Handler, Limits, Listener, ListenerHandle};
--- a/crates/http/src/outbound.rs
+++ b/crates/http/src/outbound.rs
@@ -10,9 +10,8 @@
 use std::time::{Duration, Instant};
 
 use async_executor::Executor;
-use async_io::{Async, Timer};
+use async_io::Async;
 use bytes::Bytes;
-use futures_lite::future;
 use http::{HeaderMap, Request, Response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -20,6 +19,8 @@
 use smol_hyper::rt::FuturesIo;
 use socket2::{SockRef, TcpKeepalive};
 
+use crate::connection::within;
+
 /// Time that unacknowledged bytes may wait before the connection counts as broken, and the idle time before keep-alive
 /// probes. A peer behind a partition sends no reset.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(3);
@@ -114,11 +115,6 @@
         }
     }
 
-    /// Closes the idle connections to an address whose server has ended.
-    pub fn forget(&self, address: SocketAddr) {
-        self.lock().remove(&address);
-    }
-
     fn answer(
         self: &Arc<Self>,
         address: SocketAddr,
@@ -170,11 +166,8 @@
         address: SocketAddr,
         timeout: Duration,
     ) -> Result<SendRequest<Full<Bytes>>, ExchangeError> {
-        let expired = async {
-            Timer::after(timeout).await;
-            Err(io::ErrorKind::TimedOut.into())
-        };
-        let connected = future::or(Async::<TcpStream>::connect(address), expired).await;
+        let connected = within(timeout, Async::<TcpStream>::connect(address)).await;
+        let connected = connected.unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()));
         let stream = connected.map_err(ExchangeError::Connect)?;
         configure(stream.get_ref()).map_err(ExchangeError::Connect)?;
         let handshake = http1::handshake(FuturesIo::new(stream)).await;
--- a/src/process.rs
+++ b/src/process.rs
@@ -15,6 +15,8 @@
 use tanagerford_node::stop::StopSignal;
 use tanagerford_operator::check::settings::Settings;
 use tracing_subscriber::EnvFilter;
+use tracing_subscriber::fmt::MakeWriter;
+use tracing_subscriber::util::{SubscriberInitExt, TryInitError};
 
 use crate::error::Error;
 
@@ -39,15 +41,7 @@
 
 /// Writes logs as JSON lines to the standard error; `TANAGERFORD_LOG` sets the level.
 pub fn start_logging() {
-    let filter =
-        EnvFilter::try_from_env("TANAGERFORD_LOG").unwrap_or_else(|_| EnvFilter::new("info"));
-    let started = tracing_subscriber::fmt()
-        .json()
-        .flatten_event(true)
-        .with_env_filter(filter)
-        .with_writer(std::io::stderr)
-        .try_init();
-    if let Err(error) = started {
+    if let Err(error) = log_to(std::io::stderr) {
         let _ = writeln!(
             std::io::stderr(),
             "tanagerford: cannot start logging: {error}"
@@ -55,6 +49,21 @@
     }
 }
 
+fn log_to<W>(writer: W) -> Result<(), TryInitError>
+where
+    W: for<'a> MakeWriter<'a> + Send + Sync + 'static,
+{
+    let filter =
+        EnvFilter::try_from_env("TANAGERFORD_LOG").unwrap_or_else(|_| EnvFilter::new("info"));
+    tracing_subscriber::fmt()
+        .json()
+        .flatten_event(true)
+        .with_env_filter(filter)
+        .with_writer(writer)
+        .finish()
+        .try_init()
+}
+
 /// Log lines that wait for the standard output; more are dropped and counted.
 const LOG_QUEUE_LINES: usize = 4_096;
 
@@ -87,15 +96,8 @@
         lines,
         dropped: Arc::clone(&dropped),
     };
-    let filter =
-        EnvFilter::try_from_env("TANAGERFORD_LOG").unwrap_or_else(|_| EnvFilter::new("info"));
-    let started = tracing_subscriber::fmt()
-        .json()
-        .flatten_event(true)
-        .with_env_filter(filter)
-        .with_writer(move || queue.clone())
-        .try_init();
-    started.map_err(|error| Error::failed(format!("cannot start logging: {error}")))?;
+    log_to(move || queue.clone())
+        .map_err(|error| Error::failed(format!("cannot start logging: {error}")))?;
     let writer = thread::Builder::new().name("log-writer".to_owned());
     writer.spawn(move || write_lines(&received, &dropped))?;
     Ok(())
