--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -7,20 +7,22 @@
 //! Long prefills delay the tokens of every stream on the same server, so long prompts and streams are drawn to opposite
 //! ends of one order of the servers that all entries compute alike.
 
+mod budget;
 mod cache;
 mod cost;
 mod health;
 mod room;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
 use crate::ids::{ServerId, ZoneId};
 
+pub use budget::{BudgetLimits, RetryBudget};
 pub use cache::PartCache;
 pub use cost::CostSettings;
 pub use health::{CallEnd, Health};
-pub use room::{Room, RoomGate};
+pub use room::{GateSettings, ROOM_INTERVAL, Room, RoomGate, room_wait};
 
 /// Number of one prompt part; equal parts have equal numbers.
 pub type PartId = u64;
@@ -112,18 +114,40 @@
 impl EntryLoad {
     fn add(self, other: Self) -> Self {
         Self {
-            flights: self.flights + other.flights,
-            streams: self.streams + other.streams,
+            flights: self.flights.saturating_add(other.flights),
+            streams: self.streams.saturating_add(other.streams),
             waiting_tokens: self.waiting_tokens.saturating_add(other.waiting_tokens),
         }
     }
+
+    fn subtract(self, other: Self) -> Self {
+        Self {
+            flights: self.flights.saturating_sub(other.flights),
+            streams: self.streams.saturating_sub(other.streams),
+            waiting_tokens: self.waiting_tokens.saturating_sub(other.waiting_tokens),
+        }
+    }
 }
 
-/// Load that another entry told, and when.
-#[derive(Debug, Clone, Copy)]
-struct PeerLoad {
-    load: EntryLoad,
+/// Short number of a server in the messages between entries.
+pub type ServerNumber = u32;
+
+/// Returns the short number of a server, the same at every entry.
+#[must_use]
+pub fn server_number(server: &str) -> ServerNumber {
+    let hash = xxhash_rust::xxh3::xxh3_64(server.as_bytes());
+    u32::try_from(hash >> 32).unwrap_or(u32::MAX)
+}
+
+/// Position of a server in its pool.
+type ServerIndex = usize;
+
+/// Loads that another entry told, and when.
+#[derive(Debug)]
+struct Peer {
     told: Duration,
+    /// Loads in the order of the servers.
+    loads: Vec<(ServerIndex, EntryLoad)>,
 }
 
 /// Age after which the load that another entry told is ignored: it may have stopped.
@@ -135,7 +159,10 @@
     /// Position in the common order of the servers, from 0 to 1.
     rank: f64,
     flights: BTreeMap<CallNumber, EntryLoad>,
-    peers: BTreeMap<PeerNumber, PeerLoad>,
+    /// Sum of `flights`.
+    own: EntryLoad,
+    /// Sum of what other entries told.
+    others: EntryLoad,
     /// Prefill time that was queued recently; halves each [`cost::RECENT_HALF_LIFE`].
     recent_prefill_ms: f64,
     recent_at: Duration,
@@ -149,7 +176,11 @@
 pub struct Pool {
     zone: ZoneId,
     settings: CostSettings,
-    servers: BTreeMap<ServerId, ServerState>,
+    /// Servers in the order of their names.
+    servers: Vec<ServerState>,
+    by_id: HashMap<ServerId, ServerIndex>,
+    by_number: HashMap<ServerNumber, ServerIndex>,
+    peers: BTreeMap<PeerNumber, Peer>,
 }
 
 impl Pool {
@@ -174,41 +205,80 @@
         Self {
             zone: zone.into(),
             settings,
-            servers: BTreeMap::new(),
+            servers: Vec::new(),
+            by_id: HashMap::new(),
+            by_number: HashMap::new(),
+            peers: BTreeMap::new(),
         }
     }
 
     /// Replaces the set of servers; what is believed of those that stay is kept.
     pub fn set_servers(&mut self, specs: &[ServerSpec]) {
-        let mut old = std::mem::take(&mut self.servers);
-        for spec in specs {
-            let state = match old.remove(&spec.id) {
-                Some(mut state) => {
-                    state.spec = spec.clone();
-                    state
-                }
-                None => ServerState::new(spec.clone()),
-            };
-            self.servers.insert(spec.id.clone(), state);
-        }
+        let old: Vec<ServerId> = self
+            .servers
+            .iter()
+            .map(|state| state.spec.id.clone())
+            .collect();
+        let states = std::mem::take(&mut self.servers);
+        let mut states: HashMap<ServerId, ServerState> = states
+            .into_iter()
+            .map(|state| (state.spec.id.clone(), state))
+            .collect();
+        let servers = specs.iter().map(|spec| match states.remove(&spec.id) {
+            Some(mut state) => {
+                state.spec = spec.clone();
+                state
+            }
+            None => ServerState::new(spec.clone()),
+        });
+        self.servers = servers.collect();
+        self.servers.sort_by(|a, b| a.spec.id.cmp(&b.spec.id));
+        let ids = || self.servers.iter().map(|state| &state.spec.id).enumerate();
+        self.by_id = ids().map(|(index, id)| (id.clone(), index)).collect();
+        self.by_number = ids()
+            .map(|(index, id)| (server_number(id), index))
+            .collect();
+        self.move_peers(&old);
         self.rank();
     }
 
+    /// Moves the loads of other entries to the new positions of the servers.
+    fn move_peers(&mut self, old: &[ServerId]) {
+        for peer in self.peers.values_mut() {
+            let loads = peer.loads.iter().filter_map(|(index, load)| {
+                let index = self.by_id.get(old.get(*index)?)?;
+                Some((*index, *load))
+            });
+            peer.loads = loads.collect();
+            peer.loads.sort_by_key(|(index, _)| *index);
+        }
+        for state in &mut self.servers {
+            state.others = EntryLoad::default();
+        }
+        for (index, load) in self.peers.values().flat_map(|peer| &peer.loads) {
+            let state = &mut self.servers[*index];
+            state.others = state.others.add(*load);
+        }
+    }
+
+    fn state(&mut self, server: &str) -> Option<&mut ServerState> {
+        let index = self.by_id.get(server)?;
+        self.servers.get_mut(*index)
+    }
+
     /// Orders the servers of each availability zone by a hash, the same at every entry.
     fn rank(&mut self) {
-        let mut by_zone: BTreeMap<ZoneId, Vec<(u64, ServerId)>> = BTreeMap::new();
-        for (id, state) in &self.servers {
-            let hash = xxhash_rust::xxh3::xxh3_64(id.as_bytes());
+        let mut by_zone: BTreeMap<ZoneId, Vec<(u64, ServerIndex)>> = BTreeMap::new();
+        for (index, state) in self.servers.iter().enumerate() {
+            let hash = xxhash_rust::xxh3::xxh3_64(state.spec.id.as_bytes());
             let zone = by_zone.entry(state.spec.zone.clone()).or_default();
-            zone.push((hash, id.clone()));
+            zone.push((hash, index));
         }
         for mut order in by_zone.into_values() {
-            order.sort();
+            order.sort_unstable();
             let last = order.len().saturating_sub(1).max(1);
-            for (position, (_, id)) in order.into_iter().enumerate() {
-                if let Some(state) = self.servers.get_mut(&id) {
-                    state.rank = cost::ratio(position, last);
-                }
+            for (position, (_, index)) in order.into_iter().enumerate() {
+                self.servers[index].rank = cost::ratio(position, last);
             }
         }
     }
@@ -222,25 +292,31 @@
 
     /// Chooses a server for a call, except those in `exclude`.
     #[must_use]
-    pub fn choose(&self, now: Duration, demand: &Demand, exclude: &[ServerId]) -> Option<Choice> {
+    pub fn choose(
+        &mut self,
+        now: Duration,
+        demand: &Demand,
+        exclude: &[ServerId],
+    ) -> Option<Choice> {
+        self.forget_peers(now);
         let usable = || {
             let servers = self.servers.iter();
-            servers.filter(|(id, _)| !exclude.contains(id))
+            servers.filter(|state| !exclude.contains(&state.spec.id))
         };
-        let healthy = usable().filter(|(_, state)| !state.health.is_ejected(now));
+        let healthy = usable().filter(|state| !state.health.is_ejected(now));
         let mut candidates: Vec<_> = healthy.collect();
         // With most servers ejected, the ejections say more about this entry or the network than about the servers.
         if candidates.len() * 2 < usable().count() {
             candidates = usable().collect();
         }
-        let priced = candidates.iter().map(|(id, state)| {
-            let cost_ms = state.cost_ms(&self.settings, &self.zone, now, demand);
-            (cost_ms, *id, *state)
+        let priced = candidates.iter().map(|state| {
+            let situation = state.situation(now, demand);
+            let cost_ms = state.cost_ms(&self.settings, &self.zone, now, demand, situation);
+            (cost_ms, *state, situation)
         });
-        let (cost_ms, id, state) = priced.min_by(|a, b| a.0.total_cmp(&b.0))?;
-        let situation = state.situation(now, demand);
+        let (cost_ms, state, situation) = priced.min_by(|a, b| a.0.total_cmp(&b.0))?;
         Some(Choice {
-            server: id.clone(),
+            server: state.spec.id.clone(),
             cost_ms,
             uncached_tokens: situation.missing_tokens,
             in_flight: situation.running,
@@ -254,41 +330,79 @@
 
     /// Records that a call was sent to a server.
     pub fn on_start(&mut self, now: Duration, server: &str, call: CallNumber, demand: &Demand) {
-        if let Some(state) = self.servers.get_mut(server) {
-            state.start(&self.settings, now, call, demand);
+        if let Some(index) = self.by_id.get(server) {
+            self.servers[*index].start(&self.settings, now, call, demand);
         }
     }
 
     /// Records that the first part of a call's answer has arrived.
     pub fn on_first_part(&mut self, server: &str, call: CallNumber) {
-        let state = self.servers.get_mut(server);
-        if let Some(flight) = state.and_then(|state| state.flights.get_mut(&call)) {
-            flight.waiting_tokens = 0;
+        if let Some(state) = self.state(server)
+            && let Some(flight) = state.flights.get_mut(&call)
+        {
+            let waited = EntryLoad {
+                waiting_tokens: std::mem::take(&mut flight.waiting_tokens),
+                ..EntryLoad::default()
+            };
+            state.own = state.own.subtract(waited);
         }
     }
 
     /// Records that a call has ended.
     pub fn on_end(&mut self, server: &str, call: CallNumber) {
-        if let Some(state) = self.servers.get_mut(server) {
-            state.flights.remove(&call);
+        if let Some(state) = self.state(server)
+            && let Some(load) = state.flights.remove(&call)
+        {
+            state.own = state.own.subtract(load);
         }
     }
 
-    /// Takes the load that another entry puts on a server.
-    pub fn on_peer_load(&mut self, now: Duration, peer: PeerNumber, server: &str, load: EntryLoad) {
-        let Some(state) = self.servers.get_mut(server) else {
-            return;
-        };
-        if load == EntryLoad::default() {
-            state.peers.remove(&peer);
-        } else {
-            state.peers.insert(peer, PeerLoad { load, told: now });
+    /// Replaces the loads that another entry puts on servers; those that `loads` does not name have none.
+    pub fn set_peer_loads(
+        &mut self,
+        now: Duration,
+        peer: PeerNumber,
+        loads: impl IntoIterator<Item = (ServerNumber, EntryLoad)>,
+    ) {
+        let known = loads.into_iter().filter_map(|(number, load)| {
+            let index = self.by_number.get(&number)?;
+            Some((*index, load))
+        });
+        let mut loads: Vec<_> = known.collect();
+        loads.sort_unstable_by_key(|(index, _)| *index);
+        for (index, load) in &loads {
+            let state = &mut self.servers[*index];
+            state.others = state.others.add(*load);
+        }
+        let told = Peer { told: now, loads };
+        let old = self.peers.insert(peer, told);
+        self.subtract(old);
+    }
+
+    /// Ignores other entries that were silent for too long.
+    fn forget_peers(&mut self, now: Duration) {
+        let silent = |peer: &Peer| now.saturating_sub(peer.told) >= PEER_LIFETIME;
+        while let Some(number) = self
+            .peers
+            .iter()
+            .find_map(|(number, peer)| silent(peer).then_some(*number))
+        {
+            let old = self.peers.remove(&number);
+            self.subtract(old);
+        }
+    }
+
+    fn subtract(&mut self, peer: Option<Peer>) {
+        for (index, load) in peer.into_iter().flat_map(|peer| peer.loads) {
+            let state = &mut self.servers[index];
+            state.others = state.others.subtract(load);
         }
     }
 
     /// Records that another entry sent a server a prompt with a part that may be shared.
-    pub fn on_peer_part(&mut self, now: Duration, server: &str, part: PromptPart) {
-        if let Some(state) = self.servers.get_mut(server) {
+    pub fn on_peer_part(&mut self, now: Duration, server: ServerNumber, part: PromptPart) {
+        let index = self.by_number.get(&server).copied();
+        if let Some(state) = index.and_then(|index| self.servers.get_mut(index)) {
             state.cache.insert(now, &[part]);
         }
     }
@@ -296,12 +410,12 @@
     /// Returns the load that this entry puts on each server.
     pub fn own_loads(&self) -> impl Iterator<Item = (&ServerId, EntryLoad)> {
         let servers = self.servers.iter();
-        servers.map(|(id, state)| (id, state.own_load()))
+        servers.map(|state| (&state.spec.id, state.own))
     }
 
     /// Records how an own call went, for the health of the server.
     pub fn on_outcome(&mut self, now: Duration, server: &str, end: CallEnd) {
-        if let Some(state) = self.servers.get_mut(server) {
+        if let Some(state) = self.state(server) {
             state.health.record(now, end);
             if end == CallEnd::Restarted {
                 state.cache.clear();
@@ -311,7 +425,7 @@
 
     /// Records the load that a server told.
     pub fn on_load(&mut self, now: Duration, server: &str, load: ReportedLoad) {
-        if let Some(state) = self.servers.get_mut(server) {
+        if let Some(state) = self.state(server) {
             state.reported = Some((now, load));
         }
     }
@@ -324,7 +438,8 @@
             spec,
             rank: 0.0,
             flights: BTreeMap::new(),
-            peers: BTreeMap::new(),
+            own: EntryLoad::default(),
+            others: EntryLoad::default(),
             recent_prefill_ms: 0.0,
             recent_at: Duration::ZERO,
             reported: None,
@@ -332,17 +447,8 @@
         }
     }
 
-    fn own_load(&self) -> EntryLoad {
-        let flights = self.flights.values().copied();
-        flights.fold(EntryLoad::default(), EntryLoad::add)
-    }
-
     /// Load of all entries.
-    fn load(&self, now: Duration) -> EntryLoad {
-        let recent = self
-            .peers
-            .values()
-            .filter(|peer| now.saturating_sub(peer.told) < PEER_LIFETIME);
-        recent.fold(self.own_load(), |sum, peer| sum.add(peer.load))
+    fn load(&self) -> EntryLoad {
+        self.own.add(self.others)
     }
 }
--- a/crates/gateway/src/budget.rs
+++ b/crates/core/src/dispatch/budget.rs
@@ -42,7 +42,7 @@
     ///
     /// ```
     /// use std::time::Duration;
-    /// use tanagerford_gateway::budget::{BudgetLimits, RetryBudget};
+    /// use tanagerford_core::dispatch::{BudgetLimits, RetryBudget};
     ///
     /// let limits = BudgetLimits { ratio: 0.2, extra: 10.0, window: Duration::from_secs(10) };
     /// let mut budget = RetryBudget::default();
--- a/crates/core/src/dispatch/cache.rs
+++ b/crates/core/src/dispatch/cache.rs
@@ -67,7 +67,10 @@
             }
         }
         while self.held_tokens > self.capacity_tokens {
-            let oldest = self.parts.iter().min_by_key(|(_, held)| held.last_use);
+            let oldest = self
+                .parts
+                .iter()
+                .min_by_key(|(id, held)| (held.last_use, **id));
             let Some(id) = oldest.map(|(id, _)| *id) else {
                 break;
             };
--- a/crates/core/src/dispatch/cost.rs
+++ b/crates/core/src/dispatch/cost.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use serde::Deserialize;
+
 use super::{CallNumber, Demand, EntryLoad, ServerState};
 
 /// Time in which half of the recent prefill work is forgotten.
@@ -21,7 +23,8 @@
 const LATE_OWN_MS: f64 = 600.0;
 
 /// Weights of the estimate.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
 pub struct CostSettings {
     /// Prompt tokens that a server reads in a millisecond beside the streams that it serves.
     pub prefill_tokens_per_ms: f64,
@@ -65,7 +68,7 @@
 impl Default for CostSettings {
     fn default() -> Self {
         Self {
-            prefill_tokens_per_ms: 65.0,
+            prefill_tokens_per_ms: 55.0,
             first_token_base_ms: 70.0,
             long_prompt_tokens: 2_048,
             chunk_tokens: 2_048,
@@ -75,13 +78,13 @@
             event_tokens: 6,
             pause_limit_ms: 200.0,
             late_stream_ms: 100.0,
-            disturbed_stream_ms: 8.0,
-            busy_prefill_ms: 200.0,
+            disturbed_stream_ms: 20.0,
+            busy_prefill_ms: 400.0,
             running_request_ms: 0.7,
             order_ms: 100.0,
             other_zone_ms: 5.0,
             other_zone_ms_per_kb: 3.0,
-            read_again_factor: 3.0,
+            read_again_factor: 5.0,
             failing_ms: 2_000.0,
         }
     }
@@ -157,7 +160,7 @@
 
 impl ServerState {
     pub(super) fn situation(&self, now: Duration, demand: &Demand) -> Situation {
-        let load = self.load(now);
+        let load = self.load();
         let running = match self.reported {
             Some((at, reported)) if now.saturating_sub(at) < REPORT_LIFETIME => {
                 load.flights.max(reported.running + reported.waiting)
@@ -182,8 +185,8 @@
         zone: &str,
         now: Duration,
         demand: &Demand,
+        situation: Situation,
     ) -> f64 {
-        let situation = self.situation(now, demand);
         let work_ms = if demand.prompt_tokens == 0 {
             self.queue_ms(situation)
         } else {
@@ -267,6 +270,7 @@
             streams: u32::from(demand.prompt_tokens > 0 && !is_long),
             waiting_tokens: missing,
         };
+        self.own = self.own.add(flight);
         self.flights.insert(call, flight);
         if is_long {
             let prefill_ms = f64::from(missing) / settings.prefill_tokens_per_ms;
--- a/crates/core/src/dispatch/room.rs
+++ b/crates/core/src/dispatch/room.rs
@@ -2,20 +2,50 @@
 
 use std::time::Duration;
 
+use serde::Deserialize;
+
 use super::Choice;
 
-/// Streams that a long prompt of the highest rank may make late; a bet that the estimate is too careful.
-const MAX_HARMED_STREAMS: f64 = 1.0;
-/// Streams that a call of the next lower rank may make late less, so that higher ranks enter first.
-const HARMED_PER_RANK: f64 = 0.1;
-/// Estimated time to the first token with which a call still enters, as a multiple of the time that it has left. A call
-/// that would be late takes the server from those that would not.
-const LATE_FACTOR: f64 = 1.2;
-/// What a call of the next lower rank gets less of that multiple.
-const LATE_PER_RANK: f64 = 0.05;
-/// Interval at which one call enters although it makes streams late. Where every server is full of streams, long
-/// prompts are slowed by it but never starved.
-const EXCEPTION_INTERVAL: Duration = Duration::from_secs(2);
+/// Share of the latency objective for which a long prompt waits for room, as a fraction.
+const ROOM_SHARE: (u32, u32) = (2, 5);
+/// Interval at which a waiting call looks for room.
+pub const ROOM_INTERVAL: Duration = Duration::from_millis(15);
+
+/// Returns how long a call with a latency objective may wait for room.
+#[must_use]
+pub fn room_wait(objective: Duration) -> Duration {
+    objective * ROOM_SHARE.0 / ROOM_SHARE.1
+}
+
+/// Limits of the room for long prompts.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct GateSettings {
+    /// Streams that a long prompt of the highest rank may make late; a bet that the estimate is too careful.
+    pub max_harmed_streams: f64,
+    /// Streams that a call of the next lower rank may make late less, so that higher ranks enter first.
+    pub harmed_per_rank: f64,
+    /// Estimated time to the first token with which a call still enters, as a multiple of the time that it has left. A
+    /// call that would be late takes the server from those that would not.
+    pub late_factor: f64,
+    /// What a call of the next lower rank gets less of that multiple.
+    pub late_per_rank: f64,
+    /// Interval at which one call enters although it makes streams late, in milliseconds. Where every server is full of
+    /// streams, long prompts are slowed by it but never starved.
+    pub exception_interval_ms: f64,
+}
+
+impl Default for GateSettings {
+    fn default() -> Self {
+        Self {
+            max_harmed_streams: 1.0,
+            harmed_per_rank: 0.1,
+            late_factor: 1.0,
+            late_per_rank: 0.03,
+            exception_interval_ms: 2_000.0,
+        }
+    }
+}
 
 /// What a call that was given a choice may do.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -31,10 +61,20 @@
 /// Lets long prompts in as far as running streams allow it.
 #[derive(Debug, Default)]
 pub struct RoomGate {
+    settings: GateSettings,
     last_exception: Option<Duration>,
 }
 
 impl RoomGate {
+    /// Creates a gate with the given limits.
+    #[must_use]
+    pub fn new(settings: GateSettings) -> Self {
+        Self {
+            settings,
+            last_exception: None,
+        }
+    }
+
     /// Decides about a call of the given rank; 0 is the highest. `first_token_left_ms` is the time until its first token
     /// would be late, and `may_wait` tells whether the call has time left to wait for room.
     ///
@@ -60,8 +100,10 @@
         may_wait: bool,
     ) -> Room {
         let rank = f64::from(rank);
-        let allowed = (MAX_HARMED_STREAMS - HARMED_PER_RANK * rank).max(0.0);
-        let in_time_ms = first_token_left_ms * (LATE_FACTOR - LATE_PER_RANK * rank);
+        let settings = &self.settings;
+        let allowed = (settings.max_harmed_streams - settings.harmed_per_rank * rank).max(0.0);
+        let late_factor = settings.late_factor - settings.late_per_rank * rank;
+        let in_time_ms = first_token_left_ms * late_factor;
         let has_room = choice.harmed_streams <= allowed && choice.first_token_ms <= in_time_ms;
         if !choice.is_long || has_room {
             return Room::Enter;
@@ -70,7 +112,8 @@
             return Room::Wait;
         }
         let since_exception = self.last_exception.map(|at| now.saturating_sub(at));
-        if since_exception.is_some_and(|since| since < EXCEPTION_INTERVAL) {
+        let interval = Duration::from_secs_f64(settings.exception_interval_ms / 1_000.0);
+        if since_exception.is_some_and(|since| since < interval) {
             return Room::Refuse;
         }
         self.last_exception = Some(now);
--- /dev/null
+++ b/crates/core/src/exchange.rs
@@ -0,0 +1,390 @@
+//! Load summaries that entries send each other, as a state machine without I/O.
+//!
+//! Every entry sees only its own part of the calls. Each tells the others what it puts on every server and which shared
+//! prompt parts it sent where. A summary replaces the previous one of its sender, so lost, repeated and reordered
+//! datagrams do no harm.
+//!
+//! Messages would grow with the square of the entries if each told all others. So an entry sends each summary to one
+//! entry of every availability zone, its relay, which passes it on to the others there together with all that came in
+//! the same moment. Two relays of a zone take turns: a lost one halves the freshness until it is left out. The entries of
+//! the same zone are told directly as long as they are few. See [`Exchange`].
+
+pub mod wire;
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use crate::dispatch::{EntryLoad, PromptPart, ServerNumber};
+use crate::ids::ZoneId;
+
+/// Time in which changes go into one summary for the same availability zone.
+const NEAR_INTERVAL: Duration = Duration::from_millis(2);
+/// Shortest interval of summaries to other availability zones, whose bytes cost money.
+const FAR_INTERVAL: Duration = Duration::from_millis(15);
+/// Time in which a relay collects summaries into one datagram.
+const RELAY_INTERVAL: Duration = Duration::from_millis(5);
+/// Interval of summaries while nothing changes.
+const HEARTBEAT: Duration = Duration::from_secs(1);
+/// Silence after which an entry is not counted any more and relays nothing.
+const PEER_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Entries of the same availability zone that are told directly; with more, relays are cheaper.
+const MAX_DIRECT: usize = 2;
+/// Relays of an availability zone.
+const RELAYS: u128 = 2;
+/// Time for which one of the relays is used before the next one has its turn.
+const RELAY_TURN: Duration = Duration::from_millis(100);
+/// Smallest part of a prompt that is worth telling, in tokens.
+const MIN_PART_TOKENS: u32 = 512;
+/// Parts that wait for a summary; the oldest are dropped beyond it.
+const MAX_WAITING_PARTS: usize = 64;
+
+/// Number of an entry, the same in all its incarnations and at all entries.
+pub type EntryNumber = u64;
+
+/// Number of an incarnation of an entry.
+pub type Boot = u64;
+
+/// Intervals of the summaries.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Cadence {
+    /// Time in which changes go into one summary for the same availability zone.
+    pub near: Duration,
+    /// Shortest interval of summaries to other availability zones.
+    pub far: Duration,
+    /// Time in which a relay collects summaries.
+    pub relay: Duration,
+}
+
+impl Default for Cadence {
+    fn default() -> Self {
+        Self {
+            near: NEAR_INTERVAL,
+            far: FAR_INTERVAL,
+            relay: RELAY_INTERVAL,
+        }
+    }
+}
+
+/// Another entry as the registry of entries describes it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Peer {
+    /// Availability zone.
+    pub zone: ZoneId,
+    /// Processor share of its VM in thousandths of a core; relays are taken from the largest.
+    pub capacity: u32,
+}
+
+/// What an entry tells the others.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Summary {
+    /// Entry that tells it.
+    pub entry: EntryNumber,
+    /// Incarnation of the entry.
+    pub boot: Boot,
+    /// Number of the summary; a smaller one than the last is out of date.
+    pub sequence: u64,
+    /// Version of the configuration in force at the entry; 0 for none.
+    pub version: u64,
+    /// Revision of the store up to which the entry knows all changes; 0 for none.
+    pub revision: u64,
+    /// Loads by server.
+    pub loads: Vec<(ServerNumber, EntryLoad)>,
+    /// Shared prompt parts that were sent since the previous summary.
+    pub parts: Vec<(ServerNumber, PromptPart)>,
+    /// Requests that are suspected of crashing servers, in their own encoding.
+    pub suspects: Vec<u8>,
+}
+
+/// Content of a summary, which the exchange asks for when one is due.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Content {
+    /// Version of the configuration in force; 0 for none.
+    pub version: u64,
+    /// Revision of the store up to which all changes are known; 0 for none.
+    pub revision: u64,
+    /// Loads by server.
+    pub loads: Vec<(ServerNumber, EntryLoad)>,
+    /// Requests that are suspected of crashing servers.
+    pub suspects: Vec<u8>,
+}
+
+/// Message between entries.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Message {
+    /// Whether the receiver passes the summaries on to its availability zone.
+    pub to_relay: bool,
+    /// Summaries of one or several entries.
+    pub summaries: Vec<Summary>,
+}
+
+/// Message with the entries that it goes to.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Outgoing {
+    /// Receivers.
+    pub receivers: Vec<EntryNumber>,
+    /// Message.
+    pub message: Message,
+}
+
+/// What is remembered of an incarnation.
+#[derive(Debug)]
+struct Heard {
+    sequence: u64,
+    at: Duration,
+}
+
+/// Summaries of one entry: which are due, to whom they go, and which of those that arrive are new.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+/// use tanagerford_core::exchange::{Cadence, Content, Exchange, Peer};
+///
+/// let peer = |zone: &str| Peer { zone: zone.into(), capacity: 130 };
+/// let mut exchange = Exchange::new(1, 77, "zone-a", Cadence::default());
+/// exchange.set_peer(1, Some(peer("zone-a")));
+/// exchange.set_peer(2, Some(peer("zone-a")));
+/// exchange.set_peer(3, Some(peer("zone-b")));
+/// exchange.on_change(Duration::ZERO);
+/// let due = exchange.next_due();
+/// let sent = exchange.due(due, &mut Content::default);
+/// assert_eq!(sent[0].receivers, [2]);
+/// ```
+#[derive(Debug)]
+pub struct Exchange {
+    entry: EntryNumber,
+    boot: Boot,
+    zone: ZoneId,
+    cadence: Cadence,
+    peers: BTreeMap<EntryNumber, Peer>,
+    heard: HashMap<Boot, Heard>,
+    last_heard: HashMap<EntryNumber, Duration>,
+    sequence: u64,
+    near_parts: Vec<(ServerNumber, PromptPart)>,
+    far_parts: Vec<(ServerNumber, PromptPart)>,
+    near_due: Duration,
+    far_due: Duration,
+    last_far: Duration,
+    /// Summaries to pass on to the own availability zone, by incarnation, and when.
+    pending: BTreeMap<Boot, Summary>,
+    relay_due: Option<Duration>,
+}
+
+impl Exchange {
+    /// Creates the exchange of an entry that knows no others yet.
+    #[must_use]
+    pub fn new(entry: EntryNumber, boot: Boot, zone: impl Into<ZoneId>, cadence: Cadence) -> Self {
+        Self {
+            entry,
+            boot,
+            zone: zone.into(),
+            cadence,
+            peers: BTreeMap::new(),
+            heard: HashMap::new(),
+            last_heard: HashMap::new(),
+            sequence: 0,
+            near_parts: Vec::new(),
+            far_parts: Vec::new(),
+            near_due: Duration::ZERO,
+            far_due: Duration::ZERO,
+            last_far: Duration::ZERO,
+            pending: BTreeMap::new(),
+            relay_due: None,
+        }
+    }
+
+    /// Sets what is known of an entry; `None` when its record is gone.
+    pub fn set_peer(&mut self, entry: EntryNumber, peer: Option<Peer>) {
+        match peer {
+            Some(peer) => drop(self.peers.insert(entry, peer)),
+            None => drop(self.peers.remove(&entry)),
+        }
+    }
+
+    /// Records that the load of this entry has changed.
+    pub fn on_change(&mut self, now: Duration) {
+        let soon = now + self.cadence.near;
+        self.near_due = self.near_due.min(soon);
+        self.far_due = self.far_due.min(soon.max(self.last_far + self.cadence.far));
+    }
+
+    /// Records that a prompt was sent to a server.
+    pub fn on_sent(&mut self, now: Duration, server: ServerNumber, parts: &[PromptPart]) {
+        // The last part belongs to the request itself; nobody else sends it.
+        let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
+        for part in shared.iter().filter(|part| part.tokens >= MIN_PART_TOKENS) {
+            for queue in [&mut self.near_parts, &mut self.far_parts] {
+                if queue.len() >= MAX_WAITING_PARTS {
+                    queue.remove(0);
+                }
+                queue.push((server, *part));
+            }
+        }
+        self.on_change(now);
+    }
+
+    /// Returns when the next message is due.
+    #[must_use]
+    pub fn next_due(&self) -> Duration {
+        let own = self.near_due.min(self.far_due);
+        self.relay_due.map_or(own, |relay| own.min(relay))
+    }
+
+    /// Returns the messages that are due. `content` is asked for the state of this entry when a summary is due.
+    pub fn due(&mut self, now: Duration, content: &mut impl FnMut() -> Content) -> Vec<Outgoing> {
+        let mut outgoing = Vec::new();
+        if now >= self.near_due {
+            self.near_due = now + HEARTBEAT;
+            let parts = std::mem::take(&mut self.near_parts);
+            let (receivers, to_relay) = self.near_receivers(now);
+            outgoing.push(self.own_message(receivers, to_relay, parts, content()));
+        }
+        if now >= self.far_due {
+            self.far_due = now + HEARTBEAT;
+            self.last_far = now;
+            let parts = std::mem::take(&mut self.far_parts);
+            let receivers = self.far_receivers(now);
+            outgoing.push(self.own_message(receivers, true, parts, content()));
+        }
+        if self.relay_due.is_some_and(|due| now >= due) {
+            self.relay_due = None;
+            let summaries: Vec<_> = std::mem::take(&mut self.pending).into_values().collect();
+            let message = Message {
+                to_relay: false,
+                summaries,
+            };
+            outgoing.push(Outgoing {
+                receivers: self.others_of_zone(),
+                message,
+            });
+        }
+        outgoing.retain(|one| !one.receivers.is_empty());
+        outgoing
+    }
+
+    fn own_message(
+        &mut self,
+        receivers: Vec<EntryNumber>,
+        to_relay: bool,
+        parts: Vec<(ServerNumber, PromptPart)>,
+        content: Content,
+    ) -> Outgoing {
+        self.sequence += 1;
+        let summary = Summary {
+            entry: self.entry,
+            boot: self.boot,
+            sequence: self.sequence,
+            version: content.version,
+            revision: content.revision,
+            loads: content.loads,
+            parts,
+            suspects: content.suspects,
+        };
+        Outgoing {
+            receivers,
+            message: Message {
+                to_relay,
+                summaries: vec![summary],
+            },
+        }
+    }
+
+    /// Takes a message; returns the summaries that are newer than what was known.
+    pub fn receive(&mut self, now: Duration, message: Message) -> Vec<Summary> {
+        let to_relay = message.to_relay;
+        let mut fresh = Vec::new();
+        for summary in message.summaries {
+            if summary.boot == self.boot {
+                continue;
+            }
+            let heard = self.heard.entry(summary.boot).or_insert(Heard {
+                sequence: 0,
+                at: now,
+            });
+            if summary.sequence <= heard.sequence {
+                continue;
+            }
+            heard.sequence = summary.sequence;
+            heard.at = now;
+            self.last_heard.insert(summary.entry, now);
+            if to_relay {
+                self.pass_on(now, &summary);
+            }
+            fresh.push(summary);
+        }
+        fresh
+    }
+
+    /// Keeps a summary for the other entries of the availability zone. A newer one replaces an older one of the same
+    /// sender, but the parts of both are passed on.
+    fn pass_on(&mut self, now: Duration, summary: &Summary) {
+        let mut newer = summary.clone();
+        if let Some(older) = self.pending.remove(&summary.boot) {
+            newer.parts.splice(0..0, older.parts);
+        }
+        self.pending.insert(summary.boot, newer);
+        self.relay_due.get_or_insert(now + self.cadence.relay);
+    }
+
+    /// Returns the other entries that were heard of lately.
+    pub fn live_entries(&mut self, now: Duration) -> Vec<EntryNumber> {
+        let is_recent = |at: Duration| now.saturating_sub(at) < PEER_TIMEOUT;
+        self.heard.retain(|_, heard| is_recent(heard.at));
+        self.last_heard.retain(|_, at| is_recent(*at));
+        let mut live: Vec<_> = self.last_heard.keys().copied().collect();
+        live.sort_unstable();
+        live
+    }
+
+    fn others_of_zone(&self) -> Vec<EntryNumber> {
+        let peers = self.peers.iter();
+        let others = peers.filter(|(entry, peer)| **entry != self.entry && peer.zone == self.zone);
+        others.map(|(entry, _)| *entry).collect()
+    }
+
+    /// Returns the receivers in the own availability zone, and whether they have to pass the summary on.
+    fn near_receivers(&self, now: Duration) -> (Vec<EntryNumber>, bool) {
+        let others = self.others_of_zone();
+        if others.len() <= MAX_DIRECT {
+            return (others, false);
+        }
+        let zone = self.zone.clone();
+        (self.relay(now, &zone).into_iter().collect(), true)
+    }
+
+    fn far_receivers(&self, now: Duration) -> Vec<EntryNumber> {
+        let mut zones: Vec<_> = self.peers.values().map(|peer| peer.zone.clone()).collect();
+        zones.sort();
+        zones.dedup();
+        let far = zones.into_iter().filter(|zone| *zone != self.zone);
+        let relays = far.filter_map(|zone| self.relay(now, &zone));
+        relays.collect()
+    }
+
+    /// Returns the relay of an availability zone whose turn it is. Entries that fell silent are left out, unless nobody
+    /// of the zone was heard of yet.
+    fn relay(&self, now: Duration, zone: &str) -> Option<EntryNumber> {
+        let peers = self.peers.iter();
+        let mut candidates: Vec<_> = peers
+            .filter(|(entry, peer)| peer.zone == zone && **entry != self.entry)
+            .map(|(entry, peer)| (std::cmp::Reverse(peer.capacity), *entry))
+            .collect();
+        candidates.sort_unstable();
+        let is_live = |entry: &EntryNumber| {
+            let at = self.last_heard.get(entry);
+            at.is_some_and(|at| now.saturating_sub(*at) < PEER_TIMEOUT)
+        };
+        let mut live: Vec<_> = candidates
+            .iter()
+            .map(|(_, entry)| *entry)
+            .filter(is_live)
+            .collect();
+        if live.is_empty() {
+            live = candidates.iter().map(|(_, entry)| *entry).collect();
+        }
+        let turn = now.as_nanos() / RELAY_TURN.as_nanos() % RELAYS;
+        let second = usize::from(turn > 0);
+        live.get(second).or(live.first()).copied()
+    }
+}
--- /dev/null
+++ b/crates/core/src/exchange/wire.rs
@@ -0,0 +1,163 @@
+//! Form of the messages between entries on the wire.
+
+use prost::Message as _;
+
+use super::{Message, Summary};
+use crate::dispatch::{EntryLoad, PromptPart};
+
+/// Largest datagram, in bytes.
+pub const MAX_DATAGRAM_BYTES: usize = 8 * 1024;
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct WireMessage {
+    #[prost(bool, tag = "1")]
+    to_relay: bool,
+    #[prost(message, repeated, tag = "2")]
+    summaries: Vec<WireSummary>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct WireSummary {
+    #[prost(fixed64, tag = "1")]
+    entry: u64,
+    #[prost(fixed64, tag = "2")]
+    boot: u64,
+    #[prost(uint64, tag = "3")]
+    sequence: u64,
+    #[prost(uint64, tag = "4")]
+    version: u64,
+    #[prost(uint64, tag = "5")]
+    revision: u64,
+    #[prost(message, repeated, tag = "6")]
+    loads: Vec<WireLoad>,
+    #[prost(message, repeated, tag = "7")]
+    parts: Vec<WirePart>,
+    #[prost(bytes = "vec", tag = "8")]
+    suspects: Vec<u8>,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+struct WireLoad {
+    #[prost(fixed32, tag = "1")]
+    server: u32,
+    #[prost(uint32, tag = "2")]
+    flights: u32,
+    #[prost(uint32, tag = "3")]
+    streams: u32,
+    #[prost(uint32, tag = "4")]
+    waiting_tokens: u32,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+struct WirePart {
+    #[prost(fixed32, tag = "1")]
+    server: u32,
+    #[prost(fixed64, tag = "2")]
+    part: u64,
+    #[prost(uint32, tag = "3")]
+    tokens: u32,
+}
+
+impl From<&Summary> for WireSummary {
+    fn from(summary: &Summary) -> Self {
+        let loads = summary.loads.iter().map(|(server, load)| WireLoad {
+            server: *server,
+            flights: load.flights,
+            streams: load.streams,
+            waiting_tokens: load.waiting_tokens,
+        });
+        let parts = summary.parts.iter().map(|(server, part)| WirePart {
+            server: *server,
+            part: part.id,
+            tokens: part.tokens,
+        });
+        Self {
+            entry: summary.entry,
+            boot: summary.boot,
+            sequence: summary.sequence,
+            version: summary.version,
+            revision: summary.revision,
+            loads: loads.collect(),
+            parts: parts.collect(),
+            suspects: summary.suspects.clone(),
+        }
+    }
+}
+
+impl From<WireSummary> for Summary {
+    fn from(wire: WireSummary) -> Self {
+        let loads = wire.loads.iter().map(|load| {
+            let told = EntryLoad {
+                flights: load.flights,
+                streams: load.streams,
+                waiting_tokens: load.waiting_tokens,
+            };
+            (load.server, told)
+        });
+        let parts = wire.parts.iter().map(|part| {
+            let sent = PromptPart {
+                id: part.part,
+                tokens: part.tokens,
+            };
+            (part.server, sent)
+        });
+        Self {
+            entry: wire.entry,
+            boot: wire.boot,
+            sequence: wire.sequence,
+            version: wire.version,
+            revision: wire.revision,
+            loads: loads.collect(),
+            parts: parts.collect(),
+            suspects: wire.suspects,
+        }
+    }
+}
+
+/// Encodes a message into datagrams of at most [`MAX_DATAGRAM_BYTES`]. A single summary beyond it makes a datagram of its
+/// own.
+///
+/// # Examples
+///
+/// ```
+/// use tanagerford_core::exchange::{Message, Summary, wire};
+///
+/// let message = Message { to_relay: true, summaries: vec![Summary { boot: 7, ..Summary::default() }] };
+/// let datagrams = wire::encode(&message);
+/// assert_eq!(wire::decode(&datagrams[0]).unwrap(), message);
+/// ```
+#[must_use]
+pub fn encode(message: &Message) -> Vec<Vec<u8>> {
+    let mut datagrams = Vec::new();
+    let mut collected = WireMessage {
+        to_relay: message.to_relay,
+        summaries: Vec::new(),
+    };
+    for summary in &message.summaries {
+        collected.summaries.push(WireSummary::from(summary));
+        if collected.encoded_len() <= MAX_DATAGRAM_BYTES || collected.summaries.len() == 1 {
+            continue;
+        }
+        let last = collected.summaries.pop();
+        datagrams.push(collected.encode_to_vec());
+        collected.summaries.clear();
+        collected.summaries.extend(last);
+    }
+    if !collected.summaries.is_empty() {
+        datagrams.push(collected.encode_to_vec());
+    }
+    datagrams
+}
+
+/// Decodes a datagram.
+///
+/// # Errors
+///
+/// Fails when the bytes are no message.
+pub fn decode(datagram: &[u8]) -> Result<Message, prost::DecodeError> {
+    let wire = WireMessage::decode(datagram)?;
+    Ok(Message {
+        to_relay: wire.to_relay,
+        summaries: wire.summaries.into_iter().map(Summary::from).collect(),
+    })
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod config;
 pub mod dispatch;
 pub mod estimate;
+pub mod exchange;
 pub mod generation;
 pub mod ids;
 pub mod membership;
--- a/crates/core/tests/dispatch.rs
+++ b/crates/core/tests/dispatch.rs
@@ -5,7 +5,7 @@
 use proptest::prelude::*;
 use tanagerford_core::dispatch::{
     CallEnd, Choice, CostSettings, Demand, EntryLoad, Pool, PromptPart, ReportedLoad, Room,
-    RoomGate, ServerSpec,
+    RoomGate, ServerSpec, server_number,
 };
 
 const NOW: Duration = Duration::from_secs(100);
@@ -203,7 +203,7 @@
         waiting_tokens: 60_000,
     };
     let idle = pool.choose(NOW, &short_prompt(1), &[]).unwrap().server;
-    pool.on_peer_load(NOW, 5, &idle, busy);
+    pool.set_peer_loads(NOW, 5, [(server_number(&idle), busy)]);
     let other = pool.choose(NOW, &short_prompt(1), &[]).unwrap().server;
     assert_ne!(other, idle);
     let later = NOW + Duration::from_secs(10);
@@ -211,7 +211,7 @@
         pool.choose(later, &short_prompt(1), &[]).unwrap().server,
         idle
     );
-    pool.on_peer_load(NOW, 5, &idle, EntryLoad::default());
+    pool.set_peer_loads(NOW, 5, []);
     assert_eq!(
         pool.choose(NOW, &short_prompt(1), &[]).unwrap().server,
         idle
--- a/crates/gateway/tests/budget.rs
+++ b/crates/core/tests/dispatch_budget.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use tanagerford_gateway::budget::{BudgetLimits, RetryBudget};
+use tanagerford_core::dispatch::{BudgetLimits, RetryBudget};
 
 const LIMITS: BudgetLimits = BudgetLimits {
     ratio: 0.2,
--- /dev/null
+++ b/crates/emulator/src/entry.rs
@@ -0,0 +1,204 @@
+//! Entry: the decision code of an entry with the load summaries that it sends and receives.
+
+use std::time::Duration;
+
+use tanagerford_core::dispatch::{
+    BudgetLimits, Choice, Demand, Pool, RetryBudget, Room, RoomGate, ServerSpec, server_number,
+};
+use tanagerford_core::exchange::{Content, EntryNumber, Exchange, Message, Outgoing, Peer};
+use tanagerford_core::ids::{ServerId, ZoneId};
+
+use crate::load::{Load, Placement, Policy};
+
+/// Which servers a class of requests goes to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Target {
+    Engines,
+    Services,
+}
+
+/// What an entry believes and decides.
+#[derive(Debug)]
+pub(crate) struct Entry {
+    pub(crate) zone: usize,
+    engines: Pool,
+    services: Pool,
+    engine_budget: RetryBudget,
+    service_budget: RetryBudget,
+    gate: RoomGate,
+    placement: Placement,
+    next_in_turn: usize,
+    pub(crate) exchange: Exchange,
+    /// Earliest moment at which the exchange will be asked for what is due.
+    pub(crate) asked_at: Duration,
+}
+
+/// Number of an entry in messages, by its position.
+pub(crate) fn entry_number(index: usize) -> EntryNumber {
+    EntryNumber::try_from(index).unwrap_or(EntryNumber::MAX - 1) + 1
+}
+
+/// Name of an availability zone by its number.
+pub(crate) fn zone_name(zone: usize) -> ZoneId {
+    format!("zone-{zone}")
+}
+
+/// Names and availability zones of the servers of a pool.
+pub(crate) fn server_specs(load: &Load, target: Target) -> Vec<ServerSpec> {
+    let (prefix, per_zone, slots, memory_tokens) = match target {
+        Target::Engines => load.engines.as_ref().map_or(("engine", 0, 0, 0), |pool| {
+            ("engine", pool.per_zone, pool.slots, pool.memory_tokens)
+        }),
+        Target::Services => load.services.as_ref().map_or(("service", 0, 0, 0), |pool| {
+            ("service", pool.per_zone, pool.slots, 0)
+        }),
+    };
+    let indices = 0..per_zone * load.zones;
+    let specs = indices.map(|index| ServerSpec {
+        id: format!("{prefix}-{index:03}"),
+        zone: zone_name(index % load.zones),
+        slots: u32::try_from(slots).unwrap_or(u32::MAX),
+        memory_tokens,
+    });
+    specs.collect()
+}
+
+impl Entry {
+    pub(crate) fn new(load: &Load, policy: &Policy, index: usize) -> Self {
+        let zone = index % load.zones;
+        let mut engines = Pool::new(zone_name(zone), policy.costs.clone());
+        engines.set_servers(&server_specs(load, Target::Engines));
+        if let Some(pool) = &load.engines {
+            let streams = load
+                .classes
+                .iter()
+                .filter_map(|class| class.stream.as_ref());
+            let pause_ms = streams.map(|stream| stream.pause_ms);
+            let pause_ms = pause_ms.fold(f64::INFINITY, f64::min);
+            if pause_ms.is_finite() {
+                engines.set_streams(
+                    pool.event_tokens,
+                    Duration::from_secs_f64(pause_ms / 1_000.0),
+                );
+            }
+        }
+        let mut services = Pool::new(zone_name(zone), policy.costs.clone());
+        services.set_servers(&server_specs(load, Target::Services));
+        let number = entry_number(index);
+        let cadence = policy.summaries.cadence();
+        let mut exchange = Exchange::new(number, number, zone_name(zone), cadence);
+        for other in 0..load.zones * load.entries_per_zone {
+            let peer = Peer {
+                zone: zone_name(other % load.zones),
+                capacity: 0,
+            };
+            exchange.set_peer(entry_number(other), Some(peer));
+        }
+        Self {
+            zone,
+            engines,
+            services,
+            engine_budget: RetryBudget::default(),
+            service_budget: RetryBudget::default(),
+            gate: RoomGate::new(policy.gate.clone()),
+            placement: policy.placement,
+            next_in_turn: index,
+            exchange,
+            asked_at: Duration::MAX,
+        }
+    }
+
+    pub(crate) fn pool(&mut self, target: Target) -> &mut Pool {
+        match target {
+            Target::Engines => &mut self.engines,
+            Target::Services => &mut self.services,
+        }
+    }
+
+    pub(crate) fn budget(&mut self, target: Target) -> &mut RetryBudget {
+        match target {
+            Target::Engines => &mut self.engine_budget,
+            Target::Services => &mut self.service_budget,
+        }
+    }
+
+    /// Chooses a server for a call, except those that were tried.
+    pub(crate) fn choose(
+        &mut self,
+        now: Duration,
+        target: Target,
+        demand: &Demand,
+        tried: &[ServerId],
+        servers: &[ServerSpec],
+    ) -> Option<Choice> {
+        if self.placement == Placement::Cost {
+            return self.pool(target).choose(now, demand, tried);
+        }
+        for _ in 0..servers.len() {
+            self.next_in_turn += 1;
+            let server = &servers[self.next_in_turn % servers.len()].id;
+            if !tried.contains(server) {
+                return Some(Choice {
+                    server: server.clone(),
+                    ..Choice::default()
+                });
+            }
+        }
+        None
+    }
+
+    pub(crate) fn decide_room(
+        &mut self,
+        now: Duration,
+        choice: &Choice,
+        rank: u8,
+        first_token_left_ms: f64,
+        may_wait: bool,
+    ) -> Room {
+        self.gate
+            .decide(now, choice, rank, first_token_left_ms, may_wait)
+    }
+
+    /// Urgency that a call is sent with.
+    pub(crate) fn urgency(&self, rank: u8) -> u8 {
+        match self.placement {
+            Placement::Cost => rank,
+            Placement::RoundRobin => 5,
+        }
+    }
+
+    pub(crate) fn try_repeat(
+        &mut self,
+        now: Duration,
+        target: Target,
+        limits: &BudgetLimits,
+        entries: usize,
+    ) -> bool {
+        self.budget(target).try_repeat(now, limits, entries)
+    }
+
+    /// Returns the messages that are due.
+    pub(crate) fn due(&mut self, now: Duration) -> Vec<Outgoing> {
+        let pools = [&self.engines, &self.services];
+        let mut content = || {
+            let loads = pools.into_iter().flat_map(Pool::own_loads);
+            let busy = loads.filter(|(_, load)| load.flights > 0);
+            Content {
+                loads: busy.map(|(id, load)| (server_number(id), load)).collect(),
+                ..Content::default()
+            }
+        };
+        self.exchange.due(now, &mut content)
+    }
+
+    pub(crate) fn on_message(&mut self, now: Duration, message: &Message) {
+        for summary in self.exchange.receive(now, message.clone()) {
+            for pool in [&mut self.engines, &mut self.services] {
+                pool.set_peer_loads(now, summary.boot, summary.loads.iter().copied());
+            }
+            for (server, part) in &summary.parts {
+                self.engines.on_peer_part(now, *server, *part);
+            }
+        }
+    }
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -7,7 +7,7 @@
 use async_io::Timer;
 use bytes::{Bytes, BytesMut};
 use http::{Response, StatusCode};
-use tanagerford_core::dispatch::{CallEnd, CallNumber, Choice, Room};
+use tanagerford_core::dispatch::{CallEnd, CallNumber, Choice, ROOM_INTERVAL, Room, room_wait};
 use tanagerford_core::ids::{PoolId, ServerId};
 use tanagerford_http::outbound::{Answer, ExchangeError};
 use tanagerford_http::{Body, Reply, within};
@@ -28,10 +28,6 @@
 const MIN_REMAINING: Duration = Duration::from_millis(5);
 /// Servers that one call is sent to at most, refusals included.
 const MAX_SENDS: usize = 4;
-/// Share of the latency objective for which a long prompt waits for room, as a fraction.
-const ROOM_SHARE: (u32, u32) = (2, 5);
-/// Interval at which a waiting call looks for room.
-const ROOM_INTERVAL: Duration = Duration::from_millis(15);
 /// Largest answer that is held until it is whole; longer ones are passed on as they arrive.
 const MAX_HELD_BYTES: usize = 256 * 1024;
 /// Silence, as a multiple of the latency objective, after which a call that may be repeated goes to another server.
@@ -183,7 +179,7 @@
     /// Only long prompts wait. A call that waits longer than a part of its latency objective is refused, so that its
     /// caller can come back when the burst is over.
     async fn wait_for_room(&self, call: &Call, pool: &PoolState) -> bool {
-        let until = call.arrived + call.route.target_latency * ROOM_SHARE.0 / ROOM_SHARE.1;
+        let until = call.arrived + room_wait(call.route.target_latency);
         loop {
             let now = self.fleet.now();
             let choice = pool.beliefs().choose(now, &call.demand, &[]);
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -30,23 +30,11 @@
     pub born_unix_ms: Option<u64>,
 }
 
-/// Short number of a server in the messages between entries.
-pub type ServerNumber = u32;
-
-/// Returns the short number of a server, the same at every entry.
-#[must_use]
-pub fn server_number(server: &str) -> ServerNumber {
-    let hash = xxhash_rust::xxh3::xxh3_64(server.as_bytes());
-    u32::try_from(hash >> 32).unwrap_or(u32::MAX)
-}
-
 /// Servers of one pool, with the beliefs about them under their own lock.
 #[derive(Debug)]
 pub struct PoolState {
     /// Servers that may receive new calls, by name.
     pub servers: BTreeMap<ServerId, Arc<BackendServer>>,
-    /// Names of the servers by their short numbers.
-    names: HashMap<ServerNumber, ServerId>,
     beliefs: Arc<Mutex<Pool>>,
 }
 
@@ -77,6 +65,12 @@
         self.started.elapsed()
     }
 
+    /// Returns the availability zone from which the servers are seen.
+    #[must_use]
+    pub fn zone(&self) -> ZoneId {
+        self.zone.clone()
+    }
+
     /// Returns the servers of a pool.
     #[must_use]
     pub fn pool(&self, name: &str) -> Option<Arc<PoolState>> {
@@ -100,14 +94,7 @@
                 || Arc::new(Mutex::new(Pool::new(self.zone.clone(), self.costs.clone()))),
                 |pool| Arc::clone(&pool.beliefs),
             );
-            let state = PoolState {
-                names: servers
-                    .keys()
-                    .map(|id| (server_number(id), id.clone()))
-                    .collect(),
-                servers,
-                beliefs,
-            };
+            let state = PoolState { servers, beliefs };
             let spec = specs.get(name);
             let memory_tokens = spec.and_then(|spec| spec.memory_tokens).unwrap_or(0);
             let mut pool_beliefs = state.beliefs();
@@ -139,12 +126,6 @@
         lock(&self.beliefs)
     }
 
-    /// Returns the name of the server with a short number.
-    #[must_use]
-    pub fn name(&self, number: ServerNumber) -> Option<&ServerId> {
-        self.names.get(&number)
-    }
-
     fn specs(&self, memory_tokens: u64) -> Vec<ServerSpec> {
         let servers = self.servers.values();
         let specs = servers.map(|server| ServerSpec {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -9,13 +9,12 @@
 use bytes::Bytes;
 use http::{HeaderValue, Request, StatusCode, header};
 use hyper::body::Incoming;
-use tanagerford_core::dispatch::RoomGate;
+use tanagerford_core::dispatch::{BudgetLimits, RetryBudget, RoomGate};
 use tanagerford_core::ids::PoolId;
 use tanagerford_http::outbound::{Outbound, SharedExecutor};
 use tanagerford_http::server::{ServerLimits, Service};
 use tanagerford_http::{Reply, read_body, within};
 
-use crate::budget::{BudgetLimits, RetryBudget};
 use crate::call::Call;
 use crate::codec::{CallHead, Codec};
 use crate::fleet::{BackendServer, Fleet};
@@ -39,6 +38,8 @@
     pub budget: BudgetLimits,
     /// Count of entries that share the budget as long as it is not known.
     pub assumed_entries: usize,
+    /// Name of the VM, by which other entries know this one.
+    pub vm: String,
 }
 
 /// Entry without sidecars.
@@ -57,6 +58,10 @@
     configuration: RwLock<Option<(Arc<RoutingTable>, Bytes)>>,
     budgets: Mutex<HashMap<PoolId, RetryBudget>>,
     entries: AtomicUsize,
+    /// Revision of the store up to which this entry knows all changes.
+    revision: AtomicU64,
+    /// Newest revision that another entry told.
+    peer_revision: AtomicU64,
     is_stopping: AtomicBool,
 }
 
@@ -69,6 +74,7 @@
         settings: GatewaySettings,
         executor: SharedExecutor,
     ) -> Arc<Self> {
+        let summaries = Summaries::new(&settings.vm, fleet.zone());
         Arc::new(Self {
             codec,
             outbound: Outbound::new(Arc::clone(&executor)),
@@ -76,13 +82,15 @@
             entries: AtomicUsize::new(settings.assumed_entries),
             settings,
             metrics: Metrics::default(),
-            summaries: Arc::default(),
+            summaries: Arc::new(summaries),
             quarantine: Arc::default(),
             executor,
             next_call: AtomicU64::new(0),
             room: Mutex::default(),
             configuration: RwLock::default(),
             budgets: Mutex::default(),
+            revision: AtomicU64::new(0),
+            peer_revision: AtomicU64::new(0),
             is_stopping: AtomicBool::new(false),
         })
     }
@@ -136,6 +144,30 @@
         self.table().map(|table| table.version)
     }
 
+    /// Returns the revision of the store up to which this entry knows all changes; 0 for none.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.revision.load(Ordering::Acquire)
+    }
+
+    /// Sets the revision of the store up to which this entry knows all changes.
+    pub fn set_revision(&self, revision: u64) {
+        if self.revision.swap(revision, Ordering::AcqRel) != revision {
+            self.summaries.changed();
+        }
+    }
+
+    /// Takes the revision up to which another entry knows all changes.
+    pub fn on_peer_revision(&self, revision: u64) {
+        self.peer_revision.fetch_max(revision, Ordering::AcqRel);
+    }
+
+    /// Returns the newest revision that another entry told.
+    #[must_use]
+    pub fn peer_revision(&self) -> u64 {
+        self.peer_revision.load(Ordering::Acquire)
+    }
+
     /// Replaces the backend servers.
     pub fn set_servers(&self, servers: impl Iterator<Item = BackendServer>, table: &RoutingTable) {
         self.fleet.set_servers(servers, table);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,9 +5,9 @@
 //! stop of the process.
 
 mod attempt;
-pub mod budget;
 pub mod call;
 pub mod codec;
+pub mod copies;
 pub mod events;
 pub mod fleet;
 pub mod gateway;
--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -14,6 +14,7 @@
 use signal_hook::iterator::Signals;
 use tanagerford_core::dispatch::CostSettings;
 use tanagerford_gateway::Gateway;
+use tanagerford_gateway::copies::Copies;
 use tanagerford_gateway::fleet::Fleet;
 use tanagerford_gateway::gateway::{CallerService, GatewaySettings};
 use tanagerford_gateway::peers::PeerExchange;
@@ -93,6 +94,7 @@
     let gateway_settings = GatewaySettings {
         budget: settings.budget,
         assumed_entries: ASSUMED_ENTRIES,
+        vm: settings.vm.clone(),
     };
     let gateway = Gateway::new(
         PlatformCodec,
@@ -107,14 +109,13 @@
     let readiness_server = Server::bind(readiness, Arc::clone(&executor))?;
     let readiness = readiness_server.address()?;
     readiness_server.start(Arc::new(Readiness(Arc::clone(&gateway))));
-    let exchange = PeerExchange::bind(
+    let copies = Copies::start(
         Arc::clone(&gateway),
         settings.peers,
-        settings.zone.clone(),
         document::read_copy,
         Arc::clone(&executor),
     )?;
-    exchange.start();
+    PeerExchange::bind(Arc::clone(&gateway), copies, Arc::clone(&executor))?.start();
     let store = Store::new(settings.store);
     Feed::new(store, Arc::clone(&gateway), entries::registration(settings)).start()?;
     for index in 0..settings.threads {
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -4,6 +4,7 @@
 pub mod config;
 pub mod drain;
 pub mod entry;
+pub mod experiment;
 pub mod gateway;
 pub mod order;
 pub mod sheet;
