--- a/crates/core/src/exchange.rs
+++ b/crates/core/src/exchange.rs
@@ -17,11 +17,11 @@
 use crate::dispatch::{EntryLoad, PromptPart, ServerNumber};
 use crate::ids::ZoneId;
 
-/// Time in which changes go into one summary for the same availability zone.
+/// Shortest interval of summaries to the same availability zone.
 const NEAR_INTERVAL: Duration = Duration::from_millis(2);
 /// Shortest interval of summaries to other availability zones, whose bytes cost money.
 const FAR_INTERVAL: Duration = Duration::from_millis(15);
-/// Time in which a relay collects summaries into one datagram.
+/// Shortest interval of the bundles of a relay.
 const RELAY_INTERVAL: Duration = Duration::from_millis(5);
 /// Interval of summaries while nothing changes.
 const HEARTBEAT: Duration = Duration::from_secs(1);
@@ -47,11 +47,11 @@
 /// Intervals of the summaries.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Cadence {
-    /// Time in which changes go into one summary for the same availability zone.
+    /// Shortest interval of summaries to the same availability zone.
     pub near: Duration,
     /// Shortest interval of summaries to other availability zones.
     pub far: Duration,
-    /// Time in which a relay collects summaries.
+    /// Shortest interval of the bundles of a relay.
     pub relay: Duration,
 }
 
@@ -146,9 +146,9 @@
 /// exchange.set_peer(1, Some(peer("zone-a")));
 /// exchange.set_peer(2, Some(peer("zone-a")));
 /// exchange.set_peer(3, Some(peer("zone-b")));
-/// exchange.on_change(Duration::ZERO);
-/// let due = exchange.next_due();
-/// let sent = exchange.due(due, &mut Content::default);
+/// let now = Duration::from_secs(1);
+/// exchange.on_change(now);
+/// let sent = exchange.due(now, &mut Content::default);
 /// assert_eq!(sent[0].receivers, [2]);
 /// ```
 #[derive(Debug)]
@@ -165,10 +165,12 @@
     far_parts: Vec<(ServerNumber, PromptPart)>,
     near_due: Duration,
     far_due: Duration,
+    last_near: Duration,
     last_far: Duration,
     /// Summaries to pass on to the own availability zone, by incarnation, and when.
     pending: BTreeMap<Boot, Summary>,
     relay_due: Option<Duration>,
+    last_relay: Duration,
 }
 
 impl Exchange {
@@ -188,9 +190,11 @@
             far_parts: Vec::new(),
             near_due: Duration::ZERO,
             far_due: Duration::ZERO,
+            last_near: Duration::ZERO,
             last_far: Duration::ZERO,
             pending: BTreeMap::new(),
             relay_due: None,
+            last_relay: Duration::ZERO,
         }
     }
 
@@ -202,11 +206,12 @@
         }
     }
 
-    /// Records that the load of this entry has changed.
+    /// Records that the load of this entry has changed. It is due at once unless the last summary was a moment ago.
     pub fn on_change(&mut self, now: Duration) {
-        let soon = now + self.cadence.near;
-        self.near_due = self.near_due.min(soon);
-        self.far_due = self.far_due.min(soon.max(self.last_far + self.cadence.far));
+        let near = now.max(self.last_near + self.cadence.near);
+        self.near_due = self.near_due.min(near);
+        let far = now.max(self.last_far + self.cadence.far);
+        self.far_due = self.far_due.min(far);
     }
 
     /// Records that a prompt was sent to a server.
@@ -236,6 +241,7 @@
         let mut outgoing = Vec::new();
         if now >= self.near_due {
             self.near_due = now + HEARTBEAT;
+            self.last_near = now;
             let parts = std::mem::take(&mut self.near_parts);
             let (receivers, to_relay) = self.near_receivers(now);
             outgoing.push(self.own_message(receivers, to_relay, parts, content()));
@@ -249,6 +255,7 @@
         }
         if self.relay_due.is_some_and(|due| now >= due) {
             self.relay_due = None;
+            self.last_relay = now;
             let summaries: Vec<_> = std::mem::take(&mut self.pending).into_values().collect();
             let message = Message {
                 to_relay: false,
@@ -324,7 +331,8 @@
             newer.parts.splice(0..0, older.parts);
         }
         self.pending.insert(summary.boot, newer);
-        self.relay_due.get_or_insert(now + self.cadence.relay);
+        let due = now.max(self.last_relay + self.cadence.relay);
+        self.relay_due.get_or_insert(due);
     }
 
     /// Returns the other entries that were heard of lately.
--- a/crates/emulator/src/load.rs
+++ b/crates/emulator/src/load.rs
@@ -277,11 +277,11 @@
 pub struct Summaries {
     /// Whether entries tell each other anything.
     pub enabled: bool,
-    /// Time in which changes go into one summary for the same availability zone, in milliseconds.
+    /// Shortest interval of summaries to the same availability zone, in milliseconds.
     pub near_ms: f64,
     /// Shortest interval of summaries to other availability zones, in milliseconds.
     pub far_ms: f64,
-    /// Time in which a relay collects summaries, in milliseconds.
+    /// Shortest interval of the bundles of a relay, in milliseconds.
     pub relay_ms: f64,
 }
 
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -49,8 +49,8 @@
 
 impl Drop for Flight {
     fn drop(&mut self) {
-        self.summaries.changed();
         self.pool.beliefs().on_end(&self.server.id, self.number);
+        self.summaries.changed();
     }
 }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -58,10 +58,6 @@
     configuration: RwLock<Option<(Arc<RoutingTable>, Bytes)>>,
     budgets: Mutex<HashMap<PoolId, RetryBudget>>,
     entries: AtomicUsize,
-    /// Revision of the store up to which this entry knows all changes.
-    revision: AtomicU64,
-    /// Newest revision that another entry told.
-    peer_revision: AtomicU64,
     is_stopping: AtomicBool,
 }
 
@@ -74,7 +70,8 @@
         settings: GatewaySettings,
         executor: SharedExecutor,
     ) -> Arc<Self> {
-        let summaries = Summaries::new(&settings.vm, fleet.zone());
+        let quarantine: Arc<Quarantine> = Arc::default();
+        let summaries = Summaries::new(&settings.vm, Arc::clone(&fleet), Arc::clone(&quarantine));
         Arc::new(Self {
             codec,
             outbound: Outbound::new(Arc::clone(&executor)),
@@ -83,14 +80,12 @@
             settings,
             metrics: Metrics::default(),
             summaries: Arc::new(summaries),
-            quarantine: Arc::default(),
+            quarantine,
             executor,
             next_call: AtomicU64::new(0),
             room: Mutex::default(),
             configuration: RwLock::default(),
             budgets: Mutex::default(),
-            revision: AtomicU64::new(0),
-            peer_revision: AtomicU64::new(0),
             is_stopping: AtomicBool::new(false),
         })
     }
@@ -134,7 +129,10 @@
             ?route_ranks,
             "configuration in force"
         );
+        let version = table.version;
         *current = Some((Arc::new(table), document));
+        drop(current);
+        self.summaries.set_version(version);
         true
     }
 
@@ -144,30 +142,6 @@
         self.table().map(|table| table.version)
     }
 
-    /// Returns the revision of the store up to which this entry knows all changes; 0 for none.
-    #[must_use]
-    pub fn revision(&self) -> u64 {
-        self.revision.load(Ordering::Acquire)
-    }
-
-    /// Sets the revision of the store up to which this entry knows all changes.
-    pub fn set_revision(&self, revision: u64) {
-        if self.revision.swap(revision, Ordering::AcqRel) != revision {
-            self.summaries.changed();
-        }
-    }
-
-    /// Takes the revision up to which another entry knows all changes.
-    pub fn on_peer_revision(&self, revision: u64) {
-        self.peer_revision.fetch_max(revision, Ordering::AcqRel);
-    }
-
-    /// Returns the newest revision that another entry told.
-    #[must_use]
-    pub fn peer_revision(&self) -> u64 {
-        self.peer_revision.load(Ordering::Acquire)
-    }
-
     /// Replaces the backend servers.
     pub fn set_servers(&self, servers: impl Iterator<Item = BackendServer>, table: &RoutingTable) {
         self.fleet.set_servers(servers, table);
@@ -178,6 +152,12 @@
         self.entries.store(entries.max(1), Ordering::Relaxed);
     }
 
+    /// Returns the count of entries that share the budget.
+    #[must_use]
+    pub fn entries(&self) -> usize {
+        self.entries.load(Ordering::Relaxed)
+    }
+
     /// Returns whether new callers should be sent here.
     #[must_use]
     pub fn is_ready(&self) -> bool {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -4,13 +4,16 @@
 //! version of its sender's configuration: an entry that hears of a newer one than its own reads it from that peer (see
 //! [`copies`](crate::copies)).
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::{SocketAddr, UdpSocket};
-use std::sync::{Arc, Mutex};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, OnceLock};
+use std::thread;
 use std::time::{Duration, Instant};
 
-use async_io::{Async, Timer};
+use async_io::Timer;
+use socket2::Socket;
 use tanagerford_core::dispatch::{Demand, server_number};
 use tanagerford_core::exchange::{
     self, Cadence, Content, EntryNumber, Exchange, Outgoing, Summary, wire,
@@ -22,9 +25,11 @@
 
 use crate::codec::Codec;
 use crate::copies::Copies;
-use crate::fleet::BackendServer;
+use crate::fleet::{BackendServer, Fleet};
 use crate::gateway::Gateway;
+use crate::quarantine::Quarantine;
 use crate::sync::lock;
+use crate::table::Version;
 
 /// Interval at which the live entries are counted.
 const COUNT_INTERVAL: Duration = Duration::from_secs(1);
@@ -42,30 +47,42 @@
     pub capacity: u32,
 }
 
-/// What this entry has to tell, and to whom.
-#[derive(Debug)]
+/// What this entry tells the others, and to whom.
 pub struct Summaries {
     started: Instant,
     exchange: Mutex<Exchange>,
     addresses: Mutex<BTreeMap<EntryNumber, SocketAddr>>,
+    /// Socket of the messages, once it is bound.
+    socket: OnceLock<Socket>,
+    fleet: Arc<Fleet>,
+    quarantine: Arc<Quarantine>,
+    /// Version of the configuration in force; 0 for none.
+    version: AtomicU64,
+    /// Revision of the store up to which this entry knows all changes; 0 for none.
+    revision: AtomicU64,
+    /// Newest revision that another entry told.
+    peer_revision: AtomicU64,
     /// Holds one message while something is due earlier than the sending task knows.
     wake: (async_channel::Sender<()>, async_channel::Receiver<()>),
 }
 
 impl Summaries {
-    /// Creates the summaries of the entry on the VM `name` in an availability zone.
+    /// Creates the summaries of the entry on the VM `name`.
     #[must_use]
-    pub fn new(name: &str, zone: impl Into<ZoneId>) -> Self {
+    pub(crate) fn new(name: &str, fleet: Arc<Fleet>, quarantine: Arc<Quarantine>) -> Self {
         let number = xxh3_64(name.as_bytes());
+        let cadence = Cadence::default();
+        let exchange = Exchange::new(number, rand::random(), fleet.zone(), cadence);
         Self {
             started: Instant::now(),
-            exchange: Mutex::new(Exchange::new(
-                number,
-                rand::random(),
-                zone,
-                Cadence::default(),
-            )),
+            exchange: Mutex::new(exchange),
             addresses: Mutex::default(),
+            socket: OnceLock::new(),
+            fleet,
+            quarantine,
+            version: AtomicU64::new(0),
+            revision: AtomicU64::new(0),
+            peer_revision: AtomicU64::new(0),
             wake: async_channel::bounded(1),
         }
     }
@@ -74,28 +91,95 @@
         self.started.elapsed()
     }
 
-    /// Records that the load of this entry has changed.
-    pub fn changed(&self) {
+    /// Tells that the load of this entry has changed.
+    pub(crate) fn changed(&self) {
         self.update(|exchange, now| exchange.on_change(now));
     }
 
-    /// Records that a call was sent to a server.
-    pub fn sent(&self, server: &BackendServer, demand: &Demand) {
+    /// Tells that a call was sent to a server.
+    pub(crate) fn sent(&self, server: &BackendServer, demand: &Demand) {
         let number = server_number(&server.id);
         self.update(|exchange, now| exchange.on_sent(now, number, &demand.parts));
     }
 
-    /// Changes the exchange and wakes the sending task if something is due earlier than before.
+    /// Sets the version of the configuration in force.
+    pub(crate) fn set_version(&self, version: Version) {
+        self.version.store(version, Ordering::Release);
+        self.changed();
+    }
+
+    /// Returns the revision of the store up to which this entry knows all changes; 0 for none.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.revision.load(Ordering::Acquire)
+    }
+
+    /// Sets the revision of the store up to which this entry knows all changes.
+    pub fn set_revision(&self, revision: u64) {
+        if self.revision.swap(revision, Ordering::AcqRel) != revision {
+            self.changed();
+        }
+    }
+
+    /// Returns the newest revision that another entry told.
+    #[must_use]
+    pub fn peer_revision(&self) -> u64 {
+        self.peer_revision.load(Ordering::Acquire)
+    }
+
+    /// Changes the exchange and sends what is due. What is due a little later is left to the sending task.
     fn update(&self, act: impl FnOnce(&mut Exchange, Duration)) {
+        let now = self.now();
         let mut exchange = lock(&self.exchange);
         let before = exchange.next_due();
-        act(&mut exchange, self.now());
-        if exchange.next_due() < before {
+        act(&mut exchange, now);
+        let due = exchange.next_due();
+        drop(exchange);
+        if due <= now {
+            self.send_due();
+        } else if due < before {
             // A full channel already holds a wake-up that was not taken yet.
             let _ = self.wake.0.try_send(());
         }
     }
 
+    /// Sends what is due.
+    fn send_due(&self) {
+        let now = self.now();
+        let outgoing = lock(&self.exchange).due(now, &mut || self.content());
+        let Some(socket) = self.socket.get() else {
+            return;
+        };
+        for Outgoing { receivers, message } in outgoing {
+            let datagrams = wire::encode(&message);
+            for address in receivers.iter().filter_map(|entry| self.address(*entry)) {
+                for datagram in &datagrams {
+                    // A full buffer costs a summary, never a request's time.
+                    let sent =
+                        socket.send_to_with_flags(datagram, &address.into(), libc::MSG_DONTWAIT);
+                    if let Err(error) = sent {
+                        tracing::debug!(%address, %error, "summary was not sent");
+                    }
+                }
+            }
+        }
+    }
+
+    fn content(&self) -> Content {
+        let mut loads = Vec::new();
+        for (_, pool) in self.fleet.pools() {
+            let beliefs = pool.beliefs();
+            let busy = beliefs.own_loads().filter(|(_, load)| load.flights > 0);
+            loads.extend(busy.map(|(id, load)| (server_number(id), load)));
+        }
+        Content {
+            version: self.version.load(Ordering::Acquire),
+            revision: self.revision(),
+            loads,
+            suspects: self.quarantine.summary(self.fleet.now()),
+        }
+    }
+
     /// Sets where another entry is reached; `None` when it has left.
     pub fn set_peer(&self, name: &str, peer: Option<Peer>) {
         let number = xxh3_64(name.as_bytes());
@@ -119,102 +203,62 @@
 /// Moves summaries between the entries.
 pub struct PeerExchange<C> {
     gateway: Arc<Gateway<C>>,
-    socket: Async<UdpSocket>,
-    address: SocketAddr,
     copies: Arc<Copies<C>>,
-    executor: SharedExecutor,
 }
 
 impl<C: Codec> PeerExchange<C> {
-    /// Binds the socket for summaries to the address at which copies of the configuration are given.
+    /// Binds the socket for summaries to the address at which copies of the configuration are given, and starts to send
+    /// and receive.
     ///
     /// # Errors
     ///
-    /// Fails when the address cannot be bound.
-    pub fn bind(
+    /// Fails when the address cannot be bound or the receiving thread cannot be started.
+    pub fn start(
         gateway: Arc<Gateway<C>>,
         copies: Arc<Copies<C>>,
-        executor: SharedExecutor,
-    ) -> io::Result<Arc<Self>> {
-        let address = copies.address();
-        Ok(Arc::new(Self {
-            gateway,
-            socket: Async::<UdpSocket>::bind(address)?,
-            address,
-            copies,
-            executor,
-        }))
-    }
-
-    /// Returns the bound address.
-    #[must_use]
-    pub fn address(&self) -> SocketAddr {
-        self.address
-    }
-
-    /// Starts sending and receiving in tasks of the executor.
-    pub fn start(self: &Arc<Self>) {
-        self.executor.spawn(Arc::clone(self).send_all()).detach();
-        self.executor.spawn(Arc::clone(self).receive_all()).detach();
-        self.executor.spawn(Arc::clone(self).count_all()).detach();
+        executor: &SharedExecutor,
+    ) -> io::Result<()> {
+        let socket = Socket::from(UdpSocket::bind(copies.address())?);
+        let receiving = UdpSocket::from(socket.try_clone()?);
+        if gateway.summaries().socket.set(socket).is_err() {
+            let reason = "summaries are already sent from another socket";
+            return Err(io::Error::new(io::ErrorKind::AlreadyExists, reason));
+        }
+        let exchange = Arc::new(Self { gateway, copies });
+        executor.spawn(Arc::clone(&exchange).send_all()).detach();
+        executor.spawn(Arc::clone(&exchange).count_all()).detach();
+        // A blocking thread needs one system call for each message, where a task needs four.
+        let thread = thread::Builder::new().name("summaries".to_owned());
+        thread.spawn(move || exchange.receive_all(&receiving))?;
+        Ok(())
     }
 
+    /// Sends what was not due when it changed.
     async fn send_all(self: Arc<Self>) {
         let summaries = Arc::clone(self.gateway.summaries());
         loop {
             let due = lock(&summaries.exchange).next_due();
             let left = due.saturating_sub(summaries.now());
-            if !left.is_zero() && within(left, summaries.wake.1.recv()).await.is_some() {
-                continue;
-            }
-            let outgoing = lock(&summaries.exchange).due(summaries.now(), &mut || self.content());
-            for message in outgoing {
-                self.send(&summaries, message).await;
-            }
-        }
-    }
-
-    async fn send(&self, summaries: &Summaries, outgoing: Outgoing) {
-        let datagrams = wire::encode(&outgoing.message);
-        for receiver in outgoing.receivers {
-            let Some(address) = summaries.address(receiver) else {
-                continue;
-            };
-            for datagram in &datagrams {
-                if let Err(error) = self.socket.send_to(datagram, address).await {
-                    tracing::debug!(%address, %error, "summary was not sent");
-                }
+            if left.is_zero() {
+                summaries.send_due();
+            } else {
+                // Woken or not, what is due is looked at again.
+                let _ = within(left, summaries.wake.1.recv()).await;
             }
         }
     }
 
-    fn content(&self) -> Content {
-        let mut loads = Vec::new();
-        for (_, pool) in self.gateway.fleet().pools() {
-            let beliefs = pool.beliefs();
-            let busy = beliefs.own_loads().filter(|(_, load)| load.flights > 0);
-            loads.extend(busy.map(|(id, load)| (server_number(id), load)));
-        }
-        let now = self.gateway.fleet().now();
-        Content {
-            version: self.gateway.version().unwrap_or(0),
-            revision: self.gateway.revision(),
-            loads,
-            suspects: self.gateway.quarantine.summary(now),
-        }
-    }
-
-    async fn receive_all(self: Arc<Self>) {
+    fn receive_all(&self, socket: &UdpSocket) {
         let mut buffer = vec![0; wire::MAX_DATAGRAM_BYTES * 2];
         loop {
-            match self.socket.recv_from(&mut buffer).await {
+            match socket.recv_from(&mut buffer) {
                 Ok((length, sender)) => match wire::decode(&buffer[..length]) {
                     Ok(message) => self.take(message),
                     Err(error) => tracing::debug!(%sender, %error, "datagram is no message"),
                 },
                 Err(error) => {
                     tracing::debug!(%error, "cannot receive a message");
-                    Timer::after(SOCKET_PAUSE).await;
+                    thread::sleep(SOCKET_PAUSE);
                 }
             }
         }
@@ -230,7 +274,9 @@
             {
                 self.copies.offer(address, summary.version);
             }
-            self.gateway.on_peer_revision(summary.revision);
+            summaries
+                .peer_revision
+                .fetch_max(summary.revision, Ordering::AcqRel);
             self.apply(&summary);
         }
     }
@@ -250,23 +296,21 @@
     /// Keeps the count of the live entries up to date and logs those that appear and fall silent.
     async fn count_all(self: Arc<Self>) {
         let summaries = Arc::clone(self.gateway.summaries());
-        let mut known: HashMap<EntryNumber, ()> = HashMap::new();
+        let mut known = BTreeSet::new();
         loop {
             Timer::after(COUNT_INTERVAL).await;
-            let live = lock(&summaries.exchange).live_entries(summaries.now());
-            for entry in &live {
-                if known.insert(*entry, ()).is_none() {
-                    tracing::info!(peer = entry, "heard of another entry");
-                }
+            let live: BTreeSet<_> = lock(&summaries.exchange)
+                .live_entries(summaries.now())
+                .into_iter()
+                .collect();
+            for peer in live.difference(&known) {
+                tracing::info!(peer, "heard of another entry");
+            }
+            for peer in known.difference(&live) {
+                tracing::info!(peer, "another entry fell silent");
             }
-            known.retain(|entry, ()| {
-                let is_live = live.contains(entry);
-                if !is_live {
-                    tracing::info!(peer = entry, "another entry fell silent");
-                }
-                is_live
-            });
             self.gateway.set_entries(live.len() + 1);
+            known = live;
         }
     }
 }
--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -70,8 +70,10 @@
         })?,
     };
     let settings = load(&path)?;
-    process::start_queued_logging()?;
-    serve(&path, &settings)
+    let logs = process::start_queued_logging()?;
+    let served = serve(&path, &settings);
+    logs.flush();
+    served
 }
 
 pub fn load(path: &str) -> Result<PlatformSettings, Error> {
@@ -115,7 +117,7 @@
         document::read_copy,
         Arc::clone(&executor),
     )?;
-    PeerExchange::bind(Arc::clone(&gateway), copies, Arc::clone(&executor))?.start();
+    PeerExchange::start(Arc::clone(&gateway), copies, &executor)?;
     let store = Store::new(settings.store);
     Feed::new(store, Arc::clone(&gateway), entries::registration(settings)).start()?;
     for index in 0..settings.threads {
@@ -153,8 +155,6 @@
         open_connections = stop.open_connections(),
         "entry has stopped"
     );
-    // The log writer has its own thread; it needs a moment for the last lines.
-    thread::sleep(STOP_POLL_INTERVAL);
 }
 
 /// Waits until no connection is open, but not longer than `until`.
--- a/src/process.rs
+++ b/src/process.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
@@ -66,15 +66,31 @@
 
 /// Log lines that wait for the standard output; more are dropped and counted.
 const LOG_QUEUE_LINES: usize = 4_096;
+/// Interval at which waiting log lines are written. A writer that is woken for each line costs more than the line.
+const LOG_INTERVAL: Duration = Duration::from_millis(200);
+/// Longest wait for the last log lines at the end of a process.
+const LOG_FLUSH_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Writer that hands log lines to a thread of its own, so that a full or closed standard output costs lines and never
 /// blocks a request.
 #[derive(Debug, Clone)]
-struct LogQueue {
+pub struct LogQueue {
     lines: crossbeam::channel::Sender<Vec<u8>>,
     dropped: Arc<AtomicU64>,
 }
 
+impl LogQueue {
+    /// Waits until the waiting lines are written, but not for long: nobody may be reading them.
+    pub fn flush(&self) {
+        let end = Instant::now() + LOG_FLUSH_TIMEOUT;
+        while !self.lines.is_empty() && Instant::now() < end {
+            thread::sleep(LOG_INTERVAL / 10);
+        }
+        // The writer takes the lines out of the queue just before it writes them.
+        thread::sleep(LOG_INTERVAL / 10);
+    }
+}
+
 impl Write for LogQueue {
     fn write(&mut self, line: &[u8]) -> std::io::Result<usize> {
         if self.lines.try_send(line.to_vec()).is_err() {
@@ -89,33 +105,43 @@
 }
 
 /// Writes logs as JSON lines to the standard output without ever blocking; `TANAGERFORD_LOG` sets the level.
-pub fn start_queued_logging() -> Result<(), Error> {
+pub fn start_queued_logging() -> Result<LogQueue, Error> {
     let (lines, received) = crossbeam::channel::bounded::<Vec<u8>>(LOG_QUEUE_LINES);
     let dropped = Arc::new(AtomicU64::new(0));
     let queue = LogQueue {
         lines,
         dropped: Arc::clone(&dropped),
     };
-    log_to(move || queue.clone())
+    let writer = queue.clone();
+    log_to(move || writer.clone())
         .map_err(|error| Error::failed(format!("cannot start logging: {error}")))?;
-    let writer = thread::Builder::new().name("log-writer".to_owned());
-    writer.spawn(move || write_lines(&received, &dropped))?;
-    Ok(())
+    let thread = thread::Builder::new().name("log-writer".to_owned());
+    thread.spawn(move || write_lines(&received, &dropped, &mut std::io::stdout()))?;
+    Ok(queue)
 }
 
-fn write_lines(lines: &crossbeam::channel::Receiver<Vec<u8>>, dropped: &AtomicU64) {
-    let mut output = std::io::stdout();
-    for line in lines {
+fn write_lines(
+    lines: &crossbeam::channel::Receiver<Vec<u8>>,
+    dropped: &AtomicU64,
+    output: &mut impl Write,
+) {
+    loop {
+        thread::sleep(LOG_INTERVAL);
+        let mut batch = Vec::new();
+        let mut count = 0;
+        for line in lines.try_iter() {
+            batch.extend_from_slice(&line);
+            count += 1;
+        }
         let lost = dropped.swap(0, Ordering::Relaxed);
         if lost > 0 {
-            // The count goes the same way as the lines; when even that fails, there is no place left to tell it.
-            let _ = writeln!(
-                output,
-                "{{\"level\":\"WARN\",\"message\":\"log lines dropped\",\"count\":{lost}}}"
+            let line = format!(
+                "{{\"level\":\"WARN\",\"message\":\"log lines dropped\",\"count\":{lost}}}\n"
             );
+            batch.extend_from_slice(line.as_bytes());
         }
-        if output.write_all(&line).is_err() {
-            dropped.fetch_add(1, Ordering::Relaxed);
+        if !batch.is_empty() && output.write_all(&batch).is_err() {
+            dropped.fetch_add(count + lost, Ordering::Relaxed);
         }
     }
 }
