--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -4,13 +4,13 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-use async_io::Timer;
 use bytes::{Bytes, BytesMut};
 use http::{Response, StatusCode};
 use tanagerford_core::dispatch::{CallEnd, CallNumber, Choice, ROOM_INTERVAL, Room, room_wait};
 use tanagerford_core::ids::{PoolId, ServerId};
 use tanagerford_http::outbound::{Answer, ExchangeError};
-use tanagerford_http::{Body, Reply, within};
+use tanagerford_http::{Body, Reply};
+use tokio::time::{sleep, timeout};
 
 use crate::call::{Call, Repeat};
 use crate::codec::{AnswerHead, Codec, Sending};
@@ -204,7 +204,7 @@
                     return false;
                 }
             }
-            Timer::after(ROOM_INTERVAL).await;
+            sleep(ROOM_INTERVAL).await;
         }
     }
 
@@ -313,7 +313,7 @@
         let quarantine = Arc::clone(&self.quarantine);
         let fleet = Arc::clone(&self.fleet);
         let task = quarantine.on_lost(Arc::clone(call), Arc::clone(server), move || fleet.now());
-        self.executor.spawn(task).detach();
+        self.runtime.spawn(task);
     }
 
     fn start(
@@ -372,7 +372,7 @@
             let first = answer.next().await.map_err(|_| AttemptError::Broken)?;
             Ok((answer, first))
         };
-        let ended = within(silence, exchange).await;
+        let ended = timeout(silence, exchange).await;
         ended.unwrap_or(Err(AttemptError::Silent))
     }
 
--- a/crates/gateway/src/copies.rs
+++ b/crates/gateway/src/copies.rs
@@ -9,14 +9,14 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use async_io::Timer;
 use bytes::{Bytes, BytesMut};
 use http::{HeaderValue, Request, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use tanagerford_http::outbound::SharedExecutor;
 use tanagerford_http::server::{Server, ServerLimits, Service};
-use tanagerford_http::{Body, Reply, within};
+use tanagerford_http::{Body, Reply};
+use tokio::runtime::Handle;
+use tokio::time::{sleep, timeout};
 
 use crate::codec::Codec;
 use crate::gateway::Gateway;
@@ -41,7 +41,7 @@
     decode: DecodeConfiguration,
     /// Whether a copy of a newer configuration is being read.
     is_copying: AtomicBool,
-    executor: SharedExecutor,
+    runtime: Handle,
 }
 
 struct CopyService<C>(Arc<Gateway<C>>);
@@ -76,9 +76,9 @@
         gateway: Arc<Gateway<C>>,
         address: SocketAddr,
         decode: DecodeConfiguration,
-        executor: SharedExecutor,
+        runtime: Handle,
     ) -> io::Result<Arc<Self>> {
-        let server = Server::bind(address, Arc::clone(&executor))?;
+        let server = Server::bind(address, runtime.clone())?;
         let address = server.address()?;
         server.start(Arc::new(CopyService(Arc::clone(&gateway))));
         Ok(Arc::new(Self {
@@ -86,7 +86,7 @@
             address,
             decode,
             is_copying: AtomicBool::new(false),
-            executor,
+            runtime,
         }))
     }
 
@@ -100,15 +100,15 @@
     pub fn offer(self: &Arc<Self>, peer: SocketAddr, version: Version) {
         if !self.is_copying.swap(true, Ordering::AcqRel) {
             let copy = Arc::clone(self).copy_newer(peer, version);
-            self.executor.spawn(copy).detach();
+            self.runtime.spawn(copy);
         }
     }
 
     async fn copy_newer(self: Arc<Self>, peer: SocketAddr, version: Version) {
-        Timer::after(STORE_HEAD_START).await;
+        sleep(STORE_HEAD_START).await;
         if self.gateway.version().unwrap_or(0) < version {
-            let copied = within(COPY_TIMEOUT, self.copy(peer)).await;
-            match copied.unwrap_or_else(|| Err("timeout".to_owned())) {
+            let copied = timeout(COPY_TIMEOUT, self.copy(peer)).await;
+            match copied.unwrap_or_else(|_| Err("timeout".to_owned())) {
                 Ok(()) => tracing::info!(%peer, version, "configuration copied from a peer"),
                 Err(error) => tracing::warn!(%peer, version, error, "configuration was not copied"),
             }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -11,9 +11,11 @@
 use hyper::body::Incoming;
 use tanagerford_core::dispatch::{BudgetLimits, RetryBudget, RoomGate};
 use tanagerford_core::ids::PoolId;
-use tanagerford_http::outbound::{Outbound, SharedExecutor};
+use tanagerford_http::outbound::Outbound;
 use tanagerford_http::server::{ServerLimits, Service};
-use tanagerford_http::{Reply, read_body, within};
+use tanagerford_http::{Reply, read_body};
+use tokio::runtime::Handle;
+use tokio::time::timeout;
 
 use crate::call::Call;
 use crate::codec::{CallHead, Codec};
@@ -51,7 +53,7 @@
     pub(crate) metrics: Metrics,
     pub(crate) summaries: Arc<Summaries>,
     pub(crate) quarantine: Arc<Quarantine>,
-    pub(crate) executor: SharedExecutor,
+    pub(crate) runtime: Handle,
     pub(crate) next_call: AtomicU64,
     pub(crate) room: Mutex<RoomGate>,
     /// Configuration in force with the document that it was read from.
@@ -68,20 +70,20 @@
         codec: C,
         fleet: Arc<Fleet>,
         settings: GatewaySettings,
-        executor: SharedExecutor,
+        runtime: Handle,
     ) -> Arc<Self> {
         let quarantine: Arc<Quarantine> = Arc::default();
         let summaries = Summaries::new(&settings.vm, Arc::clone(&fleet), Arc::clone(&quarantine));
         Arc::new(Self {
             codec,
-            outbound: Outbound::new(Arc::clone(&executor)),
+            outbound: Outbound::new(runtime.clone()),
             fleet,
             entries: AtomicUsize::new(settings.assumed_entries),
             settings,
             metrics: Metrics::default(),
             summaries: Arc::new(summaries),
             quarantine,
-            executor,
+            runtime,
             next_call: AtomicU64::new(0),
             room: Mutex::default(),
             configuration: RwLock::default(),
@@ -225,11 +227,11 @@
         };
         let limits = self.table().map(|table| table.limits).unwrap_or_default();
         let patience = head.patience.unwrap_or(BODY_TIMEOUT).min(BODY_TIMEOUT);
-        let refusal = match within(patience, read_body(body, limits.max_body_bytes)).await {
-            Some(Ok(body)) => return self.serve_whole(&parts, head, body, arrived).await,
-            Some(Err(StatusCode::PAYLOAD_TOO_LARGE)) => Refusal::TooLarge,
-            Some(Err(_)) => Refusal::Malformed,
-            None => Refusal::SlowBody,
+        let refusal = match timeout(patience, read_body(body, limits.max_body_bytes)).await {
+            Ok(Ok(body)) => return self.serve_whole(&parts, head, body, arrived).await,
+            Ok(Err(StatusCode::PAYLOAD_TOO_LARGE)) => Refusal::TooLarge,
+            Ok(Err(_)) => Refusal::Malformed,
+            Err(_) => Refusal::SlowBody,
         };
         self.refuse(Some(&head.id), refusal, arrived)
     }
--- a/crates/gateway/src/held.rs
+++ b/crates/gateway/src/held.rs
@@ -7,7 +7,8 @@
 use bytes::Bytes;
 use futures_lite::{StreamExt, stream};
 use tanagerford_core::dispatch::CallEnd;
-use tanagerford_http::{Body, within};
+use tanagerford_http::Body;
+use tokio::time::timeout;
 
 use crate::attempt::Begun;
 use crate::call::Call;
@@ -43,9 +44,9 @@
         let deadline = self.call.deadline();
         let remaining = deadline.saturating_duration_since(Instant::now());
         let answer = &mut self.begun.answer;
-        let part = match within(remaining, answer.next()).await {
-            Some(part) => part.map_err(|_| Refusal::ServerFailed),
-            None => Err(Refusal::TimedOut),
+        let part = match timeout(remaining, answer.next()).await {
+            Ok(part) => part.map_err(|_| Refusal::ServerFailed),
+            Err(_) => Err(Refusal::TimedOut),
         };
         match &part {
             Ok(Some(data)) => self.bytes += data.len(),
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -12,15 +12,14 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use async_io::Timer;
 use socket2::Socket;
 use tanagerford_core::dispatch::{Demand, server_number};
 use tanagerford_core::exchange::{
     self, Cadence, Content, EntryNumber, Exchange, Outgoing, Summary, wire,
 };
 use tanagerford_core::ids::ZoneId;
-use tanagerford_http::outbound::SharedExecutor;
-use tanagerford_http::within;
+use tokio::runtime::Handle;
+use tokio::time::{sleep, timeout};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::codec::Codec;
@@ -216,7 +215,7 @@
     pub fn start(
         gateway: Arc<Gateway<C>>,
         copies: Arc<Copies<C>>,
-        executor: &SharedExecutor,
+        runtime: &Handle,
     ) -> io::Result<()> {
         let socket = Socket::from(UdpSocket::bind(copies.address())?);
         let receiving = UdpSocket::from(socket.try_clone()?);
@@ -225,8 +224,8 @@
             return Err(io::Error::new(io::ErrorKind::AlreadyExists, reason));
         }
         let exchange = Arc::new(Self { gateway, copies });
-        executor.spawn(Arc::clone(&exchange).send_all()).detach();
-        executor.spawn(Arc::clone(&exchange).count_all()).detach();
+        runtime.spawn(Arc::clone(&exchange).send_all());
+        runtime.spawn(Arc::clone(&exchange).count_all());
         // A blocking thread needs one system call for each message, where a task needs four.
         let thread = thread::Builder::new().name("summaries".to_owned());
         thread.spawn(move || exchange.receive_all(&receiving))?;
@@ -243,7 +242,7 @@
                 summaries.send_due();
             } else {
                 // Woken or not, what is due is looked at again.
-                let _ = within(left, summaries.wake.1.recv()).await;
+                let _ = timeout(left, summaries.wake.1.recv()).await;
             }
         }
     }
@@ -298,7 +297,7 @@
         let summaries = Arc::clone(self.gateway.summaries());
         let mut known = BTreeSet::new();
         loop {
-            Timer::after(COUNT_INTERVAL).await;
+            sleep(COUNT_INTERVAL).await;
             let live: BTreeSet<_> = lock(&summaries.exchange)
                 .live_entries(summaries.now())
                 .into_iter()
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -8,10 +8,10 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use async_io::{Async, Timer};
 use tanagerford_core::ids::{Fingerprint, ServerId};
 use tanagerford_core::suspect::{CrashId, Running, SuspectTable, Verdict, wire};
-use tanagerford_http::within;
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
 use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
 use crate::call::Call;
@@ -85,15 +85,15 @@
             .entry(server.id.clone())
             .or_default()
             .push(suspect);
-        Timer::after(CRASH_CHECK_DELAY).await;
+        sleep(CRASH_CHECK_DELAY).await;
         let Some(lost) = lock(&self.lost).remove(&server.id) else {
             // Another lost call of the same server is already being looked into.
             return;
         };
-        let connect = Async::<std::net::TcpStream>::connect(server.address);
-        let refused = within(CRASH_CHECK_TIMEOUT, connect)
+        let connect = TcpStream::connect(server.address);
+        let refused = timeout(CRASH_CHECK_TIMEOUT, connect)
             .await
-            .is_some_and(|tried| {
+            .is_ok_and(|tried| {
                 tried.is_err_and(|error| error.kind() == std::io::ErrorKind::ConnectionRefused)
             });
         if !refused {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -7,7 +7,8 @@
 use bytes::Bytes;
 use futures_lite::stream;
 use tanagerford_core::dispatch::CallEnd;
-use tanagerford_http::{Body, within};
+use tanagerford_http::Body;
+use tokio::time::timeout;
 
 use crate::attempt::{AttemptError, Attempts, Begun};
 use crate::call::{Call, Repeat};
@@ -157,9 +158,9 @@
             (remaining, RelayError::Expired)
         };
         let answer = &mut self.begun.answer;
-        match within(wait, answer.next()).await {
-            Some(part) => part.map_err(|_| RelayError::Broken),
-            None => Err(error),
+        match timeout(wait, answer.next()).await {
+            Ok(part) => part.map_err(|_| RelayError::Broken),
+            Err(_) => Err(error),
         }
     }
 
--- a/crates/http/src/outbound.rs
+++ b/crates/http/src/outbound.rs
@@ -5,21 +5,20 @@
 
 use std::collections::HashMap;
 use std::io;
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use async_executor::Executor;
-use async_io::Async;
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
-use smol_hyper::rt::FuturesIo;
+use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
-
-use crate::connection::within;
+use tokio::net::TcpStream;
+use tokio::runtime::Handle;
+use tokio::time::timeout;
 
 /// Time that unacknowledged bytes may wait before the connection counts as broken, and the idle time before keep-alive
 /// probes. A peer behind a partition sends no reset.
@@ -34,9 +33,6 @@
 /// Idle connections kept for each address.
 const MAX_IDLE_PER_ADDRESS: usize = 32;
 
-/// Executor that runs the connections.
-pub type SharedExecutor = Arc<Executor<'static>>;
-
 /// Why an exchange has no answer.
 #[derive(Debug)]
 pub enum ExchangeError {
@@ -51,7 +47,7 @@
 /// Pool of client connections.
 #[derive(Debug)]
 pub struct Outbound {
-    executor: SharedExecutor,
+    runtime: Handle,
     idle: Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>,
 }
 
@@ -73,11 +69,11 @@
 }
 
 impl Outbound {
-    /// Creates an empty pool whose connections run on `executor`.
+    /// Creates an empty pool whose connections run on `runtime`.
     #[must_use]
-    pub fn new(executor: SharedExecutor) -> Arc<Self> {
+    pub fn new(runtime: Handle) -> Arc<Self> {
         let idle = Mutex::default();
-        Arc::new(Self { executor, idle })
+        Arc::new(Self { runtime, idle })
     }
 
     /// Sends a request and waits for the head of its answer.
@@ -164,20 +160,19 @@
     async fn connect(
         &self,
         address: SocketAddr,
-        timeout: Duration,
+        longest: Duration,
     ) -> Result<SendRequest<Full<Bytes>>, ExchangeError> {
-        let connected = within(timeout, Async::<TcpStream>::connect(address)).await;
-        let connected = connected.unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()));
+        let connected = timeout(longest, TcpStream::connect(address)).await;
+        let connected = connected.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()));
         let stream = connected.map_err(ExchangeError::Connect)?;
-        configure(stream.get_ref()).map_err(ExchangeError::Connect)?;
-        let handshake = http1::handshake(FuturesIo::new(stream)).await;
+        configure(&stream).map_err(ExchangeError::Connect)?;
+        let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(|_| ExchangeError::NotSent)?;
-        let task = self.executor.spawn(async move {
+        self.runtime.spawn(async move {
             if let Err(error) = connection.await {
                 tracing::debug!(%address, %error, "connection to a backend server ended");
             }
         });
-        task.detach();
         Ok(sender)
     }
 }
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -1,4 +1,4 @@
-//! Listener whose connections run as tasks of a shared executor.
+//! Listener whose connections run as tasks of an asynchronous runtime.
 //!
 //! Unlike [`Listener`](crate::Listener), it hands over each request before its body is read and takes its limits anew
 //! for each connection, as they may change with the configuration.
@@ -6,22 +6,22 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::io;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{self, SocketAddr};
 use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use async_io::{Async, Timer};
 use futures_lite::future;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use smol_hyper::rt::{FuturesIo, SmolTimer};
+use hyper_util::rt::{TokioIo, TokioTimer};
 use socket2::{Domain, SockRef, Socket, TcpKeepalive, Type};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::runtime::Handle;
 
 use crate::connection::Reply;
-use crate::outbound::SharedExecutor;
 
 /// Smallest read buffer that the HTTP library accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8_192;
@@ -59,8 +59,8 @@
 /// Bound listener.
 #[derive(Debug)]
 pub struct Server {
-    socket: Async<TcpListener>,
-    executor: SharedExecutor,
+    socket: TcpListener,
+    runtime: Handle,
     open: Arc<AtomicUsize>,
     stopped: async_channel::Receiver<()>,
     stop: async_channel::Sender<()>,
@@ -87,15 +87,19 @@
     /// # Errors
     ///
     /// Fails when the address cannot be bound.
-    pub fn bind(address: SocketAddr, executor: SharedExecutor) -> io::Result<Self> {
+    pub fn bind(address: SocketAddr, runtime: Handle) -> io::Result<Self> {
         let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
         socket.set_reuse_address(true)?;
         socket.bind(&address.into())?;
         socket.listen(BACKLOG)?;
+        socket.set_nonblocking(true)?;
+        let in_runtime = runtime.enter();
+        let socket = TcpListener::from_std(net::TcpListener::from(socket))?;
+        drop(in_runtime);
         let (stop, stopped) = async_channel::bounded(1);
         Ok(Self {
-            socket: Async::new(TcpListener::from(socket))?,
-            executor,
+            socket,
+            runtime,
             open: Arc::default(),
             stopped,
             stop,
@@ -108,7 +112,7 @@
     ///
     /// Fails when the system does not tell the address.
     pub fn address(&self) -> io::Result<SocketAddr> {
-        self.socket.get_ref().local_addr()
+        self.socket.local_addr()
     }
 
     /// Returns the handle that ends the connections.
@@ -120,10 +124,10 @@
         }
     }
 
-    /// Accepts connections in a task of the executor.
+    /// Accepts connections in a task of the runtime.
     pub fn start(self, service: Arc<impl Service>) {
-        let executor = Arc::clone(&self.executor);
-        executor.spawn(self.accept(service)).detach();
+        let runtime = self.runtime.clone();
+        runtime.spawn(self.accept(service));
     }
 
     async fn accept(self, service: Arc<impl Service>) {
@@ -137,7 +141,7 @@
                 Some(Ok((stream, peer))) => self.open(stream, peer, &service),
                 Some(Err(error)) => {
                     tracing::warn!(%error, "cannot accept a connection");
-                    Timer::after(ACCEPT_PAUSE).await;
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
                 }
                 // The socket is closed here: a caller that comes later is refused before it sends anything.
                 None => return,
@@ -145,19 +149,18 @@
         }
     }
 
-    fn open(&self, stream: Async<TcpStream>, peer: SocketAddr, service: &Arc<impl Service>) {
+    fn open(&self, stream: TcpStream, peer: SocketAddr, service: &Arc<impl Service>) {
         self.open.fetch_add(1, Ordering::AcqRel);
         let guard = OpenGuard(Arc::clone(&self.open));
         let service = Arc::clone(service);
         let stopped = self.stopped.clone();
-        let task = self.executor.spawn(async move {
+        self.runtime.spawn(async move {
             let result = drive(stream, peer, &*service, &stopped).await;
             if let Err(error) = result {
                 tracing::debug!(%peer, %error, "connection ended with an error");
             }
             drop(guard);
         });
-        task.detach();
     }
 }
 
@@ -175,26 +178,26 @@
 }
 
 async fn drive(
-    stream: Async<TcpStream>,
+    stream: TcpStream,
     peer: SocketAddr,
     service: &impl Service,
     stopped: &async_channel::Receiver<()>,
 ) -> Result<(), Box<dyn std::error::Error + Send + Sync>> {
-    stream.get_ref().set_nodelay(true)?;
+    stream.set_nodelay(true)?;
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_TIME)
         .with_interval(KEEPALIVE_INTERVAL);
-    SockRef::from(stream.get_ref()).set_tcp_keepalive(&keepalive)?;
+    SockRef::from(&stream).set_tcp_keepalive(&keepalive)?;
     let limits = service.limits();
     let handler =
         service_fn(
             |request| async move { Ok::<_, Infallible>(service.answer(request, peer).await) },
         );
     let connection = http1::Builder::new()
-        .timer(SmolTimer::new())
+        .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout)
         .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER_BYTES))
-        .serve_connection(FuturesIo::new(stream), handler);
+        .serve_connection(TokioIo::new(stream), handler);
     let mut connection = pin!(connection);
     let stop = async {
         let _ = stopped.recv().await;
--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -5,8 +5,6 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use async_executor::Executor;
-use futures_lite::future;
 use getopts::Options;
 use http::{Request, StatusCode};
 use hyper::body::Incoming;
@@ -18,7 +16,6 @@
 use tanagerford_gateway::fleet::Fleet;
 use tanagerford_gateway::gateway::{CallerService, GatewaySettings};
 use tanagerford_gateway::peers::PeerExchange;
-use tanagerford_http::outbound::SharedExecutor;
 use tanagerford_http::server::{Server, ServerLimits, ServerStop, Service};
 use tanagerford_http::{Body, Reply};
 use tanagerford_operator::check::FileFindings;
@@ -28,6 +25,7 @@
 use tanagerford_platform::settings::{self, PlatformSettings, SETTINGS_VARIABLE};
 use tanagerford_platform::store::Store;
 use tanagerford_platform::{document, entries};
+use tokio::runtime::{self, Handle};
 
 use crate::error::Error;
 use crate::{process, util};
@@ -91,40 +89,30 @@
     let callers = settings.callers.ok_or_else(|| missing("callers"))?;
     let readiness = settings.readiness.ok_or_else(|| missing("readiness"))?;
     let mut signals = Signals::new([SIGTERM, SIGHUP])?;
-    let executor: SharedExecutor = Arc::new(Executor::new());
+    let runtime = start_runtime(settings.threads)?;
     let fleet = Arc::new(Fleet::new(settings.zone.clone(), CostSettings::default()));
     let gateway_settings = GatewaySettings {
         budget: settings.budget,
         assumed_entries: ASSUMED_ENTRIES,
         vm: settings.vm.clone(),
     };
-    let gateway = Gateway::new(
-        PlatformCodec,
-        fleet,
-        gateway_settings,
-        Arc::clone(&executor),
-    );
-    let server = Server::bind(callers, Arc::clone(&executor))?;
+    let gateway = Gateway::new(PlatformCodec, fleet, gateway_settings, runtime.clone());
+    let server = Server::bind(callers, runtime.clone())?;
     let callers = server.address()?;
     let stop = server.stopper();
     server.start(Arc::new(CallerService(Arc::clone(&gateway))));
-    let readiness_server = Server::bind(readiness, Arc::clone(&executor))?;
+    let readiness_server = Server::bind(readiness, runtime.clone())?;
     let readiness = readiness_server.address()?;
     readiness_server.start(Arc::new(Readiness(Arc::clone(&gateway))));
     let copies = Copies::start(
         Arc::clone(&gateway),
         settings.peers,
         document::read_copy,
-        Arc::clone(&executor),
+        runtime.clone(),
     )?;
-    PeerExchange::start(Arc::clone(&gateway), copies, &executor)?;
+    PeerExchange::start(Arc::clone(&gateway), copies, &runtime)?;
     let store = Store::new(settings.store);
     Feed::new(store, Arc::clone(&gateway), entries::registration(settings)).start()?;
-    for index in 0..settings.threads {
-        let executor = Arc::clone(&executor);
-        let builder = thread::Builder::new().name(format!("worker-{index}"));
-        builder.spawn(move || async_io::block_on(executor.run(future::pending::<()>())))?;
-    }
     tracing::info!(vm = settings.vm, zone = settings.zone, %callers, %readiness, store = %settings.store, "entry has started");
     for signal in signals.forever() {
         if signal == SIGTERM {
@@ -142,6 +130,22 @@
     Ok(())
 }
 
+/// Starts the runtime of connections and timers on threads of its own.
+fn start_runtime(threads: u32) -> Result<Handle, Error> {
+    let mut builder = if threads > 1 {
+        let mut builder = runtime::Builder::new_multi_thread();
+        builder.worker_threads(usize::try_from(threads).unwrap_or(usize::MAX));
+        builder
+    } else {
+        runtime::Builder::new_current_thread()
+    };
+    let runtime = builder.enable_all().build()?;
+    let handle = runtime.handle().clone();
+    let thread = thread::Builder::new().name("worker".to_owned());
+    thread.spawn(move || runtime.block_on(std::future::pending::<()>()))?;
+    Ok(handle)
+}
+
 /// Serves on until the callers have left or the time is up.
 fn finish(gateway: &PlatformGateway, stop: &ServerStop, grace: Duration) {
     let began = Instant::now();
