Explain requests from logs, and log every end of a request

tanagerford explain ID [FILE...] orders the lines of a request, names its cause and the evidence, and lists failures by cause; memory is bounded by counts and examples. Every request now ends with one log line: refusals name route and workspace, answers their objective, and a caller that leaves is logged with the attempt that it abandoned. The test that produces the failures on stand-ins found that such an attempt left no line. An attempt that got a server's 500 counts as failed in the metrics, no longer as answered.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -45,10 +45,25 @@
     summaries: Arc<Summaries>,
     expected: Duration,
     number: CallNumber,
+    call: Arc<Call>,
+    /// Whether the attempt's end was logged.
+    is_logged: bool,
 }
 
 impl Drop for Flight {
     fn drop(&mut self) {
+        if !self.is_logged {
+            // The caller left before the server had begun to answer.
+            tracing::info!(
+                request = self.call.id,
+                route = self.call.route.name,
+                workspace = self.call.workspace_name(),
+                server = self.server.id,
+                outcome = "abandoned",
+                after_ms = self.sent.elapsed().as_millis(),
+                "attempt"
+            );
+        }
         self.pool.beliefs().on_end(&self.server.id, self.number);
         self.summaries.changed();
     }
@@ -135,17 +150,17 @@
             .pick_pool(hash)
             .and_then(|name| self.fleet.pool(name).map(|pool| (name.clone(), pool)));
         let Some((pool_name, pool)) = pool else {
-            return self.refuse(Some(&call.id), Refusal::NoServer, call.arrived);
+            return self.refuse_call(&call, Refusal::NoServer);
         };
         let now = self.fleet.now();
         self.with_budget(&pool_name, |budget| {
             budget.on_request(now, &self.settings.budget);
         });
         if self.quarantine.refuses(now, &call) {
-            return self.refuse(Some(&call.id), Refusal::Quarantined, call.arrived);
+            return self.refuse_call(&call, Refusal::Quarantined);
         }
         if !self.wait_for_room(&call, &pool).await {
-            return self.refuse(Some(&call.id), Refusal::Overloaded, call.arrived);
+            return self.refuse_call(&call, Refusal::Overloaded);
         }
         let mut attempts = Attempts::default();
         let mut last = None;
@@ -171,7 +186,7 @@
             return self.deliver(call, pool, attempts, begun).await;
         }
         let refusal = refusal(&call, &attempts, last);
-        self.refuse(Some(&call.id), refusal, call.arrived)
+        self.refuse_call(&call, refusal)
     }
 
     /// Waits until some server can take the call without making streams late; returns whether there is one.
@@ -194,7 +209,9 @@
                     tracing::info!(
                         request = call.id,
                         route = call.route.name,
+                        workspace = call.workspace_name(),
                         server = choice.server,
+                        rank = call.priority(),
                         harmed_streams = choice.harmed_streams,
                         first_token_ms = choice.first_token_ms,
                         waiting_tokens = choice.waiting_tokens,
@@ -252,7 +269,7 @@
         if remaining < MIN_REMAINING {
             return Err(None);
         }
-        let (flight, choice) = self.start(call, pool, attempts).ok_or(None)?;
+        let (mut flight, choice) = self.start(call, pool, attempts).ok_or(None)?;
         attempts.tried.push(flight.server.id.clone());
         self.summaries.sent(&flight.server, &call.demand);
         let result = self
@@ -267,13 +284,16 @@
             Err(error) => error.call_end(),
         };
         pool.beliefs().on_outcome(self.fleet.now(), server, end);
-        let name = result
-            .as_ref()
-            .map_or_else(|error| error.name(), |_| "answered");
+        let name = match &result {
+            Ok(_) if end == CallEnd::Failed => AttemptError::Failed.name(),
+            Ok(_) => "answered",
+            Err(error) => error.name(),
+        };
         self.metrics.attempt(name);
         tracing::info!(
             request = call.id,
             route = call.route.name,
+            workspace = call.workspace_name(),
             server,
             outcome = name,
             sends = attempts.tried.len(),
@@ -283,9 +303,11 @@
             waiting_tokens = choice.waiting_tokens,
             first_token_ms = choice.first_token_ms,
             candidates = choice.candidates,
+            remaining_ms = remaining.as_millis(),
             after_ms = flight.sent.elapsed().as_millis(),
             "attempt"
         );
+        flight.is_logged = true;
         match result {
             Ok((answer, first)) => {
                 pool.beliefs()
@@ -318,7 +340,7 @@
 
     fn start(
         &self,
-        call: &Call,
+        call: &Arc<Call>,
         pool: &Arc<PoolState>,
         attempts: &Attempts,
     ) -> Option<(Flight, Choice)> {
@@ -342,6 +364,8 @@
             summaries: Arc::clone(&self.summaries),
             expected,
             number,
+            call: Arc::clone(call),
+            is_logged: false,
         };
         Some((flight, choice))
     }
@@ -446,7 +470,7 @@
                 Ok(Some(part)) => body.extend_from_slice(&part),
                 Ok(None) => break,
                 Err(refusal) => {
-                    return self.refuse(Some(&call.id), refusal, call.arrived);
+                    return self.refuse_call(&call, refusal);
                 }
             }
             if body.len() > MAX_HELD_BYTES {
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -1,12 +1,14 @@
 //! A caller's request, independent of the protocol that carried it.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Instant;
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
 use tanagerford_core::dispatch::Demand;
 
+use crate::log;
 use crate::table::{Route, Workspace};
 
 /// Name that a caller gives one attempt of a request.
@@ -48,9 +50,32 @@
     pub arrived: Instant,
     /// Time at which the caller stops waiting, if it said so.
     pub caller_deadline: Option<Instant>,
+    /// Whether the end of the call was logged.
+    pub(crate) is_ended: AtomicBool,
+}
+
+impl Drop for Call {
+    fn drop(&mut self) {
+        // Nothing else drops a call that has no end yet: its future ends with the caller's connection.
+        if !self.is_ended.load(Ordering::Acquire) {
+            log::caller_left(self);
+        }
+    }
 }
 
 impl Call {
+    /// Returns the name of the workspace; empty on public routes.
+    #[must_use]
+    pub fn workspace_name(&self) -> &str {
+        let workspace = self.workspace.as_ref();
+        workspace.map_or("", |workspace| &workspace.name)
+    }
+
+    /// Records that the end of the call was logged.
+    pub(crate) fn end(&self) {
+        self.is_ended.store(true, Ordering::Release);
+    }
+
     /// Returns what may be repeated of this call.
     #[must_use]
     pub fn repeat(&self) -> Repeat {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -20,6 +20,7 @@
 use crate::call::Call;
 use crate::codec::{CallHead, Codec};
 use crate::fleet::{BackendServer, Fleet};
+use crate::log::{self, Subject};
 use crate::metrics::Metrics;
 use crate::peers::Summaries;
 use crate::quarantine::Quarantine;
@@ -223,7 +224,7 @@
         let (parts, body) = request.into_parts();
         let head = match self.codec.call_head(&parts) {
             Ok(head) => head,
-            Err(refusal) => return self.refuse(None, refusal, arrived),
+            Err(refusal) => return self.refuse(Subject::unread(arrived), refusal),
         };
         let limits = self.table().map(|table| table.limits).unwrap_or_default();
         let patience = head.patience.unwrap_or(BODY_TIMEOUT).min(BODY_TIMEOUT);
@@ -233,7 +234,7 @@
             Ok(Err(_)) => Refusal::Malformed,
             Err(_) => Refusal::SlowBody,
         };
-        self.refuse(Some(&head.id), refusal, arrived)
+        self.refuse(Subject::of_head(&head, arrived), refusal)
     }
 
     async fn serve_whole(
@@ -243,35 +244,25 @@
         body: Bytes,
         arrived: Instant,
     ) -> Reply {
-        match self.admit(parts, head, body, arrived) {
-            Ok(call) => self.run(Arc::new(call)).await,
-            Err((id, refusal)) => self.refuse(Some(&id), refusal, arrived),
-        }
-    }
-
-    fn admit(
-        &self,
-        parts: &http::request::Parts,
-        head: CallHead,
-        body: Bytes,
-        arrived: Instant,
-    ) -> Result<Call, (String, Refusal)> {
         let Some(table) = self.table() else {
-            return Err((head.id, Refusal::NoConfiguration));
+            let subject = Subject::of_head(&head, arrived);
+            return self.refuse(subject, Refusal::NoConfiguration);
         };
-        let Some(route) = table.route(&head.host, parts.uri.path()) else {
-            return Err((head.id, Refusal::NoRoute));
+        let route = table.route(&head.host, parts.uri.path());
+        let subject = Subject::of_head(&head, arrived).on(route.map(|route| &**route));
+        let Some(route) = route else {
+            return self.refuse(subject, Refusal::NoRoute);
         };
         let mut workspace = None;
         if table.needs_key() && !route.is_public {
             workspace = head.key.as_deref().and_then(|key| table.workspace(key));
             if workspace.is_none() {
-                return Err((head.id, Refusal::UnknownKey));
+                return self.refuse(subject, Refusal::UnknownKey);
             }
         }
         let mut demand = head.demand;
         demand.body_bytes = body.len();
-        Ok(Call {
+        let call = Call {
             id: head.id,
             method: parts.method.clone(),
             target: parts.uri.clone(),
@@ -283,19 +274,21 @@
             resume_after: head.resume_after,
             arrived,
             caller_deadline: head.patience.map(|patience| arrived + patience),
-        })
+            is_ended: AtomicBool::new(false),
+        };
+        self.run(Arc::new(call)).await
     }
 
-    pub(crate) fn refuse(&self, id: Option<&str>, refusal: Refusal, arrived: Instant) -> Reply {
+    /// Answers a call that was admitted, but not served.
+    pub(crate) fn refuse_call(&self, call: &Call, refusal: Refusal) -> Reply {
+        call.end();
+        self.refuse(Subject::of_call(call), refusal)
+    }
+
+    fn refuse(&self, subject: Subject<'_>, refusal: Refusal) -> Reply {
         self.metrics.refused(refusal);
-        tracing::info!(
-            request = id.unwrap_or(""),
-            reason = refusal.name(),
-            not_run = refusal.is_not_run(),
-            configuration = self.version(),
-            after_ms = arrived.elapsed().as_millis(),
-            "refused"
-        );
+        log::refused(subject, refusal, self.version());
+        let id = Some(subject.request).filter(|id| !id.is_empty());
         self.finish(self.codec.refuse(id, refusal))
     }
 
--- a/crates/gateway/src/held.rs
+++ b/crates/gateway/src/held.rs
@@ -64,12 +64,15 @@
         tracing::info!(
             request = self.call.id,
             route = self.call.route.name,
+            workspace = self.call.workspace_name(),
             server = self.begun.flight.server.id,
             status = status.as_u16(),
             bytes = self.bytes,
             total_ms = self.call.arrived.elapsed().as_millis(),
+            objective_ms = self.call.route.target_latency.as_millis(),
             "answered"
         );
+        self.call.end();
     }
 
     fn record(&self, end: CallEnd) {
@@ -91,9 +94,11 @@
                 Err(refusal) => {
                     tracing::warn!(
                         request = answer.call.id,
+                        server = answer.begun.flight.server.id,
                         reason = refusal.name(),
                         "answer is cut"
                     );
+                    answer.call.end();
                     Some((Err(io::ErrorKind::ConnectionAborted.into()), None))
                 }
             }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod fleet;
 pub mod gateway;
 mod held;
+mod log;
 mod metrics;
 pub mod peers;
 pub mod quarantine;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -43,6 +43,17 @@
     Expired,
 }
 
+impl RelayError {
+    /// Returns the outcome in logs.
+    fn name(self) -> &'static str {
+        match self {
+            Self::Broken => "cut_broken",
+            Self::Silent => "cut_silent",
+            Self::Expired => "cut_expired",
+        }
+    }
+}
+
 impl<C: Codec> Relay<C> {
     pub(crate) fn new(
         gateway: Arc<Gateway<C>>,
@@ -82,7 +93,7 @@
                     None
                 }
                 Err(error) => {
-                    relay.log(&format!("cut: {error:?}"));
+                    relay.log(error.name());
                     Some((Err(io::Error::from(io::ErrorKind::ConnectionAborted)), None))
                 }
             }
@@ -104,6 +115,7 @@
         tracing::info!(
             request = self.call.id,
             route = self.call.route.name,
+            workspace = self.call.workspace_name(),
             server = self.begun.flight.server.id,
             outcome,
             sends = self.attempts.tried.len(),
@@ -112,8 +124,11 @@
             last_event = self.events.last_id(),
             bytes = self.events_sent_bytes,
             total_ms = self.call.arrived.elapsed().as_millis(),
+            objective_ms = self.call.route.target_latency.as_millis(),
+            pause_limit_ms = self.call.route.pause_limit.map(|limit| limit.as_millis()),
             "stream ended"
         );
+        self.call.end();
     }
 
     /// Returns the next complete events, or `None` at the end of the stream.
--- /dev/null
+++ b/crates/operator/src/explain/story.rs
@@ -0,0 +1,376 @@
+//! What became of one request, and why.
+
+use std::collections::BTreeMap;
+
+use serde_json::{Value, json};
+
+use super::record::Record;
+
+/// Lines of one request that are kept at most; a request has a handful.
+const MAX_LINES: usize = 200;
+
+/// Collects the lines that tell about one request.
+#[derive(Debug, Default)]
+pub struct Story {
+    request: String,
+    lines: Vec<Record>,
+    /// Latest change of configuration by VM, until the request's end was seen.
+    configurations: BTreeMap<String, Record>,
+    /// Latest line about the store by VM.
+    stores: BTreeMap<String, Record>,
+    /// Latest line about each server by VM and server.
+    servers: BTreeMap<(String, String), Record>,
+    is_complete: bool,
+}
+
+/// What became of a request.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Explanation {
+    /// Name of the request.
+    pub request: String,
+    /// Short name of the cause, the same for equal causes.
+    pub cause: String,
+    /// What happened, in a sentence.
+    pub summary: String,
+    /// Why, one sentence for each piece of evidence.
+    pub reasons: Vec<String>,
+    /// Lines of the request in order.
+    pub lines: Vec<Record>,
+}
+
+/// Returns whether a line is the last one of its request.
+pub(super) fn is_end(record: &Record) -> bool {
+    matches!(
+        record.message.as_str(),
+        "refused" | "answered" | "stream ended" | "answer is cut" | "caller left"
+    )
+}
+
+impl Story {
+    /// Creates the empty story of a request.
+    #[must_use]
+    pub fn new(request: impl Into<String>) -> Self {
+        Self {
+            request: request.into(),
+            ..Self::default()
+        }
+    }
+
+    /// Takes a line of any process.
+    pub fn add(&mut self, record: Record) {
+        if record.request() == Some(&self.request) {
+            self.is_complete |= is_end(&record);
+            if self.lines.len() < MAX_LINES {
+                self.lines.push(record);
+            }
+            return;
+        }
+        if self.is_complete || record.request().is_some() {
+            return;
+        }
+        let vm = record.vm.clone().unwrap_or_default();
+        match record.message.as_str() {
+            "configuration in force" => drop(self.configurations.insert(vm, record)),
+            "store does not answer" | "store answers again" => {
+                self.stores.insert(vm, record);
+            }
+            _ => {
+                if let Some(server) = record.text("server").map(str::to_owned) {
+                    self.servers.insert((vm, server), record);
+                }
+            }
+        }
+    }
+
+    /// Returns the explanation; `None` when no line is about the request.
+    #[must_use]
+    pub fn explain(mut self) -> Option<Explanation> {
+        // Lines of several processes are ordered by time; those without a time keep their order.
+        self.lines.sort_by(|a, b| {
+            let times = a.at_s.zip(b.at_s);
+            times.map_or(std::cmp::Ordering::Equal, |(a, b)| a.total_cmp(&b))
+        });
+        let end = self.lines.iter().rfind(|line| is_end(line));
+        let last = end.or(self.lines.last())?.clone();
+        let cause = cause(&last, &self.lines);
+        let mut reasons = self.reasons(&last);
+        let attempts = self.lines.iter().filter(|line| line.message == "attempt");
+        reasons.extend(attempts.map(attempt));
+        reasons.extend(self.server_changes());
+        Some(Explanation {
+            summary: summary(&last),
+            request: self.request,
+            cause,
+            reasons,
+            lines: self.lines,
+        })
+    }
+
+    fn reasons(&self, last: &Record) -> Vec<String> {
+        let mut reasons = Vec::new();
+        let vm = last.vm.clone().unwrap_or_default();
+        let no_room = self
+            .lines
+            .iter()
+            .find(|line| line.message == "no room for a long prompt");
+        reasons.extend(no_room.map(room));
+        let is_configuration = matches!(
+            last.text("reason"),
+            Some("unknown_key" | "no_route" | "no_configuration")
+        );
+        if is_configuration {
+            reasons.push(match self.configurations.get(&vm) {
+                Some(change) => format!(
+                    "version {} of the configuration was in force at this entry since {}",
+                    value(change, "version"),
+                    change.place()
+                ),
+                None => "no change of the configuration of this entry is in the logs".to_owned(),
+            });
+            if let Some(store) = self.stores.get(&vm)
+                && store.message == "store does not answer"
+            {
+                reasons.push(format!("the store did not answer since {}", store.place()));
+            }
+        }
+        reasons
+    }
+
+    /// Tells what the entry had learned of the servers that were tried.
+    fn server_changes(&self) -> Vec<String> {
+        let mut seen = Vec::new();
+        let mut changes = Vec::new();
+        for line in self.lines.iter().filter(|line| line.message == "attempt") {
+            let key = (
+                line.vm.clone().unwrap_or_default(),
+                line.text("server").unwrap_or_default().to_owned(),
+            );
+            if seen.contains(&key) {
+                continue;
+            }
+            if let Some(change) = self.servers.get(&key) {
+                changes.push(format!(
+                    "last known of {}: {} ({})",
+                    key.1,
+                    change.message,
+                    change.place()
+                ));
+            }
+            seen.push(key);
+        }
+        changes
+    }
+}
+
+/// Returns the short name of what ended a request.
+pub(super) fn cause(last: &Record, lines: &[Record]) -> String {
+    let named = |message: &str| lines.iter().any(|line| line.message == message);
+    let outcome = |name: &str| {
+        let mut attempts = lines.iter().filter(|line| line.message == "attempt");
+        attempts.any(|line| line.text("outcome") == Some(name))
+    };
+    match last.message.as_str() {
+        "refused" => match last.text("reason").unwrap_or("unknown") {
+            "overloaded" if named("no room for a long prompt") => "no_room".to_owned(),
+            "overloaded" if outcome("not_run") => "servers_full".to_owned(),
+            "server_failed" if outcome("silent") => "server_silent".to_owned(),
+            "server_failed" if outcome("broken") => "connection_broke".to_owned(),
+            reason => reason.to_owned(),
+        },
+        "stream ended" => match last.text("outcome") {
+            Some("answered") if is_late(last) => "answered_late".to_owned(),
+            Some("answered") => "answered".to_owned(),
+            Some(outcome) => outcome.to_owned(),
+            None => "unknown".to_owned(),
+        },
+        "answered" if last.number("status").unwrap_or(200.0) >= 500.0 => {
+            "server_reported_failure".to_owned()
+        }
+        "answered" if is_late(last) => "answered_late".to_owned(),
+        "answered" => "answered".to_owned(),
+        "answer is cut" => "answer_cut".to_owned(),
+        "caller left" if !lines.iter().any(|line| line.message == "attempt") => {
+            "caller_left_waiting".to_owned()
+        }
+        "caller left" => "caller_left".to_owned(),
+        _ => "unfinished".to_owned(),
+    }
+}
+
+/// Returns whether an answer missed its objective or paused too long.
+fn is_late(last: &Record) -> bool {
+    let first = last.number("first_event_ms").or(last.number("total_ms"));
+    let exceeds = |value: Option<f64>, limit: &str| {
+        value
+            .zip(last.number(limit))
+            .is_some_and(|(value, limit)| value > limit)
+    };
+    exceeds(first, "objective_ms") || exceeds(last.number("longest_pause_ms"), "pause_limit_ms")
+}
+
+fn value(record: &Record, name: &str) -> String {
+    record.fields().get(name).map_or_else(
+        || "unknown".to_owned(),
+        |value| match value {
+            Value::String(text) => text.clone(),
+            Value::Number(number) => number.as_f64().map_or_else(
+                || number.to_string(),
+                |float| format!("{}", (float * 10.0).round() / 10.0),
+            ),
+            other => other.to_string(),
+        },
+    )
+}
+
+fn summary(last: &Record) -> String {
+    let field = |name| value(last, name);
+    match last.message.as_str() {
+        "refused" => {
+            let promise = if last.flag("not_run") == Some(true) {
+                "it has not run"
+            } else {
+                "it may have run"
+            };
+            let text = match last.text("reason").unwrap_or_default() {
+                "no_configuration" => "the entry knew no configuration yet",
+                "no_route" => "no route of the configuration matches its host and path",
+                "unknown_key" => "the configuration holds no such key",
+                "malformed" => "the request is malformed",
+                "too_large" => "its body is larger than the limit",
+                "slow_body" => "its body did not arrive in time",
+                "no_server" => "no server of its pool was known or reachable",
+                "overloaded" => "no server could take it",
+                "quarantined" => "requests with the same content crashed servers",
+                "expired" => "its time was up before it was sent to a server",
+                "server_failed" => "a server failed after the request was sent",
+                "timed_out" => "its time was up while a server was working on it",
+                _ => "the reason is not known to this program",
+            };
+            format!(
+                "refused by the entry after {} ms ({}): {text}; {promise}",
+                field("after_ms"),
+                field("reason")
+            )
+        }
+        "answered" => format!(
+            "answered by {} with status {} after {} ms (objective {} ms)",
+            field("server"),
+            field("status"),
+            field("total_ms"),
+            field("objective_ms")
+        ),
+        "stream ended" => {
+            let end = match last.text("outcome") {
+                Some("answered") => "complete",
+                Some("cut_expired" | "cut: Expired") => "cut when the time was up",
+                Some("cut_silent" | "cut: Silent") => "cut after its server fell silent",
+                Some("cut_broken" | "cut: Broken") => "cut when the connection to its server broke",
+                _ => "ended in an unknown way",
+            };
+            format!(
+                "stream of {}, {end}: first event after {} ms (objective {} ms), longest pause {} ms (limit {} ms), last event {}, {} ms in all",
+                field("server"),
+                field("first_event_ms"),
+                field("objective_ms"),
+                field("longest_pause_ms"),
+                field("pause_limit_ms"),
+                field("last_event"),
+                field("total_ms")
+            )
+        }
+        "answer is cut" => format!(
+            "the answer of {} was cut ({})",
+            field("server"),
+            field("reason")
+        ),
+        "caller left" => format!(
+            "the caller closed its connection after {} ms; it had said that it would wait {} ms",
+            field("after_ms"),
+            field("patience_ms")
+        ),
+        _ => "the logs hold no end of this request".to_owned(),
+    }
+}
+
+fn room(line: &Record) -> String {
+    let field = |name| value(line, name);
+    format!(
+        "even the best server, {}, had {} prompt tokens waiting and {} calls: the first token was expected after {} ms, and {} running streams would have paused too long",
+        field("server"),
+        field("waiting_tokens"),
+        field("in_flight"),
+        field("first_token_ms"),
+        field("harmed_streams")
+    )
+}
+
+fn attempt(line: &Record) -> String {
+    let field = |name| value(line, name);
+    let outcome = match line.text("outcome").unwrap_or_default() {
+        "answered" => "began to answer",
+        "failed" => "reported a failure of its own",
+        "not_run" => "stated that it did not run the request",
+        "broken" => "broke the connection or sent no usable answer",
+        "silent" => "sent nothing in time",
+        "unreachable" => "could not be reached",
+        "abandoned" => {
+            let (server, after) = (field("server"), field("after_ms"));
+            return format!(
+                "{server} had not begun to answer after {after} ms, when the caller left"
+            );
+        }
+        _ => "ended in an unknown way",
+    };
+    format!(
+        "attempt {} at {} {outcome} after {} ms; chosen among {} with {} calls and {} prompt tokens ahead, first token expected after {} ms",
+        field("sends"),
+        field("server"),
+        field("after_ms"),
+        field("candidates"),
+        field("in_flight"),
+        field("waiting_tokens"),
+        field("first_token_ms")
+    )
+}
+
+impl Explanation {
+    /// Returns the explanation for people.
+    #[must_use]
+    pub fn text(&self) -> String {
+        let mut lines = vec![
+            format!("{}: {}", self.request, self.summary),
+            format!("cause: {}", self.cause),
+        ];
+        lines.extend(self.reasons.iter().map(|reason| format!("  {reason}")));
+        lines.push("lines:".to_owned());
+        for line in &self.lines {
+            let fields = line.fields().iter();
+            let shown =
+                fields.filter(|(name, _)| !["request", "level", "target"].contains(&name.as_str()));
+            let shown: Vec<String> = shown
+                .map(|(name, _)| format!("{name}={}", value(line, name)))
+                .collect();
+            lines.push(format!(
+                "  {} {}: {}",
+                line.place(),
+                line.message,
+                shown.join(" ")
+            ));
+        }
+        lines.join("\n")
+    }
+
+    /// Returns the explanation for tools.
+    #[must_use]
+    pub fn json(&self) -> Value {
+        let lines = self.lines.iter().map(|line| {
+            json!({
+                "at_s": line.at_s, "vm": line.vm, "message": line.message, "fields": line.fields()
+            })
+        });
+        json!({
+            "request": self.request, "cause": self.cause, "summary": self.summary,
+            "reasons": self.reasons, "lines": lines.collect::<Vec<_>>()
+        })
+    }
+}
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -1,4 +1,5 @@
 //! Listener and file checks for operators.
 
 pub mod check;
+pub mod explain;
 pub mod listener;
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -5,6 +5,7 @@
 pub mod drain;
 pub mod entry;
 pub mod experiment;
+pub mod explain;
 pub mod gateway;
 pub mod order;
 pub mod sheet;
--- a/src/main.rs
+++ b/src/main.rs
@@ -18,6 +18,7 @@
   sheet load FILE            load a tier sheet
   entry                      run an entry
   gateway                    run an entry of the users' platform
+  explain ID [FILE...]       tell from logs what became of a request
   experiment FILE            play a load file against emulated servers
   sidecar                    run the sidecar of a backend server
   standalone                 run everything with stand-ins in one process
@@ -49,6 +50,7 @@
         "drain" => cmd::drain::run(rest),
         "gateway" => cmd::gateway::run(rest),
         "entry" => cmd::entry::run(rest),
+        "explain" => cmd::explain::run(rest),
         "experiment" => cmd::experiment::run(rest),
         "order" => cmd::order::run(rest),
         "sidecar" => cmd::sidecar::run(rest),
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -26,6 +26,7 @@
 readiness = "127.0.0.1:0"
 [limits]
 cores = 1
+cpuShare = 0.5
 [bounds]
 graceS = 8
 retryBudgetRatio = 0.2
