Add a randomized soak of gateway processes

Real processes between stand-ins; a proxy delays, resets, silences and refuses links, signals kill, pause, stop and reload processes, servers shed, lose, cut, fail and are slow, the store refuses, configurations and a key come and go. Callers keep their connections and check every answer; a ledger compares what they were told with what servers ran. Entries now register the bound address of their summaries, so a port of the system's choice works.

--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -110,9 +110,15 @@
         document::read_copy,
         runtime.clone(),
     )?;
+    let peers = copies.address();
     PeerExchange::start(Arc::clone(&gateway), copies, &runtime)?;
     let store = Store::new(settings.store);
-    Feed::new(store, Arc::clone(&gateway), entries::registration(settings)).start()?;
+    Feed::new(
+        store,
+        Arc::clone(&gateway),
+        entries::registration(settings, peers),
+    )
+    .start()?;
     tracing::info!(vm = settings.vm, zone = settings.zone, %callers, %readiness, store = %settings.store, "entry has started");
     for signal in signals.forever() {
         if signal == SIGTERM {
--- /dev/null
+++ b/tests/soak/caller.rs
@@ -0,0 +1,153 @@
+//! Callers of the soak: they keep connections open, send requests of all kinds and check every answer.
+
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use rand::seq::IndexedRandom;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+
+use super::Fleet;
+use super::backend::{EVENTS, event, may_repeat};
+use super::ledger::Ledger;
+use super::support::{Received, read_message};
+
+/// Longest wait for an answer; the longest route timeout is 8 s.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(10);
+const PATHS: [&str; 4] = ["/orders/1", "/looks/1", "/drafts/1", "/chat/1"];
+/// Keys with their workspaces. The last one comes and goes with the configuration.
+pub const KEYS: [(&str, &str); 3] = [
+    ("key-1", "harbour"),
+    ("key-2", "harbour"),
+    ("key-3", "quay"),
+];
+
+/// Connection to an entry with the number of requests that it carried.
+struct Connection {
+    address: SocketAddr,
+    reader: BufReader<TcpStream>,
+    requests: u32,
+}
+
+impl Connection {
+    fn open(address: SocketAddr) -> Option<Self> {
+        let stream = TcpStream::connect(address).ok()?;
+        stream.set_read_timeout(Some(ANSWER_TIMEOUT)).ok()?;
+        Some(Self {
+            address,
+            reader: BufReader::new(stream),
+            requests: 0,
+        })
+    }
+
+    fn exchange(&mut self, request: &str) -> Option<Received> {
+        self.requests += 1;
+        self.reader.get_mut().write_all(request.as_bytes()).ok()?;
+        read_message(&mut self.reader)
+    }
+}
+
+/// Sends requests until `stop`; returns how many were answered with success.
+pub fn call_until(
+    stop: &AtomicBool,
+    fleet: &Fleet,
+    ledger: &Arc<Ledger>,
+    seed: u64,
+    caller: u32,
+) -> u32 {
+    let mut random = Pcg64::seed_from_u64(seed ^ u64::from(caller) << 32);
+    let mut kept: Option<Connection> = None;
+    let mut served = 0;
+    let mut number = 0;
+    while !stop.load(Ordering::Acquire) {
+        number += 1;
+        let id = format!("{caller}-{number}");
+        let addresses = fleet.addresses();
+        let (Some(path), Some(key)) = (PATHS.choose(&mut random), KEYS.choose(&mut random)) else {
+            continue;
+        };
+        let reused = kept.take().filter(|_| random.random_bool(0.8));
+        let open = || {
+            addresses
+                .choose(&mut random)
+                .copied()
+                .and_then(Connection::open)
+        };
+        let Some(mut connection) = reused.or_else(open) else {
+            std::thread::sleep(Duration::from_millis(20));
+            continue;
+        };
+        let begin = Instant::now();
+        let got = connection.exchange(&request(path, &id, *key));
+        served += u32::from(check(ledger, begin, path, &id, key.0, got.as_ref()));
+        let closes = got
+            .as_ref()
+            .is_none_or(|got| got.header("connection") == Some("close"));
+        kept = Some(connection).filter(|one| !closes && addresses.contains(&one.address));
+        std::thread::sleep(Duration::from_millis(random.random_range(0..20)));
+    }
+    served
+}
+
+/// Creates a request whose body and expected workspace the backend servers check.
+pub fn request(path: &str, id: &str, (key, workspace): (&str, &str)) -> String {
+    let body = format!("body of {id}");
+    format!(
+        "POST {path} HTTP/1.1\r\nHost: app.example\r\nX-Tanagerford-Attempt-Id: {id}\r\n\
+         X-Tanagerford-Deadline-Remaining: 8000\r\nX-Api-Key: {key}\r\nX-Soak-Workspace: {workspace}\r\n\
+         Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// Checks what a caller got; returns whether it is a success.
+fn check(
+    ledger: &Ledger,
+    begin: Instant,
+    path: &str,
+    id: &str,
+    key: &str,
+    got: Option<&Received>,
+) -> bool {
+    let Some(got) = got else {
+        if ledger.runs(id) > 0 && !ledger.was_disturbed(begin) {
+            ledger.violation(format!(
+                "{id} ({path}) ran and its connection ended without an answer"
+            ));
+        }
+        return false;
+    };
+    let status = got.line.split(' ').nth(1).unwrap_or_default();
+    match status {
+        "200" => {
+            let body = if path.starts_with("/chat/") || path.starts_with("/drafts/") {
+                (1..=EVENTS).map(|number| event(id, number)).collect()
+            } else {
+                format!("answer of {id}")
+            };
+            if got.id() != id || got.header("x-tanagerford-response-seal").is_none() {
+                ledger.violation(format!(
+                    "{id} got a success of {:?} or without seal",
+                    got.id()
+                ));
+            }
+            if got.body != body.as_bytes() {
+                let text = String::from_utf8_lossy(&got.body);
+                ledger.violation(format!("{id} ({path}) got the body {text:?}"));
+            }
+            return true;
+        }
+        "503" | "429" | "408" | "421" => ledger.promise(id, status, may_repeat(path)),
+        "401" if key == KEYS[2].0 => {}
+        "500" if got.header("x-tanagerford-response-seal").is_some() => {}
+        "502" | "504" => {}
+        _ => ledger.violation(format!("{id} ({path}) got {}", got.line)),
+    }
+    if status != "401" && !ledger.was_disturbed(begin) {
+        ledger.violation(format!("{id} ({path}) got {} without a fault", got.line));
+    }
+    false
+}
--- a/tests/workdir/process.rs
+++ b/tests/workdir/process.rs
@@ -84,6 +84,16 @@
         self.signal("-HUP");
     }
 
+    /// Pauses the process.
+    pub fn pause(&self) {
+        self.signal("-STOP");
+    }
+
+    /// Lets a paused process go on.
+    pub fn resume(&self) {
+        self.signal("-CONT");
+    }
+
     fn signal(&self, signal: &str) {
         let id = self.child.id().to_string();
         let sent = Command::new("kill").args([signal, &id]).status();
