--- a/crates/caller/src/class_gate.rs
+++ b/crates/caller/src/class_gate.rs
@@ -1,9 +1,10 @@
 //! Bounds the requests in flight of each class, so that a slow class never takes the threads of a fast one.
 
 use std::collections::HashMap;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 
 use tanagerford_core::ids::{ClassId, TierId};
+use tanagerford_sync::lock;
 
 /// Counts of requests in flight, by class and tier.
 #[derive(Debug, Default)]
@@ -38,10 +39,7 @@
     /// ```
     #[must_use]
     pub fn enter(self: &Arc<Self>, class: &str, tier: TierId, limit: u32) -> Option<Place> {
-        let mut in_flight = self
-            .in_flight
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
+        let mut in_flight = lock(&self.in_flight);
         if !in_flight.contains_key(class) {
             in_flight.insert(class.to_owned(), Vec::new());
         }
@@ -64,20 +62,14 @@
     /// Returns the requests in flight of all classes.
     #[must_use]
     pub fn total(&self) -> u32 {
-        let in_flight = self
-            .in_flight
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
+        let in_flight = lock(&self.in_flight);
         in_flight.values().flatten().sum()
     }
 
     /// Returns the requests in flight by class.
     #[must_use]
     pub fn by_class(&self) -> Vec<(ClassId, u32)> {
-        let in_flight = self
-            .in_flight
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
+        let in_flight = lock(&self.in_flight);
         let mut counts: Vec<_> = in_flight
             .iter()
             .map(|(class, by_tier)| (class.clone(), by_tier.iter().sum()))
@@ -89,11 +81,7 @@
 
 impl Drop for Place {
     fn drop(&mut self) {
-        let mut in_flight = self
-            .gate
-            .in_flight
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
+        let mut in_flight = lock(&self.gate.in_flight);
         if let Some(by_tier) = in_flight.get_mut(&self.class) {
             by_tier[usize::from(self.tier)] -= 1;
         }
--- a/crates/engine/src/client.rs
+++ b/crates/engine/src/client.rs
@@ -2,11 +2,12 @@
 
 use std::io::Read;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use serde::Deserialize;
 use tanagerford_http::client::FixedAddress;
+use tanagerford_sync::lock;
 use ureq::http::Response;
 use ureq::unversioned::transport::DefaultConnector;
 use ureq::{Agent, Body};
@@ -105,11 +106,7 @@
     /// Returns an agent for one call, to be cancelled through its handle.
     #[must_use]
     pub fn reserve(&self) -> (Agent, CancelHandle) {
-        let idle = self
-            .idle
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .pop();
+        let idle = lock(&self.idle).pop();
         let agent = idle.unwrap_or_else(|| agent(self.address, None));
         let handle = CancelHandle(agent.clone());
         (agent, handle)
@@ -208,7 +205,7 @@
     }
 
     fn give_back(&self, agent: Agent) {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut idle = lock(&self.idle);
         if idle.len() < MAX_IDLE_AGENTS {
             idle.push(agent);
         }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -10,6 +10,7 @@
 use tanagerford_core::ids::{PoolId, ServerId};
 use tanagerford_http::outbound::{Answer, ExchangeError};
 use tanagerford_http::{Body, Reply};
+use tanagerford_sync::lock;
 use tokio::time::{sleep, timeout};
 
 use crate::call::{Call, Repeat};
@@ -20,7 +21,6 @@
 use crate::peers::Summaries;
 use crate::refusal::Refusal;
 use crate::relay::Relay;
-use crate::sync::lock;
 
 /// Longest time to establish a connection to a server; another server is asked after it.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -2,13 +2,13 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+use std::sync::{Arc, Mutex, MutexGuard, RwLock};
 use std::time::{Duration, Instant};
 
 use tanagerford_core::dispatch::{CostSettings, Pool, ServerSpec};
 use tanagerford_core::ids::{PoolId, ServerId, ZoneId};
+use tanagerford_sync::{lock, read_lock, write_lock};
 
-use crate::sync::lock;
 use crate::table::RoutingTable;
 
 /// Backend server as the registry describes it.
@@ -74,7 +74,7 @@
     /// Returns the servers of a pool.
     #[must_use]
     pub fn pool(&self, name: &str) -> Option<Arc<PoolState>> {
-        let pools = self.pools.read().unwrap_or_else(PoisonError::into_inner);
+        let pools = read_lock(&self.pools);
         pools.get(name).cloned()
     }
 
@@ -86,7 +86,7 @@
             let pool = by_pool.entry(server.pool.clone()).or_default();
             pool.insert(server.id.clone(), Arc::new(server));
         }
-        let mut pools = self.pools.write().unwrap_or_else(PoisonError::into_inner);
+        let mut pools = write_lock(&self.pools);
         let mut updated = HashMap::new();
         for name in pools.keys().chain(by_pool.keys()) {
             let servers = by_pool.get(name).cloned().unwrap_or_default();
@@ -112,7 +112,7 @@
     /// Returns all pools by name.
     #[must_use]
     pub fn pools(&self) -> Vec<(PoolId, Arc<PoolState>)> {
-        let pools = self.pools.read().unwrap_or_else(PoisonError::into_inner);
+        let pools = read_lock(&self.pools);
         let pairs = pools.iter();
         pairs
             .map(|(name, pool)| (name.clone(), Arc::clone(pool)))
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, PoisonError, RwLock};
+use std::sync::{Arc, Mutex, RwLock};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -14,6 +14,7 @@
 use tanagerford_http::outbound::Outbound;
 use tanagerford_http::server::{ServerLimits, Service};
 use tanagerford_http::{Reply, read_body};
+use tanagerford_sync::{lock, read_lock, write_lock};
 use tokio::runtime::Handle;
 use tokio::time::timeout;
 
@@ -25,7 +26,6 @@
 use crate::peers::Summaries;
 use crate::quarantine::Quarantine;
 use crate::refusal::Refusal;
-use crate::sync::lock;
 use crate::table::{RoutingTable, Version};
 
 /// Longest time to read a body; the caller's own deadline usually ends the request before.
@@ -96,30 +96,21 @@
     /// Returns the configuration in force.
     #[must_use]
     pub fn table(&self) -> Option<Arc<RoutingTable>> {
-        let configuration = self
-            .configuration
-            .read()
-            .unwrap_or_else(PoisonError::into_inner);
+        let configuration = read_lock(&self.configuration);
         configuration.as_ref().map(|(table, _)| Arc::clone(table))
     }
 
     /// Returns the document of the configuration in force.
     #[must_use]
     pub fn document(&self) -> Option<Bytes> {
-        let configuration = self
-            .configuration
-            .read()
-            .unwrap_or_else(PoisonError::into_inner);
+        let configuration = read_lock(&self.configuration);
         configuration.as_ref().map(|(_, document)| document.clone())
     }
 
     /// Puts a configuration in force unless it is older than the present one; returns whether it did. `document` is
     /// what the table was read from.
     pub fn set_configuration(&self, table: RoutingTable, document: Bytes) -> bool {
-        let mut current = self
-            .configuration
-            .write()
-            .unwrap_or_else(PoisonError::into_inner);
+        let mut current = write_lock(&self.configuration);
         let old = current.as_ref().map(|(table, _)| table.version);
         if old.is_some_and(|version| version >= table.version) {
             return false;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,7 +18,6 @@
 pub mod quarantine;
 pub mod refusal;
 mod relay;
-mod sync;
 pub mod table;
 
 pub use call::Call;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -18,6 +18,7 @@
     self, Cadence, Content, EntryNumber, Exchange, Outgoing, Summary, wire,
 };
 use tanagerford_core::ids::ZoneId;
+use tanagerford_sync::lock;
 use tokio::runtime::Handle;
 use tokio::time::{sleep, timeout};
 use xxhash_rust::xxh3::xxh3_64;
@@ -27,7 +28,6 @@
 use crate::fleet::{BackendServer, Fleet};
 use crate::gateway::Gateway;
 use crate::quarantine::Quarantine;
-use crate::sync::lock;
 use crate::table::Version;
 
 /// Interval at which the live entries are counted.
@@ -92,7 +92,7 @@
 
     /// Tells that the load of this entry has changed.
     pub(crate) fn changed(&self) {
-        self.update(|exchange, now| exchange.on_change(now));
+        self.update(Exchange::on_change);
     }
 
     /// Tells that a call was sent to a server.
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -10,13 +10,13 @@
 
 use tanagerford_core::ids::{Fingerprint, ServerId};
 use tanagerford_core::suspect::{CrashId, Running, SuspectTable, Verdict, wire};
+use tanagerford_sync::lock;
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
 use crate::call::Call;
 use crate::fleet::BackendServer;
-use crate::sync::lock;
 
 /// Time after a lost connection at which the server is tried; the other connections of a crashed server end meanwhile.
 const CRASH_CHECK_DELAY: Duration = Duration::from_millis(30);
--- a/crates/gossip/src/runtime.rs
+++ b/crates/gossip/src/runtime.rs
@@ -4,7 +4,7 @@
 use std::io;
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
@@ -16,6 +16,7 @@
 use tanagerford_core::membership::{
     Action, DATAGRAM_BYTES, Event, Item, ItemError, Member, Membership, Params, Profile, StateDump,
 };
+use tanagerford_sync::lock;
 
 use crate::codec::{Codec, DecodeError};
 
@@ -427,10 +428,6 @@
     }
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 fn add(counter: &AtomicU64, count: usize) {
     counter.fetch_add(count as u64, Ordering::Relaxed);
 }
--- a/crates/http/src/outbound.rs
+++ b/crates/http/src/outbound.rs
@@ -6,7 +6,7 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -16,6 +16,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
+use tanagerford_sync::lock;
 use tokio::net::TcpStream;
 use tokio::runtime::Handle;
 use tokio::time::timeout;
@@ -154,7 +155,7 @@
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, Vec<IdleConnection>>> {
-        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.idle)
     }
 
     async fn connect(
--- a/crates/kv/src/memory.rs
+++ b/crates/kv/src/memory.rs
@@ -5,12 +5,13 @@
 //! another keeps it.
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
-use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use crate::kv::{
     Call, Commit, Compare, KeyValue, Kv, LeaseId, Refusal, Revision, Transaction, WatchEvent, Write,
 };
+use tanagerford_sync::lock;
 
 /// Events kept for watches that start at an earlier revision; an older start is refused as compacted.
 const MAX_KEPT_EVENTS: usize = 10_000;
@@ -557,9 +558,3 @@
         }
     }
 }
-
-/// Locks a mutex; a thread that panicked while it held the lock left the state usable, because each change of it is
-/// made in one step.
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/node/src/attempts.rs
+++ b/crates/node/src/attempts.rs
@@ -8,8 +8,7 @@
 use tanagerford_core::ids::AttemptId;
 use tanagerford_link::message::{self, frame};
 use tanagerford_link::{Link, LinkError};
-
-use crate::sync::lock;
+use tanagerford_sync::lock;
 
 /// Shards of the table; frames of different attempts rarely contend for one lock.
 const SHARDS: usize = 64;
--- a/crates/node/src/config_feed.rs
+++ b/crates/node/src/config_feed.rs
@@ -12,7 +12,7 @@
 use std::fmt;
 use std::io;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+use std::sync::{Arc, Mutex, MutexGuard, RwLock};
 use std::thread;
 use std::time::Duration;
 
@@ -27,6 +27,7 @@
 use tanagerford_kv::kv::{Kv, Revision, WatchEvent};
 
 use self::store::ReadError;
+use tanagerford_sync::{lock, read_lock, write_lock};
 
 /// Times of the feed's calls to the key-value service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -228,7 +229,7 @@
     ///
     /// Fails if the system gives no thread.
     pub fn set_watching(&self, is_watching: bool) -> io::Result<()> {
-        let mut watcher = self.watcher.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut watcher = lock(&self.watcher);
         if !is_watching {
             *watcher = None;
         } else if watcher.is_none() {
@@ -244,7 +245,7 @@
     /// Returns the state for operators.
     #[must_use]
     pub fn status(&self) -> FeedStatus {
-        let watcher = self.watcher.lock().unwrap_or_else(PoisonError::into_inner);
+        let watcher = lock(&self.watcher);
         let state = self.shared.state();
         FeedStatus {
             config_generation: state.replica.used(),
@@ -258,7 +259,7 @@
 
 impl Shared {
     fn current(&self) -> Arc<ActiveConfiguration> {
-        let current = self.current.read().unwrap_or_else(PoisonError::into_inner);
+        let current = read_lock(&self.current);
         Arc::clone(&current)
     }
 
@@ -267,7 +268,7 @@
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.state)
     }
 
     fn count_missed(&self) {
@@ -335,7 +336,7 @@
         if decision == Decision::Use {
             state.sections = Some(sections);
             state.is_diverged = false;
-            *self.current.write().unwrap_or_else(PoisonError::into_inner) = active;
+            *write_lock(&self.current) = active;
             tracing::info!(generation, "configuration is in force");
         }
         Ok(decision)
--- a/crates/node/src/entry/relay.rs
+++ b/crates/node/src/entry/relay.rs
@@ -15,10 +15,10 @@
 };
 use tanagerford_core::routing::Answer;
 use tanagerford_link::message::{self, Outcome};
+use tanagerford_sync::lock;
 
 use crate::attempts::Event;
 use crate::links::LinkPool;
-use crate::sync::lock;
 
 use super::call::{Call, Kind};
 use super::failure::Failure;
--- a/crates/node/src/entry/servers.rs
+++ b/crates/node/src/entry/servers.rs
@@ -1,7 +1,7 @@
 //! Choice of a backend server: one router for each pool, each under its own lock.
 
 use std::collections::HashMap;
-use std::sync::{Arc, Mutex, PoisonError, RwLock};
+use std::sync::{Arc, Mutex, RwLock};
 use std::time::{Duration, Instant};
 
 use tanagerford_core::ids::{Fingerprint, PoolId, ServerId, TierId, ZoneId};
@@ -10,10 +10,10 @@
     Answer, Attempt, Choice, LoadHint, RouteRequest, Router, RouterSettings, Server,
 };
 use tanagerford_link::message;
+use tanagerford_sync::{lock, read_lock, write_lock};
 
 use crate::links::Target;
 use crate::orders::ORDER_SHARDS;
-use crate::sync::lock;
 
 /// Tiers that a router tells apart; the configuration has at most as many.
 pub(crate) const MAX_TIERS: u8 = 16;
@@ -161,7 +161,7 @@
     }
 
     fn read(&self) -> std::sync::RwLockReadGuard<'_, HashMap<PoolId, Arc<Mutex<Router>>>> {
-        self.routers.read().unwrap_or_else(PoisonError::into_inner)
+        read_lock(&self.routers)
     }
 
     fn router(&self, pool: &str) -> Option<Arc<Mutex<Router>>> {
@@ -169,7 +169,7 @@
     }
 
     fn router_or_insert(&self, pool: &str) -> Arc<Mutex<Router>> {
-        let mut routers = self.routers.write().unwrap_or_else(PoisonError::into_inner);
+        let mut routers = write_lock(&self.routers);
         let router = routers
             .entry(pool.to_owned())
             .or_insert_with(|| Arc::new(Mutex::new(Router::new(self.settings.clone()))));
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -11,9 +11,9 @@
 use tanagerford_core::ids::Generation;
 use tanagerford_link::Link;
 use tanagerford_link::message::{ConfigRequest, ConfigSections, Frame, frame};
+use tanagerford_sync::lock;
 
 use crate::config_feed::{ConfigFeed, message};
-use crate::sync::lock;
 use crate::workers::Workers;
 
 /// Shortest time between two requests, so that a new generation that many frames announce is fetched once.
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -2,15 +2,16 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError, RwLock};
+use std::sync::{Arc, Mutex, RwLock};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use rand::RngExt;
 use tanagerford_core::ids::{Incarnation, PoolId, ServerId, ZoneId};
 use tanagerford_link::{Link, LinkHandler, LinkOptions, connect};
+use tanagerford_sync::{lock, read_lock, write_lock};
 
-use crate::sync::{Flag, lock};
+use crate::sync::Flag;
 
 /// First pause before a lost link is dialled again.
 const FIRST_BACKOFF: Duration = Duration::from_millis(100);
@@ -96,19 +97,13 @@
     pub fn set_directory(&self, sidecars: impl IntoIterator<Item = Target>) {
         let sidecars = sidecars.into_iter();
         let named = sidecars.map(|target| (target.server.clone(), target));
-        *self
-            .directory
-            .write()
-            .unwrap_or_else(PoisonError::into_inner) = named.collect();
+        *write_lock(&self.directory) = named.collect();
     }
 
     /// Returns the sidecars of `pool` that do not leave, except those in `exclude`.
     #[must_use]
     pub fn listed_servers(&self, pool: &str, exclude: &[ServerId]) -> Vec<ServerId> {
-        let directory = self
-            .directory
-            .read()
-            .unwrap_or_else(PoisonError::into_inner);
+        let directory = read_lock(&self.directory);
         let listed = directory.values().filter(|target| {
             target.pool == pool && !target.leaving && !exclude.contains(&target.server)
         });
@@ -123,10 +118,7 @@
             return Some(link);
         }
         let target = {
-            let directory = self
-                .directory
-                .read()
-                .unwrap_or_else(PoisonError::into_inner);
+            let directory = read_lock(&self.directory);
             directory.get(server)?.clone()
         };
         let link = match connect(target.address, &self.options, Arc::clone(&self.handler)) {
--- a/crates/node/src/orders/book.rs
+++ b/crates/node/src/orders/book.rs
@@ -11,10 +11,11 @@
     PageNumber, RecordState, Settlement, Shard, StoredPage, Verdict, Wrote, look, resolve,
 };
 use tanagerford_kv::kv::{Call, Commit, KeyValue, Kv};
+use tanagerford_sync::lock;
 
 use super::answers::Answers;
 use super::batch::{Batch, Part, Phase};
-use super::cell::{Cell, Outcome, Queued, State, View, lock};
+use super::cell::{Cell, Outcome, Queued, State, View};
 use super::{
     ClaimDecision, KeptAnswer, OrderClock, OrderCounts, OrderRequest, OrderSettings, OrderStatus,
     RefusalCode, SettleOutcome, Ticket, UnknownCode, UnsettledOrder,
--- a/crates/node/src/orders/cell.rs
+++ b/crates/node/src/orders/cell.rs
@@ -5,11 +5,7 @@
 use std::time::Duration;
 
 use tanagerford_core::order::{Change, ClaimId, Gate, OrderKey, Shard};
-
-/// Locks `mutex` also after a panic of another thread; all states under the locks here are valid between statements.
-pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
+use tanagerford_sync::lock;
 
 /// What the sidecar knows of a shard's pages.
 #[derive(Debug, Default)]
--- a/crates/node/src/orders/log.rs
+++ b/crates/node/src/orders/log.rs
@@ -8,8 +8,8 @@
 use tanagerford_core::ids::Incarnation;
 use tanagerford_core::order::{OrderKey, Owner, Settlement};
 use tanagerford_kv::kv::Kv;
+use tanagerford_sync::lock;
 
-use super::cell::lock;
 use super::{
     ClaimDecision, KeptAnswer, OrderBook, OrderClock, OrderCounts, OrderRequest, OrderSettings,
     OrderStatus, SettleOutcome, Ticket, UnsettledOrder,
--- a/crates/node/src/sidecar/model.rs
+++ b/crates/node/src/sidecar/model.rs
@@ -11,9 +11,9 @@
 use tanagerford_core::suspect::{Running, Verdict};
 use tanagerford_engine::{EngineClient, EngineError, EngineStream, Generate};
 use tanagerford_link::message::{self, Outcome};
+use tanagerford_sync::lock;
 
 use crate::suspects::workspace_hash;
-use crate::sync::lock;
 
 use super::refusal::{SERVER_RETRY_AFTER, not_run};
 use super::state::SidecarState;
--- a/crates/node/src/sidecar/service.rs
+++ b/crates/node/src/sidecar/service.rs
@@ -12,9 +12,9 @@
 use tanagerford_core::pool::{Call as PoolCall, Pool, PoolSettings};
 use tanagerford_link::message::{self, Outcome};
 use tanagerford_service::{Answer, Call, Header, ServiceClient, ServiceError};
+use tanagerford_sync::lock;
 
 use crate::orders::{KeptAnswer, OrderLog};
-use crate::sync::lock;
 
 use super::model::wire_load;
 use super::order::{self, Claimed};
--- a/crates/node/src/sidecar/state.rs
+++ b/crates/node/src/sidecar/state.rs
@@ -11,12 +11,13 @@
 use tanagerford_engine::EngineClient;
 use tanagerford_link::message::{self, Frame, Submit, frame};
 use tanagerford_link::{Identity, Link, LinkHandler};
+use tanagerford_sync::lock;
 
 use crate::exchange::ConfigExchange;
 use crate::metrics::Metrics;
 use crate::orders::OrderLog;
 use crate::suspects::Suspects;
-use crate::sync::{Flag, lock};
+use crate::sync::Flag;
 use crate::workers::Workers;
 
 use super::model::ModelBackend;
--- a/crates/node/src/sidecar/work.rs
+++ b/crates/node/src/sidecar/work.rs
@@ -8,8 +8,7 @@
 use tanagerford_engine::CancelHandle;
 use tanagerford_link::Link;
 use tanagerford_link::message::{self, Outcome, Submit, frame};
-
-use crate::sync::lock;
+use tanagerford_sync::lock;
 
 /// One attempt. It may run several times when it is preempted and resumed.
 pub(crate) struct Work {
--- a/crates/node/src/suspects.rs
+++ b/crates/node/src/suspects.rs
@@ -9,10 +9,9 @@
 use tanagerford_core::suspect::{Running, SuspectTable, Verdict, WorkspaceHash, wire};
 use tanagerford_gossip::Gossip;
 use tanagerford_link::Identity;
+use tanagerford_sync::lock;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::sync::lock;
-
 /// Fingerprints in one item. An entry with two crashes takes at most 60 bytes, and an item 512.
 const ENTRIES_PER_ITEM: usize = 8;
 
--- a/crates/node/src/sync.rs
+++ b/crates/node/src/sync.rs
@@ -1,12 +1,6 @@
-//! Locks that go on after a panic of another holder, and flags.
+//! Flags that are raised once.
 
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Mutex, MutexGuard, PoisonError};
-
-/// Locks a mutex. A poisoned one is used all the same: every holder leaves its data consistent between statements.
-pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
 
 /// Flag that is raised once.
 #[derive(Debug, Default)]
--- a/crates/operator/tests/explain.rs
+++ b/crates/operator/tests/explain.rs
@@ -21,9 +21,9 @@
 
 fn explain(id: &str) -> String {
     let mut story = Story::new(id);
-    LOGS.lines()
-        .filter_map(parse)
-        .for_each(|record| story.add(record));
+    for record in LOGS.lines().filter_map(parse) {
+        story.add(record);
+    }
     story
         .explain()
         .map_or_else(|| "unknown".to_owned(), |it| it.text())
@@ -44,9 +44,9 @@
 fn failures_are_listed_by_cause() {
     let list = |filter| {
         let mut failures = Failures::new(filter);
-        LOGS.lines()
-            .filter_map(parse)
-            .for_each(|record| failures.add(record));
+        for record in LOGS.lines().filter_map(parse) {
+            failures.add(record);
+        }
         failures
     };
     insta::assert_snapshot!(list(Filter::default()).text());
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -4,7 +4,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -16,6 +16,7 @@
 use tanagerford_http::{
     Body, Handler, Limits, Listener, ListenerHandle, Reply, Request, StreamSender,
 };
+use tanagerford_sync::lock;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Tokens of an answer whose request names no limit.
@@ -564,7 +565,3 @@
     *reply.status_mut() = status;
     reply
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/standin/src/kv/listener.rs
+++ b/crates/standin/src/kv/listener.rs
@@ -7,7 +7,7 @@
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::task::{Context, Poll};
 use std::thread::{self, JoinHandle};
 
@@ -21,6 +21,7 @@
 use serde::Serialize;
 use smol_hyper::rt::FuturesIo;
 use tanagerford_kv::wire;
+use tanagerford_sync::lock;
 
 /// Longest body of a request, in bytes.
 const MAX_BODY_BYTES: usize = 8 << 20;
@@ -120,9 +121,7 @@
 
 impl Shared {
     fn connections(&self) -> MutexGuard<'_, HashMap<u64, TcpStream>> {
-        self.connections
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+        lock(&self.connections)
     }
 }
 
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -3,13 +3,14 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 
 use http::{HeaderValue, Method, StatusCode, header};
 use serde_json::json;
 use tanagerford_http::{Body, Handler, Limits, Listener, ListenerHandle, Reply, Request};
+use tanagerford_sync::lock;
 
 /// How a stand-in service behaves.
 #[derive(Debug, Clone, Default)]
@@ -125,7 +126,3 @@
         .insert(header::CONTENT_TYPE, content_type);
     reply
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/standin/src/vm_list.rs
+++ b/crates/standin/src/vm_list.rs
@@ -1,11 +1,12 @@
 //! Stand-in for the platform's list of VMs, which lags behind.
 
 use std::io;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use http::{Method, StatusCode};
 use tanagerford_kv::vm_list::{Vm, VmListAnswer};
+use tanagerford_sync::lock;
 
 use crate::kv::listener::{Listener, Reply};
 
@@ -83,7 +84,3 @@
             .unwrap_or_default()
     }
 }
-
-fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
-    state.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -48,7 +48,7 @@
 const STARTED: &str = "entry has started";
 
 /// Entries with the links between them and the store.
-pub struct Fleet {
+struct Fleet {
     slots: Vec<Slot>,
 }
 
@@ -89,7 +89,7 @@
     }
 
     /// Addresses of the entries that take new connections.
-    pub fn addresses(&self) -> Vec<SocketAddr> {
+    fn addresses(&self) -> Vec<SocketAddr> {
         let addresses = self.slots.iter();
         addresses
             .filter_map(|slot| *slot.address.lock().expect("lock"))
--- a/tests/soak/proxy.rs
+++ b/tests/soak/proxy.rs
@@ -42,7 +42,7 @@
         let handle = proxy.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                handle.open(stream, target);
+                handle.open(&stream, target);
             }
         });
         proxy
@@ -82,7 +82,7 @@
         });
     }
 
-    fn open(&self, caller: TcpStream, target: SocketAddr) {
+    fn open(&self, caller: &TcpStream, target: SocketAddr) {
         let number = {
             let mut link = self.link.lock().expect("lock");
             link.connections += 1;
@@ -94,7 +94,7 @@
         let Ok(server) = TcpStream::connect(target) else {
             return;
         };
-        for (from, to, is_to_server) in [(&caller, &server, true), (&server, &caller, false)] {
+        for (from, to, is_to_server) in [(caller, &server, true), (&server, caller, false)] {
             let (Ok(from), Ok(to)) = (from.try_clone(), to.try_clone()) else {
                 return;
             };
