Follow a store that was restored from a backup

Cause: revisions were compared as plain numbers, so after a restoration an entry with a silent watch never noticed that the others knew more, skipped changes under revisions that were given out again, and took drained servers for ready. Ruled out: the version of the configuration needs no era, since versions only rise and the operator writes again.

Era and revision are one type, StorePosition, decoded from the header of every answer and told in the summaries between entries.

--- a/crates/core/src/exchange.rs
+++ b/crates/core/src/exchange.rs
@@ -17,6 +17,7 @@
 
 use crate::dispatch::{EntryLoad, Pool, PromptPart, ServerNumber};
 use crate::ids::ZoneId;
+use crate::store_position::StorePosition;
 
 /// Shortest interval of summaries to the same availability zone.
 const NEAR_INTERVAL: Duration = Duration::from_millis(2);
@@ -89,8 +90,8 @@
     pub sequence: u64,
     /// Version of the configuration in force at the entry; 0 for none.
     pub version: u64,
-    /// Revision of the store up to which the entry knows all changes; 0 for none.
-    pub revision: u64,
+    /// Moment up to which the entry knows all changes of the store.
+    pub store: StorePosition,
     /// Whether servers that `loads` does not name have no load; otherwise their load is what it was.
     pub is_full: bool,
     /// Loads by server.
@@ -121,8 +122,8 @@
 pub struct Content {
     /// Version of the configuration in force; 0 for none.
     pub version: u64,
-    /// Revision of the store up to which all changes are known; 0 for none.
-    pub revision: u64,
+    /// Moment up to which all changes of the store are known.
+    pub store: StorePosition,
     /// Loads by server.
     pub loads: Vec<(ServerNumber, EntryLoad)>,
     /// Requests that are suspected of crashing servers.
@@ -367,7 +368,7 @@
             boot: self.boot,
             sequence: self.sequence,
             version: content.version,
-            revision: content.revision,
+            store: content.store,
             is_full: untold.is_full,
             loads: untold.loads,
             parts: untold.parts,
--- a/crates/core/src/exchange/wire.rs
+++ b/crates/core/src/exchange/wire.rs
@@ -4,6 +4,7 @@
 
 use super::{Message, Summary};
 use crate::dispatch::{EntryLoad, PromptPart};
+use crate::store_position::StorePosition;
 
 /// Largest datagram, in bytes.
 pub const MAX_DATAGRAM_BYTES: usize = 8 * 1024;
@@ -36,6 +37,8 @@
     suspects: Vec<u8>,
     #[prost(bool, tag = "9")]
     is_full: bool,
+    #[prost(uint64, tag = "10")]
+    era: u64,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
@@ -78,11 +81,12 @@
             boot: summary.boot,
             sequence: summary.sequence,
             version: summary.version,
-            revision: summary.revision,
+            revision: summary.store.revision,
             loads: loads.collect(),
             parts: parts.collect(),
             suspects: summary.suspects.clone(),
             is_full: summary.is_full,
+            era: summary.store.era,
         }
     }
 }
@@ -109,7 +113,10 @@
             boot: wire.boot,
             sequence: wire.sequence,
             version: wire.version,
-            revision: wire.revision,
+            store: StorePosition {
+                era: wire.era,
+                revision: wire.revision,
+            },
             loads: loads.collect(),
             parts: parts.collect(),
             suspects: wire.suspects,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod peers;
 pub mod quarantine;
 pub mod refusal;
+pub mod registry;
 mod relay;
 pub mod table;
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -18,6 +18,7 @@
     self, Cadence, Content, EntryNumber, Exchange, Outgoing, Summary, wire,
 };
 use tanagerford_core::ids::ZoneId;
+use tanagerford_core::store_position::StorePosition;
 use tanagerford_sync::lock;
 use tokio::runtime::Handle;
 use tokio::time::{sleep, timeout};
@@ -57,10 +58,10 @@
     quarantine: Arc<Quarantine>,
     /// Version of the configuration in force; 0 for none.
     version: AtomicU64,
-    /// Revision of the store up to which this entry knows all changes; 0 for none.
-    revision: AtomicU64,
-    /// Newest revision that another entry told.
-    peer_revision: AtomicU64,
+    /// Moment up to which this entry knows all changes of the store.
+    store: Mutex<StorePosition>,
+    /// Newest such moment that another entry told.
+    peer_store: Mutex<StorePosition>,
     /// Holds one message while something is due earlier than the sending task knows.
     wake: (async_channel::Sender<()>, async_channel::Receiver<()>),
 }
@@ -80,8 +81,8 @@
             fleet,
             quarantine,
             version: AtomicU64::new(0),
-            revision: AtomicU64::new(0),
-            peer_revision: AtomicU64::new(0),
+            store: Mutex::default(),
+            peer_store: Mutex::default(),
             wake: async_channel::bounded(1),
         }
     }
@@ -107,23 +108,18 @@
         self.changed();
     }
 
-    /// Returns the revision of the store up to which this entry knows all changes; 0 for none.
-    #[must_use]
-    pub fn revision(&self) -> u64 {
-        self.revision.load(Ordering::Acquire)
-    }
-
-    /// Sets the revision of the store up to which this entry knows all changes.
-    pub fn set_revision(&self, revision: u64) {
-        if self.revision.swap(revision, Ordering::AcqRel) != revision {
+    /// Sets the moment up to which this entry knows all changes of the store.
+    pub fn set_store_position(&self, position: StorePosition) {
+        let before = std::mem::replace(&mut *lock(&self.store), position);
+        if before != position {
             self.changed();
         }
     }
 
-    /// Returns the newest revision that another entry told.
+    /// Returns the newest moment of the store that another entry told.
     #[must_use]
-    pub fn peer_revision(&self) -> u64 {
-        self.peer_revision.load(Ordering::Acquire)
+    pub fn peer_store_position(&self) -> StorePosition {
+        *lock(&self.peer_store)
     }
 
     /// Changes the exchange and sends what is due. What is due a little later is left to the sending task.
@@ -171,7 +167,7 @@
         }
         Content {
             version: self.version.load(Ordering::Acquire),
-            revision: self.revision(),
+            store: *lock(&self.store),
             loads,
             suspects: self.quarantine.summary(self.fleet.now()),
         }
@@ -271,9 +267,9 @@
             {
                 self.copies.offer(address, summary.version);
             }
-            summaries
-                .peer_revision
-                .fetch_max(summary.revision, Ordering::AcqRel);
+            let mut peer_store = lock(&summaries.peer_store);
+            *peer_store = summary.store.max(*peer_store);
+            drop(peer_store);
             self.apply(&summary);
         }
     }
--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -117,6 +117,7 @@
         store,
         Arc::clone(&gateway),
         entries::registration(settings, peers),
+        settings.heartbeat,
     )
     .start()?;
     tracing::info!(vm = settings.vm, zone = settings.zone, %callers, %readiness, store = %settings.store, "entry has started");
