Do not refuse a call for a delay with which lower ranks enter

A refused draft comes back late anyway.

A call now enters, if late, as long as the longest objective of the same or a lower rank on its pool would be met.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -29,7 +29,9 @@
 pub use health::{CallEnd, Health};
 pub use pause::{PauseModel, PauseParts, ServerPause};
 pub use prefill::PrefillModel;
-pub use room::{GateSettings, OVERLOAD_RETRY_AFTER, ROOM_INTERVAL, Room, RoomGate, room_wait};
+pub use room::{
+    GateSettings, OVERLOAD_RETRY_AFTER, ROOM_INTERVAL, Room, RoomGate, TimeLeft, room_wait,
+};
 
 pub use waiting::{RANKS, WaitingTokens};
 
@@ -61,8 +63,6 @@
     pub body_bytes: usize,
     /// Rank of the call.
     pub rank: Rank,
-    /// Time at which its first token is late; `None` for calls without one.
-    pub first_token_due: Option<Duration>,
 }
 
 /// What the registry says of a server.
--- a/crates/core/src/dispatch/cost.rs
+++ b/crates/core/src/dispatch/cost.rs
@@ -69,8 +69,6 @@
     pub read_again_factor: f64,
     /// Cost of a server that fails every call, in milliseconds.
     pub failing_ms: f64,
-    /// Cost of a first token that would be late, in milliseconds.
-    pub late_call_ms: f64,
     /// Whether the times of engines are learned from calls; otherwise they stay as assumed.
     pub learns: bool,
 }
@@ -96,7 +94,6 @@
             other_zone_ms_per_kb: 3.0,
             read_again_factor: 5.0,
             failing_ms: 2_000.0,
-            late_call_ms: 100.0,
             learns: true,
         }
     }
@@ -298,10 +295,6 @@
             + prefill_ms * (1.0 + settings.read_again_factor)
             + f64::from(running) * settings.running_request_ms
             + full * FULL_PENALTY_MS;
-        let first_token_ms = situation.first_token_ms(prefill, demand) * self.health.slowness(now);
-        let left = demand.first_token_due.map(|due| due.saturating_sub(now));
-        let is_late = left.is_some_and(|left| first_token_ms > milliseconds(left));
-        let late_ms = if is_late { settings.late_call_ms } else { 0.0 };
         let excess = situation.pause_excess(model);
         let neighbours_ms = if settings.is_long(demand) {
             let streams = f64::from(load.streams);
@@ -312,7 +305,7 @@
                 + self.prefill_share(now) * settings.busy_prefill_ms
                 + self.rank * settings.order_ms
         };
-        own_ms + late_ms + neighbours_ms
+        own_ms + neighbours_ms
     }
 
     fn distance_ms(&self, settings: &CostSettings, zone: &str, demand: &Demand) -> f64 {
--- a/crates/core/src/dispatch/room.rs
+++ b/crates/core/src/dispatch/room.rs
@@ -51,6 +51,18 @@
     }
 }
 
+/// Time that a call has left.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct TimeLeft {
+    /// Time until its first token is late, in milliseconds.
+    pub in_time_ms: f64,
+    /// Time until the first token of a call of its own or a lower rank would be late, if that had arrived with it. A call
+    /// is not refused for a delay with which lower ranks still enter.
+    pub lower_ranks_ms: f64,
+    /// Whether it may wait for room.
+    pub may_wait: bool,
+}
+
 /// What a call that was given a choice may do.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Room {
@@ -79,44 +91,42 @@
         }
     }
 
-    /// Decides about a call of the given rank; 0 is the highest. `first_token_left_ms` is the time until its first token
-    /// would be late, and `may_wait` tells whether the call has time left to wait for room.
+    /// Decides about a call of the given rank; 0 is the highest.
     ///
     /// # Examples
     ///
     /// ```
     /// use std::time::Duration;
-    /// use tanagerford_core::dispatch::{Choice, Room, RoomGate};
+    /// use tanagerford_core::dispatch::{Choice, Room, RoomGate, TimeLeft};
     ///
     /// let choice = Choice { is_long: true, harmed_streams: 8.0, ..Choice::default() };
     /// let mut gate = RoomGate::default();
     /// let now = Duration::from_secs(9);
-    /// assert_eq!(gate.decide(now, &choice, 0, 500.0, true), Room::Wait);
-    /// assert_eq!(gate.decide(now, &choice, 0, 500.0, false), Room::Enter);
-    /// assert_eq!(gate.decide(now, &choice, 0, 500.0, false), Room::Refuse);
+    /// let early = TimeLeft { in_time_ms: 500.0, lower_ranks_ms: 500.0, may_wait: true };
+    /// let late = TimeLeft { may_wait: false, ..early };
+    /// assert_eq!(gate.decide(now, &choice, 0, early), Room::Wait);
+    /// assert_eq!(gate.decide(now, &choice, 0, late), Room::Enter);
+    /// assert_eq!(gate.decide(now, &choice, 0, late), Room::Refuse);
     /// ```
-    pub fn decide(
-        &mut self,
-        now: Duration,
-        choice: &Choice,
-        rank: Rank,
-        first_token_left_ms: f64,
-        may_wait: bool,
-    ) -> Room {
+    pub fn decide(&mut self, now: Duration, choice: &Choice, rank: Rank, left: TimeLeft) -> Room {
         let rank = f64::from(rank);
         let settings = &self.settings;
         let allowed = (settings.max_harmed_streams - settings.harmed_per_rank * rank).max(0.0);
         let late_factor = settings.late_factor - settings.late_per_rank * rank;
-        let in_time_ms = first_token_left_ms * late_factor;
         // Prompts of lower ranks make a call late at most, they do not keep it out.
-        let is_in_time = choice.ranked_first_token_ms <= in_time_ms;
-        let has_room = choice.harmed_streams <= allowed && is_in_time;
-        if !choice.is_long || has_room {
+        let has_room = |left_ms: f64| {
+            let is_soon = choice.ranked_first_token_ms <= left_ms * late_factor;
+            choice.harmed_streams <= allowed && is_soon
+        };
+        if !choice.is_long || has_room(left.in_time_ms) {
             return Room::Enter;
         }
-        if may_wait {
+        if left.may_wait {
             return Room::Wait;
         }
+        if has_room(left.lower_ranks_ms) {
+            return Room::Enter;
+        }
         let since_exception = self.last_exception.map(|at| now.saturating_sub(at));
         let interval = Duration::from_secs_f64(settings.exception_interval_ms / 1_000.0);
         if since_exception.is_some_and(|since| since < interval) {
--- a/crates/emulator/src/entry.rs
+++ b/crates/emulator/src/entry.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use tanagerford_core::dispatch::{Choice, Demand, Pool, RetryBudget, Room, RoomGate, ServerSpec};
+use tanagerford_core::dispatch::{
+    Choice, Demand, Pool, RetryBudget, Room, RoomGate, ServerSpec, TimeLeft,
+};
 use tanagerford_core::exchange::{Content, EntryNumber, Exchange, Message, Outgoing, Peer};
 use tanagerford_core::ids::{ServerId, ZoneId};
 
@@ -150,11 +152,9 @@
         now: Duration,
         choice: &Choice,
         rank: u8,
-        first_token_left_ms: f64,
-        may_wait: bool,
+        left: TimeLeft,
     ) -> Room {
-        self.gate
-            .decide(now, choice, rank, first_token_left_ms, may_wait)
+        self.gate.decide(now, choice, rank, left)
     }
 
     /// Urgency that a call is sent with.
--- a/crates/emulator/src/simulation.rs
+++ b/crates/emulator/src/simulation.rs
@@ -9,7 +9,7 @@
 use rand_pcg::Pcg64;
 use tanagerford_core::dispatch::{
     BudgetLimits, CallEnd, CallNumber, MAX_SENDS, OVERLOAD_RETRY_AFTER, ROOM_INTERVAL,
-    ReportedLoad, Room, ServerSpec, room_wait, server_number,
+    ReportedLoad, Room, ServerSpec, TimeLeft, room_wait, server_number,
 };
 use tanagerford_core::exchange::{EntryNumber, Message};
 use tanagerford_core::ids::ServerId;
@@ -17,7 +17,7 @@
 use crate::arrivals::{Job, arrivals};
 use crate::engine::{Engine, EngineRequest, StepOutput};
 use crate::entry::{Entry, Target, entry_number, server_specs, zone_name};
-use crate::load::{DisturbanceKind, Load, Placement, Policy};
+use crate::load::{Class, DisturbanceKind, Load, Placement, Policy};
 use crate::report::{Outcome, Played};
 use crate::service::PlainServer;
 
@@ -224,7 +224,7 @@
         simulation
     }
 
-    fn add_call(&mut self, mut job: Job) {
+    fn add_call(&mut self, job: Job) {
         let class = &self.load.classes[job.class];
         let target = if class.stream.is_some() {
             Target::Engines
@@ -232,9 +232,6 @@
             Target::Services
         };
         let at = job.at + milliseconds(self.load.network.caller_ms);
-        if target == Target::Engines {
-            job.demand.first_token_due = Some(at + milliseconds(class.objective_ms));
-        }
         let leaves = job.at + job.patience;
         let call = Call {
             entry: self.pick_entry(job.zone),
@@ -318,7 +315,9 @@
         let class = &self.load.classes[call.job.class];
         if self.policy.placement == Placement::Cost && call.target == Target::Engines {
             let objective = milliseconds(class.objective_ms);
-            let left = (call.arrived + objective).saturating_sub(self.now);
+            let waited = self.now.saturating_sub(call.arrived);
+            let left_ms =
+                |latency: Duration| latency.saturating_sub(waited).as_secs_f64() * 1_000.0;
             let may_wait = self.now < call.arrived + room_wait(objective);
             let entry = &mut self.entries[call.entry];
             let choice = entry.choose(
@@ -329,8 +328,12 @@
                 &self.engine_specs,
             );
             if let Some(choice) = choice {
-                let left_ms = left.as_secs_f64() * 1_000.0;
-                match entry.decide_room(self.now, &choice, class.rank, left_ms, may_wait) {
+                let left = TimeLeft {
+                    in_time_ms: left_ms(objective),
+                    lower_ranks_ms: left_ms(lower_ranks_objective(self.load, class)),
+                    may_wait,
+                };
+                match entry.decide_room(self.now, &choice, class.rank, left) {
                     Room::Enter => {}
                     Room::Wait => {
                         let at = self.now + ROOM_INTERVAL;
@@ -809,6 +812,18 @@
     }
 }
 
+/// Returns the longest objective of the streams that have the class's rank or a lower one.
+fn lower_ranks_objective(load: &Load, class: &Class) -> Duration {
+    let lower = load
+        .classes
+        .iter()
+        .filter(|other| other.stream.is_some() && other.rank >= class.rank);
+    let longest = lower.fold(class.objective_ms, |longest, other| {
+        longest.max(other.objective_ms)
+    });
+    milliseconds(longest)
+}
+
 fn milliseconds(value: f64) -> Duration {
     Duration::from_secs_f64((value / 1_000.0).max(0.0))
 }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -7,7 +7,7 @@
 use bytes::{Bytes, BytesMut};
 use http::{Response, StatusCode};
 use tanagerford_core::dispatch::{
-    CallEnd, CallNumber, Choice, MAX_SENDS, ROOM_INTERVAL, Room, room_wait,
+    CallEnd, CallNumber, Choice, MAX_SENDS, ROOM_INTERVAL, Room, TimeLeft, room_wait,
 };
 use tanagerford_core::ids::{PoolId, ServerId};
 use tanagerford_http::outbound::{Answer, ExchangeError};
@@ -226,11 +226,15 @@
     }
 
     fn decide_room(&self, call: &Call, choice: &Choice, may_wait: bool) -> Room {
-        let late_at = call.arrived + call.route.target_latency;
-        let left = late_at.saturating_duration_since(Instant::now());
-        let left_ms = left.as_secs_f64() * 1_000.0;
+        let waited = call.arrived.elapsed();
+        let left_ms = |latency: Duration| latency.saturating_sub(waited).as_secs_f64() * 1_000.0;
+        let left = TimeLeft {
+            in_time_ms: left_ms(call.route.target_latency),
+            lower_ranks_ms: left_ms(call.route.lower_ranks_latency),
+            may_wait,
+        };
         let mut gate = lock(&self.room);
-        gate.decide(self.fleet.now(), choice, call.priority(), left_ms, may_wait)
+        gate.decide(self.fleet.now(), choice, call.priority(), left)
     }
 
     /// Returns whether the call may be sent to another server after `error`, and takes it from the budget.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -268,10 +268,6 @@
             is_ended: AtomicBool::new(false),
         };
         call.demand.rank = call.priority();
-        if call.demand.prompt_tokens > 0 {
-            let left = call.route.target_latency.saturating_sub(arrived.elapsed());
-            call.demand.first_token_due = Some(self.fleet.now() + left);
-        }
         self.run(Arc::new(call)).await
     }
 
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -30,6 +30,8 @@
     pub timeout: Duration,
     /// Latency objective; for streams, of the first event.
     pub target_latency: Duration,
+    /// Longest latency objective of the streams of the same pools that have the same or a lower rank. The table sets it.
+    pub lower_ranks_latency: Duration,
     /// Rank of the route; 0 is served first.
     pub priority: u8,
     /// Count of the ranks that the routes of the configuration use.
@@ -123,8 +125,13 @@
         let routes: Vec<Route> = routes.into_iter().collect();
         let highest = routes.iter().map(|route| route.priority).max();
         let ranks = highest.map_or(1, |rank| rank.saturating_add(1));
-        for mut route in routes {
+        let lower_ranks: Vec<_> = routes
+            .iter()
+            .map(|route| lower_ranks_latency(route, &routes))
+            .collect();
+        for (mut route, latency) in routes.into_iter().zip(lower_ranks) {
             route.ranks = ranks;
+            route.lower_ranks_latency = latency;
             let host = by_host.entry(route.host.clone()).or_default();
             host.push(Arc::new(route));
         }
@@ -193,6 +200,21 @@
     }
 }
 
+/// Returns the longest latency objective of the streams that share a pool with `route` and have no higher rank.
+fn lower_ranks_latency(route: &Route, routes: &[Route]) -> Duration {
+    let shares_pool = |other: &Route| {
+        let mut pools = other.pools.iter();
+        pools.any(|pool| route.pools.iter().any(|own| own.pool == pool.pool))
+    };
+    let lower = routes
+        .iter()
+        .filter(|other| other.is_stream && other.priority >= route.priority);
+    let latencies = lower
+        .filter(|other| shares_pool(other))
+        .map(|other| other.target_latency);
+    latencies.fold(route.target_latency, Duration::max)
+}
+
 impl Route {
     /// Picks one of the route's pools by its share, the same one for the same `hash`.
     ///
@@ -209,7 +231,7 @@
     ///     pools: vec![pool("old", 0), pool("new", 10)],
     ///     repeat: Repeat::Idempotent, is_stream: false,
     ///     timeout: Duration::from_secs(1), target_latency: Duration::from_millis(100),
-    ///     priority: 0, ranks: 1, pause_limit: None, max_attempts: 1, is_public: false,
+    ///     lower_ranks_latency: Duration::ZERO, priority: 0, ranks: 1, pause_limit: None, max_attempts: 1, is_public: false,
     /// };
     /// assert_eq!(route.pick_pool(7).unwrap(), "new");
     /// ```
