--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -32,7 +32,6 @@
 pub use room::{
     GateSettings, OVERLOAD_RETRY_AFTER, ROOM_INTERVAL, Room, RoomGate, TimeLeft, room_wait,
 };
-
 pub use waiting::{RANKS, WaitingTokens};
 
 /// Rank of a call; 0 is served first.
