--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -10,6 +10,7 @@
 mod budget;
 mod cache;
 mod cost;
+mod decay;
 mod health;
 mod pause;
 mod prefill;
--- a/crates/core/src/dispatch/cost.rs
+++ b/crates/core/src/dispatch/cost.rs
@@ -6,7 +6,7 @@
 
 use super::{
     CallNumber, Demand, EntryLoad, Flight, PauseModel, PauseParts, PrefillModel, ServerState,
-    WaitingTokens,
+    WaitingTokens, decay,
 };
 
 /// Time in which half of the recent prefill work is forgotten.
@@ -323,9 +323,7 @@
     }
 
     fn recent_prefill(&self, now: Duration) -> f64 {
-        let age = now.saturating_sub(self.recent_at);
-        let half_lives = age.as_secs_f64() / RECENT_HALF_LIFE.as_secs_f64();
-        self.recent_prefill_ms * 0.5_f64.powf(half_lives)
+        self.recent_prefill_ms * decay::remaining(now, self.recent_at, RECENT_HALF_LIFE)
     }
 
     pub(super) fn start(
--- a/crates/core/src/dispatch/health.rs
+++ b/crates/core/src/dispatch/health.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use super::decay;
+
 /// Time in which half of the recorded outcomes is forgotten.
 const HALF_LIFE: Duration = Duration::from_secs(3);
 /// Outcomes that are assumed beside the recorded ones, so that one failure of few calls weighs little.
@@ -94,8 +96,7 @@
     }
 
     fn remaining(&self, now: Duration) -> f64 {
-        let age = now.saturating_sub(self.updated);
-        0.5_f64.powf(age.as_secs_f64() / HALF_LIFE.as_secs_f64())
+        decay::remaining(now, self.updated, HALF_LIFE)
     }
 
     /// Returns whether the server receives no calls at present.
--- a/crates/core/src/dispatch/pause.rs
+++ b/crates/core/src/dispatch/pause.rs
@@ -7,6 +7,8 @@
 
 use std::time::Duration;
 
+use super::decay;
+
 /// Time in which half of the weight of an observation is forgotten.
 const HALF_LIFE: Duration = Duration::from_secs(4);
 /// Weight of the assumed factors, in pauses of [`PRIOR_MS`] that are observed as assumed.
@@ -59,7 +61,7 @@
     /// Returns the factor; it falls back to 1 without new observations.
     #[must_use]
     pub fn factor(&self, now: Duration) -> f64 {
-        1.0 + (self.factor - 1.0) * kept(now, self.updated)
+        1.0 + (self.factor - 1.0) * decay::remaining(now, self.updated, HALF_LIFE)
     }
 
     fn observe(&mut self, now: Duration, ratio: f64) {
@@ -132,7 +134,7 @@
         server.observe(now, pause_ms / mean_ms);
         let usual_ms = pause_ms / server.factor(now);
         self.observe_spread(usual_ms / mean_ms);
-        let kept = kept(now, self.updated);
+        let kept = decay::remaining(now, self.updated, HALF_LIFE);
         let PauseParts {
             steps_ms,
             chunks_ms,
@@ -185,9 +187,3 @@
         )
     }
 }
-
-/// Returns the share of the weight that is left of what was recorded at `updated`.
-fn kept(now: Duration, updated: Duration) -> f64 {
-    let age = now.saturating_sub(updated);
-    0.5_f64.powf(age.as_secs_f64() / HALF_LIFE.as_secs_f64())
-}
--- a/crates/core/src/dispatch/prefill.rs
+++ b/crates/core/src/dispatch/prefill.rs
@@ -6,6 +6,8 @@
 
 use std::time::Duration;
 
+use super::decay;
+
 /// Time in which half of the weight of an observation is forgotten.
 const HALF_LIFE: Duration = Duration::from_secs(4);
 /// Weight of the assumed times, in observations.
@@ -65,8 +67,7 @@
     /// assert!((ms - 600.0).abs() < 30.0, "{ms}");
     /// ```
     pub fn observe(&mut self, now: Duration, tokens: u32, first_token_ms: f64) {
-        let age = now.saturating_sub(self.updated);
-        let kept = 0.5_f64.powf(age.as_secs_f64() / HALF_LIFE.as_secs_f64());
+        let kept = decay::remaining(now, self.updated, HALF_LIFE);
         let x = f64::from(tokens) / 1_000.0;
         let y = first_token_ms.min(self.first_token_ms(tokens) * OUTLIER_FACTOR);
         self.weight = self.weight * kept + 1.0;
