Keep one engine model, one rule of lower ranks and one settings file of the tests

TimeLeft::after, lower_ranks_latency, EngineModel and platform_settings hold each once. The line about a refused long prompt now tells the estimate that decides, ranked_first_token_ms; it only told the one with lower ranks.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -22,7 +22,7 @@
 
 use crate::ids::{ServerId, ZoneId};
 
-use cost::Model;
+use cost::EngineModel;
 
 pub use budget::{BudgetLimits, MAX_SENDS, RetryBudget};
 pub use cache::PartCache;
@@ -31,7 +31,8 @@
 pub use pause::{PauseModel, PauseParts, ServerPause};
 pub use prefill::PrefillModel;
 pub use room::{
-    GateSettings, OVERLOAD_RETRY_AFTER, ROOM_INTERVAL, Room, RoomGate, TimeLeft, room_wait,
+    GateSettings, OVERLOAD_RETRY_AFTER, ROOM_INTERVAL, Room, RoomGate, TimeLeft,
+    lower_ranks_latency,
 };
 pub use waiting::{RANKS, WaitingTokens};
 
@@ -206,9 +207,7 @@
 #[derive(Debug)]
 pub struct Pool {
     zone: ZoneId,
-    settings: CostSettings,
-    prefill: PrefillModel,
-    pause: PauseModel,
+    model: EngineModel,
     /// Servers in the order of their names.
     servers: Vec<ServerState>,
     by_id: HashMap<ServerId, ServerIndex>,
@@ -235,13 +234,9 @@
     /// ```
     #[must_use]
     pub fn new(zone: impl Into<ZoneId>, settings: CostSettings) -> Self {
-        let prefill =
-            PrefillModel::new(settings.first_token_base_ms, settings.prefill_tokens_per_ms);
         Self {
             zone: zone.into(),
-            settings,
-            prefill,
-            pause: PauseModel::default(),
+            model: EngineModel::new(settings),
             servers: Vec::new(),
             by_id: HashMap::new(),
             by_number: HashMap::new(),
@@ -300,14 +295,6 @@
         }
     }
 
-    fn model(&self) -> Model<'_> {
-        Model {
-            settings: &self.settings,
-            prefill: &self.prefill,
-            pause: &self.pause,
-        }
-    }
-
     fn state(&mut self, server: &str) -> Option<&mut ServerState> {
         let index = self.by_id.get(server)?;
         self.servers.get_mut(*index)
@@ -333,8 +320,8 @@
     /// Sets what the configuration says of the pool's engines: tokens of an event of a stream, and the longest pause
     /// between events with which a stream counts as on time.
     pub fn set_streams(&mut self, event_tokens: u32, pause_limit: Duration) {
-        self.settings.event_tokens = event_tokens.max(1);
-        self.settings.pause_limit_ms = pause_limit.as_secs_f64() * 1_000.0;
+        self.model.settings.event_tokens = event_tokens.max(1);
+        self.model.settings.pause_limit_ms = pause_limit.as_secs_f64() * 1_000.0;
     }
 
     /// Chooses a server for a call, except those in `exclude`.
@@ -358,8 +345,7 @@
         }
         let priced = candidates.iter().map(|state| {
             let situation = state.situation(now, demand);
-            let model = self.model();
-            let cost_ms = state.cost_ms(model, &self.zone, now, demand, situation);
+            let cost_ms = state.cost_ms(&self.model, &self.zone, now, demand, situation);
             (cost_ms, *state, situation)
         });
         let (cost_ms, state, situation) = priced.min_by(|a, b| a.0.total_cmp(&b.0))?;
@@ -370,12 +356,11 @@
             uncached_tokens: situation.missing_tokens,
             in_flight: situation.running,
             waiting_tokens: situation.tokens_ahead,
-            first_token_ms: situation.first_token_ms(&self.prefill, demand) * slowness,
-            ranked_first_token_ms: situation.ranked_first_token_ms(&self.prefill, demand)
-                * slowness,
+            first_token_ms: situation.first_token_ms(&self.model, demand) * slowness,
+            ranked_first_token_ms: situation.ranked_first_token_ms(&self.model, demand) * slowness,
             slowness,
-            is_long: self.settings.is_long(demand),
-            harmed_streams: situation.harmed_streams(self.model(), demand),
+            is_long: self.model.settings.is_long(demand),
+            harmed_streams: situation.harmed_streams(&self.model, demand),
             candidates: candidates.len(),
         })
     }
@@ -383,18 +368,12 @@
     /// Records that a call was sent to a server.
     pub fn on_start(&mut self, now: Duration, server: &str, call: CallNumber, demand: &Demand) {
         if let Some(index) = self.by_id.get(server) {
-            let model = Model {
-                settings: &self.settings,
-                prefill: &self.prefill,
-                pause: &self.pause,
-            };
-            self.servers[*index].start(model, now, call, demand);
+            self.servers[*index].start(&self.model, now, call, demand);
         }
     }
 
     /// Records that the first part of a call's answer has arrived.
     pub fn on_first_part(&mut self, now: Duration, server: &str, call: CallNumber) {
-        let learns = self.settings.learns;
         if let Some(state) = self.state(server)
             && let Some(flight) = state.flights.get_mut(&call)
         {
@@ -404,28 +383,25 @@
             };
             state.own = state.own.subtract(waited);
             let tokens = flight.tokens_before;
-            if learns && tokens > 0 {
+            if tokens > 0 {
                 let waited_ms = now.saturating_sub(flight.sent).as_secs_f64() * 1_000.0;
                 // What makes one server slow says nothing about the others.
                 let usual_ms = waited_ms / state.health.slowness(now);
-                self.prefill.observe(now, tokens, usual_ms);
+                self.model.on_first_token(now, tokens, usual_ms);
             }
         }
     }
 
     /// Records the pause between two events of a stream.
     pub fn on_pause(&mut self, now: Duration, server: &str, pause: Duration) {
-        if !self.settings.learns {
-            return;
-        }
         let index = self.by_id.get(server).copied();
         let Some(state) = index.and_then(|index| self.servers.get_mut(index)) else {
             return;
         };
         let situation = state.situation(now, &Demand::default());
-        let parts = situation.pause_parts(&self.settings);
         let pause_ms = pause.as_secs_f64() * 1_000.0;
-        self.pause.observe(now, parts, &mut state.pause, pause_ms);
+        self.model
+            .on_pause(now, situation, &mut state.pause, pause_ms);
     }
 
     /// Records that a call has ended.
--- a/crates/core/src/dispatch/cost.rs
+++ b/crates/core/src/dispatch/cost.rs
@@ -5,8 +5,8 @@
 use serde::Deserialize;
 
 use super::{
-    CallNumber, Demand, EntryLoad, Flight, PauseModel, PauseParts, PrefillModel, ServerState,
-    WaitingTokens, decay,
+    CallNumber, Demand, EntryLoad, Flight, PauseModel, PauseParts, PrefillModel, ServerPause,
+    ServerState, WaitingTokens, decay,
 };
 
 /// Time in which half of the recent prefill work is forgotten.
@@ -117,15 +117,47 @@
     }
 }
 
-/// What is known of the engines of a pool.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct Model<'a> {
-    pub(super) settings: &'a CostSettings,
-    pub(super) prefill: &'a PrefillModel,
-    pub(super) pause: &'a PauseModel,
+/// What is assumed and learned of the engines of a pool.
+#[derive(Debug)]
+pub(super) struct EngineModel {
+    pub(super) settings: CostSettings,
+    prefill: PrefillModel,
+    pause: PauseModel,
 }
 
-impl Model<'_> {
+impl EngineModel {
+    pub(super) fn new(settings: CostSettings) -> Self {
+        let prefill =
+            PrefillModel::new(settings.first_token_base_ms, settings.prefill_tokens_per_ms);
+        Self {
+            settings,
+            prefill,
+            pause: PauseModel::default(),
+        }
+    }
+
+    /// Learns from the time to the first token of a call after `tokens` prompt tokens.
+    pub(super) fn on_first_token(&mut self, now: Duration, tokens: u32, first_token_ms: f64) {
+        if self.settings.learns {
+            self.prefill.observe(now, tokens, first_token_ms);
+        }
+    }
+
+    /// Learns from a pause of a stream at a server in the given situation.
+    pub(super) fn on_pause(
+        &mut self,
+        now: Duration,
+        situation: Situation,
+        server: &mut ServerPause,
+        pause_ms: f64,
+    ) {
+        if self.settings.learns {
+            let waiting_tokens = situation.load.waiting.total();
+            let parts = self.settings.pause_parts(situation.running, waiting_tokens);
+            self.pause.observe(now, parts, server, pause_ms);
+        }
+    }
+
     /// Returns by which share of the pause limit the events of a server's streams would come too late.
     fn pause_excess(&self, parts: PauseParts, server_factor: f64) -> f64 {
         let pause_ms = self.pause.pause_ms(parts, server_factor);
@@ -176,13 +208,8 @@
             .saturating_add(self.missing_tokens)
     }
 
-    /// Returns the parts of a pause between the events of streams at the server as it is.
-    pub(super) fn pause_parts(&self, settings: &CostSettings) -> PauseParts {
-        settings.pause_parts(self.running, self.load.waiting.total())
-    }
-
     /// Returns by which share of the pause limit events would come too late if the server took the call now.
-    fn pause_excess(&self, model: Model<'_>) -> f64 {
+    fn pause_excess(&self, model: &EngineModel) -> f64 {
         let parts = model
             .settings
             .pause_parts(self.running + 1, self.waiting_tokens());
@@ -190,7 +217,7 @@
     }
 
     /// Returns the streams of the server that would probably be late if it took the call now.
-    pub(super) fn harmed_streams(&self, model: Model<'_>, demand: &Demand) -> f64 {
+    pub(super) fn harmed_streams(&self, model: &EngineModel, demand: &Demand) -> f64 {
         if !model.settings.is_long(demand) {
             return 0.0;
         }
@@ -199,20 +226,22 @@
     }
 
     /// Returns the estimated time to the first token.
-    pub(super) fn first_token_ms(&self, prefill: &PrefillModel, demand: &Demand) -> f64 {
+    pub(super) fn first_token_ms(&self, model: &EngineModel, demand: &Demand) -> f64 {
         if demand.prompt_tokens == 0 {
             return 0.0;
         }
-        prefill.first_token_ms(self.tokens_before())
+        model.prefill.first_token_ms(self.tokens_before())
     }
 
     /// Returns the estimated time to the first token without the prompts of lower ranks.
-    pub(super) fn ranked_first_token_ms(&self, prefill: &PrefillModel, demand: &Demand) -> f64 {
+    pub(super) fn ranked_first_token_ms(&self, model: &EngineModel, demand: &Demand) -> f64 {
         if demand.prompt_tokens == 0 {
             return 0.0;
         }
         let ahead = self.load.waiting.up_to(demand.rank);
-        prefill.first_token_ms(ahead.saturating_add(self.missing_tokens))
+        model
+            .prefill
+            .first_token_ms(ahead.saturating_add(self.missing_tokens))
     }
 
     /// Prompt tokens that are read before the call's first token.
@@ -246,13 +275,13 @@
 
     pub(super) fn cost_ms(
         &self,
-        model: Model<'_>,
+        model: &EngineModel,
         zone: &str,
         now: Duration,
         demand: &Demand,
         situation: Situation,
     ) -> f64 {
-        let settings = model.settings;
+        let settings = &model.settings;
         let work_ms = if demand.prompt_tokens == 0 {
             self.queue_ms(situation)
         } else {
@@ -272,7 +301,7 @@
 
     fn engine_ms(
         &self,
-        model: Model<'_>,
+        model: &EngineModel,
         now: Duration,
         demand: &Demand,
         situation: Situation,
@@ -284,7 +313,7 @@
             tokens_ahead,
             ..
         } = situation;
-        let Model {
+        let EngineModel {
             settings, prefill, ..
         } = model;
         let tokens_per_ms = prefill.tokens_per_ms();
@@ -328,12 +357,12 @@
 
     pub(super) fn start(
         &mut self,
-        model: Model<'_>,
+        model: &EngineModel,
         now: Duration,
         call: CallNumber,
         demand: &Demand,
     ) {
-        let Model {
+        let EngineModel {
             settings, prefill, ..
         } = model;
         let is_long = settings.is_long(demand);
--- a/crates/core/src/dispatch/room.rs
+++ b/crates/core/src/dispatch/room.rs
@@ -15,10 +15,27 @@
 /// that is refused twice is worse off than one that waits once.
 pub const OVERLOAD_RETRY_AFTER: Duration = Duration::from_millis(1_200);
 
-/// Returns how long a call with a latency objective may wait for room.
+/// Returns the longest latency objective of a call and the streams that have its rank or a lower one. `streams` are the
+/// ranks and objectives of the streams on its pool.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+/// use tanagerford_core::dispatch::lower_ranks_latency;
+///
+/// let ms = Duration::from_millis;
+/// let streams = [(0, ms(300)), (1, ms(600)), (2, ms(1_500))];
+/// assert_eq!(lower_ranks_latency((1, ms(600)), streams), ms(1_500));
+/// assert_eq!(lower_ranks_latency((3, ms(100)), streams), ms(100));
+/// ```
 #[must_use]
-pub fn room_wait(objective: Duration) -> Duration {
-    objective * ROOM_SHARE.0 / ROOM_SHARE.1
+pub fn lower_ranks_latency(
+    (rank, objective): (Rank, Duration),
+    streams: impl IntoIterator<Item = (Rank, Duration)>,
+) -> Duration {
+    let lower = streams.into_iter().filter(|(other, _)| *other >= rank);
+    lower.fold(objective, |longest, (_, other)| longest.max(other))
 }
 
 /// Limits of the room for long prompts.
@@ -63,6 +80,20 @@
     pub may_wait: bool,
 }
 
+impl TimeLeft {
+    /// Returns the time that is left after a wait. `lower_ranks` is the longest objective of the same and lower ranks, see
+    /// [`lower_ranks_latency`].
+    #[must_use]
+    pub fn after(waited: Duration, objective: Duration, lower_ranks: Duration) -> Self {
+        let left_ms = |latency: Duration| latency.saturating_sub(waited).as_secs_f64() * 1_000.0;
+        Self {
+            in_time_ms: left_ms(objective),
+            lower_ranks_ms: left_ms(lower_ranks),
+            may_wait: waited < objective * ROOM_SHARE.0 / ROOM_SHARE.1,
+        }
+    }
+}
+
 /// What a call that was given a choice may do.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Room {
--- a/crates/emulator/src/simulation.rs
+++ b/crates/emulator/src/simulation.rs
@@ -9,7 +9,7 @@
 use rand_pcg::Pcg64;
 use tanagerford_core::dispatch::{
     BudgetLimits, CallEnd, CallNumber, MAX_SENDS, OVERLOAD_RETRY_AFTER, ROOM_INTERVAL,
-    ReportedLoad, Room, ServerSpec, TimeLeft, room_wait, server_number,
+    ReportedLoad, Room, ServerSpec, TimeLeft, lower_ranks_latency, server_number,
 };
 use tanagerford_core::exchange::{EntryNumber, Message};
 use tanagerford_core::ids::ServerId;
@@ -316,9 +316,6 @@
         if self.policy.placement == Placement::Cost && call.target == Target::Engines {
             let objective = milliseconds(class.objective_ms);
             let waited = self.now.saturating_sub(call.arrived);
-            let left_ms =
-                |latency: Duration| latency.saturating_sub(waited).as_secs_f64() * 1_000.0;
-            let may_wait = self.now < call.arrived + room_wait(objective);
             let entry = &mut self.entries[call.entry];
             let choice = entry.choose(
                 self.now,
@@ -328,11 +325,8 @@
                 &self.engine_specs,
             );
             if let Some(choice) = choice {
-                let left = TimeLeft {
-                    in_time_ms: left_ms(objective),
-                    lower_ranks_ms: left_ms(lower_ranks_objective(self.load, class)),
-                    may_wait,
-                };
+                let longest = longest_objective(self.load, class);
+                let left = TimeLeft::after(waited, objective, longest);
                 match entry.decide_room(self.now, &choice, class.rank, left) {
                     Room::Enter => {}
                     Room::Wait => {
@@ -813,15 +807,11 @@
 }
 
 /// Returns the longest objective of the streams that have the class's rank or a lower one.
-fn lower_ranks_objective(load: &Load, class: &Class) -> Duration {
-    let lower = load
-        .classes
-        .iter()
-        .filter(|other| other.stream.is_some() && other.rank >= class.rank);
-    let longest = lower.fold(class.objective_ms, |longest, other| {
-        longest.max(other.objective_ms)
-    });
-    milliseconds(longest)
+fn longest_objective(load: &Load, class: &Class) -> Duration {
+    let rank = |class: &Class| (class.rank, milliseconds(class.objective_ms));
+    let classes = load.classes.iter();
+    let streams = classes.filter(|other| other.stream.is_some());
+    lower_ranks_latency(rank(class), streams.map(rank))
 }
 
 fn milliseconds(value: f64) -> Duration {
--- a/crates/emulator/tests/experiment.rs
+++ b/crates/emulator/tests/experiment.rs
@@ -24,6 +24,15 @@
     policies.map(|mut policy| policy.played.remove(0)).collect()
 }
 
+/// Plays a load file with the decisions in force, then with times of engines that stay as assumed.
+fn play_with_assumed_times(content: &str) -> Vec<Played> {
+    let policies = json!([
+        {"name": "in force"},
+        {"name": "assumed times", "costs": {"learns": false}}
+    ]);
+    play(content, &policies)
+}
+
 fn rush() -> Load {
     load::decode(include_bytes!("../loads/rush.json")).unwrap()
 }
@@ -79,11 +88,7 @@
 /// overestimated, and that are late because their time to the first token is underestimated.
 #[test]
 fn learned_times_serve_more_of_a_burst_of_long_prompts() {
-    let policies = json!([
-        {"name": "in force"},
-        {"name": "assumed times", "costs": {"learns": false}}
-    ]);
-    let played = play(include_str!("../loads/long-prompts.json"), &policies);
+    let played = play_with_assumed_times(include_str!("../loads/long-prompts.json"));
     let in_time = |played: &Played| played.classes[0].on_time;
     assert!(in_time(&played[0]) > in_time(&played[1]));
     assert!(played[0].value().share() > played[1].value().share());
@@ -93,11 +98,7 @@
 /// that fill slow engines until those of higher ranks are late.
 #[test]
 fn learned_times_serve_more_on_slow_engines() {
-    let policies = json!([
-        {"name": "in force"},
-        {"name": "assumed times", "costs": {"learns": false}}
-    ]);
-    let played = play(include_str!("../loads/slow-engines.json"), &policies);
+    let played = play_with_assumed_times(include_str!("../loads/slow-engines.json"));
     assert!(played[0].value().share() > played[1].value().share());
     let wasted = |played: &Played| played.classes[0].failed;
     assert!(wasted(&played[0]) < wasted(&played[1]));
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -7,7 +7,7 @@
 use bytes::{Bytes, BytesMut};
 use http::{Response, StatusCode};
 use tanagerford_core::dispatch::{
-    CallEnd, CallNumber, Choice, MAX_SENDS, ROOM_INTERVAL, Room, TimeLeft, room_wait,
+    CallEnd, CallNumber, Choice, MAX_SENDS, ROOM_INTERVAL, Room, TimeLeft,
 };
 use tanagerford_core::ids::{PoolId, ServerId};
 use tanagerford_http::outbound::{Answer, ExchangeError};
@@ -194,15 +194,13 @@
     /// Only long prompts wait. A call that waits longer than a part of its latency objective is refused, so that its
     /// caller can come back when the burst is over.
     async fn wait_for_room(&self, call: &Call, pool: &PoolState) -> bool {
-        let until = call.arrived + room_wait(call.route.target_latency);
         loop {
             let now = self.fleet.now();
             let choice = pool.beliefs().choose(now, &call.demand, &[]);
             let Some(choice) = choice else {
                 return true;
             };
-            let may_wait = Instant::now() < until;
-            match self.decide_room(call, &choice, may_wait) {
+            match self.decide_room(call, &choice) {
                 Room::Enter => return true,
                 Room::Wait => {}
                 Room::Refuse => {
@@ -214,6 +212,7 @@
                         rank = call.priority(),
                         harmed_streams = choice.harmed_streams,
                         first_token_ms = choice.first_token_ms,
+                        ranked_first_token_ms = choice.ranked_first_token_ms,
                         waiting_tokens = choice.waiting_tokens,
                         in_flight = choice.in_flight,
                         "no room for a long prompt"
@@ -225,14 +224,10 @@
         }
     }
 
-    fn decide_room(&self, call: &Call, choice: &Choice, may_wait: bool) -> Room {
+    fn decide_room(&self, call: &Call, choice: &Choice) -> Room {
+        let route = &call.route;
         let waited = call.arrived.elapsed();
-        let left_ms = |latency: Duration| latency.saturating_sub(waited).as_secs_f64() * 1_000.0;
-        let left = TimeLeft {
-            in_time_ms: left_ms(call.route.target_latency),
-            lower_ranks_ms: left_ms(call.route.lower_ranks_latency),
-            may_wait,
-        };
+        let left = TimeLeft::after(waited, route.target_latency, route.lower_ranks_latency);
         let mut gate = lock(&self.room);
         gate.decide(self.fleet.now(), choice, call.priority(), left)
     }
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tanagerford_core::dispatch::lower_ranks_latency;
 use tanagerford_core::ids::{PoolId, WorkspaceId};
 
 use crate::call::Repeat;
@@ -127,7 +128,7 @@
         let ranks = highest.map_or(1, |rank| rank.saturating_add(1));
         let lower_ranks: Vec<_> = routes
             .iter()
-            .map(|route| lower_ranks_latency(route, &routes))
+            .map(|route| longest_latency(route, &routes))
             .collect();
         for (mut route, latency) in routes.into_iter().zip(lower_ranks) {
             route.ranks = ranks;
@@ -201,18 +202,14 @@
 }
 
 /// Returns the longest latency objective of the streams that share a pool with `route` and have no higher rank.
-fn lower_ranks_latency(route: &Route, routes: &[Route]) -> Duration {
-    let shares_pool = |other: &Route| {
+fn longest_latency(route: &Route, routes: &[Route]) -> Duration {
+    let shares_pool = |other: &&Route| {
         let mut pools = other.pools.iter();
         pools.any(|pool| route.pools.iter().any(|own| own.pool == pool.pool))
     };
-    let lower = routes
-        .iter()
-        .filter(|other| other.is_stream && other.priority >= route.priority);
-    let latencies = lower
-        .filter(|other| shares_pool(other))
-        .map(|other| other.target_latency);
-    latencies.fold(route.target_latency, Duration::max)
+    let rank = |route: &Route| (route.priority, route.target_latency);
+    let streams = routes.iter().filter(|other| other.is_stream);
+    lower_ranks_latency(rank(route), streams.filter(shares_pool).map(rank))
 }
 
 impl Route {
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -9,35 +9,11 @@
 
 use support::store::StoreStandin;
 use support::{Act, CONFIGURATION, Worker, answer, chunk, read_message, request};
-use workdir::Workdir;
 use workdir::process::{Process, wait_until};
+use workdir::{Workdir, platform_settings};
 
 const STARTED: &str = "entry has started";
 
-fn settings(store: SocketAddr) -> String {
-    format!(
-        r#"
-node = "front-1"
-zone = "zone-a"
-ip = "127.0.0.1"
-internalPorts = [0, 15]
-[listen]
-front = "127.0.0.1:0"
-readiness = "127.0.0.1:0"
-[limits]
-cores = 1
-cpuShare = 0.5
-[bounds]
-graceS = 8
-retryBudgetRatio = 0.2
-budgetWindowS = 10
-retryBudgetExtra = 100
-[provider]
-address = "{store}"
-"#
-    )
-}
-
 fn registration(pool: &str, worker: &Worker) -> String {
     let address = worker.address;
     format!(
@@ -75,7 +51,10 @@
         Worker::start([answer("done")]),
     );
     let workdir = Workdir::new("gateway_serves");
-    workdir.write("settings.toml", settings(store.address));
+    workdir.write(
+        "settings.toml",
+        platform_settings("front-1", "zone-a", store.address, 100),
+    );
     let arguments = ["gateway", "--settings", "settings.toml"];
     let mut process = Process::start(&workdir, &arguments, STARTED);
     let callers = process.address(STARTED, "callers");
@@ -119,7 +98,7 @@
 #[test]
 fn wrong_settings_are_reported_together() {
     let workdir = Workdir::new("gateway_settings");
-    let good = settings("127.0.0.1:9".parse().unwrap());
+    let good = platform_settings("front-1", "zone-a", "127.0.0.1:9".parse().unwrap(), 100);
     workdir.write("good.toml", &good);
     workdir.write(
         "wrong.toml",
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -31,8 +31,8 @@
 use rand_pcg::Pcg64;
 use support::store::StoreStandin;
 use support::{CONFIGURATION, read_message, wait_until};
-use workdir::Workdir;
 use workdir::process::Process;
+use workdir::{Workdir, platform_settings};
 
 /// Seeds of the short run.
 const SEEDS: [u64; 2] = [7, 8];
@@ -64,7 +64,9 @@
         let slots = (0..ENTRIES).map(|index| {
             let link = Proxy::start(store.address);
             let workdir = Workdir::new(&format!("soak_{seed}_{index}"));
-            workdir.write("settings.toml", settings(index, link.address));
+            let (vm, zone) = (format!("front-{index}"), format!("zone-{index}"));
+            let settings = platform_settings(&vm, &zone, link.address, 300);
+            workdir.write("settings.toml", settings);
             Slot {
                 workdir,
                 store: link,
@@ -110,30 +112,6 @@
     }
 }
 
-fn settings(index: usize, store: SocketAddr) -> String {
-    format!(
-        r#"
-node = "front-{index}"
-zone = "zone-{index}"
-ip = "127.0.0.1"
-internalPorts = [0, 15]
-[listen]
-front = "127.0.0.1:0"
-readiness = "127.0.0.1:0"
-[limits]
-cores = 1
-cpuShare = 0.5
-[bounds]
-graceS = 8
-retryBudgetRatio = 0.2
-budgetWindowS = 10
-retryBudgetExtra = 300
-[provider]
-address = "{store}"
-"#
-    )
-}
-
 /// Configuration of a version, with or without the key that comes and goes.
 fn configuration(version: u64, has_third_key: bool) -> String {
     let quay = if has_third_key {
--- a/tests/workdir/mod.rs
+++ b/tests/workdir/mod.rs
@@ -5,6 +5,7 @@
 pub mod process;
 
 use std::fs;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::Command;
 
@@ -67,3 +68,29 @@
         write!(formatter, "exit {code}\n{}{}", self.stdout, self.stderr)
     }
 }
+
+/// Returns the settings of an entry on the users' platform, in the platform's format. `retry_extra` is the budget of
+/// repeated calls beside the ratio.
+pub fn platform_settings(vm: &str, zone: &str, store: SocketAddr, retry_extra: u32) -> String {
+    format!(
+        r#"
+node = "{vm}"
+zone = "{zone}"
+ip = "127.0.0.1"
+internalPorts = [0, 15]
+[listen]
+front = "127.0.0.1:0"
+readiness = "127.0.0.1:0"
+[limits]
+cores = 1
+cpuShare = 0.5
+[bounds]
+graceS = 8
+retryBudgetRatio = 0.2
+budgetWindowS = 10
+retryBudgetExtra = {retry_extra}
+[provider]
+address = "{store}"
+"#
+    )
+}
