Bound the work that an entry takes while it is short of processor time

Cause: nothing bounded the work that an entry had taken and not begun. Its run queue grew to seconds; each step of a call waited 0.35 to 1 s in it, the clock of a call began only when the entry read it, the silence of a server included the entry's own delay, so calls were sent to a second server, which added work, and a closed connection was noticed as late as the rest.

Now a probe measures how late the entry runs. Calls are refused at once, as not run, with 50 ms to come back, while the delay stands or more calls are in flight than the entry kept up with, lower ranks first, no rank starved. A call's clock begins when it may have arrived, and the own delay is no silence and no slowness of a server. Short calls are not priced twice before they are sent. Logs and metrics tell the delay, calls that end past their limit, and by which way each configuration came.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -12,6 +12,7 @@
 mod cost;
 mod decay;
 mod health;
+mod overload;
 mod pause;
 mod prefill;
 mod room;
@@ -28,6 +29,9 @@
 pub use cache::PartCache;
 pub use cost::CostSettings;
 pub use health::{CallEnd, Health};
+pub use overload::{
+    BUSY_RETRY_AFTER, OverloadGate, OverloadSettings, PROBE_INTERVAL, ProcessorDelay,
+};
 pub use pause::{PauseModel, PauseParts, ServerPause};
 pub use prefill::PrefillModel;
 pub use room::{
@@ -324,6 +328,12 @@
         self.model.settings.pause_limit_ms = pause_limit.as_secs_f64() * 1_000.0;
     }
 
+    /// Returns whether a prompt delays the streams of its server noticeably.
+    #[must_use]
+    pub fn is_long(&self, demand: &Demand) -> bool {
+        self.model.settings.is_long(demand)
+    }
+
     /// Chooses a server for a call, except those in `exclude`.
     #[must_use]
     pub fn choose(
--- a/crates/emulator/src/entry.rs
+++ b/crates/emulator/src/entry.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use tanagerford_core::dispatch::{
-    Choice, Demand, Pool, RetryBudget, Room, RoomGate, ServerSpec, TimeLeft,
+    Choice, Demand, OverloadGate, Pool, RetryBudget, Room, RoomGate, ServerSpec, TimeLeft,
 };
 use tanagerford_core::exchange::{Content, EntryNumber, Exchange, Message, Outgoing, Peer};
 use tanagerford_core::ids::{ServerId, ZoneId};
@@ -26,6 +26,8 @@
     engine_budget: RetryBudget,
     service_budget: RetryBudget,
     gate: RoomGate,
+    /// Bounds the work that the entry takes; `None` for no bound.
+    pub(crate) overload: Option<OverloadGate>,
     placement: Placement,
     next_in_turn: usize,
     pub(crate) exchange: Exchange,
@@ -101,6 +103,7 @@
             engine_budget: RetryBudget::default(),
             service_budget: RetryBudget::default(),
             gate: RoomGate::new(policy.gate.clone()),
+            overload: policy.overload.clone().map(OverloadGate::new),
             placement: policy.placement,
             next_in_turn: index,
             exchange,
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -12,6 +12,7 @@
 mod entry;
 pub mod load;
 pub mod plot;
+mod processor;
 pub mod report;
 mod service;
 pub mod simulation;
--- a/crates/emulator/src/load.rs
+++ b/crates/emulator/src/load.rs
@@ -4,7 +4,7 @@
 
 use serde::Deserialize;
 use tanagerford_core::config::finding::Findings;
-use tanagerford_core::dispatch::{CostSettings, GateSettings};
+use tanagerford_core::dispatch::{CostSettings, GateSettings, OverloadSettings};
 use tanagerford_core::exchange::Cadence;
 
 /// Longest time that a load file may play, in seconds: a guard against typing errors.
@@ -30,6 +30,9 @@
     pub engines: Option<EnginePool>,
     /// Servers of a plain service, if there are any.
     pub services: Option<ServicePool>,
+    /// Processors of the entries; without them, entries need no time.
+    #[serde(default)]
+    pub processors: Option<Processors>,
     /// Kinds of requests.
     pub classes: Vec<Class>,
     /// What changes during the run.
@@ -97,6 +100,22 @@
     pub queue: usize,
 }
 
+/// Processors of the entries.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Processors {
+    /// Shares of a core; dealt out in turn to the entries of each availability zone.
+    pub shares: Vec<f64>,
+    /// Time of a whole core for reading a request and for its answer, in microseconds.
+    pub request_us: f64,
+    /// Time for choosing a server and sending a call there, in microseconds.
+    pub send_us: f64,
+    /// Time for passing on a part of an answer, for a timer or a closed connection, in microseconds.
+    pub event_us: f64,
+    /// Time for a message of another entry, in microseconds.
+    pub message_us: f64,
+}
+
 /// Kind of requests.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -258,6 +277,14 @@
     /// Limits of the room for long prompts.
     #[serde(default)]
     pub gate: GateSettings,
+    /// Limits of the work that an entry takes while it is short of processor time; `null` for none.
+    #[serde(default = "overload_by_default")]
+    pub overload: Option<OverloadSettings>,
+}
+
+#[expect(clippy::unnecessary_wraps, reason = "default of an optional field")]
+fn overload_by_default() -> Option<OverloadSettings> {
+    Some(OverloadSettings::default())
 }
 
 /// How servers are chosen.
@@ -372,6 +399,16 @@
                 class.rate_per_s.to_string(),
             );
         }
+        if let Some(processors) = &self.processors {
+            let is_usable =
+                !processors.shares.is_empty() && processors.shares.iter().all(|share| *share > 0.0);
+            need(
+                is_usable,
+                "/processors/shares",
+                "shares above 0",
+                format!("{:?}", processors.shares),
+            );
+        }
         if let Some(engines) = &self.engines {
             let is_usable = engines.per_zone > 0 && engines.slots > 0 && !engines.speeds.is_empty();
             need(
--- a/crates/emulator/src/report.rs
+++ b/crates/emulator/src/report.rs
@@ -111,6 +111,10 @@
     pub messages: u64,
     /// Bytes of request bodies that left their availability zone.
     pub cross_zone_bytes: u64,
+    /// Calls that reached a server more than half a second after their caller had left.
+    pub sent_after_leaving: u64,
+    /// Callers whose leaving, or the end of whose patience, the entry noticed more than half a second late.
+    pub noticed_late: u64,
     #[serde(skip)]
     worths: Vec<(f64, f64)>,
 }
@@ -128,6 +132,8 @@
             repeats: 0,
             messages: 0,
             cross_zone_bytes: 0,
+            sent_after_leaving: 0,
+            noticed_late: 0,
             worths: load
                 .classes
                 .iter()
--- a/crates/emulator/src/simulation.rs
+++ b/crates/emulator/src/simulation.rs
@@ -8,8 +8,9 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 use tanagerford_core::dispatch::{
-    BudgetLimits, CallEnd, CallNumber, MAX_SENDS, OVERLOAD_RETRY_AFTER, ROOM_INTERVAL,
-    ReportedLoad, Room, ServerSpec, TimeLeft, lower_ranks_latency, server_number,
+    BUSY_RETRY_AFTER, BudgetLimits, CallEnd, CallNumber, MAX_SENDS, OVERLOAD_RETRY_AFTER,
+    PROBE_INTERVAL, ROOM_INTERVAL, ReportedLoad, Room, ServerSpec, TimeLeft, lower_ranks_latency,
+    server_number,
 };
 use tanagerford_core::exchange::{EntryNumber, Message};
 use tanagerford_core::ids::ServerId;
@@ -18,11 +19,14 @@
 use crate::engine::{Engine, EngineRequest, StepOutput};
 use crate::entry::{Entry, Target, entry_number, server_specs, zone_name};
 use crate::load::{Class, DisturbanceKind, Load, Placement, Policy};
+use crate::processor::{Processor, Work};
 use crate::report::{Outcome, Played};
 use crate::service::PlainServer;
 
 /// Share of the time left up to which callers wait as they are told, as a fraction.
 const RETRY_SHARE: u32 = 3;
+/// Time after which work for a caller that has left counts.
+const LEAVING_SLACK: Duration = Duration::from_millis(500);
 /// Time beyond the last arrival for which answers are awaited.
 const TAIL: Duration = Duration::from_secs(15);
 
@@ -50,6 +54,12 @@
     Hears(usize, Rc<Message>),
     /// The caller leaves.
     Leaves(CallIndex),
+    /// The entry notices that the caller has left.
+    NoticesLeaving(CallIndex),
+    /// An entry measures how late it runs.
+    Probes(usize),
+    /// The processor of an entry is free for what waits.
+    IsFree(usize),
     /// A disturbance begins.
     Begins(usize),
     /// A disturbance ends.
@@ -117,6 +127,12 @@
     last_event: Duration,
     longest_pause: Duration,
     outcome: Option<Outcome>,
+    /// Time at which the caller left, if it did.
+    left: Option<Duration>,
+    /// Whether the entry knows that the call has ended.
+    is_over: bool,
+    /// Whether it is in flight at its entry.
+    flies: bool,
 }
 
 /// State of a run.
@@ -129,6 +145,10 @@
     order: u64,
     next_attempt: CallNumber,
     entries: Vec<Entry>,
+    /// Calls in flight at each entry.
+    flights: Vec<usize>,
+    /// Processors of the entries.
+    processors: Vec<Processor<Event>>,
     /// Positions of the entries by their numbers in messages.
     positions: BTreeMap<EntryNumber, usize>,
     engines: Vec<Engine>,
@@ -194,6 +214,11 @@
                 .clone()
                 .map(|index| (entry_number(index), index))
                 .collect(),
+            flights: vec![0; entries.len()],
+            processors: entries
+                .clone()
+                .map(|index| Processor::new(load.processors.as_ref(), index / load.zones))
+                .collect(),
             entries: entries
                 .map(|index| Entry::new(load, policy, index))
                 .collect(),
@@ -215,6 +240,11 @@
         for job in jobs {
             simulation.add_call(job);
         }
+        for entry in 0..simulation.processors.len() {
+            if simulation.processors[entry].takes_time() {
+                simulation.schedule(Duration::ZERO, Event::Probes(entry));
+            }
+        }
         for (index, disturbance) in load.disturbances.iter().enumerate() {
             let at = Duration::from_secs_f64(disturbance.at_s);
             simulation.schedule(at, Event::Begins(index));
@@ -247,6 +277,9 @@
             last_event: Duration::ZERO,
             longest_pause: Duration::ZERO,
             outcome: None,
+            left: None,
+            is_over: false,
+            flies: false,
         };
         let index = self.calls.len();
         self.calls.push(call);
@@ -272,10 +305,59 @@
                 break;
             }
             self.now = at;
+            match self.work(&event) {
+                Some((entry, work)) => self.run_at(entry, work, event),
+                None => self.on_event(event),
+            }
+        }
+    }
+
+    /// Returns the entry whose processor runs what an event brings, and the kind of work.
+    fn work(&self, event: &Event) -> Option<(usize, Work)> {
+        match event {
+            Event::Arrives(index) => Some((self.calls[*index].entry, Work::Request)),
+            Event::LooksForRoom(index)
+            | Event::Answers(index, ..)
+            | Event::NoticesLeaving(index) => Some((self.calls[*index].entry, Work::Event)),
+            Event::Probes(entry) => Some((*entry, Work::Event)),
+            Event::Tells(entry) | Event::Hears(entry, _) => Some((*entry, Work::Message)),
+            _ => None,
+        }
+    }
+
+    /// Runs work at an entry, or lets it wait for the processor.
+    fn run_at(&mut self, entry: usize, work: Work, event: Event) {
+        if let Some(event) = self.processors[entry].offer(self.now, event) {
+            self.take_time(entry, work);
             self.on_event(event);
         }
     }
 
+    fn take_time(&mut self, entry: usize, work: Work) {
+        if let Some(end) = self.processors[entry].run(self.now, work) {
+            self.schedule(end, Event::IsFree(entry));
+        }
+    }
+
+    fn run_next(&mut self, entry: usize) {
+        if let Some(event) = self.processors[entry].next(self.now) {
+            if let Some((entry, work)) = self.work(&event) {
+                self.take_time(entry, work);
+            }
+            self.on_event(event);
+        }
+    }
+
+    fn probe(&mut self, entry: usize) {
+        if let Some(gate) = &mut self.entries[entry].overload {
+            let calls = self.flights[entry];
+            gate.on_probe(self.now, calls);
+        }
+        if self.now < self.load.length() {
+            self.schedule(self.now + PROBE_INTERVAL, Event::Probes(entry));
+        }
+    }
+
     fn on_event(&mut self, event: Event) {
         match event {
             Event::Arrives(index) => self.arrives(index),
@@ -287,6 +369,9 @@
             Event::Tells(entry) => self.tell(entry),
             Event::Hears(entry, message) => self.hear(entry, &message),
             Event::Leaves(index) => self.leaves(index),
+            Event::NoticesLeaving(index) => self.notices_leaving(index),
+            Event::Probes(entry) => self.probe(entry),
+            Event::IsFree(entry) => self.run_next(entry),
             Event::Begins(index) => self.begin(index),
             Event::Ends(index) => self.end(index),
         }
@@ -294,12 +379,25 @@
 
     fn arrives(&mut self, index: CallIndex) {
         let call = &mut self.calls[index];
-        if call.outcome.is_some() {
+        if call.is_over {
             return;
         }
+        let class = &self.load.classes[call.job.class];
         call.arrived = self.now;
         call.tried.clear();
         let (entry, target) = (call.entry, call.target);
+        if let Some(gate) = &mut self.entries[entry].overload {
+            call.arrived = self.now.saturating_sub(gate.delay().latest(self.now));
+            let (rank, objective) = match target {
+                Target::Engines => (class.rank, longest_objective(self.load, class)),
+                Target::Services => (0, milliseconds(class.objective_ms)),
+            };
+            if !gate.admits(self.now, rank, objective, self.flights[entry]) {
+                return self.refuse(index, BUSY_RETRY_AFTER);
+            }
+        }
+        self.calls[index].flies = true;
+        self.flights[entry] += 1;
         let limits = self.limits;
         self.entries[entry]
             .budget(target)
@@ -309,7 +407,7 @@
 
     fn look_for_room(&mut self, index: CallIndex) {
         let call = &self.calls[index];
-        if call.outcome.is_some() {
+        if call.is_over {
             return;
         }
         let class = &self.load.classes[call.job.class];
@@ -333,7 +431,7 @@
                         let at = self.now + ROOM_INTERVAL;
                         return self.schedule(at, Event::LooksForRoom(index));
                     }
-                    Room::Refuse => return self.refuse(index),
+                    Room::Refuse => return self.refuse(index, OVERLOAD_RETRY_AFTER),
                 }
             }
         }
@@ -351,11 +449,11 @@
         let entry = &mut self.entries[call.entry];
         let choice = entry.choose(now, call.target, &call.job.demand, &call.tried, specs);
         let Some(choice) = choice else {
-            return self.refuse(index);
+            return self.refuse(index, OVERLOAD_RETRY_AFTER);
         };
         let position = specs.iter().position(|spec| spec.id == choice.server);
         let Some(server) = position else {
-            return self.refuse(index);
+            return self.refuse(index, OVERLOAD_RETRY_AFTER);
         };
         let attempt = self.next_attempt;
         self.next_attempt += 1;
@@ -373,6 +471,7 @@
         }
         self.played.sends += 1;
         let entry = call.entry;
+        self.take_time(entry, Work::Send);
         let delay = self.server_delay(is_far);
         self.attempts.insert(attempt, index);
         self.schedule(now + delay, Event::Reaches(index, attempt));
@@ -403,9 +502,15 @@
         let Some((current, server)) = call.attempt else {
             return;
         };
-        if current != attempt || call.outcome.is_some() {
+        if current != attempt || call.is_over {
             return;
         }
+        if call
+            .left
+            .is_some_and(|at| self.now.saturating_sub(at) > LEAVING_SLACK)
+        {
+            self.played.sent_after_leaving += 1;
+        }
         if call.target == Target::Services {
             return self.reaches_service(index, attempt, server);
         }
@@ -524,7 +629,7 @@
         let Some((current, server)) = call.attempt else {
             return;
         };
-        if current != attempt || call.outcome.is_some() {
+        if current != attempt || call.is_over {
             return;
         }
         match part {
@@ -628,20 +733,21 @@
             self.played.repeats += 1;
             self.send(index);
         } else if is_not_run && self.calls[index].runs == 0 {
-            self.refuse(index);
+            self.refuse(index, OVERLOAD_RETRY_AFTER);
         } else {
             self.set_outcome(index, Outcome::Failed);
         }
     }
 
     /// Tells the caller that its request has not run; it comes back as it sees fit.
-    fn refuse(&mut self, index: CallIndex) {
+    fn refuse(&mut self, index: CallIndex, retry_after: Duration) {
+        self.lands(index);
         let call = &mut self.calls[index];
         let left = (call.job.at + call.job.patience).saturating_sub(self.now);
         let wait = if call.job.is_abusive {
             Duration::ZERO
         } else {
-            OVERLOAD_RETRY_AFTER.min(left / RETRY_SHARE)
+            retry_after.min(left / RETRY_SHARE)
         };
         if call.tries >= call.job.retries || left.is_zero() {
             return self.set_outcome(index, Outcome::Refused);
@@ -671,10 +777,12 @@
     }
 
     fn leaves(&mut self, index: CallIndex) {
-        let call = &self.calls[index];
+        let now = self.now;
+        let call = &mut self.calls[index];
         if call.outcome.is_some() {
             return;
         }
+        call.left = Some(now);
         let outcome = if call.job.gives_up {
             Outcome::GaveUp
         } else if call.tried.is_empty() {
@@ -682,17 +790,48 @@
         } else {
             Outcome::Failed
         };
+        let entry = call.entry;
+        self.record(index, outcome);
+        self.run_at(entry, Work::Event, Event::NoticesLeaving(index));
+    }
+
+    fn notices_leaving(&mut self, index: CallIndex) {
+        self.lands(index);
+        let call = &mut self.calls[index];
+        call.is_over = true;
+        if call
+            .left
+            .is_some_and(|at| self.now.saturating_sub(at) > LEAVING_SLACK)
+        {
+            self.played.noticed_late += 1;
+        }
         if let Some((attempt, server)) = call.attempt {
             self.end_attempt(index, attempt, server, CallEnd::Silent);
         }
-        self.set_outcome(index, outcome);
+    }
+
+    /// Records that a call is no longer in flight at its entry.
+    fn lands(&mut self, index: CallIndex) {
+        let call = &mut self.calls[index];
+        if std::mem::take(&mut call.flies) {
+            self.flights[call.entry] -= 1;
+        }
     }
 
     fn set_outcome(&mut self, index: CallIndex, outcome: Outcome) {
+        self.lands(index);
+        self.calls[index].is_over = true;
+        self.record(index, outcome);
+    }
+
+    /// Records what the caller got, unless it has left before.
+    fn record(&mut self, index: CallIndex, outcome: Outcome) {
         let call = &mut self.calls[index];
-        call.outcome = Some(outcome);
-        let first = call.first_event.map(|at| at.saturating_sub(call.job.at));
-        self.played.record(&call.job, outcome, first);
+        if call.outcome.is_none() {
+            call.outcome = Some(outcome);
+            let first = call.first_event.map(|at| at.saturating_sub(call.job.at));
+            self.played.record(&call.job, outcome, first);
+        }
     }
 
     /// Records that the load of an entry has changed.
--- a/crates/emulator/tests/experiment.rs
+++ b/crates/emulator/tests/experiment.rs
@@ -133,6 +133,23 @@
     assert!(repeats <= allowed, "{repeats} repeats, {allowed} allowed");
 }
 
+/// Replays a burst of chats on entries three quarters of which have a small share of a core. Guards against a backlog of
+/// the processor: calls sent to servers after their callers had left, and callers whose leaving goes unnoticed.
+#[test]
+fn a_busy_entry_sends_no_call_whose_caller_has_left() {
+    let policies = json!([{"name": "in force"}, {"name": "unbounded", "overload": null}]);
+    let played = play(include_str!("../loads/slow-entries.json"), &policies);
+    let (bounded, unbounded) = (&played[0], &played[1]);
+    assert_eq!(bounded.sent_after_leaving, 0);
+    assert!(
+        unbounded.sent_after_leaving > 100,
+        "{}",
+        unbounded.sent_after_leaving
+    );
+    assert!(bounded.noticed_late * 10 < unbounded.noticed_late);
+    assert!(bounded.value().share() > 1.1 * unbounded.value().share());
+}
+
 /// Guards against runs that cannot be repeated, and against callers that are counted twice or never.
 #[test]
 fn equal_seeds_give_equal_runs() {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -70,9 +70,11 @@
 }
 
 impl Flight {
-    /// Returns how much slower than expected the first part of the answer came.
-    fn slowness(&self) -> f64 {
-        let ratio = self.sent.elapsed().as_secs_f64() / self.expected.as_secs_f64();
+    /// Returns how much slower than expected the first part of the answer came. `own_delay` is the part of it for which
+    /// the entry is to blame.
+    fn slowness(&self, own_delay: Duration) -> f64 {
+        let taken = self.sent.elapsed().saturating_sub(own_delay);
+        let ratio = taken.as_secs_f64() / self.expected.as_secs_f64();
         if ratio < 1.5 { 1.0 } else { ratio }
     }
 }
@@ -194,6 +196,10 @@
     /// Only long prompts wait. A call that waits longer than a part of its latency objective is refused, so that its
     /// caller can come back when the burst is over.
     async fn wait_for_room(&self, call: &Call, pool: &PoolState) -> bool {
+        // Everything else enters whatever the choice would be.
+        if !pool.beliefs().is_long(&call.demand) {
+            return true;
+        }
         loop {
             let now = self.fleet.now();
             let choice = pool.beliefs().choose(now, &call.demand, &[]);
@@ -278,7 +284,7 @@
         let end = match &result {
             Ok((answer, _)) if answer.head.status().is_server_error() => CallEnd::Failed,
             Ok(_) => CallEnd::Answered {
-                slowness: flight.slowness(),
+                slowness: flight.slowness(self.processor.delay()),
             },
             Err(error) => error.call_end(),
         };
@@ -303,6 +309,7 @@
             first_token_ms = choice.first_token_ms,
             candidates = choice.candidates,
             remaining_ms = remaining.as_millis(),
+            processor_delay_ms = self.processor.delay().as_millis(),
             after_ms = flight.sent.elapsed().as_millis(),
             "attempt"
         );
@@ -387,7 +394,8 @@
             resume_after,
         };
         let request = self.codec.request(call, sending);
-        let silence = silence_limit(call, remaining, attempts);
+        let own_delay = self.processor.delay();
+        let silence = silence_limit(call, remaining, attempts, own_delay);
         let exchange = async {
             let connect = CONNECT_TIMEOUT.min(remaining);
             let sent = self
@@ -498,12 +506,17 @@
 }
 
 /// Returns how long an attempt may be silent. Only a call that may still go to another server is cut before its
-/// deadline.
-fn silence_limit(call: &Call, remaining: Duration, attempts: &Attempts) -> Duration {
+/// deadline. The time for which the entry itself is late is no silence of the server.
+fn silence_limit(
+    call: &Call,
+    remaining: Duration,
+    attempts: &Attempts,
+    own_delay: Duration,
+) -> Duration {
     let can_repeat =
         call.repeat() != Repeat::AtMostOnce && attempts.runs + 1 < call.route.max_attempts;
     if can_repeat {
-        remaining.min(call.route.target_latency * SILENCE_FACTOR)
+        remaining.min(call.route.target_latency * SILENCE_FACTOR + own_delay)
     } else {
         remaining
     }
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -9,6 +9,7 @@
 use tanagerford_core::dispatch::Demand;
 
 use crate::log;
+use crate::processor::Entered;
 use crate::table::{Route, Workspace};
 
 /// Name that a caller gives one attempt of a request.
@@ -52,6 +53,8 @@
     pub caller_deadline: Option<Instant>,
     /// Whether the end of the call was logged.
     pub(crate) is_ended: AtomicBool,
+    /// Counts the call among those that the entry has taken.
+    pub(crate) entered: Option<Entered>,
 }
 
 impl Drop for Call {
@@ -94,11 +97,25 @@
     /// equal workspaces the route's rank still counts.
     #[must_use]
     pub fn priority(&self) -> u8 {
+        self.workspace_rank().saturating_add(self.route.priority)
+    }
+
+    /// Returns the rank by which an entry that is short of processor time chooses what it refuses. A call of a plain
+    /// service takes a small part of the time of a stream, so it goes last among those of its workspace's rank.
+    #[must_use]
+    pub fn shedding_rank(&self) -> u8 {
+        if self.route.is_stream {
+            self.priority()
+        } else {
+            self.workspace_rank()
+        }
+    }
+
+    /// Returns the rank of the workspace, in which those of its routes fit.
+    fn workspace_rank(&self) -> u8 {
         let workspace = self.workspace.as_ref().and_then(|w| w.priority);
-        let ranks = self.route.ranks.max(1);
         workspace
             .unwrap_or(0)
-            .saturating_mul(ranks)
-            .saturating_add(self.route.priority)
+            .saturating_mul(self.route.ranks.max(1))
     }
 }
--- a/crates/gateway/src/copies.rs
+++ b/crates/gateway/src/copies.rs
@@ -20,7 +20,7 @@
 
 use crate::codec::Codec;
 use crate::gateway::Gateway;
-use crate::table::{RoutingTable, Version};
+use crate::table::{ConfigurationSource, RoutingTable, Version};
 
 /// Time for which an entry waits for the store before it asks a peer for a newer configuration.
 const STORE_HEAD_START: Duration = Duration::from_millis(300);
@@ -129,7 +129,9 @@
             document.extend_from_slice(&part);
         }
         let table = (self.decode)(&document).ok_or("the document cannot be read")?;
-        self.gateway.set_configuration(table, document.freeze());
+        let source = ConfigurationSource::Peer;
+        self.gateway
+            .set_configuration(table, document.freeze(), source);
         Ok(())
     }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -24,9 +24,10 @@
 use crate::log::{self, Subject};
 use crate::metrics::Metrics;
 use crate::peers::Summaries;
+use crate::processor::Processor;
 use crate::quarantine::Quarantine;
 use crate::refusal::Refusal;
-use crate::table::{RoutingTable, Version};
+use crate::table::{ConfigurationSource, RoutingTable, Version};
 
 /// Longest time to read a body; the caller's own deadline usually ends the request before.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
@@ -34,6 +35,9 @@
 /// the request of a caller that keeps the limit, also after the limit was raised.
 const IDLE_FACTOR: u32 = 3;
 
+/// Time past a call's limit from which its end is counted and logged: half of what callers bear.
+const NOTICEABLY_LATE: Duration = Duration::from_millis(250);
+
 /// Settings of an entry.
 #[derive(Debug, Clone)]
 pub struct GatewaySettings {
@@ -51,7 +55,8 @@
     pub(crate) outbound: Arc<Outbound>,
     pub(crate) fleet: Arc<Fleet>,
     pub(crate) settings: GatewaySettings,
-    pub(crate) metrics: Metrics,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) processor: Arc<Processor>,
     pub(crate) summaries: Arc<Summaries>,
     pub(crate) quarantine: Arc<Quarantine>,
     pub(crate) runtime: Handle,
@@ -74,6 +79,8 @@
         runtime: Handle,
     ) -> Arc<Self> {
         let quarantine: Arc<Quarantine> = Arc::default();
+        let metrics: Arc<Metrics> = Arc::default();
+        let processor = Processor::start(&runtime, Arc::clone(&metrics));
         let summaries = Summaries::new(&settings.vm, Arc::clone(&fleet), Arc::clone(&quarantine));
         Arc::new(Self {
             codec,
@@ -81,7 +88,8 @@
             fleet,
             entries: AtomicUsize::new(settings.assumed_entries),
             settings,
-            metrics: Metrics::default(),
+            metrics,
+            processor,
             summaries: Arc::new(summaries),
             quarantine,
             runtime,
@@ -109,16 +117,36 @@
 
     /// Puts a configuration in force unless it is older than the present one; returns whether it did. `document` is
     /// what the table was read from.
-    pub fn set_configuration(&self, table: RoutingTable, document: Bytes) -> bool {
+    pub fn set_configuration(
+        &self,
+        table: RoutingTable,
+        document: Bytes,
+        source: ConfigurationSource,
+    ) -> bool {
+        let position = self.summaries.store_position();
         let mut current = write_lock(&self.configuration);
         let old = current.as_ref().map(|(table, _)| table.version);
-        if old.is_some_and(|version| version >= table.version) {
+        if let Some(version) = old.filter(|version| *version >= table.version) {
+            if version > table.version {
+                tracing::info!(
+                    version,
+                    older = table.version,
+                    source = source.name(),
+                    era = position.era,
+                    revision = position.revision,
+                    "older configuration ignored"
+                );
+            }
             return false;
         }
         let (workspace_ranks, route_ranks) = table.ranks();
         tracing::info!(
             version = table.version,
             old,
+            source = source.name(),
+            era = position.era,
+            revision = position.revision,
+            routes = table.route_count(),
             ?workspace_ranks,
             ?route_ranks,
             "configuration in force"
@@ -126,6 +154,7 @@
         let version = table.version;
         *current = Some((Arc::new(table), document));
         drop(current);
+        self.metrics.configuration(source.name(), version);
         self.summaries.set_version(version);
         true
     }
@@ -210,8 +239,15 @@
         })
     }
 
+    /// Returns when a request that is read now may have arrived: it waited for the processor like everything else, and
+    /// its caller's patience ran meanwhile.
+    fn arrival(&self) -> Instant {
+        let now = Instant::now();
+        now.checked_sub(self.processor.delay()).unwrap_or(now)
+    }
+
     async fn serve(self: &Arc<Self>, request: Request<Incoming>) -> Reply {
-        let arrived = Instant::now();
+        let arrived = self.arrival();
         let (parts, body) = request.into_parts();
         let head = match self.codec.call_head(&parts) {
             Ok(head) => head,
@@ -266,20 +302,35 @@
             arrived,
             caller_deadline: head.patience.map(|patience| arrived + patience),
             is_ended: AtomicBool::new(false),
+            entered: None,
         };
         call.demand.rank = call.priority();
+        call.entered = self.processor.enter(&call);
+        if call.entered.is_none() {
+            return self.refuse_call(&call, Refusal::Busy);
+        }
         self.run(Arc::new(call)).await
     }
 
     /// Answers a call that was admitted, but not served.
     pub(crate) fn refuse_call(&self, call: &Call, refusal: Refusal) -> Reply {
-        call.end();
+        self.end(call);
         self.refuse(Subject::of_call(call), refusal)
     }
 
+    /// Records that a call has its final answer, and whether that came after the call's time limit.
+    pub(crate) fn end(&self, call: &Call) {
+        call.end();
+        let past_limit = Instant::now().saturating_duration_since(call.deadline());
+        if past_limit >= NOTICEABLY_LATE {
+            self.metrics.past_limit();
+            log::past_limit(call, past_limit, self.processor.delay());
+        }
+    }
+
     fn refuse(&self, subject: Subject<'_>, refusal: Refusal) -> Reply {
         self.metrics.refused(refusal);
-        log::refused(subject, refusal, self.version());
+        log::refused(subject, refusal, self.version(), self.processor.delay());
         let id = Some(subject.request).filter(|id| !id.is_empty());
         self.finish(self.codec.refuse(id, refusal))
     }
--- a/crates/gateway/src/held.rs
+++ b/crates/gateway/src/held.rs
@@ -57,6 +57,7 @@
     }
 
     fn on_whole(&self) {
+        self.gateway.end(&self.call);
         let status = self.begun.answer.head.status();
         self.gateway
             .quarantine
@@ -72,7 +73,6 @@
             objective_ms = self.call.route.target_latency.as_millis(),
             "answered"
         );
-        self.call.end();
     }
 
     fn record(&self, end: CallEnd) {
@@ -98,7 +98,7 @@
                         reason = refusal.name(),
                         "answer is cut"
                     );
-                    answer.call.end();
+                    answer.gateway.end(&answer.call);
                     Some((Err(io::ErrorKind::ConnectionAborted.into()), None))
                 }
             }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod log;
 mod metrics;
 pub mod peers;
+mod processor;
 pub mod quarantine;
 pub mod refusal;
 pub mod registry;
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -3,7 +3,7 @@
 //! Every request ends with exactly one of the lines `refused`, `answered`, `stream ended` or `caller left`. The fields of
 //! all lines of the gateway are in `docs/OPERATIONS.md`; a test of the platform's adapter keeps them to it.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crate::call::Call;
 use crate::codec::CallHead;
@@ -62,7 +62,12 @@
 }
 
 /// Logs an answer of the entry itself; `configuration` is the version that decided it.
-pub(crate) fn refused(subject: Subject<'_>, refusal: Refusal, configuration: Option<Version>) {
+pub(crate) fn refused(
+    subject: Subject<'_>,
+    refusal: Refusal,
+    configuration: Option<Version>,
+    processor_delay: Duration,
+) {
     tracing::info!(
         request = subject.request,
         route = subject.route,
@@ -70,11 +75,25 @@
         reason = refusal.name(),
         not_run = refusal.is_not_run(),
         configuration,
+        processor_delay_ms = processor_delay.as_millis(),
         after_ms = subject.arrived.elapsed().as_millis(),
         "refused"
     );
 }
 
+/// Logs a final answer that came after the call's time limit.
+pub(crate) fn past_limit(call: &Call, past_limit: Duration, processor_delay: Duration) {
+    tracing::warn!(
+        request = call.id,
+        route = call.route.name,
+        workspace = call.workspace_name(),
+        limit_ms = call.route.timeout.as_millis(),
+        past_limit_ms = past_limit.as_millis(),
+        processor_delay_ms = processor_delay.as_millis(),
+        "ended past the time limit"
+    );
+}
+
 /// Logs a caller that closed its connection before its answer ended.
 pub(crate) fn caller_left(call: &Call) {
     tracing::info!(
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,17 +1,22 @@
 //! Counters and latency histograms of an entry.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
 use crate::refusal::Refusal;
+use crate::table::Version;
 
+/// Upper bounds of the buckets of the own delay, in seconds.
+const DELAY_BUCKETS: [f64; 8] = [0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0];
 /// Upper bounds of the latency buckets, in seconds.
 const LATENCY_BUCKETS: [f64; 10] = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 4.0];
 
@@ -20,12 +25,21 @@
     reason: &'static str,
 }
 
+#[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct Source {
+    source: &'static str,
+}
+
 #[derive(Debug)]
 pub(crate) struct Metrics {
     registry: Registry,
     refusals: Family<Reason, Counter>,
     attempts: Family<Reason, Counter>,
     first_part: Arc<Histogram>,
+    processor_delay: Arc<Histogram>,
+    past_limit: Counter,
+    configurations: Family<Source, Counter>,
+    version: Gauge<u64, AtomicU64>,
 }
 
 impl Default for Metrics {
@@ -34,6 +48,7 @@
         let refusals = Family::<Reason, Counter>::default();
         let attempts = Family::<Reason, Counter>::default();
         let first_part = Histogram::new(LATENCY_BUCKETS);
+        let processor_delay = Histogram::new(DELAY_BUCKETS);
         registry.register(
             "refusals",
             "answers of the entry itself, by reason",
@@ -49,11 +64,38 @@
             "time from a request's head to the first part of its answer",
             first_part.clone(),
         );
+        registry.register(
+            "processor_delay_seconds",
+            "time for which what was due waited for the processor",
+            processor_delay.clone(),
+        );
+        let past_limit = Counter::default();
+        let configurations = Family::<Source, Counter>::default();
+        let version = Gauge::default();
+        registry.register(
+            "past_limit",
+            "calls that ended noticeably after their time limit",
+            past_limit.clone(),
+        );
+        registry.register(
+            "configurations",
+            "configurations that came into force, by the way they came",
+            configurations.clone(),
+        );
+        registry.register(
+            "configuration_version",
+            "version of the configuration in force",
+            version.clone(),
+        );
         Self {
+            past_limit,
+            configurations,
+            version,
             registry,
             refusals,
             attempts,
             first_part: Arc::new(first_part),
+            processor_delay: Arc::new(processor_delay),
         }
     }
 }
@@ -72,6 +114,19 @@
         self.first_part.observe(elapsed.as_secs_f64());
     }
 
+    pub(crate) fn past_limit(&self) {
+        self.past_limit.inc();
+    }
+
+    pub(crate) fn configuration(&self, source: &'static str, version: Version) {
+        self.configurations.get_or_create(&Source { source }).inc();
+        self.version.set(version);
+    }
+
+    pub(crate) fn processor_delay(&self, delay: Duration) {
+        self.processor_delay.observe(delay.as_secs_f64());
+    }
+
     pub(crate) fn text(&self) -> String {
         let mut text = String::new();
         if let Err(error) = encode(&mut text, &self.registry) {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -116,6 +116,12 @@
         }
     }
 
+    /// Returns the moment up to which this entry knows all changes of the store.
+    #[must_use]
+    pub fn store_position(&self) -> StorePosition {
+        *lock(&self.store)
+    }
+
     /// Returns the newest moment of the store that another entry told.
     #[must_use]
     pub fn peer_store_position(&self) -> StorePosition {
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use tanagerford_core::dispatch::OVERLOAD_RETRY_AFTER;
+use tanagerford_core::dispatch::{BUSY_RETRY_AFTER, OVERLOAD_RETRY_AFTER};
 
 /// Why the entry answers a call itself.
 ///
@@ -25,6 +25,8 @@
     NoServer,
     /// Every server that was asked refused.
     Overloaded,
+    /// This entry is short of processor time.
+    Busy,
     /// The request crashed the servers that ran it.
     Quarantined,
     /// The deadline passed before the request was sent to a server.
@@ -48,6 +50,7 @@
             Self::SlowBody => "slow_body",
             Self::NoServer => "no_server",
             Self::Overloaded => "overloaded",
+            Self::Busy => "entry_busy",
             Self::Quarantined => "quarantined",
             Self::Expired => "expired",
             Self::ServerFailed => "server_failed",
@@ -78,6 +81,7 @@
             Self::NoConfiguration => Some(Duration::from_secs(1)),
             Self::NoServer => Some(Duration::from_millis(150)),
             Self::Overloaded => Some(OVERLOAD_RETRY_AFTER),
+            Self::Busy => Some(BUSY_RETRY_AFTER),
             Self::Quarantined => Some(Duration::from_secs(30)),
             _ => None,
         }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -116,6 +116,7 @@
     }
 
     fn log(&self, outcome: &str) {
+        self.gateway.end(&self.call);
         tracing::info!(
             request = self.call.id,
             route = self.call.route.name,
@@ -132,7 +133,6 @@
             pause_limit_ms = self.call.route.pause_limit.map(|limit| limit.as_millis()),
             "stream ended"
         );
-        self.call.end();
     }
 
     /// Returns the next complete events, or `None` at the end of the stream.
@@ -171,8 +171,10 @@
             .deadline()
             .saturating_duration_since(Instant::now());
         let can_resume = self.call.repeat() == Repeat::Resumable;
-        let (wait, error) = if can_resume && RESUME_AFTER < remaining {
-            (RESUME_AFTER, RelayError::Silent)
+        // What waits for the own processor is no silence of the server.
+        let resume_after = RESUME_AFTER + self.gateway.processor.delay();
+        let (wait, error) = if can_resume && resume_after < remaining {
+            (resume_after, RelayError::Silent)
         } else {
             (remaining, RelayError::Expired)
         };
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -12,6 +12,32 @@
 /// Version of a configuration; later ones are larger.
 pub type Version = u64;
 
+/// Way by which a configuration came to an entry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConfigurationSource {
+    /// Read of the whole store.
+    Snapshot,
+    /// Watch of the store.
+    Watch,
+    /// Read of what other entries knew while the watch was silent.
+    CatchUp,
+    /// Copy from another entry.
+    Peer,
+}
+
+impl ConfigurationSource {
+    /// Returns the name in logs and metrics.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Snapshot => "snapshot",
+            Self::Watch => "watch",
+            Self::CatchUp => "catch_up",
+            Self::Peer => "peer",
+        }
+    }
+}
+
 /// Route of requests to pools of backend servers.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Route {
@@ -173,6 +199,12 @@
         self.workspaces.as_ref()?.get(key)
     }
 
+    /// Returns the count of routes.
+    #[must_use]
+    pub fn route_count(&self) -> usize {
+        self.routes.values().map(Vec::len).sum()
+    }
+
     /// Returns the ranks of the workspaces that have one and of the routes.
     #[must_use]
     pub fn ranks(&self) -> (BTreeSet<u8>, BTreeSet<u8>) {
--- a/crates/operator/src/explain/story.rs
+++ b/crates/operator/src/explain/story.rs
@@ -240,6 +240,7 @@
                 "slow_body" => "its body did not arrive in time",
                 "no_server" => "no server of its pool was known or reachable",
                 "overloaded" => "no server could take it",
+                "entry_busy" => "the entry was short of processor time",
                 "quarantined" => "requests with the same content crashed servers",
                 "expired" => "its time was up before it was sent to a server",
                 "server_failed" => "a server failed after the request was sent",
