--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -35,7 +35,7 @@
 /// the request of a caller that keeps the limit, also after the limit was raised.
 const IDLE_FACTOR: u32 = 3;
 
-/// Time past a call's limit from which its end is counted and logged: half of what callers bear.
+/// Time past a call's limit from which its end is counted and logged; the platform's rules allow twice as much.
 const NOTICEABLY_LATE: Duration = Duration::from_millis(250);
 
 /// Settings of an entry.
--- a/crates/gateway/src/processor.rs
+++ b/crates/gateway/src/processor.rs
@@ -12,8 +12,8 @@
 use crate::call::Call;
 use crate::metrics::Metrics;
 
-/// Standing delay from which the log says that the entry is short of processor time: half of the shortest silence that
-/// callers take for a failure.
+/// Standing delay from which the log says that the entry is short of processor time. A call that is late by twice as much
+/// counts as held past its limit.
 const SHORT_FROM: Duration = Duration::from_millis(250);
 /// Standing delay below which it has enough again. The distance keeps the log from a line on every small change.
 const SHORT_UNTIL: Duration = Duration::from_millis(50);
