Use one conversion of times and counts in the bound on an entry's work

overload.rs converted durations as cost.rs does and counts twice; the entry took the larger of two objectives of which the table makes one the larger already. limit_ms of "ended past the time limit" named the route's limit where the caller's own was the shorter one; it tells the limit in force now. The limits of the settings stand together, and two comments are right.

--- a/crates/core/src/dispatch/cost.rs
+++ b/crates/core/src/dispatch/cost.rs
@@ -180,7 +180,7 @@
     f64::from(part) / f64::from(whole)
 }
 
-fn milliseconds(duration: Duration) -> f64 {
+pub(super) fn milliseconds(duration: Duration) -> f64 {
     duration.as_secs_f64() * 1_000.0
 }
 
--- a/crates/core/src/dispatch/overload.rs
+++ b/crates/core/src/dispatch/overload.rs
@@ -10,6 +10,7 @@
 use serde::Deserialize;
 
 use super::Rank;
+use super::cost::milliseconds;
 
 /// Interval of the probes. Each costs a wake-up, so that a shorter one takes time from the calls of a small VM.
 pub const PROBE_INTERVAL: Duration = Duration::from_millis(50);
@@ -71,7 +72,7 @@
         self.last.max(self.overdue(now))
     }
 
-    /// Returns the delay that is more than a moment's.
+    /// Returns the delay without short bursts: the latest if no quota explains it, otherwise what two probes have found.
     #[must_use]
     pub fn standing(&self, now: Duration) -> Duration {
         let latest = self.latest(now);
@@ -97,16 +98,16 @@
     pub objective_share: f64,
     /// Factor of that limit for each lower rank.
     pub rank_factor: f64,
+    /// Smallest value of that limit, in milliseconds: timers are a few milliseconds late on a free processor, too.
+    pub min_delay_ms: f64,
     /// Delay of two probes in a row from which fewer calls are in flight, in milliseconds.
     pub target_delay_ms: f64,
     /// Factor of the limit of calls in flight for each lower rank: what is left belongs to higher ranks.
     pub flights_rank_factor: f64,
-    /// Factor of the calls in flight after a probe that finds a longer delay.
+    /// Factor of the calls in flight that gives the limit while that delay is exceeded.
     pub flights_factor: f64,
-    /// Growth of the limit of calls in flight after a probe that does not, as a share of it.
+    /// Growth of the limit of calls in flight with each probe that finds no such delay, as a share of it.
     pub flights_growth: f64,
-    /// Smallest limit, in milliseconds: timers are a few milliseconds late on a free processor, too.
-    pub min_delay_ms: f64,
     /// Time after which a call of a rank of which none has entered does in any case, in milliseconds, so that no rank is
     /// starved.
     pub exception_interval_ms: f64,
@@ -117,11 +118,11 @@
         Self {
             objective_share: 0.125,
             rank_factor: 0.85,
+            min_delay_ms: 40.0,
             target_delay_ms: 40.0,
             flights_rank_factor: 0.6,
             flights_factor: 0.7,
             flights_growth: 0.05,
-            min_delay_ms: 40.0,
             exception_interval_ms: 2_000.0,
         }
     }
@@ -177,8 +178,8 @@
     pub fn on_probe(&mut self, now: Duration, flights: usize) -> Duration {
         let delay = self.delay.on_probe(now);
         let settings = &self.settings;
-        let flights = f64::from(u32::try_from(flights).unwrap_or(u32::MAX));
-        let sustained_ms = self.delay.sustained().as_secs_f64() * 1_000.0;
+        let flights = number(flights);
+        let sustained_ms = milliseconds(self.delay.sustained());
         if sustained_ms > settings.target_delay_ms {
             let fewer = (flights * settings.flights_factor).max(MIN_FLIGHTS);
             self.max_flights = Some(self.max_flights.map_or(fewer, |limit| limit.min(fewer)));
@@ -213,7 +214,7 @@
 
     /// Returns whether one more call of a rank may be in flight.
     fn has_flight(&self, rank: Rank, flights: usize) -> bool {
-        let flights = f64::from(u32::try_from(flights).unwrap_or(u32::MAX));
+        let flights = number(flights);
         let share = self.settings.flights_rank_factor.powi(i32::from(rank));
         self.max_flights
             .is_none_or(|limit| flights < (limit * share).max(1.0))
@@ -223,7 +224,12 @@
     fn limit(&self, rank: Rank, objective: Duration) -> Duration {
         let settings = &self.settings;
         let share = settings.objective_share * settings.rank_factor.powi(i32::from(rank));
-        let limit_ms = (objective.as_secs_f64() * 1_000.0 * share).max(settings.min_delay_ms);
+        let limit_ms = (milliseconds(objective) * share).max(settings.min_delay_ms);
         Duration::from_secs_f64(limit_ms / 1_000.0)
     }
 }
+
+/// Returns a count as a number to calculate with.
+fn number(count: usize) -> f64 {
+    f64::from(u32::try_from(count).unwrap_or(u32::MAX))
+}
--- a/crates/emulator/src/processor.rs
+++ b/crates/emulator/src/processor.rs
@@ -62,7 +62,7 @@
         self.waiting.pop_front()
     }
 
-    /// Takes the time for work; returns when the processor is free again, if it was free before.
+    /// Takes the time for work; returns when the processor is free again, or `None` if work takes no time.
     pub(crate) fn run(&mut self, now: Duration, work: Work) -> Option<Duration> {
         let (share, times) = self.times.as_ref()?;
         let micros = match work {
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -87,7 +87,10 @@
         request = call.id,
         route = call.route.name,
         workspace = call.workspace_name(),
-        limit_ms = call.route.timeout.as_millis(),
+        limit_ms = call
+            .deadline()
+            .saturating_duration_since(call.arrived)
+            .as_millis(),
         past_limit_ms = past_limit.as_millis(),
         processor_delay_ms = processor_delay.as_millis(),
         "ended past the time limit"
--- a/crates/gateway/src/processor.rs
+++ b/crates/gateway/src/processor.rs
@@ -72,10 +72,8 @@
 
     /// Decides whether a call enters; returns what has to be kept until it ends.
     pub(crate) fn enter(self: &Arc<Self>, call: &Call) -> Option<Entered> {
-        let objective = call
-            .route
-            .lower_ranks_latency
-            .max(call.route.target_latency);
+        // The table takes the route's own objective into account.
+        let objective = call.route.lower_ranks_latency;
         let flights = self.flights.load(Ordering::Relaxed);
         let rank = call.shedding_rank();
         if lock(&self.gate).admits(self.now(), rank, objective, flights) {
