Lift the wait limit in the test of concurrent callers

Seen: some of 64 callers were refused with wait_too_long in 3 of 25 runs beside ten busy loops. Cause: the refusal is right. On a busy machine the predicted wait of the last callers exceeds the 10 s that the tests' configuration allows; the test guards against mixed-up answers, not against refusals. Change: this test allows waits of an hour. Every one of the 64 first tries still has to end with 200 and its own text.

--- a/crates/node/tests/path.rs
+++ b/crates/node/tests/path.rs
@@ -7,6 +7,9 @@
 use common::{Fleet, KEY, agent, chat_body, configuration, expected_text, read_line, wait_until};
 use tanagerford_standin::engine::Behaviour;
 
+/// Wait limit that no call of these tests reaches.
+const LONGEST_WAIT_MS: u64 = 3_600_000;
+
 /// Returns an engine behaviour without delays, for tests that do not depend on the time of single tokens.
 fn without_delays() -> Behaviour {
     Behaviour {
@@ -41,7 +44,12 @@
 /// Guards against answers that reach the wrong caller when many calls share the links.
 #[test]
 fn concurrent_callers_each_get_their_own_answer() {
-    let fleet = Fleet::start(2, &without_delays(), &configuration());
+    // On a busy machine the predicted wait of the last callers exceeds the usual limit.
+    let mut configuration = configuration();
+    for class in &mut configuration.classes {
+        class.longest_wait_ms = LONGEST_WAIT_MS;
+    }
+    let fleet = Fleet::start(2, &without_delays(), &configuration);
     std::thread::scope(|scope| {
         for caller in 0..64 {
             let fleet = &fleet;
