Kill the sidecar only after its service has received the order

Seen: order_of_a_killed_sidecar_stays_unknown waits in vain for the effect of the order if the sidecar is killed between its log line and its call (one run with 300 ms of sleep between the two). Cause: the sidecar logs that it hands over a call before it sends it, and the test killed it at that line. Change: the stand-in service counts the orders that have arrived, and the test waits for that count and for the line. The trial with the sleep was not repeated here.

--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -34,6 +35,8 @@
 #[derive(Debug, Default)]
 struct State {
     behaviour: Mutex<Behaviour>,
+    /// Number of orders that have arrived, with and without an effect so far.
+    received_orders: AtomicU64,
     /// Number of effects by body of the order.
     effects: Mutex<HashMap<String, u64>>,
 }
@@ -56,6 +59,7 @@
     pub fn start_at(address: SocketAddr, behaviour: Behaviour) -> io::Result<Self> {
         let state = Arc::new(State {
             behaviour: Mutex::new(behaviour),
+            received_orders: AtomicU64::new(0),
             effects: Mutex::default(),
         });
         let handler = ServiceHandler(Arc::clone(&state));
@@ -69,6 +73,12 @@
         self.listener.address()
     }
 
+    /// Returns the number of orders that have arrived, with and without an effect so far.
+    #[must_use]
+    pub fn received_orders(&self) -> u64 {
+        self.state.received_orders.load(Ordering::Acquire)
+    }
+
     /// Returns the number of effects of orders with this body.
     #[must_use]
     pub fn effects_of(&self, body: &str) -> u64 {
@@ -105,6 +115,7 @@
         let behaviour = lock(&self.behaviour).clone();
         let path = request.uri.path();
         if request.method == Method::POST && path.starts_with("/orders") {
+            self.received_orders.fetch_add(1, Ordering::Release);
             let body = String::from_utf8_lossy(&request.body).into_owned();
             thread::sleep(behaviour.order_delay);
             let mut effects = lock(&self.effects);
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -356,11 +356,10 @@
     let callers = fleet.callers();
     let first = std::thread::spawn(move || order(callers, "burn-3"));
     let plates = fleet.sidecars.len() - 1;
-    wait_until(|| {
-        fleet.sidecars[plates]
-            .find_line("handed a call to the service")
-            .is_some()
-    });
+    // The sidecar logs the call before it sends it, so only the service can tell that the order has arrived.
+    wait_until(|| fleet.service.received_orders() == 1);
+    let handed_over = "handed a call to the service";
+    wait_until(|| fleet.sidecars[plates].find_line(handed_over).is_some());
     fleet.sidecars[plates].kill();
     let (_, outcome, text) = first.join().expect("caller ends");
     assert_eq!(outcome.as_deref(), Some("unknown"), "{text}");
