Close a busy entry to lower ranks when it refuses a higher one

Cause: the gate told ranks apart by limits on one delay. The delay passes all limits within one probe, and floors made the limits of low ranks equal: ranks 3 and 4, chats and drafts of the second tier, had the same delay limit of 40 ms and the same limit of one call. Class of fault: thresholds on one signal, clipped by floors, in place of an order of the ranks. Ruled out: preemption at engines (0 requests). Change: a refusal of one rank closes the entry to all lower ranks for 0.5 s; after that their admitted share grows over 4 s. The limits are scaled by the share of recent calls with higher ranks, not by the number of a rank, so they neither depend on how many ranks are configured nor collapse. The exception that keeps ranks from starving stays. Why it works: the order holds over time, so lower ranks no longer enter between two peaks of the delay.

--- a/crates/core/src/dispatch/overload.rs
+++ b/crates/core/src/dispatch/overload.rs
@@ -5,12 +5,14 @@
 //! burst, and a delay that persists is a backlog.
 
 use std::collections::BTreeMap;
+use std::collections::btree_map::Range;
 use std::time::Duration;
 
 use serde::Deserialize;
 
 use super::Rank;
 use super::cost::milliseconds;
+use super::decay::remaining_weight;
 
 /// Interval of the probes. Each probe is a wake-up, so a shorter interval takes processor time from calls on a small
 /// VM.
@@ -24,6 +26,13 @@
 /// Smallest growth of the limit per probe, so that a small limit can recover.
 const MIN_GROWTH: f64 = 0.2;
 
+/// Time after the last shortage of processor time for which the entry counts as busy. Messages to other entries cause a
+/// part of the shortage, so it would soon return if the entry no longer counted as busy between two bursts.
+const BUSY_MEMORY: Duration = Duration::from_secs(10);
+
+/// Half-life of the counts from which the share of each rank is estimated.
+const OFFERED_HALF_LIFE: Duration = Duration::from_secs(2);
+
 /// Retry delay for callers that are refused by an overloaded entry. The retry reaches another entry while most of the
 /// latency objective is left.
 pub const BUSY_RETRY_AFTER: Duration = Duration::from_millis(50);
@@ -98,15 +107,19 @@
     /// Persistent delay up to which a call of the highest rank is admitted, as a share of its latency objective. The
     /// share is small because a call waits for the processor several times before its first event.
     pub objective_share: f64,
-    /// Factor on that share for each lower rank.
-    pub rank_factor: f64,
-    /// Lower bound of the delay up to which calls are admitted, in milliseconds. Timers are a few milliseconds late
+    /// Persistent delay up to which calls are admitted at least, in milliseconds. Timers are a few milliseconds late
     /// even on an idle processor.
     pub min_delay_ms: f64,
     /// Delay of two consecutive probes above which the limit of calls in flight is reduced, in milliseconds.
     pub target_delay_ms: f64,
-    /// Factor on the limit of calls in flight for each lower rank; the rest is reserved for higher ranks.
-    pub flights_rank_factor: f64,
+    /// Share of the limits on delay and calls in flight that a rank loses if all other calls have higher ranks. It loses
+    /// less if fewer calls have higher ranks.
+    pub higher_ranks_reserve: f64,
+    /// Time for which a refusal closes the entry to lower ranks, in milliseconds.
+    pub closed_ms: f64,
+    /// Time after that until all calls of the lower ranks are admitted again, in milliseconds. The admitted share grows
+    /// linearly.
+    pub reopening_ms: f64,
     /// Factor on the current calls in flight that gives the new limit when the target delay is exceeded.
     pub flights_factor: f64,
     /// Growth of the limit of calls in flight per probe that does not exceed the target delay, as a share of the limit.
@@ -120,10 +133,11 @@
     fn default() -> Self {
         Self {
             objective_share: 0.125,
-            rank_factor: 0.85,
             min_delay_ms: 40.0,
             target_delay_ms: 40.0,
-            flights_rank_factor: 0.6,
+            higher_ranks_reserve: 0.5,
+            closed_ms: 500.0,
+            reopening_ms: 4_000.0,
             flights_factor: 0.7,
             flights_growth: 0.05,
             exception_interval_ms: 2_000.0,
@@ -131,12 +145,44 @@
     }
 }
 
+/// Recent calls of one rank.
+#[derive(Debug)]
+struct RankState {
+    /// Decayed number of offered calls at `offered_at`.
+    offered: f64,
+    offered_at: Duration,
+    last_admitted: Duration,
+    last_refused: Option<Duration>,
+    /// Fraction of a call that the reopening rank has not used yet.
+    credit: f64,
+}
+
+impl RankState {
+    fn new(now: Duration) -> Self {
+        Self {
+            offered: 0.0,
+            offered_at: now,
+            last_admitted: now,
+            last_refused: None,
+            credit: 0.0,
+        }
+    }
+
+    /// Returns the decayed number of offered calls.
+    fn offered(&self, now: Duration) -> f64 {
+        self.offered * remaining_weight(now, self.offered_at, OFFERED_HALF_LIFE)
+    }
+}
+
 /// Admission control for an entry. Refuses calls while there is a persistent delay, and while more calls are in flight
-/// than the processor can handle. Lower ranks are refused first.
+/// than the processor can handle.
 ///
 /// The limit of calls in flight follows additive increase and multiplicative decrease. The limit is needed because a
 /// call causes most of its work after admission, when the delay does not show it yet.
 ///
+/// The delay rises and falls faster than limits per rank could tell the ranks apart. A refusal of one rank therefore
+/// closes the entry to all lower ranks, which are admitted again gradually.
+///
 /// # Examples
 ///
 /// ```
@@ -150,6 +196,10 @@
 /// // This probe was due at 1,050 ms.
 /// gate.on_probe(ms(1_250), 1);
 /// assert!(!gate.admits(ms(1_250), 0, ms(500), 1));
+/// // The delay is over, but the refusal of rank 0 still closes the entry to rank 1.
+/// gate.on_probe(ms(1_300), 1);
+/// assert!(gate.admits(ms(1_300), 0, ms(500), 0));
+/// assert!(!gate.admits(ms(1_300), 1, ms(500), 0));
 /// ```
 #[derive(Debug, Default)]
 pub struct OverloadGate {
@@ -157,8 +207,8 @@
     delay: ProcessorDelay,
     /// Limit of calls in flight; `None` while the processor is not overloaded.
     max_in_flight: Option<f64>,
-    /// Time of the last admitted call of each rank.
-    last_admitted: BTreeMap<Rank, Duration>,
+    last_shortage: Option<Duration>,
+    ranks: BTreeMap<Rank, RankState>,
 }
 
 impl OverloadGate {
@@ -185,6 +235,7 @@
         let in_flight = count_as_f64(in_flight);
         let sustained_ms = milliseconds(self.delay.sustained());
         if sustained_ms > settings.target_delay_ms {
+            self.last_shortage = Some(now);
             let decreased = (in_flight * settings.flights_factor).max(MIN_IN_FLIGHT);
             self.max_in_flight = Some(
                 self.max_in_flight
@@ -199,6 +250,13 @@
         delay
     }
 
+    /// Returns whether the processor was overloaded recently.
+    #[must_use]
+    pub fn is_busy(&self, now: Duration) -> bool {
+        let last = self.last_shortage;
+        last.is_some_and(|at| now.saturating_sub(at) < BUSY_MEMORY)
+    }
+
     /// Decides whether to admit a call. `objective` is the longest latency objective of its own and lower ranks, so
     /// that no rank is refused for a delay with which a lower rank is admitted.
     pub fn admits(
@@ -208,32 +266,67 @@
         objective: Duration,
         in_flight: usize,
     ) -> bool {
+        let scale = 1.0 - self.settings.higher_ranks_reserve * self.higher_ranks_share(now, rank);
+        let has_capacity = self.delay.persistent(now) <= self.delay_limit(objective, scale)
+            && self.has_room(in_flight, scale);
+        let open_share = self.open_share(now, rank);
         let interval = Duration::from_secs_f64(self.settings.exception_interval_ms / 1_000.0);
-        let last_admitted = *self.last_admitted.entry(rank).or_insert(now);
-        let is_starving = now.saturating_sub(last_admitted) >= interval;
-        let is_delay_acceptable = self.delay.persistent(now) <= self.delay_limit(rank, objective);
-        let is_admitted =
-            is_starving || (is_delay_acceptable && self.has_capacity(rank, in_flight));
+        let state = self
+            .ranks
+            .entry(rank)
+            .or_insert_with(|| RankState::new(now));
+        state.offered = state.offered(now) + 1.0;
+        state.offered_at = now;
+        state.credit = (state.credit + open_share).min(1.0);
+        let is_open = state.credit >= 1.0;
+        let is_starving = now.saturating_sub(state.last_admitted) >= interval;
+        let is_admitted = is_starving || (has_capacity && is_open);
         if is_admitted {
-            self.last_admitted.insert(rank, now);
+            state.last_admitted = now;
+            state.credit = 0.0;
+        } else {
+            state.last_refused = Some(now);
         }
         is_admitted
     }
 
-    /// Returns whether one more call of a rank may be in flight.
-    fn has_capacity(&self, rank: Rank, in_flight: usize) -> bool {
+    /// Returns the share of the recent calls that had a higher rank.
+    fn higher_ranks_share(&self, now: Duration, rank: Rank) -> f64 {
+        let offered = |ranks: Range<'_, Rank, RankState>| -> f64 {
+            ranks.map(|(_, state)| state.offered(now)).sum()
+        };
+        let all = offered(self.ranks.range(..));
+        if all > 0.0 {
+            offered(self.ranks.range(..rank)) / all
+        } else {
+            0.0
+        }
+    }
+
+    /// Returns the share of the calls of a rank that may be admitted after the latest refusal of a higher rank.
+    fn open_share(&self, now: Duration, rank: Rank) -> f64 {
+        let higher = self.ranks.range(..rank);
+        let Some(closed_at) = higher.filter_map(|(_, state)| state.last_refused).max() else {
+            return 1.0;
+        };
+        let since_ms = milliseconds(now.saturating_sub(closed_at));
+        ((since_ms - self.settings.closed_ms) / self.settings.reopening_ms).clamp(0.0, 1.0)
+    }
+
+    /// Returns whether one more call may be in flight, with the limit scaled by `scale`.
+    fn has_room(&self, in_flight: usize, scale: f64) -> bool {
         let in_flight = count_as_f64(in_flight);
-        let share = self.settings.flights_rank_factor.powi(i32::from(rank));
         self.max_in_flight
-            .is_none_or(|limit| in_flight < (limit * share).max(1.0))
+            .is_none_or(|limit| in_flight < (limit * scale).max(1.0))
     }
 
-    /// Returns the persistent delay up to which calls of a rank are admitted.
-    fn delay_limit(&self, rank: Rank, objective: Duration) -> Duration {
+    /// Returns the persistent delay up to which calls are admitted, with the limit scaled by `scale` as far as it exceeds
+    /// the smallest limit.
+    fn delay_limit(&self, objective: Duration, scale: f64) -> Duration {
         let settings = &self.settings;
-        let share = settings.objective_share * settings.rank_factor.powi(i32::from(rank));
-        let limit_ms = (milliseconds(objective) * share).max(settings.min_delay_ms);
-        Duration::from_secs_f64(limit_ms / 1_000.0)
+        let limit_ms = milliseconds(objective) * settings.objective_share;
+        let above_min_ms = (limit_ms - settings.min_delay_ms).max(0.0);
+        Duration::from_secs_f64((settings.min_delay_ms + above_min_ms * scale) / 1_000.0)
     }
 }
 
