Send fewer summaries to and from entries that are short of processor time

Cause: relays send every entry of their zone a bundle up to 200 times a second, and each entry sends a summary for each change of its load. On a small VM the messages take the processor time that calls need. Ruled out: longer intervals for all. Relays send busy entries bundles at most every 60 ms, and a busy relay gives way to the other relay of its zone. The emulator's entries know each other's processor shares, as real ones do. Why it works: a bundle replaces the summaries of the same sender that wait for it, so the cost of messages of a busy entry no longer grows with the load of all others, and no load is lost.

--- a/crates/core/src/exchange.rs
+++ b/crates/core/src/exchange.rs
@@ -26,6 +26,9 @@
 const CROSS_ZONE_INTERVAL: Duration = Duration::from_millis(15);
 /// Shortest interval of the bundles that a relay forwards.
 const RELAY_INTERVAL: Duration = Duration::from_millis(5);
+/// Shortest interval of messages from and to an entry that is short of processor time. Its choices are then based on
+/// older loads, which costs less than the processor time of a message for each change.
+const BUSY_INTERVAL: Duration = Duration::from_millis(60);
 /// Interval of summaries while nothing changes.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
 /// Interval of full summaries; those in between hold only changes. A receiver that missed a change has a wrong load for
@@ -103,6 +106,8 @@
     pub parts: Vec<(ServerNumber, PromptPart)>,
     /// Requests suspected of crashing servers, as encoded by [`suspect::wire`](crate::suspect::wire); may be empty.
     pub suspects: Vec<u8>,
+    /// Whether the sender is short of processor time, so that relays send it fewer bundles.
+    pub is_busy: bool,
 }
 
 impl Summary {
@@ -177,8 +182,13 @@
         }
     }
 
-    fn on_change(&mut self, now: Duration) {
-        self.due = self.due.min(now.max(self.last_sent_at + self.interval));
+    fn on_change(&mut self, now: Duration, is_busy: bool) {
+        let interval = if is_busy {
+            self.interval.max(BUSY_INTERVAL)
+        } else {
+            self.interval
+        };
+        self.due = self.due.min(now.max(self.last_sent_at + interval));
     }
 
     fn push_part(&mut self, server: ServerNumber, part: PromptPart) {
@@ -225,6 +235,65 @@
     parts: Vec<(ServerNumber, PromptPart)>,
 }
 
+/// Summaries that a relay forwards to the entries of its availability zone, or to some of them.
+#[derive(Debug)]
+struct RelayChannel {
+    /// Shortest time between two bundles.
+    interval: Duration,
+    /// Summaries to forward, by incarnation of the sender.
+    pending: BTreeMap<BootId, Summary>,
+    due: Option<Duration>,
+    last_sent_at: Duration,
+}
+
+impl RelayChannel {
+    fn new(interval: Duration) -> Self {
+        Self {
+            interval,
+            pending: BTreeMap::new(),
+            due: None,
+            last_sent_at: Duration::ZERO,
+        }
+    }
+
+    /// Queues a summary. It replaces an older queued summary of the same sender; loads and parts that only the older one
+    /// holds are merged into it.
+    fn push(&mut self, now: Duration, summary: &Summary) {
+        let mut newer = summary.clone();
+        if let Some(older) = self.pending.remove(&summary.boot) {
+            newer.parts.splice(0..0, older.parts);
+            if !newer.is_full {
+                let is_updated = |server| newer.loads.iter().any(|(other, _)| *other == server);
+                let mut loads = older.loads;
+                loads.retain(|(server, _)| !is_updated(*server));
+                loads.append(&mut newer.loads);
+                newer.loads = loads;
+                newer.is_full = older.is_full;
+            }
+        }
+        self.pending.insert(summary.boot, newer);
+        let due = now.max(self.last_sent_at + self.interval);
+        self.due.get_or_insert(due);
+    }
+
+    /// Returns the bundle if it is due.
+    fn take_due(&mut self, now: Duration) -> Option<Message> {
+        self.due.take_if(|due| now >= *due)?;
+        self.last_sent_at = now;
+        Some(Message {
+            to_relay: false,
+            summaries: std::mem::take(&mut self.pending).into_values().collect(),
+        })
+    }
+}
+
+/// Last summary received from another entry.
+#[derive(Debug)]
+struct PeerState {
+    received_at: Duration,
+    is_busy: bool,
+}
+
 /// Last summary received from an incarnation.
 #[derive(Debug)]
 struct LastSummary {
@@ -259,15 +328,14 @@
     /// Other entries by availability zone, largest processor share first.
     zones: BTreeMap<ZoneId, BTreeSet<(Reverse<u32>, EntryNumber)>>,
     last_summaries: HashMap<BootId, LastSummary>,
-    last_received_at: HashMap<EntryNumber, Duration>,
+    peer_states: HashMap<EntryNumber, PeerState>,
     sequence: u64,
+    is_busy: bool,
     same_zone: SummaryChannel,
     cross_zone: SummaryChannel,
-    relay_interval: Duration,
-    /// Summaries to forward to the own availability zone, by incarnation of the sender.
-    pending: BTreeMap<BootId, Summary>,
-    relay_due: Option<Duration>,
-    last_relayed_at: Duration,
+    relay: RelayChannel,
+    /// Bundles for entries that are short of processor time.
+    busy_relay: RelayChannel,
 }
 
 impl Exchange {
@@ -285,14 +353,13 @@
             zone: zone.into(),
             zones: BTreeMap::new(),
             last_summaries: HashMap::new(),
-            last_received_at: HashMap::new(),
+            peer_states: HashMap::new(),
             sequence: 0,
+            is_busy: false,
             same_zone: SummaryChannel::new(intervals.same_zone),
             cross_zone: SummaryChannel::new(intervals.cross_zone),
-            relay_interval: intervals.relay,
-            pending: BTreeMap::new(),
-            relay_due: None,
-            last_relayed_at: Duration::ZERO,
+            relay: RelayChannel::new(intervals.relay),
+            busy_relay: RelayChannel::new(intervals.relay.max(BUSY_INTERVAL)),
         }
     }
 
@@ -311,8 +378,13 @@
     /// Records a change of this entry's load. The next summary is due at once, or when the shortest interval has
     /// passed.
     pub fn on_change(&mut self, now: Duration) {
-        self.same_zone.on_change(now);
-        self.cross_zone.on_change(now);
+        self.same_zone.on_change(now, self.is_busy);
+        self.cross_zone.on_change(now, self.is_busy);
+    }
+
+    /// Sets whether this entry is short of processor time. If so, it sends and receives fewer messages.
+    pub fn set_busy(&mut self, is_busy: bool) {
+        self.is_busy = is_busy;
     }
 
     /// Records that a prompt was sent to a server.
@@ -330,7 +402,8 @@
     #[must_use]
     pub fn next_due(&self) -> Duration {
         let own = self.same_zone.due.min(self.cross_zone.due);
-        self.relay_due.map_or(own, |relay| own.min(relay))
+        let relays = [self.relay.due, self.busy_relay.due];
+        relays.into_iter().flatten().fold(own, Duration::min)
     }
 
     /// Returns the messages that are due. `content` is called only if a summary of this entry is due.
@@ -355,17 +428,13 @@
                 outgoing.push(self.own_message(receivers, true, update, &content));
             }
         }
-        if self.relay_due.is_some_and(|due| now >= due) {
-            self.relay_due = None;
-            self.last_relayed_at = now;
-            let message = Message {
-                to_relay: false,
-                summaries: std::mem::take(&mut self.pending).into_values().collect(),
-            };
-            outgoing.push(OutgoingMessage {
-                receivers: self.other_entries_in_zone(),
-                message,
-            });
+        let (busy, others) = self.other_entries_in_zone_by_load();
+        let relayed = [
+            (self.relay.take_due(now), others),
+            (self.busy_relay.take_due(now), busy),
+        ];
+        for (message, receivers) in relayed {
+            outgoing.extend(message.map(|message| OutgoingMessage { receivers, message }));
         }
         outgoing.retain(|message| !message.receivers.is_empty());
         outgoing
@@ -389,6 +458,7 @@
             loads: update.loads,
             parts: update.parts,
             suspects: content.suspects.clone(),
+            is_busy: self.is_busy,
         };
         OutgoingMessage {
             receivers,
@@ -402,6 +472,7 @@
     /// Processes a message and returns the summaries that are newer than those received before.
     pub fn receive(&mut self, now: Duration, message: Message) -> Vec<Summary> {
         let to_relay = message.to_relay;
+        let (busy, others) = self.other_entries_in_zone_by_load();
         let mut new_summaries = Vec::new();
         for summary in message.summaries {
             if summary.boot == self.boot {
@@ -419,41 +490,29 @@
             }
             last.sequence = summary.sequence;
             last.at = now;
-            self.last_received_at.insert(summary.entry, now);
-            if to_relay {
-                self.queue_for_relay(now, &summary);
+            let state = PeerState {
+                received_at: now,
+                is_busy: summary.is_busy,
+            };
+            self.peer_states.insert(summary.entry, state);
+            if to_relay && !others.is_empty() {
+                self.relay.push(now, &summary);
+            }
+            if to_relay && !busy.is_empty() {
+                self.busy_relay.push(now, &summary);
             }
             new_summaries.push(summary);
         }
         new_summaries
     }
 
-    /// Queues a summary for the other entries of the availability zone. It replaces an older queued summary of the same
-    /// sender; loads and parts that only the older one holds are merged into it.
-    fn queue_for_relay(&mut self, now: Duration, summary: &Summary) {
-        let mut newer = summary.clone();
-        if let Some(older) = self.pending.remove(&summary.boot) {
-            newer.parts.splice(0..0, older.parts);
-            if !newer.is_full {
-                let is_updated = |server| newer.loads.iter().any(|(other, _)| *other == server);
-                let mut loads = older.loads;
-                loads.retain(|(server, _)| !is_updated(*server));
-                loads.append(&mut newer.loads);
-                newer.loads = loads;
-                newer.is_full = older.is_full;
-            }
-        }
-        self.pending.insert(summary.boot, newer);
-        let due = now.max(self.last_relayed_at + self.relay_interval);
-        self.relay_due.get_or_insert(due);
-    }
-
     /// Returns the other entries from which a summary was received within [`PEER_TIMEOUT`].
     pub fn live_entries(&mut self, now: Duration) -> Vec<EntryNumber> {
         let is_recent = |at: Duration| now.saturating_sub(at) < PEER_TIMEOUT;
         self.last_summaries.retain(|_, last| is_recent(last.at));
-        self.last_received_at.retain(|_, at| is_recent(*at));
-        let mut live: Vec<_> = self.last_received_at.keys().copied().collect();
+        self.peer_states
+            .retain(|_, state| is_recent(state.received_at));
+        let mut live: Vec<_> = self.peer_states.keys().copied().collect();
         live.sort_unstable();
         live
     }
@@ -463,6 +522,18 @@
         others.map(|(_, entry)| *entry).collect()
     }
 
+    /// Returns the other entries of the availability zone: those that are short of processor time, and the rest. If this
+    /// entry is short of it itself, all count as such.
+    fn other_entries_in_zone_by_load(&self) -> (Vec<EntryNumber>, Vec<EntryNumber>) {
+        let others = self.other_entries_in_zone().into_iter();
+        others.partition(|entry| self.is_busy || self.is_peer_busy(*entry))
+    }
+
+    fn is_peer_busy(&self, entry: EntryNumber) -> bool {
+        let state = self.peer_states.get(&entry);
+        state.is_some_and(|state| state.is_busy)
+    }
+
     /// Returns the receivers in the own availability zone, and whether they have to forward the summary.
     fn same_zone_receivers(&self, now: Duration) -> (Vec<EntryNumber>, bool) {
         let others = self.other_entries_in_zone();
@@ -480,7 +551,7 @@
     }
 
     /// Returns the current relay of an availability zone. Entries that have timed out are skipped, unless no entry of
-    /// the zone is live.
+    /// the zone is live. Of the two relays, one that is short of processor time is skipped.
     fn relay(&self, now: Duration, zone: &str) -> Option<EntryNumber> {
         let candidates = || {
             self.zones
@@ -490,13 +561,16 @@
                 .map(|(_, entry)| *entry)
         };
         let live = candidates().filter(|entry| {
-            let at = self.last_received_at.get(entry);
-            at.is_some_and(|at| now.saturating_sub(*at) < PEER_TIMEOUT)
+            let state = self.peer_states.get(entry);
+            state.is_some_and(|state| now.saturating_sub(state.received_at) < PEER_TIMEOUT)
         });
         let mut relays: Vec<_> = live.take(RELAYS_PER_ZONE).collect();
         if relays.is_empty() {
             relays.extend(candidates().take(RELAYS_PER_ZONE));
         }
+        if !relays.iter().all(|relay| self.is_peer_busy(*relay)) {
+            relays.retain(|relay| !self.is_peer_busy(*relay));
+        }
         let is_second = now.as_nanos() / RELAY_ROTATION_INTERVAL.as_nanos() % 2 == 1;
         relays
             .get(usize::from(is_second))
--- a/crates/core/src/exchange/wire.rs
+++ b/crates/core/src/exchange/wire.rs
@@ -39,6 +39,8 @@
     is_full: bool,
     #[prost(uint64, tag = "10")]
     era: u64,
+    #[prost(bool, tag = "11")]
+    is_busy: bool,
 }
 
 #[derive(Clone, PartialEq, Eq, prost::Message)]
@@ -88,6 +90,7 @@
             suspects: summary.suspects.clone(),
             is_full: summary.is_full,
             era: summary.store.era,
+            is_busy: summary.is_busy,
         }
     }
 }
@@ -122,6 +125,7 @@
             parts: parts.collect(),
             suspects: wire.suspects,
             is_full: wire.is_full,
+            is_busy: wire.is_busy,
         }
     }
 }
--- a/crates/core/tests/exchange.rs
+++ b/crates/core/tests/exchange.rs
@@ -163,6 +163,68 @@
     assert_eq!(live, [3, 5, 6, 7, 8, 9, 10]);
 }
 
+/// Guards against summaries that take the processor time of an entry that is short of it: bundles for every change of
+/// every other entry, and its own summaries for every change.
+#[test]
+fn a_busy_entry_exchanges_fewer_messages() {
+    // Entries 1 and 3 are the relays of their zone.
+    let (busy, calm) = (5, 7);
+    let mut fleet = Fleet::new(2, 5);
+    fleet.run(START, after(1_000), |_, _| true);
+    fleet.entries[busy].set_busy(true);
+    fleet.entries[busy].on_change(after(1_000));
+    fleet.run(after(1_000), after(1_100), |_, _| true);
+    let mut received = BTreeMap::new();
+    let mut sent_by_busy = 0;
+    for step in 0..100_u64 {
+        let now = after(1_100 + step * 10);
+        for entry in 0..fleet.entries.len() {
+            fleet.loads[entry] += 1;
+            fleet.entries[entry].on_change(now);
+        }
+        fleet.run(now, now + Duration::from_millis(10), |from, to| {
+            *received.entry(to).or_insert(0) += 1;
+            sent_by_busy += usize::from(from == busy);
+            true
+        });
+    }
+    assert!(received[&calm] > 5 * received[&busy], "{received:?}");
+    // At most one summary to each of two zones in each 60 ms.
+    assert!(
+        sent_by_busy <= 2 * (1_000 / 60 + 1),
+        "{sent_by_busy} messages"
+    );
+    fleet.run(after(2_100), after(2_300), |_, _| true);
+    let others = (0..10).filter(|entry| *entry != busy);
+    let known: Vec<_> = others
+        .map(|other| fleet.known_loads[busy][&number(other)])
+        .collect();
+    assert_eq!(known, [100; 9], "the fewer bundles lose no load");
+}
+
+/// Guards against relays that forward all summaries of a zone although they are short of processor time.
+#[test]
+fn a_busy_relay_is_replaced_by_the_other_one() {
+    let mut fleet = Fleet::new(2, 5);
+    fleet.run(START, after(1_000), |_, _| true);
+    fleet.entries[1].set_busy(true);
+    fleet.entries[1].on_change(after(1_000));
+    fleet.run(after(1_000), after(1_200), |_, _| true);
+    let mut sent_by_relay = 0;
+    for step in 0..50_u64 {
+        let now = after(1_200 + step * 20);
+        fleet.loads[0] += 1;
+        fleet.entries[0].on_change(now);
+        fleet.run(now, now + Duration::from_millis(20), |from, _| {
+            sent_by_relay += usize::from(from == 1);
+            true
+        });
+    }
+    // Only its own heartbeats, to the two zones.
+    assert!(sent_by_relay <= 4, "{sent_by_relay} messages");
+    assert_eq!(fleet.known_loads[5].get(&1), Some(&50));
+}
+
 /// Guards against summaries that repeat unchanged loads, and against loads that remain at the receivers after they
 /// ended.
 #[test]
--- a/crates/emulator/src/entry.rs
+++ b/crates/emulator/src/entry.rs
@@ -92,9 +92,10 @@
         let intervals = policy.summaries.intervals();
         let mut exchange = Exchange::new(number, number, zone_name(zone), intervals);
         for other in 0..load.zones * load.entries_per_zone {
+            let processors = load.processors.as_ref();
             let peer = Peer {
                 zone: zone_name(other % load.zones),
-                capacity: 0,
+                capacity: processors.map_or(0, |all| all.capacity(other / load.zones)),
             };
             exchange.set_peer(entry_number(other), Some(peer));
         }
--- a/crates/emulator/src/load.rs
+++ b/crates/emulator/src/load.rs
@@ -118,6 +118,20 @@
     pub message_us: f64,
 }
 
+impl Processors {
+    /// Returns the share of a core of the entry at `position` within its availability zone.
+    pub(crate) fn share(&self, position: usize) -> f64 {
+        let share = self.shares.iter().cycle().nth(position);
+        share.copied().unwrap_or(1.0)
+    }
+
+    /// Returns the share of a core of the entry at `position` within its availability zone, in millionths.
+    pub(crate) fn capacity(&self, position: usize) -> u32 {
+        let millionths = Duration::from_secs_f64(self.share(position)).as_micros();
+        u32::try_from(millionths).unwrap_or(u32::MAX)
+    }
+}
+
 /// Class of requests.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/emulator/src/processor.rs
+++ b/crates/emulator/src/processor.rs
@@ -30,10 +30,7 @@
 impl<E> Processor<E> {
     /// Creates the processor of the entry at `position` within its availability zone.
     pub(crate) fn new(processors: Option<&Processors>, position: usize) -> Self {
-        let times = processors.and_then(|processors| {
-            let share = processors.shares.iter().cycle().nth(position)?;
-            Some((*share, processors.clone()))
-        });
+        let times = processors.map(|processors| (processors.share(position), processors.clone()));
         Self {
             times,
             busy_until: Duration::ZERO,
--- a/crates/emulator/src/report.rs
+++ b/crates/emulator/src/report.rs
@@ -13,6 +13,9 @@
 /// Interval of the series of values in [`RunResult::seconds`].
 const SERIES_INTERVAL_S: f64 = 1.0;
 
+/// Number of intervals of the series in which [`RunResult::largest_unserved_share`] looks for refusals.
+const UNSERVED_WINDOW: usize = 5;
+
 /// Outcome of a request from its caller's point of view.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Outcome {
@@ -115,11 +118,22 @@
     pub sent_after_leaving: u64,
     /// Disconnects and timeouts of callers that the entry noticed more than half a second late.
     pub noticed_late: u64,
+    /// Counts of each class by the second in which the caller sent the request.
+    #[serde(skip)]
+    class_seconds: Vec<Vec<SecondCounts>>,
     /// Value and late value of each class.
     #[serde(skip)]
     class_values: Vec<(f64, f64)>,
 }
 
+/// Requests of one class that were sent in one second.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+struct SecondCounts {
+    offered: u32,
+    /// Requests that got no complete response.
+    unserved: u32,
+}
+
 impl RunResult {
     pub(crate) fn new(load: &Load) -> Self {
         let seconds =
@@ -136,6 +150,7 @@
             cross_zone_bytes: 0,
             sent_after_leaving: 0,
             noticed_late: 0,
+            class_seconds: vec![Vec::new(); load.classes.len()],
             class_values: load
                 .classes
                 .iter()
@@ -171,9 +186,25 @@
         let second = usize::try_from(job.at.as_secs()).unwrap_or(usize::MAX);
         if let Some(window) = self.seconds.get_mut(second) {
             window.add(value);
+            let seconds = &mut self.class_seconds[job.class];
+            seconds.resize(self.seconds.len(), SecondCounts::default());
+            seconds[second].offered += 1;
+            seconds[second].unserved += u32::from(earned == 0.0);
         }
     }
 
+    /// Returns the largest share of a class's requests that got no complete response in any five seconds.
+    #[must_use]
+    pub fn largest_unserved_share(&self, class: usize) -> f64 {
+        let windows = self.class_seconds[class].windows(UNSERVED_WINDOW);
+        let shares = windows.map(|window| {
+            let sum = |count: fn(&SecondCounts) -> u32| window.iter().map(count).sum::<u32>();
+            f64::from(sum(|second| second.unserved))
+                / f64::from(sum(|second| second.offered).max(1))
+        });
+        shares.fold(0.0, f64::max)
+    }
+
     /// Returns the sum of the values of all classes.
     #[must_use]
     pub fn value(&self) -> Value {
--- a/crates/emulator/src/simulation.rs
+++ b/crates/emulator/src/simulation.rs
@@ -9,7 +9,7 @@
 use rand_pcg::Pcg64;
 use tanagerford_core::dispatch::{
     BUSY_RETRY_AFTER, BudgetLimits, CallNumber, CallOutcome, GATE_POLL_INTERVAL, GateDecision,
-    MAX_ATTEMPTS_PER_CALL, OVERLOAD_RETRY_AFTER, PROBE_INTERVAL, RemainingTime, ReportedLoad,
+    MAX_ATTEMPTS_PER_CALL, OVERLOAD_RETRY_AFTER, PROBE_INTERVAL, Rank, RemainingTime, ReportedLoad,
     ServerSpec, lower_ranks_latency, server_number,
 };
 use tanagerford_core::exchange::{EntryNumber, Message};
@@ -362,6 +362,8 @@
         if let Some(gate) = &mut self.entries[entry].overload_gate {
             let calls = self.in_flight[entry];
             gate.on_probe(self.now, calls);
+            let is_busy = gate.is_busy(self.now);
+            self.entries[entry].exchange.set_busy(is_busy);
         }
         if self.now < self.load.length() {
             self.schedule(self.now + PROBE_INTERVAL, Event::ProbeProcessor(entry));
@@ -402,7 +404,7 @@
             call.arrived_at = self.now.saturating_sub(gate.delay().latest(self.now));
             let (rank, objective) = match target {
                 Target::Engines => (class.rank, longest_objective(self.load, class)),
-                Target::Services => (0, milliseconds(class.objective_ms)),
+                Target::Services => (highest_rank(self.load), milliseconds(class.objective_ms)),
             };
             if !gate.admits(self.now, rank, objective, self.in_flight[entry]) {
                 return self.refuse(index, BUSY_RETRY_AFTER);
@@ -1007,6 +1009,12 @@
     lower_ranks_latency(rank(class), streams.map(rank))
 }
 
+/// Returns the highest rank of all classes. Entries shed calls of plain services, which need little processor time, last.
+fn highest_rank(load: &Load) -> Rank {
+    let ranks = load.classes.iter().map(|class| class.rank);
+    ranks.min().unwrap_or_default()
+}
+
 fn milliseconds(value: f64) -> Duration {
     Duration::from_secs_f64((value / 1_000.0).max(0.0))
 }
--- a/crates/emulator/tests/experiment.rs
+++ b/crates/emulator/tests/experiment.rs
@@ -8,6 +8,10 @@
 use tanagerford_emulator::report::{ClassCounts, RunResult};
 use tanagerford_emulator::{plot, report};
 
+/// Share of a rank's requests that may get nothing in any five seconds while lower ranks are served, as the platform's
+/// rules state it.
+const MAX_UNSERVED_SHARE: f64 = 1.0 / 12.0;
+
 /// Cost settings that the current defaults replaced.
 fn previous_costs() -> Value {
     json!({
@@ -160,6 +164,33 @@
     assert!(bounded.value().earned_share() > 1.1 * unbounded.value().earned_share());
 }
 
+/// Three quarters of the entries have processor time for all chats but not for all drafts, and nearly all workspaces are
+/// in the second tier. Guards against entries that refuse chats as often as drafts, although chats have the higher rank.
+#[test]
+fn busy_entries_refuse_drafts_rather_than_chats() {
+    let mut load: Value = serde_json::from_str(include_str!("../loads/slow-entries.json")).unwrap();
+    load["disturbances"] = json!([]);
+    load["length_s"] = json!(20);
+    load["processors"]["shares"] = json!([0.5, 0.05, 0.05, 0.05]);
+    load["classes"][0]["rate_per_s"] = json!(160);
+    // The second tier follows the three route ranks of the first.
+    for class in load["classes"].as_array_mut().unwrap() {
+        class["rank"] = json!(3 + class["rank"].as_u64().unwrap());
+    }
+    let results = run(&load.to_string(), &json!([{"name": "current"}]));
+    let (drafts, chats) = (&results[0].classes[0], &results[0].classes[1]);
+    let share = |class: &ClassCounts| f64::from(class.refused) / f64::from(class.offered);
+    let unserved = results[0].largest_unserved_share(1);
+    assert!(
+        unserved <= MAX_UNSERVED_SHARE,
+        "unserved chats in the worst five seconds: {unserved:.3}; refused in all: {:.3} of chats, {:.3} of drafts",
+        share(chats),
+        share(drafts)
+    );
+    // Drafts are slowed down, not starved: a quarter of them is served.
+    assert!(share(drafts) < 0.75, "refused drafts: {:.3}", share(drafts));
+}
+
 /// Guards against nondeterministic runs, and against requests that are counted twice or not at all.
 #[test]
 fn equal_seeds_give_equal_runs() {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -82,7 +82,12 @@
         let quarantine: Arc<Quarantine> = Arc::default();
         let metrics: Arc<Metrics> = Arc::default();
         let processor = ProcessorMonitor::start(&runtime, Arc::clone(&metrics));
-        let summaries = Summaries::new(&settings.vm, Arc::clone(&fleet), Arc::clone(&quarantine));
+        let summaries = Summaries::new(
+            &settings.vm,
+            Arc::clone(&fleet),
+            Arc::clone(&processor),
+            Arc::clone(&quarantine),
+        );
         Arc::new(Self {
             codec,
             connection_pool: ConnectionPool::new(runtime.clone()),
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -28,6 +28,7 @@
 use crate::copies::ConfigurationCopies;
 use crate::fleet::{BackendServer, Fleet};
 use crate::gateway::Gateway;
+use crate::processor::ProcessorMonitor;
 use crate::quarantine::Quarantine;
 use crate::table::Version;
 
@@ -55,6 +56,7 @@
     /// Set once the socket is bound; nothing is sent before.
     socket: OnceLock<Socket>,
     fleet: Arc<Fleet>,
+    processor: Arc<ProcessorMonitor>,
     quarantine: Arc<Quarantine>,
     /// Version of the configuration in force; 0 for none.
     version: AtomicU64,
@@ -68,7 +70,12 @@
 
 impl Summaries {
     /// Creates the summaries of the entry on the VM `name`, from which the entry's number is derived.
-    pub(crate) fn new(name: &str, fleet: Arc<Fleet>, quarantine: Arc<Quarantine>) -> Self {
+    pub(crate) fn new(
+        name: &str,
+        fleet: Arc<Fleet>,
+        processor: Arc<ProcessorMonitor>,
+        quarantine: Arc<Quarantine>,
+    ) -> Self {
         let number = xxh3_64(name.as_bytes());
         let intervals = SummaryIntervals::default();
         let exchange = Exchange::new(number, rand::random(), fleet.zone(), intervals);
@@ -78,6 +85,7 @@
             addresses: Mutex::default(),
             socket: OnceLock::new(),
             fleet,
+            processor,
             quarantine,
             version: AtomicU64::new(0),
             store_position: Mutex::default(),
@@ -131,6 +139,7 @@
         let now = self.now();
         let mut exchange = lock(&self.exchange);
         let before = exchange.next_due();
+        exchange.set_busy(self.processor.is_busy());
         apply(&mut exchange, now);
         let due = exchange.next_due();
         drop(exchange);
--- a/crates/gateway/src/processor.rs
+++ b/crates/gateway/src/processor.rs
@@ -1,7 +1,7 @@
 //! Measures the scheduling delay of this entry's processor, and limits the admitted calls while it is short of
 //! processor time.
 
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, Weak};
 use std::time::{Duration, Instant};
 
@@ -28,6 +28,7 @@
     /// Admitted calls that have not ended.
     in_flight: AtomicUsize,
     refused: AtomicU64,
+    is_busy: AtomicBool,
 }
 
 /// Counts an admitted call as in flight until it is dropped.
@@ -57,6 +58,7 @@
             gate: Mutex::default(),
             in_flight: AtomicUsize::new(0),
             refused: AtomicU64::new(0),
+            is_busy: AtomicBool::new(false),
         });
         runtime.spawn(probe(Arc::downgrade(&processor), metrics));
         processor
@@ -71,6 +73,11 @@
         lock(&self.gate).delay().latest(self.now())
     }
 
+    /// Returns whether the processor was overloaded recently.
+    pub(crate) fn is_busy(&self) -> bool {
+        self.is_busy.load(Ordering::Relaxed)
+    }
+
     /// Decides whether a call is admitted; returns a guard that must be kept until the call ends.
     pub(crate) fn admit(self: &Arc<Self>, call: &Call) -> Option<AdmissionGuard> {
         // This objective is never shorter than the route's own.
@@ -90,6 +97,7 @@
         let now = self.now();
         let mut gate = lock(&self.gate);
         let delay = gate.on_probe(now, self.in_flight.load(Ordering::Relaxed));
+        self.is_busy.store(gate.is_busy(now), Ordering::Relaxed);
         ProbeResult {
             delay,
             persistent_delay: gate.delay().persistent(now),
