Keep the limits of long prompts apart for all ranks

The limits of long prompts lost a fixed amount per rank and were cut off at 0, so all ranks from the eleventh on were equal: two workspace tiers with five route ranks each, or four tiers with three, reach it. From rank 34 on the time limit was negative and refused all prompts but the exceptions. Change: each rank loses a share of the limit in place of an amount. The defaults stay 0.1 and 0.03: ranks 0 to 5 have 1, 0.9, 0.81, 0.73, 0.66, 0.59 late streams (before 1 to 0.5 in steps of 0.1) and 1 to 0.86 of the time (before 1 to 0.85). Test: limits_of_long_prompts_differ_for_all_ranks, failed at rank 10 before.

--- a/crates/core/src/dispatch/long_prompt_gate.rs
+++ b/crates/core/src/dispatch/long_prompt_gate.rs
@@ -46,13 +46,13 @@
     /// 0 on the assumption that the estimate is too high.
     #[serde(rename = "max_harmed_streams")]
     pub max_late_streams: f64,
-    /// Reduction of that number per rank, so that higher ranks are admitted first.
+    /// Share of that number that each rank loses against the next higher one, so that higher ranks are admitted first.
     #[serde(rename = "harmed_per_rank")]
     pub late_streams_per_rank: f64,
     /// Largest estimated time to the first token with which a call is admitted, as a multiple of its remaining time. A
     /// call that would be late would delay calls that can still be on time.
     pub late_factor: f64,
-    /// Reduction of that multiple per rank.
+    /// Share of that multiple that each rank loses against the next higher one.
     pub late_per_rank: f64,
     /// Interval at which one call is admitted even though it makes streams late, in milliseconds. On servers full of
     /// streams, long prompts are slowed down but never starved.
@@ -149,11 +149,12 @@
         rank: Rank,
         remaining: RemainingTime,
     ) -> GateDecision {
-        let rank = f64::from(rank);
+        let rank = i32::from(rank);
         let settings = &self.settings;
+        // Products, unlike differences, stay above 0 and differ for all ranks.
         let max_late_streams =
-            (settings.max_late_streams - settings.late_streams_per_rank * rank).max(0.0);
-        let late_factor = settings.late_factor - settings.late_per_rank * rank;
+            settings.max_late_streams * (1.0 - settings.late_streams_per_rank).powi(rank);
+        let late_factor = settings.late_factor * (1.0 - settings.late_per_rank).powi(rank);
         // Prompts of lower ranks may make a call late, but never prevent its admission.
         let meets_limits = |left_ms: f64| {
             let is_in_time = choice.ranked_first_token_ms <= left_ms * late_factor;
--- a/crates/core/tests/dispatch.rs
+++ b/crates/core/tests/dispatch.rs
@@ -195,6 +195,33 @@
     );
 }
 
+/// Guards against limits that are equal for all ranks from the eleventh on, and against limits that refuse a low rank
+/// on idle servers.
+#[test]
+fn limits_of_long_prompts_differ_for_all_ranks() {
+    let mut gate = LongPromptGate::default();
+    let mut is_admitted = |rank, late_streams, ranked_first_token_ms| {
+        let choice = Choice {
+            is_long: true,
+            late_streams,
+            ranked_first_token_ms,
+            ..Choice::default()
+        };
+        gate.decide(NOW, &choice, rank, remaining_time(500.0, true)) == GateDecision::Admit
+    };
+    let largest_admitted = |admits: &mut dyn FnMut(f64) -> bool| {
+        let steps = (0..2_000).map(|step| f64::from(step) / 1_000.0);
+        steps.take_while(|value| admits(*value)).last()
+    };
+    for rank in 0..30 {
+        let mut late_streams = |rank| largest_admitted(&mut |value| is_admitted(rank, value, 0.0));
+        assert!(late_streams(rank) > late_streams(rank + 1), "rank {rank}");
+        let mut first_token =
+            |rank| largest_admitted(&mut |value| is_admitted(rank, 0.0, value * 500.0));
+        assert!(first_token(rank) > first_token(rank + 1), "rank {rank}");
+    }
+}
+
 /// Guards against long prompts that are admitted too late and so delay the next ones as well (scale-1 of the grown
 /// deployments: half of the prompts were late, and engines out of memory preempted 410 and 636 requests).
 #[test]
