Admit the ranks below a refused one again in order and in the same time

Cause: a refusal by a rank that was only being admitted again counted like one for lack of capacity, so each rank waited for the next higher one: after one refusal, rank 3 of a fleet with four tiers came back seconds after rank 1 and the lowest of twelve after a minute. Change: only refusals for lack of capacity close the entry.

--- a/crates/core/src/dispatch/overload.rs
+++ b/crates/core/src/dispatch/overload.rs
@@ -5,7 +5,7 @@
 //! burst, and a delay that persists is a backlog.
 
 use std::collections::BTreeMap;
-use std::collections::btree_map::Range;
+use std::ops::{Bound, RangeBounds};
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -115,10 +115,10 @@
     /// Share of the limits on delay and calls in flight that a rank loses if all other calls have higher ranks. It loses
     /// less if fewer calls have higher ranks.
     pub higher_ranks_reserve: f64,
-    /// Time for which a refusal closes the entry to lower ranks, in milliseconds.
+    /// Time for which a refusal for lack of capacity closes the entry to lower ranks, in milliseconds.
     pub closed_ms: f64,
-    /// Time after that until all calls of the lower ranks are admitted again, in milliseconds. The admitted share grows
-    /// linearly.
+    /// Time after that until all calls of the lower ranks are admitted again, in milliseconds. The admitted share of these
+    /// calls grows linearly, higher ranks first.
     pub reopening_ms: f64,
     /// Factor on the current calls in flight that gives the new limit when the target delay is exceeded.
     pub flights_factor: f64,
@@ -136,9 +136,9 @@
             min_delay_ms: 40.0,
             target_delay_ms: 40.0,
             higher_ranks_reserve: 0.5,
-            closed_ms: 500.0,
-            reopening_ms: 4_000.0,
-            flights_factor: 0.7,
+            closed_ms: 1_000.0,
+            reopening_ms: 8_000.0,
+            flights_factor: 0.85,
             flights_growth: 0.05,
             exception_interval_ms: 2_000.0,
         }
@@ -152,6 +152,7 @@
     offered: f64,
     offered_at: Duration,
     last_admitted: Duration,
+    /// Time of the last refusal for lack of capacity.
     last_refused: Option<Duration>,
     /// Fraction of a call that the reopening rank has not used yet.
     credit: f64,
@@ -284,33 +285,49 @@
         if is_admitted {
             state.last_admitted = now;
             state.credit = 0.0;
-        } else {
+        } else if !has_capacity {
             state.last_refused = Some(now);
         }
         is_admitted
     }
 
+    /// Returns the decayed number of offered calls of some ranks.
+    fn offered(&self, now: Duration, ranks: impl RangeBounds<Rank>) -> f64 {
+        let states = self.ranks.range(ranks);
+        states.map(|(_, state)| state.offered(now)).sum()
+    }
+
     /// Returns the share of the recent calls that had a higher rank.
     fn higher_ranks_share(&self, now: Duration, rank: Rank) -> f64 {
-        let offered = |ranks: Range<'_, Rank, RankState>| -> f64 {
-            ranks.map(|(_, state)| state.offered(now)).sum()
-        };
-        let all = offered(self.ranks.range(..));
+        let all = self.offered(now, ..);
         if all > 0.0 {
-            offered(self.ranks.range(..rank)) / all
+            self.offered(now, ..rank) / all
         } else {
             0.0
         }
     }
 
-    /// Returns the share of the calls of a rank that may be admitted after the latest refusal of a higher rank.
+    /// Returns the share of the calls of a rank that may be admitted after the refusals of higher ranks.
     fn open_share(&self, now: Duration, rank: Rank) -> f64 {
-        let higher = self.ranks.range(..rank);
-        let Some(closed_at) = higher.filter_map(|(_, state)| state.last_refused).max() else {
-            return 1.0;
-        };
-        let since_ms = milliseconds(now.saturating_sub(closed_at));
-        ((since_ms - self.settings.closed_ms) / self.settings.reopening_ms).clamp(0.0, 1.0)
+        let shares = self.ranks.range(..rank).filter_map(|(refused, state)| {
+            let since_ms = milliseconds(now.saturating_sub(state.last_refused?));
+            let progress = (since_ms - self.settings.closed_ms) / self.settings.reopening_ms;
+            (progress < 1.0).then(|| self.reopened_share(now, *refused, rank, progress))
+        });
+        shares.fold(1.0, f64::min)
+    }
+
+    /// Returns the admitted share of a rank when the share `progress` of all calls below the rank `refused` is admitted,
+    /// higher ranks first.
+    fn reopened_share(&self, now: Duration, refused: Rank, rank: Rank, progress: f64) -> f64 {
+        let below = self.offered(now, (Bound::Excluded(refused), Bound::Unbounded));
+        let before = self.offered(now, (Bound::Excluded(refused), Bound::Excluded(rank)));
+        let own = self.offered(now, rank..=rank);
+        if own > 0.0 {
+            ((progress * below - before) / own).clamp(0.0, 1.0)
+        } else {
+            progress.max(0.0)
+        }
     }
 
     /// Returns whether one more call may be in flight, with the limit scaled by `scale`.
