--- a/crates/emulator/src/load.rs
+++ b/crates/emulator/src/load.rs
@@ -125,10 +125,10 @@
         share.copied().unwrap_or(1.0)
     }
 
-    /// Returns the share of a core of the entry at `position` within its availability zone, in millionths.
+    /// Returns the share of a core of the entry at `position` within its availability zone, in thousandths.
     pub(crate) fn capacity(&self, position: usize) -> u32 {
-        let millionths = Duration::from_secs_f64(self.share(position)).as_micros();
-        u32::try_from(millionths).unwrap_or(u32::MAX)
+        let thousandths = Duration::from_secs_f64(self.share(position)).as_millis();
+        u32::try_from(thousandths).unwrap_or(u32::MAX)
     }
 }
 
