--- a/crates/core/src/dispatch/overload.rs
+++ b/crates/core/src/dispatch/overload.rs
@@ -154,7 +154,8 @@
     last_admitted: Duration,
     /// Time of the last refusal for lack of capacity.
     last_refused: Option<Duration>,
-    /// Fraction of a call that the reopening rank has not used yet.
+    /// Sum of the admitted shares of the calls offered since the last admitted one, at most 1. The next call is admitted at
+    /// 1, so a share of one half admits every second call.
     credit: f64,
 }
 
@@ -181,8 +182,9 @@
 /// The limit of calls in flight follows additive increase and multiplicative decrease. The limit is needed because a
 /// call causes most of its work after admission, when the delay does not show it yet.
 ///
-/// The delay rises and falls faster than limits per rank could tell the ranks apart. A refusal of one rank therefore
-/// closes the entry to all lower ranks, which are admitted again gradually.
+/// The delay rises and falls so fast that limits per rank cannot tell the ranks apart. A refusal of one rank for lack of
+/// capacity therefore closes the entry to all lower ranks for a while. Their calls are then admitted again gradually, higher
+/// ranks first.
 ///
 /// # Examples
 ///
@@ -208,6 +210,7 @@
     delay: ProcessorDelay,
     /// Limit of calls in flight; `None` while the processor is not overloaded.
     max_in_flight: Option<f64>,
+    /// Time of the last probe that found the target delay exceeded.
     last_shortage: Option<Duration>,
     ranks: BTreeMap<Rank, RankState>,
 }
@@ -251,7 +254,7 @@
         delay
     }
 
-    /// Returns whether the processor was overloaded recently.
+    /// Returns whether a probe found the target delay exceeded within the last 10 s.
     #[must_use]
     pub fn is_busy(&self, now: Duration) -> bool {
         let last = self.last_shortage;
--- a/crates/core/src/exchange.rs
+++ b/crates/core/src/exchange.rs
@@ -330,11 +330,12 @@
     last_summaries: HashMap<BootId, LastSummary>,
     peer_states: HashMap<EntryNumber, PeerState>,
     sequence: u64,
+    /// Whether this entry is short of processor time.
     is_busy: bool,
     same_zone: SummaryChannel,
     cross_zone: SummaryChannel,
     relay: RelayChannel,
-    /// Bundles for entries that are short of processor time.
+    /// Bundles for the entries of the zone that are short of processor time; `relay` holds those for the others.
     busy_relay: RelayChannel,
 }
 
--- a/crates/emulator/src/report.rs
+++ b/crates/emulator/src/report.rs
@@ -13,8 +13,8 @@
 /// Interval of the series of values in [`RunResult::seconds`].
 const SERIES_INTERVAL_S: f64 = 1.0;
 
-/// Number of intervals of the series in which [`RunResult::largest_unserved_share`] looks for refusals.
-const UNSERVED_WINDOW: usize = 5;
+/// Length of the windows of [`RunResult::largest_unserved_share`] in seconds.
+const UNSERVED_WINDOW_S: usize = 5;
 
 /// Outcome of a request from its caller's point of view.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -196,7 +196,7 @@
     /// Returns the largest share of a class's requests that got no complete response in any five seconds.
     #[must_use]
     pub fn largest_unserved_share(&self, class: usize) -> f64 {
-        let windows = self.class_seconds[class].windows(UNSERVED_WINDOW);
+        let windows = self.class_seconds[class].windows(UNSERVED_WINDOW_S);
         let shares = windows.map(|window| {
             let sum = |count: fn(&SecondCounts) -> u32| window.iter().map(count).sum::<u32>();
             f64::from(sum(|second| second.unserved))
