--- a/crates/core/src/exchange.rs
+++ b/crates/core/src/exchange.rs
@@ -429,13 +429,12 @@
                 outgoing.push(self.own_message(receivers, true, update, &content));
             }
         }
-        let (busy, others) = self.other_entries_in_zone_by_load();
-        let relayed = [
-            (self.relay.take_due(now), others),
-            (self.busy_relay.take_due(now), busy),
-        ];
-        for (message, receivers) in relayed {
-            outgoing.extend(message.map(|message| OutgoingMessage { receivers, message }));
+        let bundles = (self.relay.take_due(now), self.busy_relay.take_due(now));
+        if bundles != (None, None) {
+            let (busy, others) = self.other_entries_in_zone_by_load();
+            for (message, receivers) in [(bundles.0, others), (bundles.1, busy)] {
+                outgoing.extend(message.map(|message| OutgoingMessage { receivers, message }));
+            }
         }
         outgoing.retain(|message| !message.receivers.is_empty());
         outgoing
@@ -472,8 +471,11 @@
 
     /// Processes a message and returns the summaries that are newer than those received before.
     pub fn receive(&mut self, now: Duration, message: Message) -> Vec<Summary> {
-        let to_relay = message.to_relay;
-        let (busy, others) = self.other_entries_in_zone_by_load();
+        let (busy, others) = if message.to_relay {
+            self.other_entries_in_zone_by_load()
+        } else {
+            (Vec::new(), Vec::new())
+        };
         let mut new_summaries = Vec::new();
         for summary in message.summaries {
             if summary.boot == self.boot {
@@ -496,10 +498,10 @@
                 is_busy: summary.is_busy,
             };
             self.peer_states.insert(summary.entry, state);
-            if to_relay && !others.is_empty() {
+            if !others.is_empty() {
                 self.relay.push(now, &summary);
             }
-            if to_relay && !busy.is_empty() {
+            if !busy.is_empty() {
                 self.busy_relay.push(now, &summary);
             }
             new_summaries.push(summary);
