--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -35,7 +35,7 @@
     RemainingTime, lower_ranks_latency,
 };
 pub use overload::{
-    BUSY_RETRY_AFTER, OverloadGate, OverloadSettings, PROBE_INTERVAL, ProcessorDelay,
+    BUSY_RETRY_AFTER, OverloadGate, OverloadSettings, PROBE_INTERVAL, ProcessorDelay, ShedReason,
 };
 pub use pause::{PauseComponents, PauseModel, ServerPause};
 pub use prefill::PrefillModel;
--- a/crates/core/src/dispatch/overload.rs
+++ b/crates/core/src/dispatch/overload.rs
@@ -145,6 +145,29 @@
     }
 }
 
+/// Reason why a call is refused by an [`OverloadGate`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ShedReason {
+    /// The processor runs late.
+    Delay,
+    /// More calls are in flight than the processor can handle.
+    InFlight,
+    /// Calls of a higher rank were refused recently.
+    HigherRank,
+}
+
+impl ShedReason {
+    /// Returns the name of the reason in logs.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Delay => "delay",
+            Self::InFlight => "in_flight",
+            Self::HigherRank => "higher_rank",
+        }
+    }
+}
+
 /// Recent calls of one rank.
 #[derive(Debug)]
 struct RankState {
@@ -195,14 +218,14 @@
 /// let ms = Duration::from_millis;
 /// let mut gate = OverloadGate::default();
 /// gate.on_probe(ms(1_000), 0);
-/// assert!(gate.admits(ms(1_000), 0, ms(500), 0));
+/// assert!(gate.admit(ms(1_000), 0, ms(500), 0).is_ok());
 /// // This probe was due at 1,050 ms.
 /// gate.on_probe(ms(1_250), 1);
-/// assert!(!gate.admits(ms(1_250), 0, ms(500), 1));
+/// assert!(gate.admit(ms(1_250), 0, ms(500), 1).is_err());
 /// // The delay is over, but the refusal of rank 0 still closes the entry to rank 1.
 /// gate.on_probe(ms(1_300), 1);
-/// assert!(gate.admits(ms(1_300), 0, ms(500), 0));
-/// assert!(!gate.admits(ms(1_300), 1, ms(500), 0));
+/// assert!(gate.admit(ms(1_300), 0, ms(500), 0).is_ok());
+/// assert!(gate.admit(ms(1_300), 1, ms(500), 0).is_err());
 /// ```
 #[derive(Debug, Default)]
 pub struct OverloadGate {
@@ -263,16 +286,25 @@
 
     /// Decides whether to admit a call. `objective` is the longest latency objective of its own and lower ranks, so
     /// that no rank is refused for a delay with which a lower rank is admitted.
-    pub fn admits(
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason for which the call must be refused.
+    pub fn admit(
         &mut self,
         now: Duration,
         rank: Rank,
         objective: Duration,
         in_flight: usize,
-    ) -> bool {
+    ) -> Result<(), ShedReason> {
         let scale = 1.0 - self.settings.higher_ranks_reserve * self.higher_ranks_share(now, rank);
-        let has_capacity = self.delay.persistent(now) <= self.delay_limit(objective, scale)
-            && self.has_room(in_flight, scale);
+        let shortage = if self.delay.persistent(now) > self.delay_limit(objective, scale) {
+            Some(ShedReason::Delay)
+        } else if self.has_room(in_flight, scale) {
+            None
+        } else {
+            Some(ShedReason::InFlight)
+        };
         let open_share = self.open_share(now, rank);
         let interval = Duration::from_secs_f64(self.settings.exception_interval_ms / 1_000.0);
         let state = self
@@ -284,14 +316,20 @@
         state.credit = (state.credit + open_share).min(1.0);
         let is_open = state.credit >= 1.0;
         let is_starving = now.saturating_sub(state.last_admitted) >= interval;
-        let is_admitted = is_starving || (has_capacity && is_open);
-        if is_admitted {
-            state.last_admitted = now;
-            state.credit = 0.0;
-        } else if !has_capacity {
-            state.last_refused = Some(now);
+        let refusal = shortage.or((!is_open).then_some(ShedReason::HigherRank));
+        match refusal.filter(|_| !is_starving) {
+            None => {
+                state.last_admitted = now;
+                state.credit = 0.0;
+                Ok(())
+            }
+            Some(reason) => {
+                if shortage.is_some() {
+                    state.last_refused = Some(now);
+                }
+                Err(reason)
+            }
         }
-        is_admitted
     }
 
     /// Returns the decayed number of offered calls of some ranks.
--- a/crates/core/tests/overload.rs
+++ b/crates/core/tests/overload.rs
@@ -28,7 +28,7 @@
 /// Offers ten calls of a rank and returns how many are admitted.
 fn admitted_of_ten(gate: &mut OverloadGate, now: Duration, rank: u8) -> usize {
     (0..10)
-        .filter(|_| gate.admits(now, rank, ms(500), IN_FLIGHT))
+        .filter(|_| gate.admit(now, rank, ms(500), IN_FLIGHT).is_ok())
         .count()
 }
 
@@ -72,7 +72,7 @@
         gate.on_probe(now + PROBE_INTERVAL + ms(delay), 1_000);
         let now = now + PROBE_INTERVAL + ms(delay);
         // The lowest rank is first, so that no earlier refusal of a higher rank decides.
-        let admitted = [4, 1, 0].map(|rank| gate.admits(now, rank, ms(500), IN_FLIGHT));
+        let admitted = [4, 1, 0].map(|rank| gate.admit(now, rank, ms(500), IN_FLIGHT).is_ok());
         let expected = match delay {
             45 => [true, true, true],
             57 => [false, true, true],
@@ -143,7 +143,7 @@
         let mut admitted = [0; 8];
         for _ in 0..40 {
             for (count, rank) in admitted.iter_mut().zip(0..) {
-                *count += u32::from(gate.admits(end, rank, ms(500), IN_FLIGHT));
+                *count += u32::from(gate.admit(end, rank, ms(500), IN_FLIGHT).is_ok());
             }
         }
         admitted
@@ -164,7 +164,7 @@
     let mut gate = gate();
     assert_eq!(admitted_of_ten(&mut gate, ms(1_000), 0), 10);
     let now = run_probes(&mut gate, ms(1_000), [60, 60, 0]);
-    let mut admits = |rank, in_flight| gate.admits(now, rank, ms(500), in_flight);
+    let mut admits = |rank, in_flight| gate.admit(now, rank, ms(500), in_flight).is_ok();
     assert!(admits(0, IN_FLIGHT / 2));
     assert!(
         !admits(1, IN_FLIGHT / 2),
@@ -173,7 +173,7 @@
     assert!(admits(1, IN_FLIGHT / 4));
     assert!(!admits(0, IN_FLIGHT));
     let now = run_probes(&mut gate, now, [0; 30]);
-    assert!(gate.admits(now, 0, ms(500), IN_FLIGHT));
+    assert!(gate.admit(now, 0, ms(500), IN_FLIGHT).is_ok());
 }
 
 /// Guards against an entry that keeps refusing calls after its processor has recovered.
--- a/crates/emulator/src/simulation.rs
+++ b/crates/emulator/src/simulation.rs
@@ -406,7 +406,10 @@
                 Target::Engines => (class.rank, longest_objective(self.load, class)),
                 Target::Services => (highest_rank(self.load), milliseconds(class.objective_ms)),
             };
-            if !gate.admits(self.now, rank, objective, self.in_flight[entry]) {
+            if gate
+                .admit(self.now, rank, objective, self.in_flight[entry])
+                .is_err()
+            {
                 return self.refuse(index, BUSY_RETRY_AFTER);
             }
         }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -318,11 +318,16 @@
             admission: None,
         };
         call.demand.rank = call.priority();
-        call.admission = self.processor.admit(&call);
+        let admission = self.processor.admit(&call);
         self.metrics
-            .on_admission(call.shedding_rank(), call.admission.is_some());
-        if call.admission.is_none() {
-            return self.refuse_call(&call, Refusal::Busy);
+            .on_admission(call.shedding_rank(), admission.is_ok());
+        match admission {
+            Ok(guard) => call.admission = Some(guard),
+            Err(reason) => {
+                self.record_end(&call);
+                let info = RequestInfo::from_call(&call).with_shed_reason(reason);
+                return self.refuse(info, Refusal::Busy);
+            }
         }
         self.dispatch(Arc::new(call)).await
     }
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -6,7 +6,7 @@
 
 use std::time::{Duration, Instant};
 
-use tanagerford_core::dispatch::Rank;
+use tanagerford_core::dispatch::{Rank, ShedReason};
 
 use crate::call::Call;
 use crate::codec::CallHead;
@@ -24,6 +24,8 @@
     pub(crate) workspace: &'a str,
     /// Rank by which an entry that is short of processor time refuses calls; `None` before the key is known.
     pub(crate) rank: Option<Rank>,
+    /// What the entry lacks for the call; `None` if the refusal has another reason than load shedding.
+    pub(crate) shed_reason: Option<ShedReason>,
     pub(crate) arrived: Instant,
 }
 
@@ -35,6 +37,7 @@
             route: "",
             workspace: "",
             rank: None,
+            shed_reason: None,
             arrived,
         }
     }
@@ -62,9 +65,18 @@
             route: &call.route.name,
             workspace: call.workspace_name(),
             rank: Some(call.shedding_rank()),
+            shed_reason: None,
             arrived: call.arrived,
         }
     }
+
+    /// Adds the reason for which an entry that is short of processor time refuses the call.
+    pub(crate) fn with_shed_reason(self, reason: ShedReason) -> Self {
+        Self {
+            shed_reason: Some(reason),
+            ..self
+        }
+    }
 }
 
 /// Logs a refusal; `configuration` is the version in force.
@@ -80,6 +92,7 @@
         workspace = info.workspace,
         rank = info.rank,
         reason = refusal.name(),
+        shed_reason = info.shed_reason.map(ShedReason::name),
         not_run = refusal.is_not_run(),
         configuration,
         processor_delay_ms = processor_delay.as_millis(),
--- a/crates/gateway/src/processor.rs
+++ b/crates/gateway/src/processor.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, Weak};
 use std::time::{Duration, Instant};
 
-use tanagerford_core::dispatch::{OverloadGate, PROBE_INTERVAL};
+use tanagerford_core::dispatch::{OverloadGate, PROBE_INTERVAL, ShedReason};
 use tanagerford_sync::lock;
 use tokio::runtime::Handle;
 use tokio::time::sleep;
@@ -78,18 +78,22 @@
         self.is_busy.load(Ordering::Relaxed)
     }
 
-    /// Decides whether a call is admitted; returns a guard that must be kept until the call ends.
-    pub(crate) fn admit(self: &Arc<Self>, call: &Call) -> Option<AdmissionGuard> {
+    /// Decides whether a call is admitted; returns a guard that must be kept until the call ends, or the reason of the
+    /// refusal.
+    pub(crate) fn admit(self: &Arc<Self>, call: &Call) -> Result<AdmissionGuard, ShedReason> {
         // This objective is never shorter than the route's own.
         let objective = call.route.lower_ranks_latency;
         let in_flight = self.in_flight.load(Ordering::Relaxed);
         let rank = call.shedding_rank();
-        if lock(&self.gate).admits(self.now(), rank, objective, in_flight) {
-            self.in_flight.fetch_add(1, Ordering::Relaxed);
-            Some(AdmissionGuard(Arc::clone(self)))
-        } else {
-            self.refused.fetch_add(1, Ordering::Relaxed);
-            None
+        match lock(&self.gate).admit(self.now(), rank, objective, in_flight) {
+            Ok(()) => {
+                self.in_flight.fetch_add(1, Ordering::Relaxed);
+                Ok(AdmissionGuard(Arc::clone(self)))
+            }
+            Err(reason) => {
+                self.refused.fetch_add(1, Ordering::Relaxed);
+                Err(reason)
+            }
         }
     }
 
