Let calls wait by rank at a busy entry instead of closing it by time

Cause: the gate remembered a refusal for 9 s. Any refusal of one rank, also one for a single late probe, closed the entry to all lower ranks for 1 s and opened it linearly over 8 s, whatever the processor did.

Change: a call that finds the processor late, too many calls in flight, or a call of a higher rank waiting, waits itself. Free capacity goes to the highest rank, within it to the newest call. As in CoDel, a queue that has not drained for 200 ms is cut to what is expected to be admitted within 100 ms; the oldest call of the lowest rank is refused first. No call waits for more than 1 s or a quarter of its time. The limit of calls in flight falls to 0.95 of those in flight, and lower ranks leave up to 0.8 of it to higher ones.

Why it works: the state is the queue itself, so it is gone as soon as the queue has drained, and no call passes a waiting one of a higher rank (property test).

Tests: chats_are_served_in_calm_seconds_after_a_shortage fails before with 0.104, 0.094, 0.105 and 0.100 of the chats unserved (bound 1/12). The tests of the gate for the closing demanded the fault (0 and 2 of 10 calls admitted 0.9 s and 3 s after one stall); they are replaced by tests of the order: calls that arrive in a peak before lower ranks, ranks in order and newest first, one stall refuses no call, and a property over random probes and arrivals. One delay of persistent_delay_holds_back_the_lowest_ranks_first is 54 ms, not 57, because the larger reserve moves the limit of the second rank from 58.8 to 56.5 ms.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -8,6 +8,7 @@
 //! A long prefill delays the tokens of every stream on the same server. Long prompts and streams therefore prefer
 //! opposite ends of an order of the servers that every entry computes identically.
 
+mod admission_queue;
 mod budget;
 mod cache;
 mod cost;
@@ -17,6 +18,7 @@
 mod overload;
 mod pause;
 mod prefill;
+mod processor_delay;
 mod waiting;
 
 use std::collections::{BTreeMap, HashMap};
@@ -26,6 +28,7 @@
 
 use cost::EngineModel;
 
+pub use admission_queue::WaiterNumber;
 pub use budget::{BudgetLimits, MAX_ATTEMPTS_PER_CALL, RetryBudget};
 pub use cache::PartCache;
 pub use cost::CostSettings;
@@ -35,10 +38,11 @@
     RemainingTime, lower_ranks_latency,
 };
 pub use overload::{
-    BUSY_RETRY_AFTER, OverloadGate, OverloadSettings, PROBE_INTERVAL, ProcessorDelay, ShedReason,
+    Arrival, ArrivingCall, BUSY_RETRY_AFTER, OverloadGate, OverloadSettings, Settlement, ShedReason,
 };
 pub use pause::{PauseComponents, PauseModel, ServerPause};
 pub use prefill::PrefillModel;
+pub use processor_delay::{PROBE_INTERVAL, ProcessorDelay};
 pub use waiting::WaitingTokens;
 
 /// Priority of a call; 0 is the highest.
--- a/crates/core/src/dispatch/overload.rs
+++ b/crates/core/src/dispatch/overload.rs
@@ -1,105 +1,34 @@
-//! Load shedding of an entry that is short of processor time.
-//!
-//! Work that waits for the processor of an entry has no queue that could be measured directly. A periodic probe
-//! measures instead how late the entry runs. As in `CoDel` (RFC 8289), a delay that disappears at once is a short
-//! burst, and a delay that persists is a backlog.
+//! Admission control of an entry that is short of processor time.
 
 use std::collections::BTreeMap;
-use std::ops::{Bound, RangeBounds};
+use std::ops::RangeBounds;
 use std::time::Duration;
 
 use serde::Deserialize;
 
 use super::Rank;
+use super::admission_queue::{AdmissionQueue, Waiter, WaiterNumber};
 use super::cost::milliseconds;
-use super::decay::remaining_weight;
-
-/// Interval of the probes. Each probe is a wake-up, so a shorter interval takes processor time from calls on a small
-/// VM.
-pub const PROBE_INTERVAL: Duration = Duration::from_millis(50);
-/// Delay up to which two late probes are required to detect a backlog. A processor quota is refilled after this period,
-/// and work that waits for the refill is not a backlog.
-const QUOTA_PERIOD: Duration = Duration::from_millis(100);
+use super::decay::DecayedCount;
+use super::processor_delay::ProcessorDelay;
 
 /// Lower bound of the limit of calls in flight.
 const MIN_IN_FLIGHT: f64 = 2.0;
 /// Smallest growth of the limit per probe, so that a small limit can recover.
 const MIN_GROWTH: f64 = 0.2;
+/// Smallest number of calls that may wait while the queue is expected to drain.
+const MIN_WAITING: f64 = 4.0;
+/// Smallest number of calls that may wait while the queue does not drain.
+const MIN_STANDING: f64 = 1.0;
 
 /// Time after the last shortage of processor time for which the entry counts as busy. Messages to other entries cause a
 /// part of the shortage, so it would soon return if the entry no longer counted as busy between two bursts.
 const BUSY_MEMORY: Duration = Duration::from_secs(10);
 
-/// Half-life of the counts from which the share of each rank is estimated.
-const OFFERED_HALF_LIFE: Duration = Duration::from_secs(2);
-
 /// Retry delay for callers that are refused by an overloaded entry. The retry reaches another entry while most of the
 /// latency objective is left.
 pub const BUSY_RETRY_AFTER: Duration = Duration::from_millis(50);
 
-/// Delay with which an entry runs work that is due.
-///
-/// # Examples
-///
-/// ```
-/// use std::time::Duration;
-/// use tanagerford_core::dispatch::{PROBE_INTERVAL, ProcessorDelay};
-///
-/// let ms = Duration::from_millis;
-/// let mut delay = ProcessorDelay::default();
-/// delay.on_probe(ms(1_000));
-/// delay.on_probe(ms(1_000) + PROBE_INTERVAL + ms(30));
-/// assert_eq!(delay.latest(ms(1_090)), ms(30));
-/// // An overdue probe shows a delay before it runs.
-/// assert_eq!(delay.latest(ms(1_630)), ms(500));
-/// ```
-#[derive(Debug, Default)]
-pub struct ProcessorDelay {
-    probe_due: Option<Duration>,
-    /// Delay of the last probe.
-    last: Duration,
-    /// Delay of the probe before the last.
-    previous: Duration,
-}
-
-impl ProcessorDelay {
-    /// Records that the probe runs and schedules the next one. Returns the delay of this probe.
-    pub fn on_probe(&mut self, now: Duration) -> Duration {
-        self.previous = self.last;
-        self.last = self.overdue(now);
-        self.probe_due = Some(now + PROBE_INTERVAL);
-        self.last
-    }
-
-    fn overdue(&self, now: Duration) -> Duration {
-        self.probe_due
-            .map_or(Duration::ZERO, |due| now.saturating_sub(due))
-    }
-
-    /// Returns the delay of the last probe, or that of the next probe if it is already later.
-    #[must_use]
-    pub fn latest(&self, now: Duration) -> Duration {
-        self.last.max(self.overdue(now))
-    }
-
-    /// Returns the delay without short bursts: the latest delay if it exceeds the quota period, otherwise the delay
-    /// that two consecutive probes have found.
-    #[must_use]
-    pub fn persistent(&self, now: Duration) -> Duration {
-        let latest = self.latest(now);
-        if latest > QUOTA_PERIOD {
-            latest
-        } else {
-            self.sustained()
-        }
-    }
-
-    /// Returns the delay that two consecutive probes have found.
-    fn sustained(&self) -> Duration {
-        self.last.min(self.previous)
-    }
-}
-
 /// Limits on the calls that an entry accepts while it is short of processor time.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -115,11 +44,15 @@
     /// Share of the limits on delay and calls in flight that a rank loses if all other calls have higher ranks. It loses
     /// less if fewer calls have higher ranks.
     pub higher_ranks_reserve: f64,
-    /// Time for which a refusal for lack of capacity closes the entry to lower ranks, in milliseconds.
-    pub closed_ms: f64,
-    /// Time after that until all calls of the lower ranks are admitted again, in milliseconds. The admitted share of these
-    /// calls grows linearly, higher ranks first.
-    pub reopening_ms: f64,
+    /// Longest time for which a call waits for admission, in milliseconds.
+    pub max_wait_ms: f64,
+    /// Longest time for which a call waits for admission, as a share of the time until its deadline. The rest is for the
+    /// call itself or for a retry at another entry.
+    pub wait_share: f64,
+    /// Time after which a queue that was never empty counts as standing, in milliseconds.
+    pub standing_after_ms: f64,
+    /// Expected wait in a standing queue, in milliseconds. A longer one would only make the admitted calls late.
+    pub standing_wait_ms: f64,
     /// Factor on the current calls in flight that gives the new limit when the target delay is exceeded.
     pub flights_factor: f64,
     /// Growth of the limit of calls in flight per probe that does not exceed the target delay, as a share of the limit.
@@ -135,24 +68,26 @@
             objective_share: 0.125,
             min_delay_ms: 40.0,
             target_delay_ms: 40.0,
-            higher_ranks_reserve: 0.5,
-            closed_ms: 1_000.0,
-            reopening_ms: 8_000.0,
-            flights_factor: 0.85,
+            higher_ranks_reserve: 0.8,
+            max_wait_ms: 1_000.0,
+            wait_share: 0.25,
+            standing_after_ms: 200.0,
+            standing_wait_ms: 100.0,
+            flights_factor: 0.95,
             flights_growth: 0.05,
             exception_interval_ms: 2_000.0,
         }
     }
 }
 
-/// Reason why a call is refused by an [`OverloadGate`].
+/// What an entry lacks for a call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ShedReason {
     /// The processor runs late.
     Delay,
     /// More calls are in flight than the processor can handle.
     InFlight,
-    /// Calls of a higher rank were refused recently.
+    /// Calls of a higher rank are waiting.
     HigherRank,
 }
 
@@ -168,64 +103,68 @@
     }
 }
 
+/// Call that arrives at an [`OverloadGate`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ArrivingCall {
+    /// Rank of the call; 0 is the highest.
+    pub rank: Rank,
+    /// Longest latency objective of its own and lower ranks, so that no rank is refused for a delay with which a lower
+    /// rank is admitted.
+    pub objective: Duration,
+    /// Time until the deadline of the call.
+    pub remaining: Duration,
+}
+
+/// Decision about an arriving call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Arrival {
+    /// The call is admitted.
+    Admitted,
+    /// The call waits until [`OverloadGate::settle`] decides about it.
+    Waits(WaiterNumber),
+}
+
+/// Decision about a waiting call.
+pub type Settlement = (WaiterNumber, Result<(), ShedReason>);
+
 /// Recent calls of one rank.
 #[derive(Debug)]
 struct RankState {
-    /// Decayed number of offered calls at `offered_at`.
-    offered: f64,
-    offered_at: Duration,
+    offered: DecayedCount,
     last_admitted: Duration,
-    /// Time of the last refusal for lack of capacity.
-    last_refused: Option<Duration>,
-    /// Sum of the admitted shares of the calls offered since the last admitted one, at most 1. The next call is admitted at
-    /// 1, so a share of one half admits every second call.
-    credit: f64,
 }
 
-impl RankState {
-    fn new(now: Duration) -> Self {
-        Self {
-            offered: 0.0,
-            offered_at: now,
-            last_admitted: now,
-            last_refused: None,
-            credit: 0.0,
-        }
-    }
-
-    /// Returns the decayed number of offered calls.
-    fn offered(&self, now: Duration) -> f64 {
-        self.offered * remaining_weight(now, self.offered_at, OFFERED_HALF_LIFE)
-    }
-}
-
-/// Admission control for an entry. Refuses calls while there is a persistent delay, and while more calls are in flight
-/// than the processor can handle.
+/// Admission control for an entry. Calls wait while there is a persistent delay, and while more calls are in flight than
+/// the processor can handle.
 ///
 /// The limit of calls in flight follows additive increase and multiplicative decrease. The limit is needed because a
 /// call causes most of its work after admission, when the delay does not show it yet.
 ///
-/// The delay rises and falls so fast that limits per rank cannot tell the ranks apart. A refusal of one rank for lack of
-/// capacity therefore closes the entry to all lower ranks for a while. Their calls are then admitted again gradually, higher
-/// ranks first.
+/// No call is admitted while a call of a higher rank waits, so the order of ranks does not depend on the moment at which a
+/// call arrives. The entry is open again as soon as no call waits.
+///
+/// The queue absorbs short shortages. As in `CoDel` (RFC 8289), a queue that does not drain for a while is a standing one,
+/// which only adds delay; it is cut to the calls that are expected to be admitted soon. The oldest call of the lowest rank
+/// is refused first.
 ///
 /// # Examples
 ///
 /// ```
 /// use std::time::Duration;
-/// use tanagerford_core::dispatch::OverloadGate;
+/// use tanagerford_core::dispatch::{Arrival, ArrivingCall, OverloadGate};
 ///
 /// let ms = Duration::from_millis;
+/// let call = |rank| ArrivingCall { rank, objective: ms(500), remaining: ms(8_000) };
 /// let mut gate = OverloadGate::default();
 /// gate.on_probe(ms(1_000), 0);
-/// assert!(gate.admit(ms(1_000), 0, ms(500), 0).is_ok());
+/// assert_eq!(gate.arrive(ms(1_000), call(0), 0), Arrival::Admitted);
 /// // This probe was due at 1,050 ms.
 /// gate.on_probe(ms(1_250), 1);
-/// assert!(gate.admit(ms(1_250), 0, ms(500), 1).is_err());
-/// // The delay is over, but the refusal of rank 0 still closes the entry to rank 1.
+/// let Arrival::Waits(low) = gate.arrive(ms(1_250), call(1), 1) else { panic!() };
+/// let Arrival::Waits(high) = gate.arrive(ms(1_250), call(0), 1) else { panic!() };
+/// // The delay is over.
 /// gate.on_probe(ms(1_300), 1);
-/// assert!(gate.admit(ms(1_300), 0, ms(500), 0).is_ok());
-/// assert!(gate.admit(ms(1_300), 1, ms(500), 0).is_err());
+/// assert_eq!(gate.settle(ms(1_300), 1), [(high, Ok(())), (low, Ok(()))]);
 /// ```
 #[derive(Debug, Default)]
 pub struct OverloadGate {
@@ -236,6 +175,10 @@
     /// Time of the last probe that found the target delay exceeded.
     last_shortage: Option<Duration>,
     ranks: BTreeMap<Rank, RankState>,
+    queue: AdmissionQueue,
+    /// Time since which calls have been waiting; `None` while the queue is empty.
+    waiting_since: Option<Duration>,
+    admitted: DecayedCount,
 }
 
 impl OverloadGate {
@@ -284,58 +227,136 @@
         last.is_some_and(|at| now.saturating_sub(at) < BUSY_MEMORY)
     }
 
-    /// Decides whether to admit a call. `objective` is the longest latency objective of its own and lower ranks, so
-    /// that no rank is refused for a delay with which a lower rank is admitted.
-    ///
-    /// # Errors
-    ///
-    /// Returns the reason for which the call must be refused.
-    pub fn admit(
-        &mut self,
+    /// Returns whether calls are waiting.
+    #[must_use]
+    pub fn has_waiting(&self) -> bool {
+        self.queue.len() > 0
+    }
+
+    /// Decides about an arriving call.
+    pub fn arrive(&mut self, now: Duration, call: ArrivingCall, in_flight: usize) -> Arrival {
+        let interval = Duration::from_secs_f64(self.settings.exception_interval_ms / 1_000.0);
+        let state = self.ranks.entry(call.rank).or_insert(RankState {
+            offered: DecayedCount::default(),
+            last_admitted: now,
+        });
+        state.offered.add(now);
+        let is_starving = now.saturating_sub(state.last_admitted) >= interval;
+        let higher_waits = self
+            .queue
+            .first()
+            .is_some_and(|first| first.rank < call.rank);
+        let reason = if higher_waits {
+            Some(ShedReason::HigherRank)
+        } else {
+            self.shortage(now, call.rank, call.objective, in_flight)
+        };
+        let Some(reason) = reason.filter(|_| !is_starving) else {
+            self.record_admission(now, call.rank);
+            return Arrival::Admitted;
+        };
+        let number = self.queue.next_number();
+        self.queue.push(Waiter {
+            number,
+            rank: call.rank,
+            objective: call.objective,
+            until: now + self.longest_wait(call.remaining),
+            reason,
+        });
+        self.waiting_since.get_or_insert(now);
+        Arrival::Waits(number)
+    }
+
+    /// Removes a waiting call, for example because its caller has disconnected. A settled call is not affected.
+    pub fn leave(&mut self, number: WaiterNumber) {
+        self.queue.remove(number);
+        if self.queue.len() == 0 {
+            self.waiting_since = None;
+        }
+    }
+
+    /// Admits waiting calls as far as there is capacity, and refuses those that may not wait any longer. Must be called after
+    /// a probe, after the end of a call, and after a call has begun to wait.
+    pub fn settle(&mut self, now: Duration, in_flight: usize) -> Vec<Settlement> {
+        let mut settled = Vec::new();
+        let mut in_flight = in_flight;
+        while let Some(first) = self.queue.first() {
+            if self
+                .shortage(now, first.rank, first.objective, in_flight)
+                .is_some()
+            {
+                break;
+            }
+            self.queue.remove(first.number);
+            self.record_admission(now, first.rank);
+            settled.push((first.number, Ok(())));
+            in_flight += 1;
+        }
+        let mut refused = self.queue.take_expired(now);
+        while count_as_f64(self.queue.len()) > self.max_waiting(now) {
+            refused.extend(self.queue.pop_last());
+        }
+        settled.extend(
+            refused
+                .iter()
+                .map(|waiter| (waiter.number, Err(waiter.reason))),
+        );
+        if self.queue.len() == 0 {
+            self.waiting_since = None;
+        }
+        settled
+    }
+
+    fn record_admission(&mut self, now: Duration, rank: Rank) {
+        self.admitted.add(now);
+        if let Some(state) = self.ranks.get_mut(&rank) {
+            state.last_admitted = now;
+        }
+    }
+
+    /// Returns what the entry lacks for a call, apart from waiting calls.
+    fn shortage(
+        &self,
         now: Duration,
         rank: Rank,
         objective: Duration,
         in_flight: usize,
-    ) -> Result<(), ShedReason> {
+    ) -> Option<ShedReason> {
         let scale = 1.0 - self.settings.higher_ranks_reserve * self.higher_ranks_share(now, rank);
-        let shortage = if self.delay.persistent(now) > self.delay_limit(objective, scale) {
+        if self.delay.persistent(now) > self.delay_limit(objective, scale) {
             Some(ShedReason::Delay)
         } else if self.has_room(in_flight, scale) {
             None
         } else {
             Some(ShedReason::InFlight)
-        };
-        let open_share = self.open_share(now, rank);
-        let interval = Duration::from_secs_f64(self.settings.exception_interval_ms / 1_000.0);
-        let state = self
-            .ranks
-            .entry(rank)
-            .or_insert_with(|| RankState::new(now));
-        state.offered = state.offered(now) + 1.0;
-        state.offered_at = now;
-        state.credit = (state.credit + open_share).min(1.0);
-        let is_open = state.credit >= 1.0;
-        let is_starving = now.saturating_sub(state.last_admitted) >= interval;
-        let refusal = shortage.or((!is_open).then_some(ShedReason::HigherRank));
-        match refusal.filter(|_| !is_starving) {
-            None => {
-                state.last_admitted = now;
-                state.credit = 0.0;
-                Ok(())
-            }
-            Some(reason) => {
-                if shortage.is_some() {
-                    state.last_refused = Some(now);
-                }
-                Err(reason)
-            }
         }
     }
 
+    /// Returns the longest time for which a call with this time until its deadline may wait.
+    fn longest_wait(&self, remaining: Duration) -> Duration {
+        let max = Duration::from_secs_f64(self.settings.max_wait_ms / 1_000.0);
+        remaining.mul_f64(self.settings.wait_share).min(max)
+    }
+
+    /// Returns how many calls may wait: as many as are expected to be admitted within the wait that is acceptable.
+    fn max_waiting(&self, now: Duration) -> f64 {
+        let settings = &self.settings;
+        let standing_after = Duration::from_secs_f64(settings.standing_after_ms / 1_000.0);
+        let is_standing = self
+            .waiting_since
+            .is_some_and(|since| now.saturating_sub(since) >= standing_after);
+        let (wait_ms, min) = if is_standing {
+            (settings.standing_wait_ms, MIN_STANDING)
+        } else {
+            (settings.max_wait_ms, MIN_WAITING)
+        };
+        (self.admitted.per_second(now) * wait_ms / 1_000.0).max(min)
+    }
+
     /// Returns the decayed number of offered calls of some ranks.
     fn offered(&self, now: Duration, ranks: impl RangeBounds<Rank>) -> f64 {
         let states = self.ranks.range(ranks);
-        states.map(|(_, state)| state.offered(now)).sum()
+        states.map(|(_, state)| state.offered.get(now)).sum()
     }
 
     /// Returns the share of the recent calls that had a higher rank.
@@ -348,29 +369,6 @@
         }
     }
 
-    /// Returns the share of the calls of a rank that may be admitted after the refusals of higher ranks.
-    fn open_share(&self, now: Duration, rank: Rank) -> f64 {
-        let shares = self.ranks.range(..rank).filter_map(|(refused, state)| {
-            let since_ms = milliseconds(now.saturating_sub(state.last_refused?));
-            let progress = (since_ms - self.settings.closed_ms) / self.settings.reopening_ms;
-            (progress < 1.0).then(|| self.reopened_share(now, *refused, rank, progress))
-        });
-        shares.fold(1.0, f64::min)
-    }
-
-    /// Returns the admitted share of a rank when the share `progress` of all calls below the rank `refused` is admitted,
-    /// higher ranks first.
-    fn reopened_share(&self, now: Duration, refused: Rank, rank: Rank, progress: f64) -> f64 {
-        let below = self.offered(now, (Bound::Excluded(refused), Bound::Unbounded));
-        let before = self.offered(now, (Bound::Excluded(refused), Bound::Excluded(rank)));
-        let own = self.offered(now, rank..=rank);
-        if own > 0.0 {
-            ((progress * below - before) / own).clamp(0.0, 1.0)
-        } else {
-            progress.max(0.0)
-        }
-    }
-
     /// Returns whether one more call may be in flight, with the limit scaled by `scale`.
     fn has_room(&self, in_flight: usize, scale: f64) -> bool {
         let in_flight = count_as_f64(in_flight);
--- a/crates/emulator/src/entry.rs
+++ b/crates/emulator/src/entry.rs
@@ -1,10 +1,11 @@
 //! Emulated entry: the decision code of `tanagerford-core` with the load summaries that the entry sends and receives.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use tanagerford_core::dispatch::{
     Choice, Demand, GateDecision, LongPromptGate, OverloadGate, Pool, RemainingTime, RetryBudget,
-    ServerSpec,
+    ServerSpec, WaiterNumber,
 };
 use tanagerford_core::exchange::{
     EntryNumber, Exchange, Message, OutgoingMessage, Peer, SummaryContent,
@@ -31,6 +32,8 @@
     long_prompt_gate: LongPromptGate,
     /// Sheds load while the entry is short of processor time; `None` admits every request.
     pub(crate) overload_gate: Option<OverloadGate>,
+    /// Positions of the calls that wait for admission.
+    pub(crate) waiting_calls: BTreeMap<WaiterNumber, usize>,
     placement: Placement,
     round_robin_position: usize,
     pub(crate) exchange: Exchange,
@@ -107,6 +110,7 @@
             service_budget: RetryBudget::default(),
             long_prompt_gate: LongPromptGate::new(policy.gate.clone()),
             overload_gate: policy.overload.clone().map(OverloadGate::new),
+            waiting_calls: BTreeMap::new(),
             placement: policy.placement,
             round_robin_position: index,
             exchange,
--- a/crates/emulator/src/report.rs
+++ b/crates/emulator/src/report.rs
@@ -193,10 +193,11 @@
         }
     }
 
-    /// Returns the largest share of a class's requests that got no complete response in any five seconds.
+    /// Returns the largest share of a class's requests that got no complete response in any five seconds from the second
+    /// `from_s` on.
     #[must_use]
-    pub fn largest_unserved_share(&self, class: usize) -> f64 {
-        let windows = self.class_seconds[class].windows(UNSERVED_WINDOW_S);
+    pub fn largest_unserved_share(&self, class: usize, from_s: usize) -> f64 {
+        let windows = self.class_seconds[class][from_s..].windows(UNSERVED_WINDOW_S);
         let shares = windows.map(|window| {
             let sum = |count: fn(&SecondCounts) -> u32| window.iter().map(count).sum::<u32>();
             f64::from(sum(|second| second.unserved))
--- a/crates/emulator/src/simulation.rs
+++ b/crates/emulator/src/simulation.rs
@@ -8,9 +8,10 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 use tanagerford_core::dispatch::{
-    BUSY_RETRY_AFTER, BudgetLimits, CallNumber, CallOutcome, GATE_POLL_INTERVAL, GateDecision,
-    MAX_ATTEMPTS_PER_CALL, OVERLOAD_RETRY_AFTER, PROBE_INTERVAL, Rank, RemainingTime, ReportedLoad,
-    ServerSpec, lower_ranks_latency, server_number,
+    Arrival, ArrivingCall, BUSY_RETRY_AFTER, BudgetLimits, CallNumber, CallOutcome,
+    GATE_POLL_INTERVAL, GateDecision, MAX_ATTEMPTS_PER_CALL, OVERLOAD_RETRY_AFTER, PROBE_INTERVAL,
+    Rank, RemainingTime, ReportedLoad, ServerSpec, WaiterNumber, lower_ranks_latency,
+    server_number,
 };
 use tanagerford_core::exchange::{EntryNumber, Message};
 use tanagerford_core::ids::ServerId;
@@ -137,6 +138,8 @@
     is_over: bool,
     /// Whether it counts as in flight at its entry.
     is_in_flight: bool,
+    /// Number in the queue of its entry while it waits for admission.
+    waiter: Option<WaiterNumber>,
 }
 
 /// State of a simulation run.
@@ -284,6 +287,7 @@
             left_at: None,
             is_over: false,
             is_in_flight: false,
+            waiter: None,
         };
         let index = self.calls.len();
         self.calls.push(call);
@@ -365,6 +369,7 @@
             let is_busy = gate.is_busy(self.now);
             self.entries[entry].exchange.set_busy(is_busy);
         }
+        self.settle(entry);
         if self.now < self.load.length() {
             self.schedule(self.now + PROBE_INTERVAL, Event::ProbeProcessor(entry));
         }
@@ -400,20 +405,51 @@
         call.arrived_at = self.now;
         call.tried_servers.clear();
         let (entry, target) = (call.entry, call.target);
-        if let Some(gate) = &mut self.entries[entry].overload_gate {
-            call.arrived_at = self.now.saturating_sub(gate.delay().latest(self.now));
-            let (rank, objective) = match target {
-                Target::Engines => (class.rank, longest_objective(self.load, class)),
-                Target::Services => (highest_rank(self.load), milliseconds(class.objective_ms)),
+        let Some(gate) = &mut self.entries[entry].overload_gate else {
+            return self.on_admitted(index);
+        };
+        call.arrived_at = self.now.saturating_sub(gate.delay().latest(self.now));
+        let (rank, objective) = match target {
+            Target::Engines => (class.rank, longest_objective(self.load, class)),
+            Target::Services => (highest_rank(self.load), milliseconds(class.objective_ms)),
+        };
+        let deadline = call.job.at + call.job.caller_timeout;
+        let arriving = ArrivingCall {
+            rank,
+            objective,
+            remaining: deadline.saturating_sub(self.now),
+        };
+        match gate.arrive(self.now, arriving, self.in_flight[entry]) {
+            Arrival::Admitted => self.on_admitted(index),
+            Arrival::Waits(number) => {
+                call.waiter = Some(number);
+                self.entries[entry].waiting_calls.insert(number, index);
+                self.settle(entry);
+            }
+        }
+    }
+
+    /// Carries out the decisions of an entry about its waiting calls.
+    fn settle(&mut self, entry: usize) {
+        let Some(gate) = &mut self.entries[entry].overload_gate else {
+            return;
+        };
+        for (number, decision) in gate.settle(self.now, self.in_flight[entry]) {
+            let Some(index) = self.entries[entry].waiting_calls.remove(&number) else {
+                continue;
             };
-            if gate
-                .admit(self.now, rank, objective, self.in_flight[entry])
-                .is_err()
-            {
-                return self.refuse(index, BUSY_RETRY_AFTER);
+            self.calls[index].waiter = None;
+            match decision {
+                Ok(()) => self.on_admitted(index),
+                Err(_) => self.refuse(index, BUSY_RETRY_AFTER),
             }
         }
-        self.calls[index].is_in_flight = true;
+    }
+
+    fn on_admitted(&mut self, index: CallIndex) {
+        let call = &mut self.calls[index];
+        let (entry, target) = (call.entry, call.target);
+        call.is_in_flight = true;
         self.in_flight[entry] += 1;
         let limits = self.retry_limits;
         self.entries[entry]
@@ -850,6 +886,13 @@
         self.end_flight(index);
         let call = &mut self.calls[index];
         call.is_over = true;
+        if let Some(number) = call.waiter.take() {
+            let entry = &mut self.entries[call.entry];
+            entry.waiting_calls.remove(&number);
+            if let Some(gate) = &mut entry.overload_gate {
+                gate.leave(number);
+            }
+        }
         if call
             .left_at
             .is_some_and(|at| self.now.saturating_sub(at) > DISCONNECT_SLACK)
@@ -864,8 +907,10 @@
     /// Removes a call from those in flight at its entry.
     fn end_flight(&mut self, index: CallIndex) {
         let call = &mut self.calls[index];
+        let entry = call.entry;
         if std::mem::take(&mut call.is_in_flight) {
-            self.in_flight[call.entry] -= 1;
+            self.in_flight[entry] -= 1;
+            self.settle(entry);
         }
     }
 
--- a/crates/emulator/tests/experiment.rs
+++ b/crates/emulator/tests/experiment.rs
@@ -12,6 +12,9 @@
 /// rules state it.
 const MAX_UNSERVED_SHARE: f64 = 1.0 / 12.0;
 
+/// Second of the load of `chats_are_served_in_calm_seconds_after_a_shortage` at which the last burst ends.
+const CALM_FROM_S: usize = 21;
+
 /// Cost settings that the current defaults replaced.
 fn previous_costs() -> Value {
     json!({
@@ -29,6 +32,13 @@
     policies.map(|mut policy| policy.runs.remove(0)).collect()
 }
 
+/// Runs a load with the default settings. Returns the result of each of its seeds.
+fn run_all_seeds(load: &mut Value) -> Vec<RunResult> {
+    load["policies"] = json!([{"name": "current"}]);
+    let load = load::decode(load.to_string().as_bytes()).unwrap();
+    report::experiment(&load).policies.remove(0).runs
+}
+
 /// Runs a load file with the default settings, and with engine times that are assumed instead of learned.
 fn run_with_learned_and_assumed_times(content: &str) -> Vec<RunResult> {
     let policies = json!([
@@ -180,7 +190,7 @@
     let results = run(&load.to_string(), &json!([{"name": "current"}]));
     let (drafts, chats) = (&results[0].classes[0], &results[0].classes[1]);
     let share = |class: &ClassCounts| f64::from(class.refused) / f64::from(class.offered);
-    let unserved = results[0].largest_unserved_share(1);
+    let unserved = results[0].largest_unserved_share(1, 0);
     assert!(
         unserved <= MAX_UNSERVED_SHARE,
         "unserved chats in the worst five seconds: {unserved:.3}; refused in all: {:.3} of chats, {:.3} of drafts",
@@ -191,6 +201,35 @@
     assert!(share(drafts) < 0.75, "refused drafts: {:.3}", share(drafts));
 }
 
+/// Three quarters of the entries have too little processor time in bursts of chats and drafts, and enough for the chats
+/// after them. Guards against chats that are refused in calm seconds because of an earlier shortage.
+#[test]
+fn chats_are_served_in_calm_seconds_after_a_shortage() {
+    let mut load: Value = serde_json::from_str(include_str!("../loads/slow-entries.json")).unwrap();
+    let burst = |at_s: u32, for_s: u32, class: &str, x: f64| json!({"at_s": at_s, "for_s": for_s, "kind": {"burst": {"class": class, "x": x}}});
+    load["disturbances"] = json!([
+        burst(1, 8, "draft", 2.4),
+        burst(9, 8, "chat", 2.8),
+        burst(17, 4, "draft", 2.5)
+    ]);
+    load["length_s"] = json!(30);
+    load["seeds"] = json!([1, 2, 3, 4]);
+    load["processors"]["shares"] = json!([0.5, 0.05, 0.05, 0.05]);
+    load["classes"][0]["rate_per_s"] = json!(60);
+    load["classes"][1]["rate_per_s"] = json!(46);
+    // The second tier follows the three route ranks of the first.
+    for class in load["classes"].as_array_mut().unwrap() {
+        class["rank"] = json!(3 + class["rank"].as_u64().unwrap());
+    }
+    let results = run_all_seeds(&mut load);
+    let shares: Vec<f64> = results
+        .iter()
+        .map(|result| result.largest_unserved_share(1, CALM_FROM_S))
+        .collect();
+    let is_kept = shares.iter().all(|share| *share <= MAX_UNSERVED_SHARE);
+    assert!(is_kept, "unserved chats by seed: {shares:.3?}");
+}
+
 /// Guards against nondeterministic runs, and against requests that are counted twice or not at all.
 #[test]
 fn equal_seeds_give_equal_runs() {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -318,7 +318,7 @@
             admission: None,
         };
         call.demand.rank = call.priority();
-        let admission = self.processor.admit(&call);
+        let admission = self.processor.admit(&call).await;
         self.metrics
             .on_admission(call.shedding_rank(), admission.is_ok());
         match admission {
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -36,8 +36,8 @@
 
 /// Seeds that every run plays.
 const SEEDS: [u64; 2] = [7, 8];
-/// Seeds that failed once, each with its cause.
-const REGRESSIONS: [u64; 0] = [];
+/// Seeds that failed once. 508 and 532: a stall of an entry beside other processes closed it to lower ranks for seconds.
+const REGRESSIONS: [u64; 2] = [508, 532];
 /// Time after the end of a fault during which it may still cause failures: a server that timed out gets no requests for
 /// up to 4 s.
 const SETTLE_TIME: Duration = Duration::from_secs(5);
