Refuse requests with a prompt part that crashes servers

Cause: the quarantine knew a request by workspace, path and body, so evidence from requests that share only a part never added up.

Change: crashes add records to the shared parts of the requests that they interrupt, complete answers clear them, and entries exchange both with their full summaries. Three crashes, each a second after the last that counted, quarantine a part (five if it was cleared before); its crashes count for no other part. Each attempt checks it, so retries and resumed streams are refused too. Callers get 503 quarantined_part with the part and 30 s to come back; log field part, explain, gauge quarantined_parts. An answer without length or chunks clears its parts only if its server still listens.

Why it works: what tells a sound part from a deadly one is a complete answer, which a part that many requests share gets within a second; so crashes of that distance without one add up for the deadly part alone.

Tried: records counted only for requests sent after the part's last crash, and only for the parts with the most records. Crashes a second apart replaced both.

--- a/crates/core/src/exchange.rs
+++ b/crates/core/src/exchange.rs
@@ -106,6 +106,8 @@
     pub parts: Vec<(ServerNumber, PromptPart)>,
     /// Requests suspected of crashing servers, as encoded by [`suspect::wire`](crate::suspect::wire); may be empty.
     pub suspects: Vec<u8>,
+    /// Prompt parts suspected of crashing servers, in the same encoding; empty unless the summary is full.
+    pub suspect_parts: Vec<u8>,
     /// Whether the sender is short of processor time, so that relays send it fewer bundles.
     pub is_busy: bool,
 }
@@ -136,6 +138,8 @@
     pub loads: Vec<(ServerNumber, EntryLoad)>,
     /// Requests suspected of crashing servers, as encoded by [`suspect::wire`](crate::suspect::wire); may be empty.
     pub suspects: Vec<u8>,
+    /// Prompt parts suspected of crashing servers, in the same encoding; may be empty.
+    pub suspect_parts: Vec<u8>,
 }
 
 /// Message between entries.
@@ -256,12 +260,15 @@
         }
     }
 
-    /// Queues a summary. It replaces an older queued summary of the same sender; loads and parts that only the older one
-    /// holds are merged into it.
+    /// Queues a summary. It replaces an older queued summary of the same sender; loads, parts and suspect parts that only the
+    /// older one holds are merged into it.
     fn push(&mut self, now: Duration, summary: &Summary) {
         let mut newer = summary.clone();
         if let Some(older) = self.pending.remove(&summary.boot) {
             newer.parts.splice(0..0, older.parts);
+            if newer.suspect_parts.is_empty() {
+                newer.suspect_parts = older.suspect_parts;
+            }
             if !newer.is_full {
                 let is_updated = |server| newer.loads.iter().any(|(other, _)| *other == server);
                 let mut loads = older.loads;
@@ -448,6 +455,11 @@
         content: &SummaryContent,
     ) -> OutgoingMessage {
         self.sequence += 1;
+        let suspect_parts = if update.is_full {
+            content.suspect_parts.clone()
+        } else {
+            Vec::new()
+        };
         let summary = Summary {
             entry: self.entry,
             boot: self.boot,
@@ -458,6 +470,7 @@
             loads: update.loads,
             parts: update.parts,
             suspects: content.suspects.clone(),
+            suspect_parts,
             is_busy: self.is_busy,
         };
         OutgoingMessage {
--- a/crates/core/src/exchange/wire.rs
+++ b/crates/core/src/exchange/wire.rs
@@ -41,6 +41,8 @@
     era: u64,
     #[prost(bool, tag = "11")]
     is_busy: bool,
+    #[prost(bytes = "vec", tag = "12")]
+    suspect_parts: Vec<u8>,
 }
 
 #[derive(Clone, PartialEq, Eq, prost::Message)]
@@ -88,6 +90,7 @@
             loads: loads.collect(),
             parts: parts.collect(),
             suspects: summary.suspects.clone(),
+            suspect_parts: summary.suspect_parts.clone(),
             is_full: summary.is_full,
             era: summary.store.era,
             is_busy: summary.is_busy,
@@ -124,6 +127,7 @@
             loads: loads.collect(),
             parts: parts.collect(),
             suspects: wire.suspects,
+            suspect_parts: wire.suspect_parts,
             is_full: wire.is_full,
             is_busy: wire.is_busy,
         }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -22,3 +22,4 @@
 pub mod straggler;
 pub mod subset;
 pub mod suspect;
+pub mod suspect_parts;
--- a/crates/core/src/suspect.rs
+++ b/crates/core/src/suspect.rs
@@ -26,6 +26,8 @@
 const EXPIRED_RETENTION: Duration = Duration::from_mins(1);
 /// Time for which summaries include an expired record. It ends well before the record is removed, for the same reason.
 const EXPIRED_SHARING_PERIOD: Duration = Duration::from_secs(30);
+/// Difference between the expiries of a record in two processes that is not worth a merge.
+const EXPIRY_TOLERANCE: Duration = Duration::from_secs(1);
 /// Largest number of unexpired records of one fingerprint, including cleared ones.
 const MAX_RECORDS: usize = 8;
 /// Number of live records from which a request is refused.
@@ -169,10 +171,24 @@
         let prior_crashes =
             |fingerprint: &Fingerprint| self.earlier_crashes(now, *fingerprint, crash_id);
         let max_prior = distinct.keys().map(prior_crashes).max().unwrap_or(0);
-        let suspects: Vec<(Fingerprint, WorkspaceHash)> = distinct
+        let suspects: Vec<RunningRequest> = distinct
             .into_iter()
             .filter(|(fingerprint, _)| prior_crashes(fingerprint) == max_prior)
+            .map(|(fingerprint, workspace)| RunningRequest {
+                fingerprint,
+                workspace,
+            })
             .collect();
+        self.record_crash(now, crash_id, &suspects);
+    }
+
+    /// Adds a record of a crash to each of the distinct requests, whatever records they have.
+    pub(crate) fn record_crash(
+        &mut self,
+        now: Duration,
+        crash_id: CrashId,
+        suspects: &[RunningRequest],
+    ) {
         let share_permille = u16::try_from(1000 / suspects.len().max(1))
             .unwrap_or(1000)
             .max(1);
@@ -181,8 +197,8 @@
             share_permille,
             is_cleared: false,
         };
-        for (fingerprint, workspace) in suspects {
-            self.merge_record(fingerprint, workspace, crash_id, record);
+        for suspect in suspects {
+            self.merge_record(suspect.fingerprint, suspect.workspace, crash_id, record);
         }
         self.enforce_limits(now);
     }
@@ -233,6 +249,31 @@
         Verdict::Normal
     }
 
+    /// Returns all fingerprints, including those whose records are cleared.
+    pub fn fingerprints(&self) -> impl Iterator<Item = Fingerprint> {
+        self.entries.keys().copied()
+    }
+
+    /// Returns the crashes whose records are neither cleared nor expired, each with the time at which it expires.
+    #[must_use]
+    pub fn live_crashes(
+        &self,
+        now: Duration,
+        fingerprint: Fingerprint,
+    ) -> Vec<(CrashId, Duration)> {
+        let records = self.entries.get(&fingerprint).into_iter();
+        let records = records.flat_map(|entry| &entry.records);
+        let live = records.filter(|(_, record)| record.is_live(now));
+        live.map(|(id, record)| (*id, record.expires_at)).collect()
+    }
+
+    /// Returns whether a success has cleared a record that has not expired.
+    #[must_use]
+    pub fn has_cleared_record(&self, now: Duration, fingerprint: Fingerprint) -> bool {
+        let entry = self.entries.get(&fingerprint);
+        entry.is_some_and(|entry| entry.unexpired(now).any(|record| record.is_cleared))
+    }
+
     /// Returns up to `limit` fingerprints with the most recent crashes, to be sent to other processes.
     ///
     /// ```
@@ -265,6 +306,20 @@
         entries
     }
 
+    /// Returns whether merging an entry of a summary would change nothing but the expiry of records, by little.
+    #[must_use]
+    pub fn knows(&self, now: Duration, summary: &SummaryEntry) -> bool {
+        let known = self.entries.get(&summary.fingerprint);
+        summary.records.iter().all(|record| {
+            let known = known.and_then(|entry| entry.records.get(&record.crash_id));
+            known.is_some_and(|known| {
+                let expires_at = (now + RECORD_LIFETIME).saturating_sub(record.age);
+                (known.is_cleared || !record.is_cleared)
+                    && known.expires_at <= expires_at + EXPIRY_TOLERANCE
+            })
+        })
+    }
+
     /// Merges a summary from another process. Merging is commutative and idempotent.
     /// See [`SuspectTable::summary`] for an example.
     pub fn merge(&mut self, now: Duration, summary: &[SummaryEntry]) {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -22,6 +22,7 @@
 use crate::fleet::{BackendServer, PoolState};
 use crate::gateway::Gateway;
 use crate::peers::Summaries;
+use crate::quarantine::ConnectionEnd;
 use crate::refusal::Refusal;
 use crate::relay::Relay;
 
@@ -176,6 +177,12 @@
             {
                 break;
             }
+            if let Some(part) = self.quarantine.quarantined_part(self.fleet.now(), &call) {
+                if attempts.possible_runs > 0 {
+                    break;
+                }
+                return self.refuse_call(&call, Refusal::QuarantinedPart(part));
+            }
             let resume_after = call.resume_after;
             match self
                 .attempt(&call, &pool, &mut attempts, resume_after)
@@ -342,7 +349,7 @@
             }
             Err(error) => {
                 if error == AttemptError::Broken {
-                    self.check_for_crash(call, &sent_call.server);
+                    self.check_for_crash(&sent_call, ConnectionEnd::Broken);
                 }
                 attempts.possible_runs += u32::from(matches!(
                     error,
@@ -353,16 +360,27 @@
         }
     }
 
-    /// Spawns a task that checks whether the server has crashed after a call's connection broke.
-    pub(crate) fn check_for_crash(self: &Arc<Self>, call: &Arc<Call>, server: &Arc<BackendServer>) {
+    /// Spawns a task that checks whether the server has crashed after the connection of a call has ended.
+    pub(crate) fn check_for_crash(self: &Arc<Self>, sent_call: &SentCall, end: ConnectionEnd) {
         let quarantine = Arc::clone(&self.quarantine);
         let fleet = Arc::clone(&self.fleet);
-        let task =
-            quarantine
-                .on_connection_broken(Arc::clone(call), Arc::clone(server), move || fleet.now());
+        let (call, server) = (Arc::clone(&sent_call.call), Arc::clone(&sent_call.server));
+        let task = quarantine.on_connection_end(call, server, end, move || fleet.now());
         self.runtime.spawn(task);
     }
 
+    /// Clears the suspicion of a call that got its answer. An answer that ends with its connection may have been interrupted
+    /// by a crash, so it counts only if the server still listens.
+    pub(crate) fn on_complete_answer(self: &Arc<Self>, started: &StartedResponse) {
+        let sent_call = &started.sent_call;
+        let now = self.fleet.now();
+        if !started.response.ends_with_connection() {
+            self.quarantine.on_success(now, &sent_call.call);
+        } else if self.quarantine.is_suspect(now, &sent_call.call) {
+            self.check_for_crash(sent_call, ConnectionEnd::Ambiguous);
+        }
+    }
+
     /// Chooses a server and adds the call to its load; `None` when no untried server is left.
     fn choose_server(
         &self,
--- a/crates/gateway/src/buffered.rs
+++ b/crates/gateway/src/buffered.rs
@@ -61,9 +61,7 @@
     fn on_complete(&self) {
         self.gateway.record_end(&self.call);
         let status = self.started.response.head.status();
-        self.gateway
-            .quarantine
-            .on_success(self.gateway.fleet.now(), &self.call);
+        self.gateway.on_complete_answer(&self.started);
         tracing::info!(
             target: LOG_TARGET,
             request = self.call.id,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -79,8 +79,8 @@
         settings: GatewaySettings,
         runtime: Handle,
     ) -> Arc<Self> {
-        let quarantine: Arc<Quarantine> = Arc::default();
         let metrics: Arc<Metrics> = Arc::default();
+        let quarantine = Arc::new(Quarantine::new(Arc::clone(&metrics)));
         let processor = ProcessorMonitor::start(&runtime, Arc::clone(&metrics));
         let summaries = Summaries::new(
             &settings.vm,
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -92,6 +92,7 @@
         workspace = info.workspace,
         rank = info.rank,
         reason = refusal.name(),
+        part = refusal.part(),
         shed_reason = info.shed_reason.map(ShedReason::name),
         not_run = refusal.is_not_run(),
         configuration,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -48,6 +48,7 @@
     deadline_overruns: Counter,
     configurations: Family<SourceLabels, Counter>,
     version: Gauge<u64, AtomicU64>,
+    quarantined_parts: Gauge<u64, AtomicU64>,
 }
 
 impl Default for Metrics {
@@ -101,7 +102,14 @@
             "version of the configuration in force",
             version.clone(),
         );
+        let quarantined_parts = Gauge::default();
+        registry.register(
+            "quarantined_parts",
+            "prompt parts whose requests are refused because they crash backend servers",
+            quarantined_parts.clone(),
+        );
         Self {
+            quarantined_parts,
             deadline_overruns,
             configurations,
             version,
@@ -148,6 +156,11 @@
         self.version.set(version);
     }
 
+    pub(crate) fn set_quarantined_parts(&self, count: usize) {
+        let count = u64::try_from(count).unwrap_or(u64::MAX);
+        self.quarantined_parts.set(count);
+    }
+
     pub(crate) fn observe_processor_delay(&self, delay: Duration) {
         self.processor_delay.observe(delay.as_secs_f64());
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -182,6 +182,7 @@
             store: *lock(&self.store_position),
             loads,
             suspects: self.quarantine.summary(self.fleet.now()),
+            suspect_parts: self.quarantine.part_summary(self.fleet.now()),
         }
     }
 
@@ -290,6 +291,9 @@
     fn apply_summary(&self, summary: &Summary) {
         let now = self.gateway.fleet().now();
         self.gateway.quarantine.merge(now, &summary.suspects);
+        self.gateway
+            .quarantine
+            .merge_parts(now, &summary.suspect_parts);
         for (_, pool) in self.gateway.fleet().pools() {
             summary.apply_to(now, &mut pool.load_view());
         }
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use tanagerford_core::dispatch::{BUSY_RETRY_AFTER, OVERLOAD_RETRY_AFTER};
+use tanagerford_core::dispatch::{BUSY_RETRY_AFTER, OVERLOAD_RETRY_AFTER, PartId};
+
+use crate::quarantine::part_name;
 
 /// Reason why the entry creates the response itself instead of forwarding a server's.
 ///
@@ -29,6 +31,8 @@
     Busy,
     /// The request crashed the servers that ran it.
     Quarantined,
+    /// Servers crashed that answered requests with this part of the prompt.
+    QuarantinedPart(PartId),
     /// The deadline passed before the request was sent to a server.
     Expired,
     /// A server may have run the request and returned no usable response.
@@ -52,12 +56,22 @@
             Self::Overloaded => "overloaded",
             Self::Busy => "entry_busy",
             Self::Quarantined => "quarantined",
+            Self::QuarantinedPart(_) => "quarantined_part",
             Self::Expired => "expired",
             Self::ServerFailed => "server_failed",
             Self::TimedOut => "timed_out",
         }
     }
 
+    /// Returns the name of the prompt part that causes the refusal: its identifier in hexadecimal.
+    #[must_use]
+    pub fn part(self) -> Option<String> {
+        match self {
+            Self::QuarantinedPart(part) => Some(part_name(part)),
+            _ => None,
+        }
+    }
+
     /// Returns whether the request is certain not to have run.
     ///
     /// # Examples
@@ -82,7 +96,7 @@
             Self::NoServer => Some(Duration::from_millis(150)),
             Self::Overloaded => Some(OVERLOAD_RETRY_AFTER),
             Self::Busy => Some(BUSY_RETRY_AFTER),
-            Self::Quarantined => Some(Duration::from_secs(30)),
+            Self::Quarantined | Self::QuarantinedPart(_) => Some(Duration::from_secs(30)),
             _ => None,
         }
     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -16,6 +16,7 @@
 use crate::events::EventSplitter;
 use crate::fleet::PoolState;
 use crate::gateway::Gateway;
+use crate::quarantine::ConnectionEnd;
 
 /// Time without data from the server after which a resumable stream is resumed at another server.
 const RESUME_IDLE_TIMEOUT: Duration = Duration::from_millis(800);
@@ -86,10 +87,7 @@
                     Some((Ok(data), Some(relay)))
                 }
                 Ok(None) => {
-                    let gateway = &relay.gateway;
-                    gateway
-                        .quarantine
-                        .on_success(gateway.fleet.now(), &relay.call);
+                    relay.gateway.on_complete_answer(&relay.started);
                     relay.log_end("answered");
                     None
                 }
@@ -200,8 +198,9 @@
             .load_view()
             .on_outcome(self.gateway.fleet.now(), server, outcome);
         if matches!(error, RelayError::Broken) {
-            let server = &self.started.sent_call.server;
-            self.gateway.check_for_crash(&self.call, server);
+            let sent_call = &self.started.sent_call;
+            self.gateway
+                .check_for_crash(sent_call, ConnectionEnd::Broken);
         }
         if self.call.retry_policy() != RetryPolicy::Resumable {
             return Err(error);
@@ -217,6 +216,11 @@
             {
                 return Err(error);
             }
+            let now = self.gateway.fleet.now();
+            let quarantine = &self.gateway.quarantine;
+            if quarantine.quarantined_part(now, &self.call).is_some() {
+                return Err(error);
+            }
             let after = self.events.last_id();
             let attempt = self
                 .gateway
--- a/crates/http/src/connection_pool.rs
+++ b/crates/http/src/connection_pool.rs
@@ -10,9 +10,9 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::{HeaderMap, Request, Response};
+use http::{HeaderMap, Request, Response, header};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
@@ -68,6 +68,7 @@
     /// Status and headers of the response.
     pub head: Response<()>,
     body: Incoming,
+    ends_with_connection: bool,
     connection: Option<SendRequest<Full<Bytes>>>,
     address: SocketAddr,
     pool: Arc<ConnectionPool>,
@@ -123,9 +124,12 @@
         response: Response<Incoming>,
     ) -> PooledResponse {
         let (parts, body) = response.into_parts();
+        let has_length = body.is_end_stream() || body.size_hint().exact().is_some();
+        let is_chunked = parts.headers.contains_key(header::TRANSFER_ENCODING);
         PooledResponse {
             head: Response::from_parts(parts, ()),
             body,
+            ends_with_connection: !has_length && !is_chunked,
             connection: Some(sender),
             address,
             pool: Arc::clone(self),
@@ -203,6 +207,13 @@
 }
 
 impl PooledResponse {
+    /// Returns whether the body has neither a length nor chunks and ends with the connection, so that its end does not show
+    /// whether it is complete.
+    #[must_use]
+    pub fn ends_with_connection(&self) -> bool {
+        self.ends_with_connection
+    }
+
     /// Reads the next chunk of the body; `None` at its end.
     ///
     /// # Errors
--- a/crates/operator/src/explain/history.rs
+++ b/crates/operator/src/explain/history.rs
@@ -249,6 +249,9 @@
                 "overloaded" => "no server could take it",
                 "entry_busy" => "the entry was short of processor time",
                 "quarantined" => "requests with the same content crashed servers",
+                "quarantined_part" => {
+                    "servers crashed that answered requests with a part of its prompt"
+                }
                 "expired" => "its time was up before it was sent to a server",
                 "server_failed" => "a server failed after the request was sent",
                 "timed_out" => "its time was up while a server was working on it",
