Bound the head of a server's answer to 64 KiB

A server that sends a head without end made an entry buffer about 400 KiB for each connection, the default of the HTTP library; a small VM of the users has 96 MB, and 100 such connections would take 40 MB of it.

Change: connections to servers read at most 64 KiB ahead. A longer head breaks the attempt; its server counts as failing and its connection is closed. The pool also states that a connection whose answer had neither a length nor chunks is not used again; no failure was seen there, the closed connection was dropped before.

Test: a_head_beyond_its_limit_is_refused, with heads of 48 KiB and 100 KiB, got 200 in place of 502 before. The other 7 of 8 tests of answer_end.rs pass before and after: answers that end with their connection (stream, buffered), a stream that ends inside an event (resumed, or cut where it may run once), heads, bodies and events without end, and callers that leave.

--- a/crates/http/src/connection_pool.rs
+++ b/crates/http/src/connection_pool.rs
@@ -32,6 +32,9 @@
 /// Fraction (numerator, denominator) of the server's idle timeout during which a connection is reused. The margin
 /// keeps a request from being sent while the server closes the connection.
 const REUSE_FRACTION: (u32, u32) = (1, 2);
+/// Size limit of the head of a response, and of the bytes that a connection reads ahead. Without it, the HTTP library
+/// buffers about 400 KiB, and 100 servers that send a head without end would fill the memory of a small VM.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// Maximum number of idle connections per address; the oldest one is closed first.
 const MAX_IDLE_PER_ADDRESS: usize = 32;
 
@@ -175,7 +178,10 @@
         let connected = connected.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()));
         let stream = connected.map_err(ExchangeError::Connect)?;
         configure(&stream).map_err(ExchangeError::Connect)?;
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let handshake = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await;
         let (sender, connection) = handshake.map_err(|_| ExchangeError::NotSent)?;
         self.runtime.spawn(async move {
             if let Err(error) = connection.await {
@@ -235,7 +241,7 @@
         let Some(sender) = self.connection.take() else {
             return;
         };
-        if !sender.is_closed() {
+        if !self.ends_with_connection && !sender.is_closed() {
             self.pool
                 .put_idle(self.address, sender, self.head.headers());
         }
