Name the quarantined part in the explanation of a refusal

An operator who asks why a request was refused as quarantined_part saw that a part crashes servers, not which one, although the log line has it. Test: the_quarantined_part_is_named (5 of 5 tests of explain pass); it fails before with the explanation without the part.

--- a/crates/operator/src/explain/history.rs
+++ b/crates/operator/src/explain/history.rs
@@ -257,8 +257,11 @@
                 "timed_out" => "its time was up while a server was working on it",
                 _ => "the reason is not known to this program",
             };
+            let part = last
+                .text("part")
+                .map_or_else(String::new, |part| format!(" (part {part})"));
             format!(
-                "refused by the entry after {} ms ({}): {text}; {execution}",
+                "refused by the entry after {} ms ({}): {text}{part}; {execution}",
                 field("after_ms"),
                 field("reason")
             )
--- a/crates/operator/tests/explain.rs
+++ b/crates/operator/tests/explain.rs
@@ -89,6 +89,17 @@
     );
 }
 
+/// Guards against callers of a quarantined part who cannot be told which part it is.
+#[test]
+fn the_quarantined_part_is_named() {
+    let line = r#"{"message":"refused","request":"id-1","reason":"quarantined_part","part":"2702d2158524","not_run":true,"after_ms":"1"}"#;
+    let mut history = RequestHistory::new("id-1");
+    history.add(parse(line).unwrap());
+    let text = history.explain().unwrap().text();
+    let expected = "servers crashed that answered requests with a part of its prompt (part 2702d2158524); it has not run";
+    assert!(text.contains(expected), "{text}");
+}
+
 /// Guards against log lines that are ignored because their prefix is absent or has another format.
 #[test]
 fn prefixes_are_optional() {
