Require five separate crashes of a part that an answer has cleared

Seen in the read-through: the five crashes were compared with all crashes of the part, and only three had to be a second apart, so that a few servers which fail together could convict a part that answers had proved sound.

Change: the required number is compared with the separate, unexplained crashes. The gauge quarantined_parts is set when it is read, because a quarantine can end by time alone.

--- a/crates/core/src/suspect_parts.rs
+++ b/crates/core/src/suspect_parts.rs
@@ -1,8 +1,8 @@
 //! Quarantine of prompt parts that crash each backend server that begins to answer a request with them.
 //!
 //! A crash adds a record to the prompt parts of the requests that it interrupted, and a complete answer clears the records
-//! of the parts of its request. A part is quarantined with three crashes, or with five if it was
-//! cleared before. Two rules keep sound parts out:
+//! of the parts of its request. A part is quarantined with three crashes, or with five if an answer has cleared it before.
+//! Two rules keep sound parts out:
 //!
 //! - Crashes count separately only if they are a second apart. Several servers that fail at once therefore count as one, and
 //!   a part that other requests share is cleared before the next crash counts.
@@ -214,19 +214,19 @@
                 let crashes = &mut candidate.crashes;
                 crashes.retain(|(crash, _)| !explained.contains(crash));
             }
-            // Among equals, the smallest identifier is first, so that all entries choose the same part.
-            let first = candidates.iter().max_by_key(|candidate| {
-                (candidate.separate_expiries().len(), Reverse(candidate.part))
+            let guilty = candidates.iter().filter_map(|candidate| {
+                let expiries = candidate.separate_expiries();
+                // The quarantine ends when too few crashes are left.
+                let end = expiries.len().checked_sub(candidate.required)?;
+                Some((candidate, expiries.len(), expiries[end]))
             });
-            let Some(first) = first else {
+            // Among equals, the smallest identifier is first, so that all entries choose the same part.
+            let first =
+                guilty.max_by_key(|(candidate, crashes, _)| (*crashes, Reverse(candidate.part)));
+            let Some((first, _, end)) = first else {
                 break;
             };
-            let expiries = first.separate_expiries();
-            if expiries.len() < QUARANTINE_CRASHES {
-                break;
-            }
-            // The quarantine ends when too few crashes are left.
-            quarantined.insert(first.part, expiries[expiries.len() - QUARANTINE_CRASHES]);
+            quarantined.insert(first.part, end);
             explained.extend(first.crashes.iter().map(|(crash, _)| *crash));
         }
         let before = std::mem::replace(&mut self.quarantined, quarantined);
--- a/crates/core/tests/suspect_parts.rs
+++ b/crates/core/tests/suspect_parts.rs
@@ -412,6 +412,23 @@
     assert!(suspects.quarantined(ms(1_100)).is_empty());
 }
 
+/// Guards against a part that answers have proved sound, and that a few servers which fail at about the same time convict.
+#[test]
+fn a_part_that_an_answer_has_cleared_needs_five_separate_crashes() {
+    let mut suspects = SuspectParts::default();
+    suspects.on_crash(ms(1_000), 1, [10]);
+    suspects.on_complete_answer(ms(1_500), &[10]);
+    let crashes = (2..).zip([2_000, 2_100, 2_200, 3_100, 4_200, 5_300, 6_400]);
+    let quarantined_after: Vec<u64> = crashes
+        .filter(|(crash, at)| {
+            suspects.on_crash(ms(*at), *crash, [10]);
+            !suspects.quarantined(ms(*at)).is_empty()
+        })
+        .map(|(_, at)| at)
+        .collect();
+    assert_eq!(quarantined_after, [6_400]);
+}
+
 /// Guards against a part that stays refused after its fault is mended, and against a single complete answer that does not
 /// count.
 #[test]
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -80,7 +80,7 @@
         runtime: Handle,
     ) -> Arc<Self> {
         let metrics: Arc<Metrics> = Arc::default();
-        let quarantine = Arc::new(Quarantine::new(Arc::clone(&metrics)));
+        let quarantine: Arc<Quarantine> = Arc::default();
         let processor = ProcessorMonitor::start(&runtime, Arc::clone(&metrics));
         let summaries = Summaries::new(
             &settings.vm,
@@ -225,6 +225,9 @@
     /// Returns the metrics in the `OpenMetrics` text format.
     #[must_use]
     pub fn metrics_text(&self) -> String {
+        // The quarantine of a part can end by time alone.
+        let parts = self.quarantine.quarantined_parts(self.fleet.now());
+        self.metrics.set_quarantined_parts(parts.len());
         self.metrics.text()
     }
 
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -21,7 +21,6 @@
 
 use crate::call::Call;
 use crate::fleet::BackendServer;
-use crate::metrics::Metrics;
 
 /// Delay between a broken connection and the check of its server. The other connections of a crashed server break
 /// within this time, so that one check covers all its calls.
@@ -32,13 +31,12 @@
 const MAX_SUMMARY_SUSPECTS: usize = 16;
 
 /// Requests that this entry or its peers suspect of crashing servers.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Quarantine {
     table: Mutex<SuspectTable>,
     parts: Mutex<SuspectParts>,
     /// Calls with a broken connection whose server is yet to be checked.
     unchecked_calls: Mutex<HashMap<ServerId, Vec<LostCall>>>,
-    metrics: Arc<Metrics>,
 }
 
 /// Call whose connection ended at its server.
@@ -106,15 +104,6 @@
 }
 
 impl Quarantine {
-    pub(crate) fn new(metrics: Arc<Metrics>) -> Self {
-        Self {
-            table: Mutex::default(),
-            parts: Mutex::default(),
-            unchecked_calls: Mutex::default(),
-            metrics,
-        }
-    }
-
     /// Returns the part for which the call is quarantined, if any.
     pub(crate) fn quarantined_part(&self, now: Duration, call: &Call) -> Option<PartId> {
         let parts = lock(&self.parts);
@@ -130,27 +119,6 @@
         lock(&self.parts).quarantined(now)
     }
 
-    /// Logs and counts changes of the quarantine of parts.
-    fn on_part_changes(&self, now: Duration, changes: &[QuarantineChange]) {
-        if changes.is_empty() {
-            return;
-        }
-        for change in changes {
-            match change {
-                QuarantineChange::Began(part) => tracing::warn!(
-                    part = part_name(*part),
-                    "prompt part is quarantined; servers crashed that answered requests with it"
-                ),
-                QuarantineChange::Ended(part) => tracing::info!(
-                    part = part_name(*part),
-                    "prompt part is no longer quarantined"
-                ),
-            }
-        }
-        let count = self.quarantined_parts(now).len();
-        self.metrics.set_quarantined_parts(count);
-    }
-
     /// Returns whether the call is quarantined.
     pub(crate) fn refuses(&self, now: Duration, call: &Call) -> bool {
         let table = lock(&self.table);
@@ -183,7 +151,7 @@
     fn clear(&self, now: Duration, fingerprint: Fingerprint, parts: &[PartId]) {
         lock(&self.table).on_success(now, fingerprint);
         let changes = lock(&self.parts).on_complete_answer(now, parts);
-        self.on_part_changes(now, &changes);
+        log_part_changes(&changes);
     }
 
     /// Checks whether the server has crashed after the connection of a call has ended. `now` returns the time of the fleet's
@@ -234,7 +202,7 @@
         lock(&self.table).on_crash(now, crash_id, &requests);
         let parts = lost_calls.into_iter().flat_map(|lost| lost.parts);
         let changes = lock(&self.parts).on_crash(now, crash_id, parts);
-        self.on_part_changes(now, &changes);
+        log_part_changes(&changes);
     }
 
     /// Returns the encoded newest suspects for the other entries; empty when there are none.
@@ -288,7 +256,7 @@
             return;
         };
         let changes = lock(&self.parts).merge(now, &entries);
-        self.on_part_changes(now, &changes);
+        log_part_changes(&changes);
     }
 
     /// Returns the fingerprints of requests whose verdict is not [`Verdict::Normal`], with their verdicts.
@@ -315,3 +283,19 @@
         _ => ServerCheck::Unknown,
     }
 }
+
+/// Logs the changes of the quarantine of parts.
+fn log_part_changes(changes: &[QuarantineChange]) {
+    for change in changes {
+        match change {
+            QuarantineChange::Began(part) => tracing::warn!(
+                part = part_name(*part),
+                "prompt part is quarantined; servers crashed that answered requests with it"
+            ),
+            QuarantineChange::Ended(part) => tracing::info!(
+                part = part_name(*part),
+                "prompt part is no longer quarantined"
+            ),
+        }
+    }
+}
