Find the deadly part while most servers crash

Cause: within five seconds nearly all servers crashed, so no answer was complete any more, and a part that all requests share met every crash, of either deadly part. It had the most unexplained crashes and explained those of the deadly one.

Change: entries remember parts of requests with a complete answer for ten minutes. The first crash of such a part is cleared at once, and it takes four more. The part with the most crashes beyond the required ones goes first. A part keeps up to 32 crashes, of which summaries hold the newest 8. Crashes count separately half a second apart, not a second.

Why it works: the deadly part is the one that no answer was ever known of, so it is found with its third crash, before the shared parts reach their fifth, and its crashes then count for no other part.

--- a/crates/core/src/suspect.rs
+++ b/crates/core/src/suspect.rs
@@ -28,7 +28,7 @@
 const EXPIRED_SHARING_PERIOD: Duration = Duration::from_secs(30);
 /// Difference between the expiries of a record in two processes that is not worth a merge.
 const EXPIRY_TOLERANCE: Duration = Duration::from_secs(1);
-/// Largest number of unexpired records of one fingerprint, including cleared ones.
+/// Default of the largest number of unexpired records of one fingerprint, including cleared ones.
 const MAX_RECORDS: usize = 8;
 /// Number of live records from which a request is refused.
 const REFUSAL_RECORDS: usize = 2;
@@ -139,12 +139,19 @@
 /// assert_eq!(table.verdict(now, 1), Verdict::Normal);
 /// assert_eq!(table.verdict(now, 2), Verdict::Refuse);
 /// ```
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SuspectTable {
     limits: SuspectLimits,
+    max_records: usize,
     entries: BTreeMap<Fingerprint, Entry>,
 }
 
+impl Default for SuspectTable {
+    fn default() -> Self {
+        Self::new(SuspectLimits::default())
+    }
+}
+
 impl SuspectTable {
     /// Creates an empty table.
     ///
@@ -157,10 +164,20 @@
     pub fn new(limits: SuspectLimits) -> Self {
         Self {
             limits,
+            max_records: MAX_RECORDS,
             entries: BTreeMap::new(),
         }
     }
 
+    /// Changes the largest number of records of one fingerprint.
+    #[must_use]
+    pub(crate) fn with_max_records(self, max_records: usize) -> Self {
+        Self {
+            max_records,
+            ..self
+        }
+    }
+
     /// Records that a server crashed while the requests `running` ran there. Repeated reports of a crash have no effect.
     /// See [`SuspectTable`] for an example.
     pub fn on_crash(&mut self, now: Duration, crash_id: CrashId, running: &[RunningRequest]) {
@@ -240,7 +257,7 @@
             .records
             .values()
             .filter(|record| record.expires_at > now);
-        if unexpired.count() >= MAX_RECORDS {
+        if unexpired.count() >= self.max_records {
             // Further crashes cannot be recorded, so the request stays isolated in spite of its successes.
             return Verdict::Isolate {
                 max_other_requests: 0,
@@ -267,6 +284,14 @@
         live.map(|(id, record)| (*id, record.expires_at)).collect()
     }
 
+    /// Clears the record of one crash.
+    pub(crate) fn clear_record(&mut self, fingerprint: Fingerprint, crash_id: CrashId) {
+        let entry = self.entries.get_mut(&fingerprint);
+        if let Some(record) = entry.and_then(|entry| entry.records.get_mut(&crash_id)) {
+            record.is_cleared = true;
+        }
+    }
+
     /// Returns whether a success has cleared a record that has not expired.
     #[must_use]
     pub fn has_cleared_record(&self, now: Duration, fingerprint: Fingerprint) -> bool {
--- a/crates/core/src/suspect/limits.rs
+++ b/crates/core/src/suspect/limits.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use super::{CrashId, EXPIRED_RETENTION, Entry, MAX_RECORDS, SuspectTable, WorkspaceHash};
+use super::{CrashId, EXPIRED_RETENTION, Entry, SuspectTable, WorkspaceHash};
 use crate::ids::Fingerprint;
 
 /// Largest size of the table including expired entries, as a multiple of the entry limit.
@@ -31,10 +31,10 @@
 impl Entry {
     /// Removes records past their retention, and excess records by ascending crash identifier. Because the choice
     /// depends on the identifiers alone, a removed record does not reappear by a merge.
-    fn trim(&mut self, now: Duration) {
+    fn trim(&mut self, now: Duration, max_records: usize) {
         self.records
             .retain(|_, record| now < record.expires_at + EXPIRED_RETENTION);
-        let excess = self.unexpired(now).count().saturating_sub(MAX_RECORDS);
+        let excess = self.unexpired(now).count().saturating_sub(max_records);
         let unexpired = self
             .records
             .iter()
@@ -53,7 +53,7 @@
     /// that a workspace can only displace entries of workspaces that have at least as many.
     pub(super) fn enforce_limits(&mut self, now: Duration) {
         for entry in self.entries.values_mut() {
-            entry.trim(now);
+            entry.trim(now, self.max_records);
         }
         self.entries.retain(|_, entry| !entry.records.is_empty());
 
--- a/crates/core/src/suspect_parts.rs
+++ b/crates/core/src/suspect_parts.rs
@@ -1,13 +1,15 @@
 //! Quarantine of prompt parts that crash each backend server that begins to answer a request with them.
 //!
 //! A crash adds a record to the prompt parts of the requests that it interrupted, and a complete answer clears the records
-//! of the parts of its request. A part is quarantined with three crashes, or with five if an answer has cleared it before.
-//! Two rules keep sound parts out:
+//! of the parts of its request. A part is quarantined with three crashes. Three rules keep sound parts out:
 //!
-//! - Crashes count separately only if they are a second apart. Several servers that fail at once therefore count as one, and
+//! - A part of which an entry knows a complete answer is probably sound, or has become deadly since. Its first crash is
+//!   cleared at once, and it takes four more to quarantine it. Otherwise a part that all requests share would meet each crash
+//!   and be quarantined in place of the deadly one while no answer is complete any more.
+//! - Crashes count separately only if they are half a second apart. Several servers that fail at once therefore count as one, and
 //!   a part that other requests share is cleared before the next crash counts.
 //! - A crash that a quarantined part explains is no evidence against other parts. The part with the most unexplained
-//!   crashes is quarantined first, so the companions of a deadly part stay out.
+//!   crashes beyond the required ones is quarantined first, so the companions of a deadly part stay out.
 //!
 //! Records are merged between entries like those of [`SuspectTable`], on which this table builds.
 
@@ -20,15 +22,22 @@
 
 /// Number of unexplained crashes from which a part is quarantined.
 const QUARANTINE_CRASHES: usize = 3;
-/// The same for a part that complete answers have cleared before. It is probably sound, or has become deadly since.
-const QUARANTINE_CRASHES_OF_CLEARED: usize = 5;
-/// Time between two crashes that count separately. It is longer than the propagation of a record and of the complete answer
-/// that clears it.
-const CRASH_SPACING: Duration = Duration::from_secs(1);
+/// The same for a part that a complete answer has cleared before.
+const QUARANTINE_CRASHES_OF_CLEARED: usize = 4;
+/// Time for which a complete answer to a request with a part is remembered.
+const ANSWER_MEMORY: Duration = Duration::from_mins(10);
+/// Largest number of parts whose complete answers are remembered.
+const MAX_ANSWERED_PARTS: usize = 1024;
+/// Time between two crashes that count separately. Servers that fail together, such as a rack, do so within this time.
+const CRASH_SPACING: Duration = Duration::from_millis(500);
 /// Largest number of parts in the table. The parts with the fewest crashes are removed first.
 const MAX_PARTS: usize = 512;
-/// Largest number of parts in a summary.
+/// Largest number of crashes of one part. With a few of them, those of a part that crashes several servers a second would
+/// lie less than [`CRASH_SPACING`] apart.
+const MAX_CRASHES: usize = 32;
+/// Largest number of parts in a summary, and of the newest crashes of one part.
 const MAX_SUMMARY_PARTS: usize = 32;
+const MAX_SUMMARY_CRASHES: usize = 8;
 /// Time after a change during which all summaries hold the parts.
 const CHANGE_SHARING_TIME: Duration = Duration::from_secs(2);
 /// Period after that in which the parts are sent for [`REPEAT_SHARING_TIME`], for entries that missed them or have just
@@ -69,6 +78,8 @@
     table: SuspectTable,
     /// Quarantined parts with the time of the end.
     quarantined: BTreeMap<PartId, Duration>,
+    /// Parts of requests with a complete answer, each with the time of the last one.
+    answered: BTreeMap<PartId, Duration>,
     changed_at: Duration,
 }
 
@@ -78,8 +89,10 @@
             table: SuspectTable::new(SuspectLimits {
                 entries: MAX_PARTS,
                 workspace_entries: MAX_PARTS,
-            }),
+            })
+            .with_max_records(MAX_CRASHES),
             quarantined: BTreeMap::new(),
+            answered: BTreeMap::new(),
             changed_at: Duration::ZERO,
         }
     }
@@ -110,6 +123,9 @@
 
     /// Clears the parts of a request that got its complete answer.
     pub fn on_complete_answer(&mut self, now: Duration, parts: &[PartId]) -> Vec<QuarantineChange> {
+        for part in parts {
+            self.remember_answer(now, *part);
+        }
         if !self.is_suspect(now, parts) {
             return Vec::new();
         }
@@ -119,6 +135,34 @@
         self.update(now)
     }
 
+    fn remember_answer(&mut self, now: Duration, part: PartId) {
+        self.answered.insert(part, now);
+        if self.answered.len() > MAX_ANSWERED_PARTS {
+            let oldest = self.answered.iter().min_by_key(|(_, at)| **at);
+            if let Some(oldest) = oldest.map(|(part, _)| *part) {
+                self.answered.remove(&oldest);
+            }
+        }
+    }
+
+    /// Clears the first crash of each part of which a complete answer is known.
+    fn clear_answered_parts(&mut self, now: Duration) {
+        let is_recent = |at: &Duration| now.saturating_sub(*at) < ANSWER_MEMORY;
+        let answered = self.table.fingerprints();
+        let answered = answered.filter(|part| self.answered.get(part).is_some_and(is_recent));
+        let first_crashes: Vec<(PartId, CrashId)> = answered
+            .filter(|part| !self.table.has_cleared_record(now, *part))
+            .filter_map(|part| {
+                let crashes = self.table.live_crashes(now, part);
+                let first = crashes.iter().min_by_key(|(_, expiry)| *expiry)?;
+                Some((part, first.0))
+            })
+            .collect();
+        for (part, crash) in first_crashes {
+            self.table.clear_record(part, crash);
+        }
+    }
+
     /// Returns whether no crash is recorded.
     #[must_use]
     pub fn is_empty(&self) -> bool {
@@ -176,6 +220,10 @@
             Reverse(live.count())
         });
         entries.truncate(MAX_SUMMARY_PARTS);
+        for entry in &mut entries {
+            entry.records.sort_by_key(|record| record.age);
+            entry.records.truncate(MAX_SUMMARY_CRASHES);
+        }
         entries
     }
 
@@ -193,6 +241,7 @@
     /// Determines the quarantined parts again and returns the changes.
     fn update(&mut self, now: Duration) -> Vec<QuarantineChange> {
         self.changed_at = now;
+        self.clear_answered_parts(now);
         let mut candidates: Vec<Candidate> = self
             .table
             .fingerprints()
@@ -218,11 +267,11 @@
                 let expiries = candidate.separate_expiries();
                 // The quarantine ends when too few crashes are left.
                 let end = expiries.len().checked_sub(candidate.required)?;
-                Some((candidate, expiries.len(), expiries[end]))
+                Some((candidate, end, expiries[end]))
             });
             // Among equals, the smallest identifier is first, so that all entries choose the same part.
             let first =
-                guilty.max_by_key(|(candidate, crashes, _)| (*crashes, Reverse(candidate.part)));
+                guilty.max_by_key(|(candidate, excess, _)| (*excess, Reverse(candidate.part)));
             let Some((first, _, end)) = first else {
                 break;
             };
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -138,9 +138,14 @@
 
     /// Clears the suspicion of a call that got its complete answer, and of the parts of its prompt.
     pub(crate) fn on_success(&self, now: Duration, call: &Call) {
-        if !self.is_empty() {
-            let fingerprint = running_request(call).fingerprint;
-            self.clear(now, fingerprint, &shared_parts(call));
+        let has_suspects = !lock(&self.table).is_empty();
+        if has_suspects {
+            lock(&self.table).on_success(now, running_request(call).fingerprint);
+        }
+        let parts = shared_parts(call);
+        if !parts.is_empty() {
+            let changes = lock(&self.parts).on_complete_answer(now, &parts);
+            log_part_changes(&changes);
         }
     }
 
