--- a/crates/core/src/dispatch/overload.rs
+++ b/crates/core/src/dispatch/overload.rs
@@ -140,8 +140,8 @@
 /// The limit of calls in flight follows additive increase and multiplicative decrease. The limit is needed because a
 /// call causes most of its work after admission, when the delay does not show it yet.
 ///
-/// No call is admitted while a call of a higher rank waits, so the order of ranks does not depend on the moment at which a
-/// call arrives. The entry is open again as soon as no call waits.
+/// Apart from the exceptions that prevent starvation, no call is admitted while a call of a higher rank waits, so the order
+/// of ranks does not depend on the moment at which a call arrives. The entry is open again as soon as no call waits.
 ///
 /// The queue absorbs short shortages. As in `CoDel` (RFC 8289), a queue that does not drain for a while is a standing one,
 /// which only adds delay; it is cut to the calls that are expected to be admitted soon. The oldest call of the lowest rank
