End a body without end at its deadline

Cause: the deadline was the time limit of each read, and a read whose bytes are ready never times out, so a server that always has bytes goes on past the route's timeout until the caller leaves. Alike for buffered answers and streams.

Change: bytes that are read 250 ms after the deadline or later end the call with timed_out. An answer that is ready just after the deadline is still delivered.

--- a/crates/gateway/src/buffered.rs
+++ b/crates/gateway/src/buffered.rs
@@ -47,6 +47,7 @@
         let remaining = deadline.saturating_duration_since(Instant::now());
         let response = &mut self.started.response;
         let result = match timeout(remaining, response.next_chunk()).await {
+            Ok(Ok(Some(_))) if self.call.is_overdue() => Err(Refusal::TimedOut),
             Ok(chunk) => chunk.map_err(|_| Refusal::ServerFailed),
             Err(_) => Err(Refusal::TimedOut),
         };
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
@@ -12,6 +12,9 @@
 use crate::processor::AdmissionGuard;
 use crate::table::{Route, Workspace};
 
+/// Time after the deadline during which an answer that is ready is still forwarded.
+const LATE_ANSWER_TIME: Duration = Duration::from_millis(250);
+
 /// Identifier that a caller assigns to one attempt of a request.
 pub type CallId = String;
 
@@ -88,6 +91,13 @@
         self.caller_deadline.map_or(timeout, |end| end.min(timeout))
     }
 
+    /// Returns whether the deadline passed so long ago that bytes which are ready are no longer forwarded. Just after the
+    /// deadline they may complete an answer; without a limit, a body without end would go on for ever, since a read that is
+    /// ready never times out.
+    pub(crate) fn is_overdue(&self) -> bool {
+        Instant::now() > self.deadline() + LATE_ANSWER_TIME
+    }
+
     /// Returns the rank of the call; 0 is served first. Calls are ordered by the rank of the workspace, then by the
     /// rank of the route.
     #[must_use]
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -181,6 +181,7 @@
         };
         let response = &mut self.started.response;
         match timeout(wait, response.next_chunk()).await {
+            Ok(Ok(Some(_))) if self.call.is_overdue() => Err(RelayError::Expired),
             Ok(chunk) => chunk.map_err(|_| RelayError::Broken),
             Err(_) => Err(error),
         }
