Log the limits that servers name

The entries' logs did not tell that a server had named a limit, so an on-call engineer could not see from them whether an entry knew of it. The platform's codec now decodes Server-Limit, and an entry logs when a limit begins, changes or ends. The newer of two statements holds where their order is known from the times of request and answer, otherwise the stricter.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod pool;
 pub mod retry;
 pub mod routing;
+pub mod server_limit;
 pub mod store_position;
 pub mod straggler;
 pub mod subset;
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -21,6 +21,7 @@
 use crate::codec::{AttemptContext, Codec, ResponseHead};
 use crate::fleet::{BackendServer, PoolState};
 use crate::gateway::Gateway;
+use crate::limits::LimitHeader;
 use crate::peers::Summaries;
 use crate::quarantine::ConnectionEnd;
 use crate::refusal::Refusal;
@@ -472,6 +473,12 @@
                 .load_view()
                 .on_load(self.fleet.now(), &sent_call.server.id, load);
         }
+        if !head.is_wrong_server && (head.is_authentic || head.limit != LimitHeader::Absent) {
+            let now = self.fleet.now();
+            let requested_at = now.saturating_sub(sent_call.sent_at.elapsed());
+            self.limits
+                .on_answer(&sent_call.server, head.limit, requested_at, now);
+        }
         if head.is_wrong_server {
             sent_call.pool.load_view().on_outcome(
                 self.fleet.now(),
--- a/crates/gateway/src/codec.rs
+++ b/crates/gateway/src/codec.rs
@@ -12,6 +12,7 @@
 
 use crate::call::{Call, CallId};
 use crate::fleet::BackendServer;
+use crate::limits::LimitHeader;
 use crate::refusal::Refusal;
 
 /// Content of a request's head except its method and target.
@@ -45,7 +46,7 @@
 }
 
 /// Content of the head of a server's response.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct ResponseHead {
     /// Identifier of the attempt that the response belongs to; `None` when the response carries none.
     pub id: Option<CallId>,
@@ -57,6 +58,8 @@
     pub is_authentic: bool,
     /// Load that the server reports.
     pub load: Option<ReportedLoad>,
+    /// Limit that the server names for its requests.
+    pub limit: LimitHeader,
 }
 
 /// Translates between a wire protocol and the neutral types of this crate.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -21,6 +21,7 @@
 use crate::call::Call;
 use crate::codec::{CallHead, Codec};
 use crate::fleet::{BackendServer, Fleet};
+use crate::limits::RequestLimits;
 use crate::log::{self, RequestInfo};
 use crate::metrics::Metrics;
 use crate::peers::Summaries;
@@ -59,6 +60,7 @@
     pub(crate) processor: Arc<ProcessorMonitor>,
     pub(crate) summaries: Arc<Summaries>,
     pub(crate) quarantine: Arc<Quarantine>,
+    pub(crate) limits: Arc<RequestLimits>,
     pub(crate) runtime: Handle,
     pub(crate) next_call_number: AtomicU64,
     pub(crate) long_prompt_gate: Mutex<LongPromptGate>,
@@ -98,6 +100,7 @@
             processor,
             summaries: Arc::new(summaries),
             quarantine,
+            limits: Arc::default(),
             runtime,
             next_call_number: AtomicU64::new(0),
             long_prompt_gate: Mutex::default(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod events;
 pub mod fleet;
 pub mod gateway;
+pub mod limits;
 mod log;
 mod metrics;
 pub mod peers;
