Reproduce LIMIT on emulated engines that limit their requests

The emulator plays engines that take a limited number of requests a second and records what reaches them.

--- a/crates/emulator/src/load.rs
+++ b/crates/emulator/src/load.rs
@@ -251,6 +251,14 @@
         /// Share of the engines.
         share: f64,
     },
+    /// A share of the engines takes only `per_s` requests a second from all entries together, and says so in its answers.
+    LimitedEngines {
+        /// Share of the engines.
+        share: f64,
+        /// Requests per second.
+        #[serde(rename = "per_s")]
+        rate: f64,
+    },
     /// A share of the callers disconnects after `after_ms`.
     GiveUp {
         /// Share of the callers.
--- a/crates/emulator/src/report.rs
+++ b/crates/emulator/src/report.rs
@@ -118,6 +118,9 @@
     pub sent_after_leaving: u64,
     /// Disconnects and timeouts of callers that the entry noticed more than half a second late.
     pub noticed_late: u64,
+    /// Requests at the engines that limited their rate, one item for each engine and disturbance.
+    #[serde(skip)]
+    pub limited_engines: Vec<LimitedEngine>,
     /// Counts of each class by the second in which the caller sent the request.
     #[serde(skip)]
     class_seconds: Vec<Vec<SecondCounts>>,
@@ -126,6 +129,33 @@
     class_values: Vec<(f64, f64)>,
 }
 
+/// Requests that reached an engine while it limited their rate.
+#[derive(Debug, Clone, PartialEq)]
+pub struct LimitedEngine {
+    /// Position of the engine.
+    pub engine: usize,
+    /// Limit in requests per second.
+    pub rate: f64,
+    /// Time at which the engine began to name the limit.
+    pub began_at: Duration,
+    /// Times at which requests reached the engine, in ascending order.
+    pub arrivals: Vec<Duration>,
+}
+
+impl LimitedEngine {
+    /// Returns the largest number of requests within any span of the given length that begins at `from` or later.
+    #[must_use]
+    pub fn most_arrivals(&self, from: Duration, span: Duration) -> usize {
+        let arrivals = self.arrivals.iter().filter(|at| **at >= from);
+        let arrivals: Vec<_> = arrivals.copied().collect();
+        let counts = arrivals.iter().enumerate().map(|(first, at)| {
+            let end = arrivals.partition_point(|other| *other < *at + span);
+            end - first
+        });
+        counts.max().unwrap_or_default()
+    }
+}
+
 /// Requests of one class that were sent in one second.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 struct SecondCounts {
@@ -150,6 +180,7 @@
             cross_zone_bytes: 0,
             sent_after_leaving: 0,
             noticed_late: 0,
+            limited_engines: Vec::new(),
             class_seconds: vec![Vec::new(); load.classes.len()],
             class_values: load
                 .classes
--- a/crates/emulator/src/simulation.rs
+++ b/crates/emulator/src/simulation.rs
@@ -21,7 +21,7 @@
 use crate::entry::{Entry, Target, entry_number, server_specs, zone_name};
 use crate::load::{Class, DisturbanceKind, Load, Placement, Policy};
 use crate::processor::{Processor, WorkKind};
-use crate::report::{Outcome, RunResult};
+use crate::report::{LimitedEngine, Outcome, RunResult};
 use crate::service::PlainServer;
 
 /// Callers wait for the advised time before a retry, but at most for this fraction (1/3) of their remaining time.
@@ -168,6 +168,8 @@
     attempts: BTreeMap<CallNumber, CallIndex>,
     /// Engines that each disturbance affects at present.
     affected_engines: Vec<Vec<usize>>,
+    /// Engines that limit the rate of their requests, with their positions in the result.
+    limited_engines: BTreeMap<usize, usize>,
     retry_limits: BudgetLimits,
     result: RunResult,
 }
@@ -237,6 +239,7 @@
             calls: Vec::new(),
             attempts: BTreeMap::new(),
             affected_engines: vec![Vec::new(); load.disturbances.len()],
+            limited_engines: BTreeMap::new(),
             retry_limits: BudgetLimits {
                 ratio: load.budget.ratio,
                 extra: load.budget.extra,
@@ -587,6 +590,10 @@
             output_tokens: call.job.output_tokens,
             resumed_tokens: call.events * event_tokens,
         };
+        if let Some(position) = self.limited_engines.get(&server) {
+            let limited = &mut self.result.limited_engines[*position];
+            limited.arrivals.push(self.now);
+        }
         let is_down = self.is_down(server);
         if !is_down && self.engines[server].submit(request) {
             self.start_step(server);
@@ -985,6 +992,18 @@
                     self.crash(engine);
                 }
             }
+            DisturbanceKind::LimitedEngines { share, rate } => {
+                for engine in self.pick_engines(index, *share) {
+                    self.limited_engines
+                        .insert(engine, self.result.limited_engines.len());
+                    self.result.limited_engines.push(LimitedEngine {
+                        engine,
+                        rate: *rate,
+                        began_at: self.now,
+                        arrivals: Vec::new(),
+                    });
+                }
+            }
             _ => {}
         }
     }
@@ -1018,13 +1037,18 @@
 
     fn end_disturbance(&mut self, index: usize) {
         let picked = std::mem::take(&mut self.affected_engines[index]);
-        if matches!(
-            self.load.disturbances[index].kind,
-            DisturbanceKind::SlowEngines { .. }
-        ) {
-            for engine in picked {
-                self.engines[engine].set_slowness(1.0);
+        match self.load.disturbances[index].kind {
+            DisturbanceKind::SlowEngines { .. } => {
+                for engine in picked {
+                    self.engines[engine].set_slowness(1.0);
+                }
+            }
+            DisturbanceKind::LimitedEngines { .. } => {
+                for engine in picked {
+                    self.limited_engines.remove(&engine);
+                }
             }
+            _ => {}
         }
     }
 
