--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -348,6 +348,19 @@
         demand: &Demand,
         exclude: &[ServerId],
     ) -> Option<Choice> {
+        self.choose_permitted(now, demand, exclude, |_| true).0
+    }
+
+    /// Selects a server for a call like [`Pool::choose`]. The second server is the best one among those that
+    /// `is_permitted` accepts.
+    #[must_use]
+    pub fn choose_permitted(
+        &mut self,
+        now: Duration,
+        demand: &Demand,
+        exclude: &[ServerId],
+        is_permitted: impl Fn(&str) -> bool,
+    ) -> (Option<Choice>, Option<Choice>) {
         self.expire_peers(now);
         let usable = || {
             let servers = self.servers.iter();
@@ -364,21 +377,33 @@
             let cost_ms = state.cost_ms(&self.model, &self.zone, now, demand, snapshot);
             (cost_ms, *state, snapshot)
         });
-        let (cost_ms, state, snapshot) = estimates.min_by(|a, b| a.0.total_cmp(&b.0))?;
-        let slowness = state.health.slowness(now);
-        Some(Choice {
-            server: state.spec.id.clone(),
-            cost_ms,
-            uncached_tokens: snapshot.uncached_tokens,
-            in_flight: snapshot.running,
-            waiting_tokens: snapshot.tokens_ahead,
-            first_token_ms: snapshot.first_token_ms(&self.model, demand) * slowness,
-            ranked_first_token_ms: snapshot.ranked_first_token_ms(&self.model, demand) * slowness,
-            slowness,
-            is_long: self.model.settings.is_long(demand),
-            late_streams: snapshot.late_streams(&self.model, demand),
-            candidates: candidates.len(),
-        })
+        let estimates: Vec<_> = estimates.collect();
+        let cheapest = |is_allowed: &dyn Fn(&str) -> bool| {
+            let allowed = estimates.iter();
+            let allowed = allowed.filter(|(_, state, _)| is_allowed(&state.spec.id));
+            let (cost_ms, state, snapshot) = allowed.min_by(|a, b| a.0.total_cmp(&b.0))?;
+            let slowness = state.health.slowness(now);
+            Some(Choice {
+                server: state.spec.id.clone(),
+                cost_ms: *cost_ms,
+                uncached_tokens: snapshot.uncached_tokens,
+                in_flight: snapshot.running,
+                waiting_tokens: snapshot.tokens_ahead,
+                first_token_ms: snapshot.first_token_ms(&self.model, demand) * slowness,
+                ranked_first_token_ms: snapshot.ranked_first_token_ms(&self.model, demand)
+                    * slowness,
+                slowness,
+                is_long: self.model.settings.is_long(demand),
+                late_streams: snapshot.late_streams(&self.model, demand),
+                candidates: candidates.len(),
+            })
+        };
+        let best = cheapest(&|_| true);
+        let permitted = match &best {
+            Some(choice) if is_permitted(&choice.server) => best.clone(),
+            _ => cheapest(&is_permitted),
+        };
+        (best, permitted)
     }
 
     /// Records that a call was sent to a server.
--- a/crates/core/src/exchange.rs
+++ b/crates/core/src/exchange.rs
@@ -108,6 +108,8 @@
     pub suspects: Vec<u8>,
     /// Prompt parts suspected of crashing servers, in the same encoding; empty unless the summary is full.
     pub suspect_parts: Vec<u8>,
+    /// Limits of servers, as encoded by [`server_limit::wire`](crate::server_limit::wire); empty unless the summary is full.
+    pub limits: Vec<u8>,
     /// Whether the sender is short of processor time, so that relays send it fewer bundles.
     pub is_busy: bool,
 }
@@ -140,6 +142,8 @@
     pub suspects: Vec<u8>,
     /// Prompt parts suspected of crashing servers, in the same encoding; may be empty.
     pub suspect_parts: Vec<u8>,
+    /// Limits of servers, as encoded by [`server_limit::wire`](crate::server_limit::wire); may be empty.
+    pub limits: Vec<u8>,
 }
 
 /// Message between entries.
@@ -260,8 +264,8 @@
         }
     }
 
-    /// Queues a summary. It replaces an older queued summary of the same sender; loads, parts and suspect parts that only the
-    /// older one holds are merged into it.
+    /// Queues a summary. It replaces an older queued summary of the same sender; loads, parts, suspect parts and limits that
+    /// only the older one holds are merged into it.
     fn push(&mut self, now: Duration, summary: &Summary) {
         let mut newer = summary.clone();
         if let Some(older) = self.pending.remove(&summary.boot) {
@@ -269,6 +273,9 @@
             if newer.suspect_parts.is_empty() {
                 newer.suspect_parts = older.suspect_parts;
             }
+            if newer.limits.is_empty() {
+                newer.limits = older.limits;
+            }
             if !newer.is_full {
                 let is_updated = |server| newer.loads.iter().any(|(other, _)| *other == server);
                 let mut loads = older.loads;
@@ -455,11 +462,15 @@
         content: &SummaryContent,
     ) -> OutgoingMessage {
         self.sequence += 1;
-        let suspect_parts = if update.is_full {
-            content.suspect_parts.clone()
-        } else {
-            Vec::new()
+        let only_if_full = |encoded: &Vec<u8>| {
+            if update.is_full {
+                encoded.clone()
+            } else {
+                Vec::new()
+            }
         };
+        let suspect_parts = only_if_full(&content.suspect_parts);
+        let limits = only_if_full(&content.limits);
         let summary = Summary {
             entry: self.entry,
             boot: self.boot,
@@ -471,6 +482,7 @@
             parts: update.parts,
             suspects: content.suspects.clone(),
             suspect_parts,
+            limits,
             is_busy: self.is_busy,
         };
         OutgoingMessage {
@@ -533,6 +545,13 @@
         live
     }
 
+    /// Returns the other registered entries.
+    #[must_use]
+    pub fn registered_entries(&self) -> BTreeSet<EntryNumber> {
+        let entries = self.zones.values().flatten();
+        entries.map(|(_, entry)| *entry).collect()
+    }
+
     fn other_entries_in_zone(&self) -> Vec<EntryNumber> {
         let others = self.zones.get(&self.zone).into_iter().flatten();
         others.map(|(_, entry)| *entry).collect()
--- a/crates/core/src/exchange/wire.rs
+++ b/crates/core/src/exchange/wire.rs
@@ -43,6 +43,8 @@
     is_busy: bool,
     #[prost(bytes = "vec", tag = "12")]
     suspect_parts: Vec<u8>,
+    #[prost(bytes = "vec", tag = "13")]
+    limits: Vec<u8>,
 }
 
 #[derive(Clone, PartialEq, Eq, prost::Message)]
@@ -91,6 +93,7 @@
             parts: parts.collect(),
             suspects: summary.suspects.clone(),
             suspect_parts: summary.suspect_parts.clone(),
+            limits: summary.limits.clone(),
             is_full: summary.is_full,
             era: summary.store.era,
             is_busy: summary.is_busy,
@@ -128,6 +131,7 @@
             parts: parts.collect(),
             suspects: wire.suspects,
             suspect_parts: wire.suspect_parts,
+            limits: wire.limits,
             is_full: wire.is_full,
             is_busy: wire.is_busy,
         }
--- a/crates/emulator/src/entry.rs
+++ b/crates/emulator/src/entry.rs
@@ -1,6 +1,6 @@
 //! Emulated entry: the decision code of `tanagerford-core` with the load summaries that the entry sends and receives.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use tanagerford_core::dispatch::{
@@ -11,6 +11,9 @@
     EntryNumber, Exchange, Message, OutgoingMessage, Peer, SummaryContent,
 };
 use tanagerford_core::ids::{ServerId, ZoneId};
+use tanagerford_core::server_limit::{
+    self, CallNeed, LimitTable, PermitQueue, Selection, ServerKey, server_key,
+};
 
 use crate::load::{Load, Placement, Policy};
 
@@ -30,6 +33,12 @@
     engine_budget: RetryBudget,
     service_budget: RetryBudget,
     long_prompt_gate: LongPromptGate,
+    /// Limits of the engines; the emulated plain services set none.
+    pub(crate) limits: LimitTable,
+    /// Calls that wait for permits.
+    pub(crate) permit_queue: PermitQueue,
+    /// Time of the earliest scheduled step of the permits; `Duration::MAX` when none is scheduled.
+    pub(crate) next_permits_at: Duration,
     /// Sheds load while the entry is short of processor time; `None` admits every request.
     pub(crate) overload_gate: Option<OverloadGate>,
     /// Positions of the calls that wait for admission.
@@ -46,6 +55,11 @@
     EntryNumber::try_from(index).unwrap_or(EntryNumber::MAX - 1) + 1
 }
 
+/// Returns the key of an engine's limit. Restarted engines keep theirs in the emulation.
+pub(crate) fn limit_key(server: &str) -> ServerKey {
+    server_key(server, None)
+}
+
 pub(crate) fn zone_name(zone: usize) -> ZoneId {
     format!("zone-{zone}")
 }
@@ -102,6 +116,10 @@
             };
             exchange.set_peer(entry_number(other), Some(peer));
         }
+        let mut limits = LimitTable::new(number);
+        let others = 0..load.zones * load.entries_per_zone;
+        let others: BTreeSet<_> = others.map(entry_number).collect();
+        limits.set_entries(&others, &others);
         Self {
             zone,
             engines,
@@ -109,6 +127,9 @@
             engine_budget: RetryBudget::default(),
             service_budget: RetryBudget::default(),
             long_prompt_gate: LongPromptGate::new(policy.gate.clone()),
+            limits,
+            permit_queue: PermitQueue::default(),
+            next_permits_at: Duration::MAX,
             overload_gate: policy.overload.clone().map(OverloadGate::new),
             waiting_calls: BTreeMap::new(),
             placement: policy.placement,
@@ -132,29 +153,56 @@
         }
     }
 
-    /// Chooses a server for a call among those that have not been tried; `None` when none is left.
-    pub(crate) fn choose(
+    /// Selects a server for a call among those that have not been tried.
+    pub(crate) fn select(
         &mut self,
         now: Duration,
         target: Target,
         demand: &Demand,
         tried_servers: &[ServerId],
         servers: &[ServerSpec],
-    ) -> Option<Choice> {
+        can_await_grant: bool,
+    ) -> Selection {
         if self.placement == Placement::Cost {
-            return self.pool(target).choose(now, demand, tried_servers);
+            let pool = match target {
+                Target::Engines => &mut self.engines,
+                Target::Services => &mut self.services,
+            };
+            let call = CallNeed {
+                demand,
+                tried_servers,
+                permit_rank: self.permit_queue.permit_rank(demand.rank),
+                can_await_grant,
+                waiting_calls: self.permit_queue.len(),
+            };
+            let mut selection = server_limit::select(pool, &mut self.limits, now, call, limit_key);
+            if matches!(selection, Selection::AwaitGrant | Selection::Wait) {
+                // This entry may be the one that grants the permits.
+                self.limits.settle(now);
+                selection = server_limit::select(pool, &mut self.limits, now, call, limit_key);
+            }
+            return selection;
         }
         for _ in 0..servers.len() {
             self.round_robin_position += 1;
             let server = &servers[self.round_robin_position % servers.len()].id;
             if !tried_servers.contains(server) {
-                return Some(Choice {
+                let choice = Choice {
                     server: server.clone(),
                     ..Choice::default()
-                });
+                };
+                return Selection::Send {
+                    choice,
+                    avoided: None,
+                };
             }
         }
-        None
+        Selection::NoServer
+    }
+
+    /// Returns the engine that a call would get now, if any.
+    pub(crate) fn preview(&mut self, now: Duration, demand: &Demand) -> Option<Choice> {
+        server_limit::preview(&mut self.engines, &self.limits, now, demand, limit_key)
     }
 
     pub(crate) fn decide_long_prompt(
@@ -180,6 +228,7 @@
         let pools = [&self.engines, &self.services];
         let content = || SummaryContent {
             loads: pools.into_iter().flat_map(Pool::busy_loads).collect(),
+            limits: server_limit::wire::encode_statements(now, &self.limits.summary(now)),
             ..SummaryContent::default()
         };
         self.exchange.take_due(now, content)
@@ -187,6 +236,9 @@
 
     pub(crate) fn on_message(&mut self, now: Duration, message: &Message) {
         for summary in self.exchange.receive(now, message.clone()) {
+            if let Some(statements) = server_limit::wire::decode_statements(now, &summary.limits) {
+                self.limits.merge(now, &statements);
+            }
             for pool in [&mut self.engines, &mut self.services] {
                 summary.apply_to(now, pool);
             }
--- a/crates/emulator/src/report.rs
+++ b/crates/emulator/src/report.rs
@@ -1,6 +1,7 @@
 //! Results of a load file by policy, seed and class of requests, as a table and as JSON.
 
 use std::fmt::Write;
+use std::ops::Range;
 use std::thread;
 use std::time::Duration;
 
@@ -118,6 +119,9 @@
     pub sent_after_leaving: u64,
     /// Disconnects and timeouts of callers that the entry noticed more than half a second late.
     pub noticed_late: u64,
+    /// Messages about permits for limited engines.
+    #[serde(skip)]
+    pub permit_messages: u64,
     /// Requests at the engines that limited their rate, one item for each engine and disturbance.
     #[serde(skip)]
     pub limited_engines: Vec<LimitedEngine>,
@@ -180,6 +184,7 @@
             cross_zone_bytes: 0,
             sent_after_leaving: 0,
             noticed_late: 0,
+            permit_messages: 0,
             limited_engines: Vec::new(),
             class_seconds: vec![Vec::new(); load.classes.len()],
             class_values: load
@@ -237,6 +242,13 @@
         shares.fold(0.0, f64::max)
     }
 
+    /// Returns the number of a class's requests sent in a range of seconds that got a complete response.
+    #[must_use]
+    pub fn served(&self, class: usize, seconds: Range<usize>) -> u32 {
+        let counts = self.class_seconds[class][seconds].iter();
+        counts.map(|second| second.offered - second.unserved).sum()
+    }
+
     /// Returns the sum of the values of all classes.
     #[must_use]
     pub fn value(&self) -> Value {
--- a/crates/emulator/src/simulation.rs
+++ b/crates/emulator/src/simulation.rs
@@ -15,10 +15,13 @@
 };
 use tanagerford_core::exchange::{EntryNumber, Message};
 use tanagerford_core::ids::ServerId;
+use tanagerford_core::server_limit::{
+    GRANT_WAIT, LimitStatement, PermitMessage, Place, Selection, max_wait, room_after,
+};
 
 use crate::arrivals::{Job, arrivals};
 use crate::engine::{Engine, EngineRequest, StepOutput};
-use crate::entry::{Entry, Target, entry_number, server_specs, zone_name};
+use crate::entry::{Entry, Target, entry_number, limit_key, server_specs, zone_name};
 use crate::load::{Class, DisturbanceKind, Load, Placement, Policy};
 use crate::processor::{Processor, WorkKind};
 use crate::report::{LimitedEngine, Outcome, RunResult};
@@ -32,6 +35,9 @@
 /// Time after the last arrival for which the simulation continues, so that requests can complete.
 const DRAIN_TIME: Duration = Duration::from_secs(15);
 
+/// Interval at which a call that waits for a grant looks for a server again.
+const GRANT_POLL_INTERVAL: Duration = Duration::from_millis(1);
+
 /// Position in the list of calls.
 type CallIndex = usize;
 
@@ -55,6 +61,12 @@
     SendMessages(usize),
     /// A message of another entry arrives at an entry.
     MessageArrives(usize, Rc<Message>),
+    /// An entry sends the messages about permits that are due.
+    SendPermits(usize),
+    /// A message of another entry about permits arrives at an entry.
+    PermitsArrive(usize, Rc<PermitMessage>),
+    /// A call that waits for a permit looks for a server again.
+    PollPermits(CallIndex),
     /// The caller disconnects or reaches its timeout.
     CallerLeaves(CallIndex),
     /// The entry notices the caller's disconnect.
@@ -75,6 +87,8 @@
         is_last: bool,
         is_first: bool,
         load: ReportedLoad,
+        /// Limit that the server names in the head of its answer.
+        limit: Option<f64>,
     },
     /// The server refused the request without running it.
     Refused(ReportedLoad),
@@ -140,6 +154,12 @@
     is_in_flight: bool,
     /// Number in the queue of its entry while it waits for admission.
     waiter: Option<WaiterNumber>,
+    /// Place in the queue of its entry while it waits for a permit.
+    place: Option<Place>,
+    /// Time until which it waits for a grant that is expected at once.
+    grant_until: Option<Duration>,
+    /// Time at which the latest attempt was sent.
+    sent_at: Duration,
 }
 
 /// State of a simulation run.
@@ -291,6 +311,9 @@
             is_over: false,
             is_in_flight: false,
             waiter: None,
+            place: None,
+            grant_until: None,
+            sent_at: Duration::ZERO,
         };
         let index = self.calls.len();
         self.calls.push(call);
@@ -332,12 +355,14 @@
         match event {
             Event::RequestArrives(index) => Some((self.calls[*index].entry, WorkKind::Request)),
             Event::PollGate(index)
+            | Event::PollPermits(index)
             | Event::ServerReplies(index, ..)
             | Event::LeavingNoticed(index) => Some((self.calls[*index].entry, WorkKind::Event)),
             Event::ProbeProcessor(entry) => Some((*entry, WorkKind::Event)),
-            Event::SendMessages(entry) | Event::MessageArrives(entry, _) => {
-                Some((*entry, WorkKind::Message))
-            }
+            Event::SendMessages(entry)
+            | Event::MessageArrives(entry, _)
+            | Event::SendPermits(entry)
+            | Event::PermitsArrive(entry, _) => Some((*entry, WorkKind::Message)),
             _ => None,
         }
     }
@@ -382,6 +407,7 @@
         match event {
             Event::RequestArrives(index) => self.on_request(index),
             Event::PollGate(index) => self.try_admit(index),
+            Event::PollPermits(index) => self.poll_permits(index),
             Event::CallArrives(index, attempt) => self.on_call_arrival(index, attempt),
             Event::StepEnds(engine, crash_count) => self.on_step_end(engine, crash_count),
             Event::ServiceEnds(server, index, attempt) => {
@@ -390,6 +416,8 @@
             Event::ServerReplies(index, attempt, reply) => self.on_reply(index, attempt, reply),
             Event::SendMessages(entry) => self.send_messages(entry),
             Event::MessageArrives(entry, message) => self.on_message(entry, &message),
+            Event::SendPermits(entry) => self.send_permits(entry),
+            Event::PermitsArrive(entry, message) => self.receive_permits(entry, &message),
             Event::CallerLeaves(index) => self.on_caller_left(index),
             Event::LeavingNoticed(index) => self.on_leaving_noticed(index),
             Event::ProbeProcessor(entry) => self.probe_processor(entry),
@@ -471,13 +499,7 @@
             let objective = milliseconds(class.objective_ms);
             let waited = self.now.saturating_sub(call.arrived_at);
             let entry = &mut self.entries[call.entry];
-            let choice = entry.choose(
-                self.now,
-                call.target,
-                &call.job.demand,
-                &[],
-                &self.engine_specs,
-            );
+            let choice = entry.preview(self.now, &call.job.demand);
             if let Some(choice) = choice {
                 let longest = longest_objective(self.load, class);
                 let remaining = RemainingTime::after(waited, objective, longest);
@@ -503,16 +525,29 @@
             Target::Services => &self.service_specs,
         };
         let entry = &mut self.entries[call.entry];
-        let choice = entry.choose(
-            now,
-            call.target,
-            &call.job.demand,
-            &call.tried_servers,
-            specs,
-        );
-        let Some(choice) = choice else {
-            return self.refuse(index, OVERLOAD_RETRY_AFTER);
+        let demand = &call.job.demand;
+        let mut selection = Selection::Wait;
+        if entry.permit_queue.may_try(demand.rank, call.place) {
+            let can_wait = call.grant_until.is_none_or(|until| now < until);
+            let tried = &call.tried_servers;
+            selection = entry.select(now, call.target, demand, tried, specs, can_wait);
+        }
+        let choice = match selection {
+            Selection::Send { choice, .. } => choice,
+            Selection::AwaitGrant => {
+                call.grant_until.get_or_insert(now + GRANT_WAIT);
+                let entry = call.entry;
+                self.schedule(now + GRANT_POLL_INTERVAL, Event::PollPermits(index));
+                return self.send_permits(entry);
+            }
+            Selection::Wait => return self.hold_call(index),
+            Selection::NoServer => return self.refuse(index, OVERLOAD_RETRY_AFTER),
         };
+        call.grant_until = None;
+        if let Some(place) = call.place.take() {
+            entry.permit_queue.leave(place, true);
+        }
+        call.sent_at = now;
         let position = specs.iter().position(|spec| spec.id == choice.server);
         let Some(server) = position else {
             return self.refuse(index, OVERLOAD_RETRY_AFTER);
@@ -538,6 +573,39 @@
         self.attempts.insert(attempt, index);
         self.schedule(now + delay, Event::CallArrives(index, attempt));
         self.schedule_messages(entry);
+        if !self.entries[entry].limits.is_empty() {
+            self.send_permits(entry);
+        }
+    }
+
+    /// Lets a call wait for a permit, or refuses it if it has waited long enough.
+    fn hold_call(&mut self, index: CallIndex) {
+        let call = &mut self.calls[index];
+        let rank = call.job.demand.rank;
+        let entry = &mut self.entries[call.entry];
+        let queue = &mut entry.permit_queue;
+        let place = *call.place.get_or_insert_with(|| queue.join(rank));
+        let deadline = call.job.at + call.job.caller_timeout;
+        let waited = self.now.saturating_sub(call.arrived_at);
+        let max_wait = max_wait(deadline.saturating_sub(call.arrived_at));
+        let rate: f64 = entry.limits.limits().map(|(_, rate)| rate).sum();
+        let ahead = entry.permit_queue.ahead(place);
+        let left = max_wait.saturating_sub(waited);
+        let entries = entry.limits.entry_count();
+        let entry = call.entry;
+        if left.is_zero() || room_after(ahead, 1, rate) > left {
+            return self.refuse(index, room_after(ahead, entries, rate));
+        }
+        self.schedule(self.now + GATE_POLL_INTERVAL, Event::PollPermits(index));
+        self.send_permits(entry);
+    }
+
+    /// Looks for a server again for a call that waits for a permit.
+    fn poll_permits(&mut self, index: CallIndex) {
+        let call = &self.calls[index];
+        if !call.is_over && (call.place.is_some() || call.grant_until.is_some()) {
+            self.send_call(index);
+        }
     }
 
     fn server_delay(&self, is_cross_zone: bool) -> Duration {
@@ -667,10 +735,13 @@
             let mut at = self.now + self.delay_to(index, engine);
             // `first_token_ms` delays the response of this request but not the other requests of the engine.
             at += milliseconds(first_token);
+            let limited = self.limited_engines.get(&engine);
+            let limit = limited.map(|position| self.result.limited_engines[*position].rate);
             let reply = Reply::Data {
                 is_last,
                 is_first,
                 load,
+                limit,
             };
             self.schedule(at, Event::ServerReplies(index, number, reply));
         }
@@ -685,6 +756,7 @@
             is_last: true,
             is_first: true,
             load,
+            limit: None,
         };
         self.schedule(
             self.now + delay,
@@ -718,7 +790,13 @@
                 is_last,
                 is_first,
                 load,
-            } => self.on_data(index, attempt, server, (is_last, is_first), load),
+                limit,
+            } => {
+                if is_first {
+                    self.learn_limit(index, limit);
+                }
+                self.on_data(index, attempt, server, (is_last, is_first), load);
+            }
             Reply::Refused(load) => {
                 self.end_attempt(index, attempt, server, CallOutcome::Refused);
                 self.update_pool(index, |pool, id, now| pool.on_load(now, id, load));
@@ -774,6 +852,59 @@
         }
     }
 
+    /// Records the limit that the first event of an answer names.
+    fn learn_limit(&mut self, index: CallIndex, limit: Option<f64>) {
+        let call = &self.calls[index];
+        let Some(server) = call.tried_servers.last() else {
+            return;
+        };
+        let statement = LimitStatement {
+            limit,
+            requested_at: call.sent_at,
+            answered_at: self.now,
+        };
+        let entry = call.entry;
+        let limits = &mut self.entries[entry].limits;
+        limits.on_answer(self.now, limit_key(server), statement);
+        self.schedule_permits(entry);
+    }
+
+    /// Sends the messages about permits that are due at an entry, and schedules the next step.
+    fn send_permits(&mut self, entry: usize) {
+        let now = self.now;
+        let state = &mut self.entries[entry];
+        state.next_permits_at = Duration::MAX;
+        state.limits.settle(now);
+        let zone = state.zone;
+        let outgoing: Vec<_> = state.limits.take_outgoing().collect();
+        for (receiver, message) in outgoing {
+            let Some(other) = self.entry_positions.get(&receiver).copied() else {
+                continue;
+            };
+            self.result.permit_messages += 1;
+            let at = now + self.server_delay(self.entries[other].zone != zone);
+            self.schedule(at, Event::PermitsArrive(other, Rc::new(message)));
+        }
+        self.schedule_permits(entry);
+    }
+
+    fn schedule_permits(&mut self, entry: usize) {
+        let state = &mut self.entries[entry];
+        let Some(due) = state.limits.next_due() else {
+            return;
+        };
+        let due = due.max(self.now);
+        if due < state.next_permits_at {
+            state.next_permits_at = due;
+            self.schedule(due, Event::SendPermits(entry));
+        }
+    }
+
+    fn receive_permits(&mut self, entry: usize, message: &PermitMessage) {
+        self.entries[entry].limits.receive(self.now, message);
+        self.send_permits(entry);
+    }
+
     /// Applies `update` to the entry's view of the server of a call's last attempt.
     fn update_pool(
         &mut self,
@@ -915,6 +1046,9 @@
     fn end_flight(&mut self, index: CallIndex) {
         let call = &mut self.calls[index];
         let entry = call.entry;
+        if let Some(place) = call.place.take() {
+            self.entries[entry].permit_queue.leave(place, false);
+        }
         if std::mem::take(&mut call.is_in_flight) {
             self.in_flight[entry] -= 1;
             self.settle(entry);
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -21,7 +21,7 @@
 use crate::codec::{AttemptContext, Codec, ResponseHead};
 use crate::fleet::{BackendServer, PoolState};
 use crate::gateway::Gateway;
-use crate::limits::LimitHeader;
+use crate::limits::{LimitHeader, SelectError, SelectedServer, ServerRequest};
 use crate::peers::Summaries;
 use crate::quarantine::ConnectionEnd;
 use crate::refusal::Refusal;
@@ -138,6 +138,8 @@
     pub(crate) tried_servers: Vec<ServerId>,
     /// Attempts that a server may have run.
     possible_runs: u32,
+    /// Time after which the servers' limits have room, if they are the reason why the call was not sent.
+    limited: Option<Duration>,
 }
 
 impl Attempts {
@@ -217,7 +219,7 @@
         }
         loop {
             let now = self.fleet.now();
-            let choice = pool.load_view().choose(now, &call.demand, &[]);
+            let choice = self.summaries.limits().preview(now, pool, &call.demand);
             let Some(choice) = choice else {
                 return true;
             };
@@ -291,7 +293,10 @@
         if remaining < MIN_REMAINING {
             return Err(None);
         }
-        let (mut sent_call, choice) = self.choose_server(call, pool, attempts).ok_or(None)?;
+        let (mut sent_call, selected) = self.select_server(call, pool, attempts).await?;
+        let choice = selected.choice;
+        // The call may have waited for a permit.
+        let remaining = deadline.saturating_duration_since(Instant::now());
         attempts.tried_servers.push(sent_call.server.id.clone());
         self.summaries.on_call_sent(&sent_call.server, &call.demand);
         let result = self
@@ -327,6 +332,8 @@
             waiting_tokens = choice.waiting_tokens,
             first_token_ms = choice.first_token_ms,
             candidates = choice.candidates,
+            avoided = selected.avoided,
+            held_ms = selected.held.as_millis(),
             remaining_ms = remaining.as_millis(),
             processor_delay_ms = self.processor.delay().as_millis(),
             after_ms = sent_call.sent_at.elapsed().as_millis(),
@@ -382,20 +389,31 @@
         }
     }
 
-    /// Chooses a server and adds the call to its load; `None` when no untried server is left.
-    fn choose_server(
+    /// Selects a server and adds the call to its load; `Err(None)` when no server can take it in time.
+    async fn select_server(
         &self,
         call: &Arc<Call>,
         pool: &Arc<PoolState>,
-        attempts: &Attempts,
-    ) -> Option<(SentCall, Choice)> {
-        let now = self.fleet.now();
+        attempts: &mut Attempts,
+    ) -> Result<(SentCall, SelectedServer), Option<AttemptError>> {
         let number = self.next_call_number.fetch_add(1, Ordering::Relaxed);
-        let mut load_view = pool.load_view();
-        let choice = load_view.choose(now, &call.demand, &attempts.tried_servers)?;
-        let server = Arc::clone(pool.servers.get(&choice.server)?);
-        load_view.on_start(now, &choice.server, number, &call.demand);
-        drop(load_view);
+        let request = ServerRequest {
+            pool,
+            number,
+            demand: &call.demand,
+            tried_servers: &attempts.tried_servers,
+            deadline: call.deadline(),
+        };
+        let selected = match self.summaries.limits().select(&self.fleet, request).await {
+            Ok(selected) => selected,
+            Err(SelectError::NoServer) => return Err(None),
+            Err(SelectError::Limited(wait)) => {
+                attempts.limited = Some(wait);
+                return Err(None);
+            }
+        };
+        let choice = &selected.choice;
+        let server = pool.servers.get(&choice.server).ok_or(None)?;
         let expected_latency = if call.demand.prompt_tokens > 0 {
             let normal_ms = choice.first_token_ms / choice.slowness;
             ENGINE_FIRST_TOKEN_MARGIN + Duration::from_secs_f64(normal_ms / 1_000.0)
@@ -403,7 +421,7 @@
             PLAIN_SERVICE_EXPECTED_LATENCY
         };
         let sent_call = SentCall {
-            server,
+            server: Arc::clone(server),
             pool: Arc::clone(pool),
             sent_at: Instant::now(),
             summaries: Arc::clone(&self.summaries),
@@ -412,7 +430,7 @@
             call: Arc::clone(call),
             is_end_logged: false,
         };
-        Some((sent_call, choice))
+        Ok((sent_call, selected))
     }
 
     /// Sends one attempt to its server and returns the checked head and the first chunk of the response.
@@ -476,8 +494,8 @@
         if !head.is_wrong_server && (head.is_authentic || head.limit != LimitHeader::Absent) {
             let now = self.fleet.now();
             let requested_at = now.saturating_sub(sent_call.sent_at.elapsed());
-            self.limits
-                .on_answer(&sent_call.server, head.limit, requested_at, now);
+            let limits = self.summaries.limits();
+            limits.on_answer(&sent_call.server, head.limit, requested_at, now);
         }
         if head.is_wrong_server {
             sent_call.pool.load_view().on_outcome(
@@ -552,7 +570,9 @@
         _ if attempts.possible_runs > 0 => Refusal::ServerFailed,
         _ if is_expired => Refusal::Expired,
         Some(AttemptError::NotRun) => Refusal::Overloaded,
-        _ => Refusal::NoServer,
+        _ => attempts
+            .limited
+            .map_or(Refusal::NoServer, Refusal::ServerLimit),
     }
 }
 
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -7,6 +7,7 @@
 
 use tanagerford_core::dispatch::{CostSettings, Pool, ServerSpec};
 use tanagerford_core::ids::{PoolId, ServerId, ZoneId};
+use tanagerford_core::server_limit::PermitQueue;
 use tanagerford_sync::{lock, read_lock, write_lock};
 
 use crate::table::RoutingTable;
@@ -39,6 +40,8 @@
     /// View of the load and health of the servers. It is shared with the later states of the pool, so that a change of
     /// the servers loses nothing.
     load_view: Arc<Mutex<Pool>>,
+    /// Calls that wait for a permit because all servers limit their requests; shared like `load_view`.
+    permit_queue: Arc<Mutex<PermitQueue>>,
 }
 
 /// All pools of backend servers, as seen from one entry.
@@ -95,11 +98,18 @@
         let mut updated = HashMap::new();
         for name in pools.keys().chain(by_pool.keys()) {
             let servers = by_pool.get(name).cloned().unwrap_or_default();
-            let load_view = pools.get(name).map_or_else(
-                || Arc::new(Mutex::new(Pool::new(self.zone.clone(), self.costs.clone()))),
-                |pool| Arc::clone(&pool.load_view),
+            let (load_view, permit_queue) = pools.get(name).map_or_else(
+                || {
+                    let pool = Pool::new(self.zone.clone(), self.costs.clone());
+                    (Arc::new(Mutex::new(pool)), Arc::default())
+                },
+                |pool| (Arc::clone(&pool.load_view), Arc::clone(&pool.permit_queue)),
             );
-            let state = PoolState { servers, load_view };
+            let state = PoolState {
+                servers,
+                load_view,
+                permit_queue,
+            };
             let spec = specs.get(name);
             let memory_tokens = spec.and_then(|spec| spec.memory_tokens).unwrap_or(0);
             let mut locked_view = state.load_view();
@@ -131,6 +141,11 @@
         lock(&self.load_view)
     }
 
+    /// Locks the queue of the calls that wait for a permit.
+    pub(crate) fn permit_queue(&self) -> MutexGuard<'_, PermitQueue> {
+        lock(&self.permit_queue)
+    }
+
     fn specs(&self, memory_tokens: u64) -> Vec<ServerSpec> {
         let servers = self.servers.values();
         let specs = servers.map(|server| ServerSpec {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -21,7 +21,6 @@
 use crate::call::Call;
 use crate::codec::{CallHead, Codec};
 use crate::fleet::{BackendServer, Fleet};
-use crate::limits::RequestLimits;
 use crate::log::{self, RequestInfo};
 use crate::metrics::Metrics;
 use crate::peers::Summaries;
@@ -60,7 +59,6 @@
     pub(crate) processor: Arc<ProcessorMonitor>,
     pub(crate) summaries: Arc<Summaries>,
     pub(crate) quarantine: Arc<Quarantine>,
-    pub(crate) limits: Arc<RequestLimits>,
     pub(crate) runtime: Handle,
     pub(crate) next_call_number: AtomicU64,
     pub(crate) long_prompt_gate: Mutex<LongPromptGate>,
@@ -100,7 +98,6 @@
             processor,
             summaries: Arc::new(summaries),
             quarantine,
-            limits: Arc::default(),
             runtime,
             next_call_number: AtomicU64::new(0),
             long_prompt_gate: Mutex::default(),
@@ -176,6 +173,7 @@
     /// Replaces the backend servers. `table` supplies the settings of their pools.
     pub fn set_servers(&self, servers: impl Iterator<Item = BackendServer>, table: &RoutingTable) {
         self.fleet.set_servers(servers, table);
+        self.summaries.limits().retain_registered(&self.fleet);
     }
 
     /// Sets the number of entries that share the retry budget; 0 counts as 1.
@@ -231,6 +229,8 @@
         // The quarantine of a part can end by time alone.
         let parts = self.quarantine.quarantined_parts(self.fleet.now());
         self.metrics.set_quarantined_parts(parts.len());
+        let limits = self.summaries.limits().limits(&self.fleet);
+        self.metrics.set_server_limits(limits);
         self.metrics.text()
     }
 
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -1,12 +1,27 @@
-//! Limits that backend servers name in their answers.
+//! Limits that backend servers name in their answers, and the permits to call such servers.
+//!
+//! [`LimitTable`] decides who may call a limited server; this module keeps the calls that wait for a permit and logs the
+//! changes. [`Summaries`](crate::peers::Summaries) sends and receives the messages.
 
-use std::sync::Mutex;
-use std::time::Duration;
+use std::collections::{BTreeSet, HashMap};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 
-use tanagerford_core::server_limit::{LimitStatement, LimitTable, RequestRate, server_key};
+use tanagerford_core::dispatch::{CallNumber, Choice, Demand, Pool};
+use tanagerford_core::exchange::EntryNumber;
+use tanagerford_core::ids::ServerId;
+use tanagerford_core::server_limit::{
+    self, CallNeed, GRANT_WAIT, LimitChange, LimitStatement, LimitTable, PermitMessage, Place,
+    RequestRate, Selection, ServerKey, server_key, wire,
+};
 use tanagerford_sync::lock;
+use tokio::sync::Notify;
+use tokio::time::timeout;
 
-use crate::fleet::BackendServer;
+use crate::fleet::{BackendServer, Fleet, PoolState};
+
+/// Interval at which a waiting call looks for a server even if no permit arrives, since a server may have joined.
+const WAIT_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// What the head of an answer says about the limit of its server.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
@@ -20,13 +35,70 @@
     Invalid,
 }
 
+/// Call that needs a server.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct ServerRequest<'a> {
+    pub(crate) pool: &'a PoolState,
+    pub(crate) number: CallNumber,
+    pub(crate) demand: &'a Demand,
+    pub(crate) tried_servers: &'a [ServerId],
+    pub(crate) deadline: Instant,
+}
+
+/// Server to which a call is sent.
+#[derive(Debug)]
+pub(crate) struct SelectedServer {
+    pub(crate) choice: Choice,
+    /// Cheaper server that was left out because it limits its requests.
+    pub(crate) avoided: Option<ServerId>,
+    /// Time for which the call waited for a permit.
+    pub(crate) held: Duration,
+}
+
+/// Reason why no server was selected.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum SelectError {
+    /// No server is left.
+    NoServer,
+    /// All servers limit their requests; they have room after this time.
+    Limited(Duration),
+}
+
 /// Limits of the servers as known to this entry.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct RequestLimits {
     table: Mutex<LimitTable>,
+    /// Wakes the waiting calls when permits have arrived or a limit has changed.
+    changed: Notify,
+    /// Wakes the task that sends messages.
+    wake_up: async_channel::Sender<()>,
+}
+
+/// Place of a waiting call, which it leaves when it is dropped.
+struct HeldPlace<'a> {
+    limits: &'a RequestLimits,
+    pool: &'a PoolState,
+    place: Place,
+    is_served: bool,
+}
+
+impl Drop for HeldPlace<'_> {
+    fn drop(&mut self) {
+        self.pool.permit_queue().leave(self.place, self.is_served);
+        self.limits.changed.notify_waiters();
+    }
 }
 
 impl RequestLimits {
+    /// Creates the limits of an entry. A message on `wake_up` asks for a call of [`RequestLimits::take_outgoing`].
+    pub(crate) fn new(entry: EntryNumber, wake_up: async_channel::Sender<()>) -> Self {
+        Self {
+            table: Mutex::new(LimitTable::new(entry)),
+            changed: Notify::new(),
+            wake_up,
+        }
+    }
+
     /// Records what the head of an answer says about the limit of its server, and logs a change.
     pub(crate) fn on_answer(
         &self,
@@ -43,27 +115,270 @@
                 return;
             }
         };
-        let key = server_key(&server.id, server.started_unix_ms);
         let statement = LimitStatement {
             limit,
             requested_at,
             answered_at,
         };
-        let change = lock(&self.table).on_answer(key, statement);
+        let change = lock(&self.table).on_answer(answered_at, key(server), statement);
         if let Some(change) = change {
-            let message = match (change.before, change.now) {
-                (_, None) => "server no longer limits its requests",
-                (None, Some(_)) => "server limits its requests",
-                (Some(_), Some(_)) => "server changed its limit",
-            };
-            tracing::info!(
-                server = server.id,
-                limit_per_s = change.now,
-                before_per_s = change.before,
-                source = "answer",
-                age_ms = 0,
-                "{message}"
-            );
+            log_change(&server.id, change, "answer");
+            self.changed.notify_waiters();
+        }
+    }
+
+    /// Returns the server that a call would get now, if any.
+    pub(crate) fn preview(
+        &self,
+        now: Duration,
+        pool: &PoolState,
+        demand: &Demand,
+    ) -> Option<Choice> {
+        let table = lock(&self.table);
+        let mut load_view = pool.load_view();
+        server_limit::preview(&mut load_view, &table, now, demand, keys(pool))
+    }
+
+    /// Selects a server for a call and adds the call to the load there. Waits for a permit if all servers limit their
+    /// requests, in order of rank.
+    pub(crate) async fn select(
+        &self,
+        fleet: &Fleet,
+        request: ServerRequest<'_>,
+    ) -> Result<SelectedServer, SelectError> {
+        let began = Instant::now();
+        let remaining = request.deadline.saturating_duration_since(began);
+        let max_wait = server_limit::max_wait(remaining);
+        let (pool, rank) = (request.pool, request.demand.rank);
+        let mut held: Option<HeldPlace<'_>> = None;
+        loop {
+            // Created before the attempt, so that a permit which arrives in between is not missed.
+            let changed = self.changed.notified();
+            let place = held.as_ref().map(|held| held.place);
+            let may_try = pool.permit_queue().may_try(rank, place);
+            if may_try {
+                let can_await_grant = place.is_none() && began.elapsed() < GRANT_WAIT;
+                match self.try_select(fleet.now(), request, can_await_grant) {
+                    Selection::Send { choice, avoided } => {
+                        if let Some(held) = &mut held {
+                            held.is_served = true;
+                        }
+                        return Ok(SelectedServer {
+                            choice,
+                            avoided,
+                            held: began.elapsed(),
+                        });
+                    }
+                    Selection::NoServer => return Err(SelectError::NoServer),
+                    Selection::AwaitGrant => {
+                        let left = GRANT_WAIT.saturating_sub(began.elapsed());
+                        let _ = timeout(left, changed).await;
+                        continue;
+                    }
+                    Selection::Wait => {}
+                }
+            }
+            let held = held.get_or_insert_with(|| HeldPlace {
+                limits: self,
+                pool,
+                place: pool.permit_queue().join(rank),
+                is_served: false,
+            });
+            let left = max_wait.saturating_sub(began.elapsed());
+            if left.is_zero() || self.is_hopeless(held, left) {
+                return Err(SelectError::Limited(self.room_after(held)));
+            }
+            // After a notification and after a timeout alike, the loop tries again.
+            let _ = timeout(left.min(WAIT_POLL_INTERVAL), changed).await;
         }
     }
+
+    /// Selects a server and adds the call to its load, if one can take it now.
+    fn try_select(
+        &self,
+        now: Duration,
+        request: ServerRequest<'_>,
+        can_await_grant: bool,
+    ) -> Selection {
+        let ServerRequest { pool, demand, .. } = request;
+        let queue = pool.permit_queue();
+        let call = CallNeed {
+            demand,
+            tried_servers: request.tried_servers,
+            permit_rank: queue.permit_rank(demand.rank),
+            can_await_grant,
+            waiting_calls: queue.len(),
+        };
+        drop(queue);
+        let mut table = lock(&self.table);
+        let mut load_view = pool.load_view();
+        let has_limits = !table.is_empty();
+        let select = |load_view: &mut Pool, table: &mut LimitTable| {
+            server_limit::select(load_view, table, now, call, keys(pool))
+        };
+        let mut selection = select(&mut load_view, &mut table);
+        if matches!(selection, Selection::AwaitGrant | Selection::Wait) {
+            // This entry may be the one that grants the permits.
+            table.settle(now);
+            selection = select(&mut load_view, &mut table);
+        }
+        if let Selection::Send { choice, .. } = &selection {
+            if !pool.servers.contains_key(&choice.server) {
+                return Selection::NoServer;
+            }
+            load_view.on_start(now, &choice.server, request.number, demand);
+        }
+        drop((table, load_view));
+        if has_limits {
+            // If the channel is full, a wake-up is already pending.
+            let _ = self.wake_up.try_send(());
+        }
+        selection
+    }
+
+    /// Returns whether the calls ahead use up all permits that the limits allow within the time that is left.
+    fn is_hopeless(&self, held: &HeldPlace<'_>, left: Duration) -> bool {
+        let ahead = held.pool.permit_queue().ahead(held.place);
+        server_limit::room_after(ahead, 1, self.rate(held.pool)) > left
+    }
+
+    fn room_after(&self, held: &HeldPlace<'_>) -> Duration {
+        let ahead = held.pool.permit_queue().ahead(held.place);
+        let entries = lock(&self.table).entry_count();
+        server_limit::room_after(ahead, entries, self.rate(held.pool))
+    }
+
+    /// Returns the sum of the limits of a pool's servers.
+    fn rate(&self, pool: &PoolState) -> RequestRate {
+        let table = lock(&self.table);
+        let servers = pool.servers.values();
+        servers.filter_map(|server| table.limit(key(server))).sum()
+    }
+
+    /// Returns the limits of the servers, by server id.
+    pub(crate) fn limits(&self, fleet: &Fleet) -> Vec<(ServerId, RequestRate)> {
+        let table = lock(&self.table);
+        if table.is_empty() {
+            return Vec::new();
+        }
+        let pools = fleet.pools();
+        let servers = pools.iter().flat_map(|(_, pool)| pool.servers.values());
+        let limits =
+            servers.filter_map(|server| Some((server.id.clone(), table.limit(key(server))?)));
+        limits.collect()
+    }
+
+    /// Forgets the limits of servers that are no longer registered.
+    pub(crate) fn retain_registered(&self, fleet: &Fleet) {
+        if lock(&self.table).is_empty() {
+            return;
+        }
+        let pools = fleet.pools();
+        let servers = pools.iter().flat_map(|(_, pool)| pool.servers.values());
+        let registered: BTreeSet<ServerKey> = servers.map(|server| key(server)).collect();
+        lock(&self.table).retain(|server| registered.contains(&server));
+    }
+
+    /// Sets the other registered entries and those of them that this entry hears.
+    pub(crate) fn set_entries(
+        &self,
+        registered: &BTreeSet<EntryNumber>,
+        live: &BTreeSet<EntryNumber>,
+    ) {
+        lock(&self.table).set_entries(registered, live);
+    }
+
+    /// Returns the encoded statements for the other entries; empty when there are none.
+    pub(crate) fn summary(&self, now: Duration) -> Vec<u8> {
+        let table = lock(&self.table);
+        if table.is_empty() {
+            return Vec::new();
+        }
+        wire::encode_statements(now, &table.summary(now))
+    }
+
+    /// Merges the encoded statements of another entry.
+    pub(crate) fn merge(&self, now: Duration, summary: &[u8], fleet: &Fleet) {
+        if summary.is_empty() {
+            return;
+        }
+        let Some(statements) = wire::decode_statements(now, summary) else {
+            tracing::debug!(bytes = summary.len(), "cannot decode the limits of a peer");
+            return;
+        };
+        let changes = lock(&self.table).merge(now, &statements);
+        self.log_peer_changes(&changes, fleet);
+    }
+
+    /// Processes a message about permits.
+    pub(crate) fn receive(&self, now: Duration, message: &PermitMessage, fleet: &Fleet) {
+        let mut table = lock(&self.table);
+        let changes = table.receive(now, message);
+        table.settle(now);
+        drop(table);
+        self.changed.notify_waiters();
+        self.log_peer_changes(&changes, fleet);
+    }
+
+    /// Grants and returns the permits that are due, and returns the encoded messages by receiver.
+    pub(crate) fn take_outgoing(&self, now: Duration) -> Vec<(EntryNumber, Vec<u8>)> {
+        let mut table = lock(&self.table);
+        if table.is_empty() {
+            return Vec::new();
+        }
+        if table.settle(now) {
+            self.changed.notify_waiters();
+        }
+        let outgoing = table.take_outgoing();
+        outgoing
+            .map(|(receiver, message)| (receiver, wire::encode(now, &message)))
+            .collect()
+    }
+
+    /// Returns the time until [`RequestLimits::take_outgoing`] has something to do.
+    pub(crate) fn time_to_due(&self, now: Duration) -> Option<Duration> {
+        let due = lock(&self.table).next_due()?;
+        Some(due.saturating_sub(now))
+    }
+
+    fn log_peer_changes(&self, changes: &[(ServerKey, LimitChange)], fleet: &Fleet) {
+        if changes.is_empty() {
+            return;
+        }
+        self.changed.notify_waiters();
+        let pools = fleet.pools();
+        let servers = pools.iter().flat_map(|(_, pool)| pool.servers.values());
+        let ids: HashMap<ServerKey, &Arc<BackendServer>> =
+            servers.map(|server| (key(server), server)).collect();
+        for (server, change) in changes {
+            if let Some(server) = ids.get(server) {
+                log_change(&server.id, *change, "peer");
+            }
+        }
+    }
+}
+
+fn key(server: &BackendServer) -> ServerKey {
+    server_key(&server.id, server.started_unix_ms)
+}
+
+/// Returns a function from the ids of a pool's servers to their keys.
+fn keys(pool: &PoolState) -> impl Fn(&str) -> ServerKey {
+    |id| pool.servers.get(id).map_or(0, |server| key(server))
+}
+
+fn log_change(server: &str, change: LimitChange, source: &'static str) {
+    let message = match (change.before, change.now) {
+        (_, None) => "server no longer limits its requests",
+        (None, Some(_)) => "server limits its requests",
+        (Some(_), Some(_)) => "server changed its limit",
+    };
+    tracing::info!(
+        server,
+        limit_per_s = change.now,
+        before_per_s = change.before,
+        source,
+        age_ms = change.age.as_millis(),
+        "{message}"
+    );
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -12,6 +12,8 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 use tanagerford_core::dispatch::Rank;
+use tanagerford_core::ids::ServerId;
+use tanagerford_core::server_limit::RequestRate;
 
 use crate::refusal::Refusal;
 use crate::table::Version;
@@ -37,6 +39,11 @@
     outcome: &'static str,
 }
 
+#[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct ServerLabels {
+    server: ServerId,
+}
+
 #[derive(Debug)]
 pub(crate) struct Metrics {
     registry: Registry,
@@ -49,6 +56,7 @@
     configurations: Family<SourceLabels, Counter>,
     version: Gauge<u64, AtomicU64>,
     quarantined_parts: Gauge<u64, AtomicU64>,
+    server_limits: Family<ServerLabels, Gauge<f64, AtomicU64>>,
 }
 
 impl Default for Metrics {
@@ -108,7 +116,14 @@
             "prompt parts whose requests are refused because they crash backend servers",
             quarantined_parts.clone(),
         );
+        let server_limits = Family::<ServerLabels, Gauge<f64, AtomicU64>>::default();
+        registry.register(
+            "server_limit",
+            "requests per second that a backend server takes from all entries together",
+            server_limits.clone(),
+        );
         Self {
+            server_limits,
             quarantined_parts,
             deadline_overruns,
             configurations,
@@ -161,6 +176,15 @@
         self.quarantined_parts.set(count);
     }
 
+    /// Replaces the limits of the servers that have one.
+    pub(crate) fn set_server_limits(&self, limits: Vec<(ServerId, RequestRate)>) {
+        self.server_limits.clear();
+        for (server, rate) in limits {
+            let labels = ServerLabels { server };
+            self.server_limits.get_or_create(&labels).set(rate);
+        }
+    }
+
     pub(crate) fn observe_processor_delay(&self, delay: Duration) {
         self.processor_delay.observe(delay.as_secs_f64());
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -18,6 +18,7 @@
     self, EntryNumber, Exchange, OutgoingMessage, Summary, SummaryContent, SummaryIntervals, wire,
 };
 use tanagerford_core::ids::ZoneId;
+use tanagerford_core::server_limit;
 use tanagerford_core::store_position::StorePosition;
 use tanagerford_sync::lock;
 use tokio::runtime::Handle;
@@ -28,6 +29,7 @@
 use crate::copies::ConfigurationCopies;
 use crate::fleet::{BackendServer, Fleet};
 use crate::gateway::Gateway;
+use crate::limits::RequestLimits;
 use crate::processor::ProcessorMonitor;
 use crate::quarantine::Quarantine;
 use crate::table::Version;
@@ -58,6 +60,7 @@
     fleet: Arc<Fleet>,
     processor: Arc<ProcessorMonitor>,
     quarantine: Arc<Quarantine>,
+    limits: Arc<RequestLimits>,
     /// Version of the configuration in force; 0 for none.
     version: AtomicU64,
     /// Position up to which this entry has read the changes of the store.
@@ -79,6 +82,8 @@
         let number = xxh3_64(name.as_bytes());
         let intervals = SummaryIntervals::default();
         let exchange = Exchange::new(number, rand::random(), fleet.zone(), intervals);
+        let wake_up = async_channel::bounded(1);
+        let limits = Arc::new(RequestLimits::new(number, wake_up.0.clone()));
         Self {
             started: Instant::now(),
             exchange: Mutex::new(exchange),
@@ -87,10 +92,11 @@
             fleet,
             processor,
             quarantine,
+            limits,
             version: AtomicU64::new(0),
             store_position: Mutex::default(),
             peer_store_position: Mutex::default(),
-            wake_up: async_channel::bounded(1),
+            wake_up,
         }
     }
 
@@ -98,6 +104,11 @@
         self.started.elapsed()
     }
 
+    /// Returns the limits of servers that this entry knows and exchanges with the others.
+    pub(crate) fn limits(&self) -> &Arc<RequestLimits> {
+        &self.limits
+    }
+
     /// Schedules a summary because the load of this entry has changed.
     pub(crate) fn on_load_change(&self) {
         self.update(Exchange::on_change);
@@ -154,24 +165,43 @@
     fn send_due(&self) {
         let now = self.now();
         let outgoing = lock(&self.exchange).take_due(now, || self.summary_content());
-        let Some(socket) = self.socket.get() else {
-            return;
-        };
         for OutgoingMessage { receivers, message } in outgoing {
             let datagrams = wire::encode(&message);
-            for address in receivers.iter().filter_map(|entry| self.address(*entry)) {
+            for receiver in receivers {
                 for datagram in &datagrams {
-                    // With a full socket buffer the summary is dropped, so that no request waits for it.
-                    let result =
-                        socket.send_to_with_flags(datagram, &address.into(), libc::MSG_DONTWAIT);
-                    if let Err(error) = result {
-                        tracing::debug!(%address, %error, "cannot send a summary");
-                    }
+                    self.send(receiver, datagram);
                 }
             }
         }
     }
 
+    /// Sends the messages about permits that are due.
+    fn send_permits(&self) {
+        for (receiver, datagram) in self.limits.take_outgoing(self.fleet.now()) {
+            self.send(receiver, &datagram);
+        }
+    }
+
+    fn send(&self, receiver: EntryNumber, datagram: &[u8]) {
+        let (Some(socket), Some(address)) = (self.socket.get(), self.address(receiver)) else {
+            return;
+        };
+        // With a full socket buffer the datagram is dropped, so that no request waits for it.
+        let result = socket.send_to_with_flags(datagram, &address.into(), libc::MSG_DONTWAIT);
+        if let Err(error) = result {
+            tracing::debug!(%address, %error, "cannot send a datagram");
+        }
+    }
+
+    /// Updates the entries that can be responsible for the permits of a server.
+    fn update_limit_entries(&self) {
+        let mut exchange = lock(&self.exchange);
+        let live = exchange.live_entries(self.now()).into_iter().collect();
+        let registered = exchange.registered_entries();
+        drop(exchange);
+        self.limits.set_entries(&registered, &live);
+    }
+
     fn summary_content(&self) -> SummaryContent {
         let mut loads = Vec::new();
         for (_, pool) in self.fleet.pools() {
@@ -183,6 +213,7 @@
             loads,
             suspects: self.quarantine.summary(self.fleet.now()),
             suspect_parts: self.quarantine.part_summary(self.fleet.now()),
+            limits: self.limits.summary(self.fleet.now()),
         }
     }
 
@@ -199,6 +230,7 @@
             capacity: peer.cpu_millicores,
         });
         lock(&self.exchange).set_peer(number, peer);
+        self.update_limit_entries();
     }
 
     fn address(&self, entry: EntryNumber) -> Option<SocketAddr> {
@@ -246,11 +278,15 @@
         loop {
             let due = lock(&summaries.exchange).next_due();
             let delay = due.saturating_sub(summaries.now());
+            let permits = summaries.limits.time_to_due(summaries.fleet.now());
+            let delay = permits.map_or(delay, |permits| permits.min(delay));
             if delay.is_zero() {
                 summaries.send_due();
+                summaries.send_permits();
             } else {
                 // After a wake-up and after a timeout alike, the loop reads the due time again.
                 let _ = timeout(delay, summaries.wake_up.1.recv()).await;
+                summaries.send_permits();
             }
         }
     }
@@ -259,10 +295,7 @@
         let mut buffer = vec![0; wire::MAX_DATAGRAM_BYTES * 2];
         loop {
             match socket.recv_from(&mut buffer) {
-                Ok((length, sender)) => match wire::decode(&buffer[..length]) {
-                    Ok(message) => self.on_message(message),
-                    Err(error) => tracing::debug!(%sender, %error, "cannot decode a datagram"),
-                },
+                Ok((length, sender)) => self.on_datagram(&buffer[..length], sender),
                 Err(error) => {
                     tracing::debug!(%error, "cannot receive a message");
                     thread::sleep(RECEIVE_RETRY_DELAY);
@@ -271,6 +304,26 @@
         }
     }
 
+    fn on_datagram(&self, datagram: &[u8], sender: SocketAddr) {
+        if !server_limit::wire::is_permit_message(datagram) {
+            match wire::decode(datagram) {
+                Ok(message) => self.on_message(message),
+                Err(error) => tracing::debug!(%sender, %error, "cannot decode a datagram"),
+            }
+            return;
+        }
+        let fleet = self.gateway.fleet();
+        let summaries = self.gateway.summaries();
+        let Some(message) = server_limit::wire::decode(fleet.now(), datagram) else {
+            tracing::debug!(%sender, "cannot decode a message about permits");
+            return;
+        };
+        summaries.limits.receive(fleet.now(), &message, fleet);
+        summaries.send_permits();
+        // The next grant may be due earlier than the sending task expects.
+        let _ = summaries.wake_up.0.try_send(());
+    }
+
     fn on_message(&self, message: exchange::Message) {
         let summaries = self.gateway.summaries();
         let mut new_summaries = Vec::new();
@@ -294,6 +347,8 @@
         self.gateway
             .quarantine
             .merge_parts(now, &summary.suspect_parts);
+        let limits = &self.gateway.summaries().limits;
+        limits.merge(now, &summary.limits, self.gateway.fleet());
         for (_, pool) in self.gateway.fleet().pools() {
             summary.apply_to(now, &mut pool.load_view());
         }
@@ -316,6 +371,7 @@
                 tracing::info!(peer, "another entry fell silent");
             }
             self.gateway.set_entry_count(live.len() + 1);
+            summaries.update_limit_entries();
             known = live;
         }
     }
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -27,6 +27,8 @@
     NoServer,
     /// The servers that were tried refused the call, or no server has room for its long prompt.
     Overloaded,
+    /// All servers of the pool limit their requests. The limits have room again after this time.
+    ServerLimit(Duration),
     /// The entry sheds the call because it is short of processor time.
     Busy,
     /// The request crashed the servers that ran it.
@@ -54,6 +56,7 @@
             Self::SlowBody => "slow_body",
             Self::NoServer => "no_server",
             Self::Overloaded => "overloaded",
+            Self::ServerLimit(_) => "server_limit",
             Self::Busy => "entry_busy",
             Self::Quarantined => "quarantined",
             Self::QuarantinedPart(_) => "quarantined_part",
@@ -95,6 +98,7 @@
             Self::NoConfiguration => Some(Duration::from_secs(1)),
             Self::NoServer => Some(Duration::from_millis(150)),
             Self::Overloaded => Some(OVERLOAD_RETRY_AFTER),
+            Self::ServerLimit(wait) => Some(wait),
             Self::Busy => Some(BUSY_RETRY_AFTER),
             Self::Quarantined | Self::QuarantinedPart(_) => Some(Duration::from_secs(30)),
             _ => None,
--- a/crates/operator/src/explain/history.rs
+++ b/crates/operator/src/explain/history.rs
@@ -247,6 +247,9 @@
                 "slow_body" => "its body did not arrive in time",
                 "no_server" => "no server of its pool was known or reachable",
                 "overloaded" => "no server could take it",
+                "server_limit" => {
+                    "all servers of its pool limited their requests and none had room in time"
+                }
                 "entry_busy" => "the entry was short of processor time",
                 "quarantined" => "requests with the same content crashed servers",
                 "quarantined_part" => {
