Log the software versions of servers and the streams that callers take up

The entries' logs named no versions, so they could not tell at which version a stream began and went on. The registry's version is decoded, each attempt names it, and a line tells which stream a caller takes up. No decision reads it yet.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -22,6 +22,7 @@
 use crate::fleet::{BackendServer, PoolState};
 use crate::gateway::Gateway;
 use crate::limits::{LimitHeader, SelectError, SelectedServer, ServerRequest};
+use crate::log;
 use crate::peers::Summaries;
 use crate::quarantine::ConnectionEnd;
 use crate::refusal::Refusal;
@@ -170,6 +171,9 @@
         if !self.wait_for_long_prompt_gate(&call, &pool).await {
             return self.refuse_call(&call, Refusal::Overloaded);
         }
+        if call.resume_after.is_some() {
+            log::stream_taken_up(&call);
+        }
         let mut attempts = Attempts::default();
         let mut last_error = None;
         // First failure that a server reported. The caller receives it if no other server succeeds.
@@ -324,6 +328,7 @@
             workspace = call.workspace_name(),
             rank = call.shedding_rank(),
             server,
+            version = sent_call.server.version,
             outcome = outcome_name,
             sends = attempts.tried_servers.len(),
             cost_ms = choice.cost_ms,
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -49,6 +49,8 @@
     pub demand: Demand,
     /// Number of the last event that the caller has received, if it resumes a stream.
     pub(crate) resume_after: Option<u64>,
+    /// Attempt that brought the first event of the resumed stream; `None` if the caller did not name it.
+    pub(crate) resumed_attempt: Option<CallId>,
     /// Time at which the request's head arrived; the route's timeout and the caller's deadline count from it.
     pub(crate) arrived: Instant,
     /// Time at which the caller stops waiting, if the request states it.
--- a/crates/gateway/src/codec.rs
+++ b/crates/gateway/src/codec.rs
@@ -30,6 +30,8 @@
     pub demand: Demand,
     /// Number of the last event that the caller has received, if it resumes a stream.
     pub resume_after: Option<u64>,
+    /// Attempt that brought the first event of the stream that the caller resumes.
+    pub resumed_attempt: Option<CallId>,
     /// Headers that are forwarded to the server.
     pub headers: http::HeaderMap,
 }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -30,6 +30,9 @@
     /// Start of the server's process in Unix milliseconds, which distinguishes incarnations with the same name. `None`
     /// if the registry does not state it.
     pub started_unix_ms: Option<u64>,
+    /// Version of the server's software; empty if the registry does not state it. A stream may go on only at the version
+    /// that began it.
+    pub version: String,
 }
 
 /// Servers of one pool with this entry's view of their load.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -318,6 +318,7 @@
             workspace: workspace.cloned(),
             demand,
             resume_after: head.resume_after,
+            resumed_attempt: head.resumed_attempt,
             arrived,
             caller_deadline: head.caller_timeout.map(|timeout| arrived + timeout),
             is_ended: AtomicBool::new(false),
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -102,6 +102,18 @@
     );
 }
 
+/// Logs a caller that resumes a stream of an earlier attempt.
+pub(crate) fn stream_taken_up(call: &Call) {
+    tracing::info!(
+        request = call.id,
+        route = call.route.name,
+        workspace = call.workspace_name(),
+        first_attempt = call.resumed_attempt,
+        after_event = call.resume_after,
+        "stream is taken up"
+    );
+}
+
 /// Logs a final response that came after the call's deadline.
 pub(crate) fn deadline_overrun(call: &Call, overrun: Duration, processor_delay: Duration) {
     tracing::warn!(
--- a/crates/gateway/tests/registry.rs
+++ b/crates/gateway/tests/registry.rs
@@ -16,6 +16,7 @@
         slots: 4,
         is_ready,
         started_unix_ms: Some(1_790_000_000_000),
+        version: "v1".to_owned(),
     }
 }
 
