Let a stream go on only at the version that began it

The relay resumed at any server of the pool, and a call with Last-Event-Id went to any server; no decision had the version as an input.

Now the entry that forwards the first event of a stream sends its version to three keepers, and an entry at which a caller takes the stream up asks them for it. Without a record, or without a server of that version, the call is refused at once as not run, so an entry out of touch never guesses. Within one answer the relay resumes only at the version of the first server. Callers that name no first attempt are served while the entry has known one version for a minute.

A gauge counts the streams by version.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod server_limit;
 pub mod store_position;
 pub mod straggler;
+pub mod stream_version;
 pub mod subset;
 pub mod suspect;
 pub mod suspect_parts;
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,5 +1,6 @@
 //! Dispatches a call: chooses a server, sends the call, and decides whether a failed attempt is retried.
 
+use std::borrow::Cow;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
@@ -11,6 +12,7 @@
     RemainingTime,
 };
 use tanagerford_core::ids::{PoolId, ServerId};
+use tanagerford_core::stream_version::{VersionId, version_id};
 use tanagerford_http::connection_pool::{ExchangeError, PooledResponse};
 use tanagerford_http::{Body, Reply};
 use tanagerford_sync::lock;
@@ -139,11 +141,29 @@
     pub(crate) tried_servers: Vec<ServerId>,
     /// Attempts that a server may have run.
     possible_runs: u32,
+    /// Version of the servers that the call may be sent to; `None` if any may run it.
+    version: Option<VersionId>,
     /// Time after which the servers' limits have room, if they are the reason why the call was not sent.
     limited: Option<Duration>,
 }
 
 impl Attempts {
+    /// Allows only servers of this version from now on.
+    pub(crate) fn keep_version(&mut self, version: VersionId) {
+        self.version = Some(version);
+    }
+
+    /// Returns the servers that were tried and those of versions that the call may not be sent to.
+    fn excluded_servers(&self, pool: &PoolState) -> Cow<'_, [ServerId]> {
+        let Some(version) = self.version else {
+            return Cow::Borrowed(&self.tried_servers);
+        };
+        let servers = pool.servers.values();
+        let others = servers.filter(|server| version_id(&server.version) != version);
+        let others = others.map(|server| server.id.clone());
+        Cow::Owned(self.tried_servers.iter().cloned().chain(others).collect())
+    }
+
     /// Records the failure of an attempt whose response had started.
     pub(crate) fn record_possible_run(&mut self) {
         self.possible_runs += 1;
@@ -171,10 +191,13 @@
         if !self.wait_for_long_prompt_gate(&call, &pool).await {
             return self.refuse_call(&call, Refusal::Overloaded);
         }
+        let mut attempts = Attempts::default();
         if call.resume_after.is_some() {
-            log::stream_taken_up(&call);
+            match self.resumed_version(&call, &pool).await {
+                Ok(version) => attempts.version = version,
+                Err(refusal) => return self.refuse_call(&call, refusal),
+            }
         }
-        let mut attempts = Attempts::default();
         let mut last_error = None;
         // First failure that a server reported. The caller receives it if no other server succeeds.
         let mut reported_failure = None;
@@ -212,6 +235,30 @@
         self.refuse_call(&call, refusal)
     }
 
+    /// Returns the version at which the stream began that the call resumes; `None` if servers of only one version run.
+    async fn resumed_version(
+        &self,
+        call: &Call,
+        pool: &PoolState,
+    ) -> Result<Option<VersionId>, Refusal> {
+        let known = match &call.resumed_attempt {
+            Some(first) => {
+                let lookup = self.summaries.lookup_version(call.workspace_name(), first);
+                Some(lookup.await)
+            }
+            // Callers that do not name the first attempt can be served while there is no other version.
+            None => (pool.recent_versions.len() > 1).then_some(None),
+        };
+        let result = match known {
+            None => Ok(None),
+            Some(None) => Err(Refusal::StreamVersionUnknown),
+            Some(Some(version)) if pool.has_version(version) => Ok(Some(version)),
+            Some(Some(_)) => Err(Refusal::StreamVersionGone),
+        };
+        log::stream_taken_up(call, &pool.recent_versions, result.ok().flatten());
+        result
+    }
+
     /// Waits until a server can take the call without making other streams late; returns whether one can.
     ///
     /// Only long prompts wait. A call that waits longer than a fraction of its latency objective is refused, so that
@@ -402,11 +449,12 @@
         attempts: &mut Attempts,
     ) -> Result<(SentCall, SelectedServer), Option<AttemptError>> {
         let number = self.next_call_number.fetch_add(1, Ordering::Relaxed);
+        let excluded_servers = attempts.excluded_servers(pool);
         let request = ServerRequest {
             pool,
             number,
             demand: &call.demand,
-            tried_servers: &attempts.tried_servers,
+            tried_servers: &excluded_servers,
             deadline: call.deadline(),
         };
         let selected = match self.summaries.limits().select(&self.fleet, request).await {
@@ -524,7 +572,7 @@
         self: &Arc<Self>,
         call: Arc<Call>,
         pool: Arc<PoolState>,
-        attempts: Attempts,
+        mut attempts: Attempts,
         started: StartedResponse,
     ) -> Reply {
         self.metrics.observe_first_chunk(call.arrived.elapsed());
@@ -533,6 +581,11 @@
             let mut head = clone_head(&started.response.head);
             self.codec.strip_connection_headers(&mut head);
             head.headers_mut().remove(http::header::CONTENT_LENGTH);
+            let version = version_id(&started.sent_call.server.version);
+            attempts.keep_version(version);
+            if call.resume_after.is_none() && call.retry_policy() == RetryPolicy::Resumable {
+                self.summaries.record_version(&call, version);
+            }
             let relay = Relay::new(Arc::clone(self), call, pool, attempts, started);
             return self.close_if_stopping(head.map(|()| relay.into_body()));
         }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -1,6 +1,6 @@
 //! Backend servers of the registry, and this entry's view of their load.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, RwLock};
 use std::time::{Duration, Instant};
@@ -8,6 +8,7 @@
 use tanagerford_core::dispatch::{CostSettings, Pool, ServerSpec};
 use tanagerford_core::ids::{PoolId, ServerId, ZoneId};
 use tanagerford_core::server_limit::PermitQueue;
+use tanagerford_core::stream_version::{VersionId, version_id};
 use tanagerford_sync::{lock, read_lock, write_lock};
 
 use crate::table::RoutingTable;
@@ -35,9 +36,15 @@
     pub version: String,
 }
 
+/// Time for which the version of a server that left counts as recent. It exceeds the longest time for which a stream and its
+/// caller's tries last.
+const VERSION_RETENTION: Duration = Duration::from_mins(1);
+
 /// Servers of one pool with this entry's view of their load.
 #[derive(Debug)]
 pub struct PoolState {
+    /// Software versions of the servers that are registered or left within [`VERSION_RETENTION`].
+    pub(crate) recent_versions: BTreeSet<String>,
     /// Servers that accept new calls, by name.
     pub servers: BTreeMap<ServerId, Arc<BackendServer>>,
     /// View of the load and health of the servers. It is shared with the later states of the pool, so that a change of
@@ -54,6 +61,9 @@
     costs: CostSettings,
     started: Instant,
     pools: RwLock<HashMap<PoolId, Arc<PoolState>>>,
+    /// Recent versions of the servers, with the time at which the last server of a version left; `None` while one is
+    /// registered.
+    versions: Mutex<HashMap<PoolId, BTreeMap<String, Option<Duration>>>>,
 }
 
 impl Fleet {
@@ -65,6 +75,7 @@
             costs,
             started: Instant::now(),
             pools: RwLock::default(),
+            versions: Mutex::default(),
         }
     }
 
@@ -93,7 +104,20 @@
     ) {
         let specs: HashMap<_, _> = table.pools().map(|pool| (&pool.name, pool)).collect();
         let mut by_pool: HashMap<PoolId, BTreeMap<ServerId, Arc<BackendServer>>> = HashMap::new();
-        for server in servers.filter(|server| server.is_ready) {
+        let mut versions = lock(&self.versions);
+        let now = self.now();
+        for recent in versions.values_mut() {
+            recent.retain(|_, left_at| {
+                let left_at = *left_at.get_or_insert(now);
+                now.saturating_sub(left_at) < VERSION_RETENTION
+            });
+        }
+        for server in servers {
+            let recent = versions.entry(server.pool.clone()).or_default();
+            recent.insert(server.version.clone(), None);
+            if !server.is_ready {
+                continue;
+            }
             let pool = by_pool.entry(server.pool.clone()).or_default();
             pool.insert(server.id.clone(), Arc::new(server));
         }
@@ -108,7 +132,9 @@
                 },
                 |pool| (Arc::clone(&pool.load_view), Arc::clone(&pool.permit_queue)),
             );
+            let recent = versions.get(name).into_iter().flatten();
             let state = PoolState {
+                recent_versions: recent.map(|(version, _)| version.clone()).collect(),
                 servers,
                 load_view,
                 permit_queue,
@@ -144,6 +170,12 @@
         lock(&self.load_view)
     }
 
+    /// Returns whether a server of a version accepts new calls.
+    pub(crate) fn has_version(&self, version: VersionId) -> bool {
+        let mut servers = self.servers.values();
+        servers.any(|server| version_id(&server.version) == version)
+    }
+
     /// Locks the queue of the calls that wait for a permit.
     pub(crate) fn permit_queue(&self) -> MutexGuard<'_, PermitQueue> {
         lock(&self.permit_queue)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod registry;
 mod relay;
 pub mod table;
+mod versions;
 
 pub use call::Call;
 pub use codec::Codec;
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -4,9 +4,11 @@
 //! `docs/OPERATIONS.md` describes the fields of the gateway's log lines; a snapshot test of the platform's adapter
 //! records the fields of the lines about requests.
 
+use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
 use tanagerford_core::dispatch::{Rank, ShedReason};
+use tanagerford_core::stream_version::{VersionId, version_id};
 
 use crate::call::Call;
 use crate::codec::CallHead;
@@ -102,14 +104,22 @@
     );
 }
 
-/// Logs a caller that resumes a stream of an earlier attempt.
-pub(crate) fn stream_taken_up(call: &Call) {
+/// Logs a caller that resumes a stream of an earlier attempt. `version` is the one at which the stream began, and
+/// `versions` are those of the pool's servers.
+pub(crate) fn stream_taken_up(
+    call: &Call,
+    versions: &BTreeSet<String>,
+    version: Option<VersionId>,
+) {
+    let is_it = |name: &&String| version == Some(version_id(name));
     tracing::info!(
         request = call.id,
         route = call.route.name,
         workspace = call.workspace_name(),
         first_attempt = call.resumed_attempt,
         after_event = call.resume_after,
+        version = versions.iter().find(is_it),
+        ?versions,
         "stream is taken up"
     );
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -44,6 +44,21 @@
     server: ServerId,
 }
 
+#[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct VersionLabels {
+    version: String,
+}
+
+/// Counts a stream among those of its version until it is dropped.
+#[derive(Debug)]
+pub(crate) struct StreamGuard(Gauge);
+
+impl Drop for StreamGuard {
+    fn drop(&mut self) {
+        self.0.dec();
+    }
+}
+
 #[derive(Debug)]
 pub(crate) struct Metrics {
     registry: Registry,
@@ -57,6 +72,7 @@
     version: Gauge<u64, AtomicU64>,
     quarantined_parts: Gauge<u64, AtomicU64>,
     server_limits: Family<ServerLabels, Gauge<f64, AtomicU64>>,
+    streams: Family<VersionLabels, Gauge>,
 }
 
 impl Default for Metrics {
@@ -122,7 +138,14 @@
             "requests per second that a backend server takes from all entries together",
             server_limits.clone(),
         );
+        let streams = Family::<VersionLabels, Gauge>::default();
+        registry.register(
+            "streams",
+            "streams in flight, by the software version of their servers",
+            streams.clone(),
+        );
         Self {
+            streams,
             server_limits,
             quarantined_parts,
             deadline_overruns,
@@ -176,6 +199,14 @@
         self.quarantined_parts.set(count);
     }
 
+    /// Counts a stream at a server of a version.
+    pub(crate) fn count_stream(&self, version: &str) -> StreamGuard {
+        let version = version.to_owned();
+        let gauge = self.streams.get_or_create_owned(&VersionLabels { version });
+        gauge.inc();
+        StreamGuard(gauge)
+    }
+
     /// Replaces the limits of the servers that have one.
     pub(crate) fn set_server_limits(&self, limits: Vec<(ServerId, RequestRate)>) {
         self.server_limits.clear();
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -20,11 +20,13 @@
 use tanagerford_core::ids::ZoneId;
 use tanagerford_core::server_limit;
 use tanagerford_core::store_position::StorePosition;
+use tanagerford_core::stream_version::{self, VersionId};
 use tanagerford_sync::lock;
 use tokio::runtime::Handle;
 use tokio::time::{sleep, timeout};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::call::Call;
 use crate::codec::Codec;
 use crate::copies::ConfigurationCopies;
 use crate::fleet::{BackendServer, Fleet};
@@ -33,6 +35,7 @@
 use crate::processor::ProcessorMonitor;
 use crate::quarantine::Quarantine;
 use crate::table::Version;
+use crate::versions::{KeeperMessage, StreamVersions};
 
 /// Interval at which the live entries are counted.
 const COUNT_INTERVAL: Duration = Duration::from_secs(1);
@@ -61,6 +64,7 @@
     processor: Arc<ProcessorMonitor>,
     quarantine: Arc<Quarantine>,
     limits: Arc<RequestLimits>,
+    stream_versions: StreamVersions,
     /// Version of the configuration in force; 0 for none.
     version: AtomicU64,
     /// Position up to which this entry has read the changes of the store.
@@ -93,6 +97,7 @@
             processor,
             quarantine,
             limits,
+            stream_versions: StreamVersions::new(number),
             version: AtomicU64::new(0),
             store_position: Mutex::default(),
             peer_store_position: Mutex::default(),
@@ -193,6 +198,30 @@
         }
     }
 
+    /// Tells the keepers of a stream the version at which it begins.
+    pub(crate) fn record_version(&self, call: &Call, version: VersionId) {
+        let now = self.fleet.now();
+        self.send_to_keepers(&self.stream_versions.record(now, call, version));
+    }
+
+    /// Returns the version at which the stream of `first_attempt` began, or `None` if no keeper knows it.
+    pub(crate) async fn lookup_version(
+        &self,
+        workspace: &str,
+        first_attempt: &str,
+    ) -> Option<VersionId> {
+        let send = |message| self.send_to_keepers(&message);
+        let versions = &self.stream_versions;
+        versions.lookup(workspace, first_attempt, send).await
+    }
+
+    fn send_to_keepers(&self, message: &KeeperMessage) {
+        let datagram = stream_version::wire::encode(message.message);
+        for receiver in &message.receivers {
+            self.send(*receiver, &datagram);
+        }
+    }
+
     /// Updates the entries that can be responsible for the permits of a server.
     fn update_limit_entries(&self) {
         let mut exchange = lock(&self.exchange);
@@ -200,6 +229,7 @@
         let registered = exchange.registered_entries();
         drop(exchange);
         self.limits.set_entries(&registered, &live);
+        self.stream_versions.set_entries(registered);
     }
 
     fn summary_content(&self) -> SummaryContent {
@@ -305,6 +335,9 @@
     }
 
     fn on_datagram(&self, datagram: &[u8], sender: SocketAddr) {
+        if stream_version::wire::is_version_message(datagram) {
+            return self.on_version_message(datagram, sender);
+        }
         if !server_limit::wire::is_permit_message(datagram) {
             match wire::decode(datagram) {
                 Ok(message) => self.on_message(message),
@@ -324,6 +357,18 @@
         let _ = summaries.wake_up.0.try_send(());
     }
 
+    fn on_version_message(&self, datagram: &[u8], sender: SocketAddr) {
+        let Some(message) = stream_version::wire::decode(datagram) else {
+            tracing::debug!(%sender, "cannot decode a message about the version of a stream");
+            return;
+        };
+        let summaries = self.gateway.summaries();
+        let now = self.gateway.fleet().now();
+        if let Some(answer) = summaries.stream_versions.receive(now, message) {
+            summaries.send(message.sender, &stream_version::wire::encode(answer));
+        }
+    }
+
     fn on_message(&self, message: exchange::Message) {
         let summaries = self.gateway.summaries();
         let mut new_summaries = Vec::new();
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -29,6 +29,10 @@
     Overloaded,
     /// All servers of the pool limit their requests. The limits have room again after this time.
     ServerLimit(Duration),
+    /// The caller resumes a stream, and no entry that answers knows the version at which it began.
+    StreamVersionUnknown,
+    /// The caller resumes a stream, and no server of the version that began it accepts calls.
+    StreamVersionGone,
     /// The entry sheds the call because it is short of processor time.
     Busy,
     /// The request crashed the servers that ran it.
@@ -57,6 +61,8 @@
             Self::NoServer => "no_server",
             Self::Overloaded => "overloaded",
             Self::ServerLimit(_) => "server_limit",
+            Self::StreamVersionUnknown => "stream_version_unknown",
+            Self::StreamVersionGone => "stream_version_gone",
             Self::Busy => "entry_busy",
             Self::Quarantined => "quarantined",
             Self::QuarantinedPart(_) => "quarantined_part",
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -16,6 +16,7 @@
 use crate::events::EventSplitter;
 use crate::fleet::PoolState;
 use crate::gateway::Gateway;
+use crate::metrics::StreamGuard;
 use crate::quarantine::ConnectionEnd;
 
 /// Time without data from the server after which a resumable stream is resumed at another server.
@@ -28,6 +29,8 @@
     pool: Arc<PoolState>,
     attempts: Attempts,
     started: StartedResponse,
+    /// Counts the stream among those of its version.
+    _guard: StreamGuard,
     events: EventSplitter,
     sent_bytes: usize,
     /// Time from the request's head to the first event.
@@ -66,6 +69,9 @@
     ) -> Self {
         Self {
             events: EventSplitter::after(call.resume_after),
+            _guard: gateway
+                .metrics
+                .count_stream(&started.sent_call.server.version),
             gateway,
             call,
             pool,
--- a/crates/operator/src/explain/history.rs
+++ b/crates/operator/src/explain/history.rs
@@ -247,6 +247,12 @@
                 "slow_body" => "its body did not arrive in time",
                 "no_server" => "no server of its pool was known or reachable",
                 "overloaded" => "no server could take it",
+                "stream_version_unknown" => {
+                    "it resumes a stream, and no entry knew the version at which the stream began"
+                }
+                "stream_version_gone" => {
+                    "it resumes a stream, and no server of the version that began the stream was left"
+                }
                 "server_limit" => {
                     "all servers of its pool limited their requests and none had room in time"
                 }
