Check limits and versions of servers in the soak

The last server of each pool names a limit of 0.5, 2 or 8 requests a second, by seed, and two of three servers of a pool run one version and the third another. The soak counts what reaches a limited server in every 4 s without an entry that was stopped, killed or paused, and demands that a whole stream has the events of one version. The faults of each seed are as before.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -21,9 +21,9 @@
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use backend::{Backend, Mode};
+use backend::{Backend, Mode, VERSIONS};
 use proxy::Proxy;
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
@@ -44,6 +44,12 @@
 const ENTRIES: usize = 3;
 const SERVERS: usize = 3;
 const CALLERS: u32 = 6;
+/// Limits that a server of each pool names, in requests per second; the seed picks one.
+const LIMITS_PER_S: [f64; 3] = [0.5, 2.0, 8.0];
+/// Time after the start of a limit, and after an entry was stopped, killed or paused, from which the limit holds.
+const LIMIT_SETTLE_TIME: Duration = Duration::from_secs(3);
+/// Span in which the requests at a limited server are counted.
+const LIMIT_SPAN: Duration = Duration::from_secs(4);
 /// Number of faults that are injected per seed.
 const FAULTS: u32 = 6;
 const STARTED: &str = "entry has started";
@@ -134,6 +140,8 @@
     request_log: Arc<RequestLog>,
     /// Version of the current configuration, and whether it has the third key of [`caller::KEYS`].
     configuration: Mutex<(u64, bool)>,
+    /// Begin and end of each time in which an entry was stopped, killed or paused.
+    entry_faults: Mutex<Vec<(Instant, Instant)>>,
     /// Number of the next request that checks for recovery.
     next_check: AtomicU32,
 }
@@ -143,13 +151,17 @@
         let request_log = Arc::new(RequestLog::default());
         let store = StoreStandin::start();
         store.put("op/config", &configuration(7, true));
+        let limit = LIMITS_PER_S[usize::try_from(seed).unwrap_or(0) % LIMITS_PER_S.len()];
         let servers = ["plain", "engines"].into_iter().flat_map(|pool| {
             let (request_log, store) = (&request_log, &store);
             (0..SERVERS).map(move |index| {
-                let backend = Backend::start(request_log);
+                // The last server of each pool names a limit. Two of three have the same version.
+                let limit = (index == SERVERS - 1).then_some(limit);
+                let version = VERSIONS[usize::from(index == 1)];
+                let backend = Backend::start(request_log, version, limit);
                 let proxy = Proxy::start(backend.address);
                 let entry = format!(
-                    r#"{{"service":"{pool}","address":"{}","zone":"zone-{index}","slots":16,"state":"ready","sequence":1}}"#,
+                    r#"{{"service":"{pool}","address":"{}","zone":"zone-{index}","slots":16,"state":"ready","version":"{version}","sequence":1}}"#,
                     proxy.address
                 );
                 store.put(&format!("servers/{pool}-{index}"), &entry);
@@ -163,6 +175,7 @@
             servers,
             request_log,
             configuration: Mutex::new((7, true)),
+            entry_faults: Mutex::default(),
             next_check: AtomicU32::new(0),
         }
     }
@@ -177,6 +190,41 @@
 
     /// Injects a random fault for a random time, ends it, and returns its name.
     fn inject_fault(&self, random: &mut Pcg64) -> &'static str {
+        let began = Instant::now();
+        let name = self.inject(random);
+        if name.starts_with("entry") {
+            let fault = (began, Instant::now());
+            self.entry_faults.lock().expect("lock").push(fault);
+        }
+        name
+    }
+
+    /// Records the limits that got too many requests in a span without an entry that was stopped, killed or paused.
+    fn check_limits(&self) {
+        let faults = self.entry_faults.lock().expect("lock");
+        for (backend, _) in &self.servers {
+            let (Some(limit), arrivals) = (backend.limit, backend.arrivals()) else {
+                continue;
+            };
+            let allowed = 1.5 * limit * LIMIT_SPAN.as_secs_f64() + 5.0;
+            let settled = arrivals.first().map(|first| *first + LIMIT_SETTLE_TIME);
+            for (index, begin) in arrivals.iter().enumerate() {
+                let end = *begin + LIMIT_SPAN;
+                let is_excused = faults.iter().any(|(fault_begin, fault_end)| {
+                    *fault_begin < end && *begin < *fault_end + LIMIT_SETTLE_TIME
+                });
+                let count = arrivals.partition_point(|at| *at < end) - index;
+                let is_settled = settled.is_some_and(|settled| *begin >= settled);
+                let count = f64::from(u32::try_from(count).unwrap_or(u32::MAX));
+                if is_settled && !is_excused && count > allowed {
+                    let text = format!("{count} requests in 4 s at a limit of {limit}");
+                    return self.request_log.add_violation(text);
+                }
+            }
+        }
+    }
+
+    fn inject(&self, random: &mut Pcg64) -> &'static str {
         let entry = random.random_range(0..ENTRIES);
         let server = random.random_range(0..self.servers.len());
         let length = Duration::from_millis(random.random_range(100..900));
@@ -329,6 +377,7 @@
         let served = callers.into_iter().map(|caller| caller.join().unwrap_or(0));
         served.sum()
     });
+    environment.check_limits();
     println!("seed {seed}: {served} answers; {}", names.join(", "));
     let mut violations = environment.request_log.violations();
     if served == 0 {
--- a/tests/soak/backend.rs
+++ b/tests/soak/backend.rs
@@ -4,11 +4,13 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use super::request_log::RequestLog;
 use super::support::{Received, STREAM_HEAD, chunk, read_message};
 
+/// Software versions of the servers.
+pub const VERSIONS: [&str; 2] = ["v1", "v2"];
 /// Number of events of a stream.
 pub const EVENTS: u32 = 6;
 /// Time between the events of a stream.
@@ -34,6 +36,11 @@
 pub struct Backend {
     pub address: SocketAddr,
     mode: Arc<Mutex<Mode>>,
+    /// Software version, with which the server marks its events.
+    version: &'static str,
+    /// Requests per second that the server takes from all entries together, if it names a limit.
+    pub limit: Option<f64>,
+    arrivals: Arc<Mutex<Vec<Instant>>>,
 }
 
 /// Returns whether requests of a path may run more than once.
@@ -41,17 +48,20 @@
     path.starts_with("/looks/") || path.starts_with("/chat/")
 }
 
-/// Returns the event `number` of the stream of a request.
-pub fn event(id: &str, number: u32) -> String {
-    format!("id: {number}\ndata: {id}/{number}\n\n")
+/// Returns the event `number` of the stream of a request from a server of a version.
+pub fn event(id: &str, number: u32, version: &str) -> String {
+    format!("id: {number}\ndata: {id}/{number}/{version}\n\n")
 }
 
 impl Backend {
-    pub fn start(request_log: &Arc<RequestLog>) -> Self {
+    pub fn start(request_log: &Arc<RequestLog>, version: &'static str, limit: Option<f64>) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("loopback port");
         let backend = Self {
             address: listener.local_addr().expect("address"),
             mode: Arc::new(Mutex::new(Mode::Normal)),
+            version,
+            limit,
+            arrivals: Arc::default(),
         };
         let (handle, request_log) = (backend.clone(), Arc::clone(request_log));
         thread::spawn(move || {
@@ -67,6 +77,17 @@
         *self.mode.lock().expect("lock") = mode;
     }
 
+    /// Returns the times at which requests arrived.
+    pub fn arrivals(&self) -> Vec<Instant> {
+        self.arrivals.lock().expect("lock").clone()
+    }
+
+    /// Returns the header that names the limit, or nothing.
+    fn limit_header(&self) -> String {
+        let limit = self.limit;
+        limit.map_or_else(String::new, |rate| format!("Server-Limit: {rate}\r\n"))
+    }
+
     fn serve(&self, stream: TcpStream, request_log: &RequestLog) {
         let Ok(mut writer) = stream.try_clone() else {
             return;
@@ -87,11 +108,13 @@
         request_log: &RequestLog,
     ) -> Option<()> {
         let mode = *self.mode.lock().expect("lock");
+        self.arrivals.lock().expect("lock").push(Instant::now());
+        let limit = self.limit_header();
         let id = request.id();
         let path = request.line.split(' ').nth(1).unwrap_or_default();
         if mode == Mode::Refuse {
             let refusal = format!(
-                "HTTP/1.1 503 Full\r\nX-Tanagerford-Attempt-Id: {id}\r\n\
+                "HTTP/1.1 503 Full\r\n{limit}X-Tanagerford-Attempt-Id: {id}\r\n\
                  X-Tanagerford-Not-Executed: full\r\nContent-Length: 0\r\n\r\n"
             );
             return writer.write_all(refusal.as_bytes()).ok();
@@ -109,7 +132,7 @@
             Mode::CloseWithoutAnswer => return None,
             Mode::ReportFailure => {
                 let failure = format!(
-                    "HTTP/1.1 500 Failure\r\nX-Tanagerford-Attempt-Id: {id}\r\n\
+                    "HTTP/1.1 500 Failure\r\n{limit}X-Tanagerford-Attempt-Id: {id}\r\n\
                      X-Tanagerford-Response-Seal: seal\r\nContent-Length: 0\r\n\r\n"
                 );
                 return writer.write_all(failure.as_bytes()).ok();
@@ -118,11 +141,11 @@
             Mode::Normal | Mode::CutAnswer | Mode::Refuse => {}
         }
         if path.starts_with("/chat/") || path.starts_with("/drafts/") {
-            return write_stream(request, writer, mode == Mode::CutAnswer);
+            return self.write_stream(request, writer, mode == Mode::CutAnswer);
         }
         let body = format!("answer of {id}");
         let head = format!(
-            "HTTP/1.1 200 OK\r\nX-Tanagerford-Attempt-Id: {id}\r\nX-Tanagerford-Response-Seal: seal\r\n\
+            "HTTP/1.1 200 OK\r\n{limit}X-Tanagerford-Attempt-Id: {id}\r\nX-Tanagerford-Response-Seal: seal\r\n\
              Content-Length: {}\r\n\r\n",
             body.len()
         );
@@ -132,27 +155,29 @@
         }
         writer.write_all((head + &body).as_bytes()).ok()
     }
-}
 
-/// Writes the events after the caller's `Last-Event-Id`; `None` closes the connection.
-fn write_stream(request: &Received, writer: &mut TcpStream, is_cut: bool) -> Option<()> {
-    let id = request.id();
-    let after: u32 = request
-        .header("last-event-id")
-        .and_then(|last| last.parse().ok())
-        .unwrap_or(0);
-    writer
-        .write_all(STREAM_HEAD.replace("{id}", id).as_bytes())
-        .ok()?;
-    for number in after + 1..=EVENTS {
-        if is_cut && number > EVENTS / 2 {
-            let _ = writer.write_all(b"9\r\nid: 4\nda");
-            return None;
+    /// Writes the events after the caller's `Last-Event-Id`; `None` closes the connection.
+    fn write_stream(&self, request: &Received, writer: &mut TcpStream, is_cut: bool) -> Option<()> {
+        let id = request.id();
+        let after: u32 = request
+            .header("last-event-id")
+            .and_then(|last| last.parse().ok())
+            .unwrap_or(0);
+        let head = format!("HTTP/1.1 200 OK\r\n{}", self.limit_header());
+        let head = STREAM_HEAD
+            .replacen("HTTP/1.1 200 OK\r\n", &head, 1)
+            .replace("{id}", id);
+        writer.write_all(head.as_bytes()).ok()?;
+        for number in after + 1..=EVENTS {
+            if is_cut && number > EVENTS / 2 {
+                let _ = writer.write_all(b"9\r\nid: 4\nda");
+                return None;
+            }
+            writer
+                .write_all(chunk(&event(id, number, self.version)).as_bytes())
+                .ok()?;
+            thread::sleep(EVENT_INTERVAL);
         }
-        writer
-            .write_all(chunk(&event(id, number)).as_bytes())
-            .ok()?;
-        thread::sleep(EVENT_INTERVAL);
+        writer.write_all(b"0\r\n\r\n").ok()
     }
-    writer.write_all(b"0\r\n\r\n").ok()
 }
--- a/tests/soak/caller.rs
+++ b/tests/soak/caller.rs
@@ -11,7 +11,7 @@
 use rand_pcg::Pcg64;
 
 use super::Fleet;
-use super::backend::{EVENTS, event, may_repeat};
+use super::backend::{EVENTS, VERSIONS, event, may_repeat};
 use super::request_log::RequestLog;
 use super::support::{Received, read_message};
 
@@ -130,10 +130,12 @@
     let status = answer.line.split(' ').nth(1).unwrap_or_default();
     match status {
         "200" => {
-            let body = if path.starts_with("/chat/") || path.starts_with("/drafts/") {
-                (1..=EVENTS).map(|number| event(id, number)).collect()
+            // A whole stream has the events of one version.
+            let bodies = if path.starts_with("/chat/") || path.starts_with("/drafts/") {
+                let events = |version| (1..=EVENTS).map(move |number| event(id, number, version));
+                VERSIONS.map(|version| events(version).collect())
             } else {
-                format!("answer of {id}")
+                VERSIONS.map(|_| format!("answer of {id}"))
             };
             if answer.id() != id || answer.header("x-tanagerford-response-seal").is_none() {
                 request_log.add_violation(format!(
@@ -141,7 +143,7 @@
                     answer.id()
                 ));
             }
-            if answer.body != body.as_bytes() {
+            if !bodies.iter().any(|body| answer.body == body.as_bytes()) {
                 let text = String::from_utf8_lossy(&answer.body);
                 request_log.add_violation(format!("{id} ({path}) got the body {text:?}"));
             }
