Serve waiting calls when the limits of their servers end

A call that waited behind others for a permit was refused when the limits of its pool ended: the sum of the limits was 0 then, which counted as no room for ever. Found by reading; no caller has reported it. A server without a limit now makes the sum infinite. The core test failed before (2 s until there is room for a pool with an unlimited server, expected 0 s) and passes; a test of an entry keeps waiting calls awake, which it already did.

--- a/crates/core/src/server_limit.rs
+++ b/crates/core/src/server_limit.rs
@@ -25,7 +25,7 @@
 use grantor::{Grantor, WaitingRequest};
 use permits::Permits;
 
-pub use queue::{PermitQueue, Place, max_wait, room_after};
+pub use queue::{PermitQueue, Place, max_wait, retry_after, room_after};
 pub use select::{CallNeed, Selection, preview, select};
 pub use statement::{LimitStatement, RequestRate};
 
@@ -260,10 +260,10 @@
         self.servers.get(&server)?.statement.limit
     }
 
-    /// Returns the limited servers with their limits.
-    pub fn limits(&self) -> impl Iterator<Item = (ServerKey, RequestRate)> {
-        let servers = self.servers.iter();
-        servers.filter_map(|(server, state)| Some((*server, state.statement.limit?)))
+    /// Returns the sum of the limits of some servers, infinite if one of them has no limit.
+    pub fn total_rate(&self, servers: impl IntoIterator<Item = ServerKey>) -> RequestRate {
+        let limit = |server| self.limit(server).unwrap_or(f64::INFINITY);
+        servers.into_iter().map(limit).sum()
     }
 
     /// Returns whether a call can be sent to a server: it has no limit, or this entry holds a permit for the call's rank.
--- a/crates/core/src/server_limit/queue.rs
+++ b/crates/core/src/server_limit/queue.rs
@@ -115,8 +115,8 @@
     remaining / MAX_WAIT_DIVISOR
 }
 
-/// Returns when the limits of a pool have room for one more call, if every entry has as many waiting calls as this one.
-/// `rate` is the sum of the limits.
+/// Returns the time after which the limits of a pool have room for one more call, if `entries` entries have as many waiting
+/// calls as this one. `rate` is the sum of the limits, infinite if a server has none.
 ///
 /// # Examples
 ///
@@ -125,11 +125,18 @@
 /// use tanagerford_core::server_limit::room_after;
 ///
 /// assert_eq!(room_after(3, 4, 8.0), Duration::from_secs(2));
+/// assert_eq!(room_after(3, 4, f64::INFINITY), Duration::ZERO);
 /// ```
 #[must_use]
 pub fn room_after(waiting_calls: usize, entries: usize, rate: RequestRate) -> Duration {
     let count = |number: usize| f64::from(u32::try_from(number).unwrap_or(u32::MAX));
     let wait_s = count(waiting_calls + 1) * count(entries.max(1)) / rate;
-    let wait = Duration::try_from_secs_f64(wait_s).unwrap_or(RETRY_AFTER_RANGE.1);
-    wait.clamp(RETRY_AFTER_RANGE.0, RETRY_AFTER_RANGE.1)
+    Duration::try_from_secs_f64(wait_s).unwrap_or(Duration::MAX)
+}
+
+/// Returns the delay to advise for a retry when the limits have room after `room_after`.
+#[must_use]
+pub fn retry_after(room_after: Duration) -> Duration {
+    let (shortest, longest) = RETRY_AFTER_RANGE;
+    room_after.clamp(shortest, longest)
 }
--- a/crates/core/tests/server_limit.rs
+++ b/crates/core/tests/server_limit.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use tanagerford_core::exchange::EntryNumber;
-use tanagerford_core::server_limit::{LimitStatement, LimitTable, PermitMessage, ServerKey, wire};
+use tanagerford_core::server_limit::{
+    LimitStatement, LimitTable, PermitMessage, ServerKey, room_after, wire,
+};
 
 const SERVER: ServerKey = 77;
 /// Span in which requests are counted.
@@ -308,3 +310,22 @@
     assert_eq!(other.merge(there, &told).len(), 1);
     assert!(!other.is_permitted(there, SERVER, 0));
 }
+
+/// Guards against waiting calls that are refused when a limit ends: the sum of the limits was 0 then, as if there were no room.
+#[test]
+fn a_pool_with_an_unlimited_server_has_room_at_once() {
+    let now = Duration::from_secs(1);
+    let mut table = LimitTable::new(1);
+    table.on_answer(now, SERVER, statement(Some(2.0), now, now));
+    assert_eq!(
+        room_after(3, 1, table.total_rate([SERVER])),
+        Duration::from_secs(2)
+    );
+    assert_eq!(
+        room_after(3, 1, table.total_rate([SERVER, SERVER + 1])),
+        Duration::ZERO
+    );
+    let later = now + Duration::from_secs(1);
+    table.on_answer(later, SERVER, statement(None, later, later));
+    assert_eq!(room_after(3, 1, table.total_rate([SERVER])), Duration::ZERO);
+}
--- a/crates/emulator/src/simulation.rs
+++ b/crates/emulator/src/simulation.rs
@@ -16,7 +16,7 @@
 use tanagerford_core::exchange::{EntryNumber, Message};
 use tanagerford_core::ids::ServerId;
 use tanagerford_core::server_limit::{
-    GRANT_WAIT, LimitStatement, PermitMessage, Place, Selection, max_wait, room_after,
+    GRANT_WAIT, LimitStatement, PermitMessage, Place, Selection, max_wait, retry_after, room_after,
 };
 
 use crate::arrivals::{Job, arrivals};
@@ -588,13 +588,15 @@
         let deadline = call.job.at + call.job.caller_timeout;
         let waited = self.now.saturating_sub(call.arrived_at);
         let max_wait = max_wait(deadline.saturating_sub(call.arrived_at));
-        let rate: f64 = entry.limits.limits().map(|(_, rate)| rate).sum();
+        let keys = self.engine_specs.iter().map(|spec| limit_key(&spec.id));
+        let rate = entry.limits.total_rate(keys);
         let ahead = entry.permit_queue.ahead(place);
         let left = max_wait.saturating_sub(waited);
         let entries = entry.limits.entry_count();
         let entry = call.entry;
         if left.is_zero() || room_after(ahead, 1, rate) > left {
-            return self.refuse(index, room_after(ahead, entries, rate));
+            let room_after = room_after(ahead, entries, rate);
+            return self.refuse(index, retry_after(room_after));
         }
         self.schedule(self.now + GATE_POLL_INTERVAL, Event::PollPermits(index));
         self.send_permits(entry);
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -176,6 +176,12 @@
         servers.any(|server| version_id(&server.version) == version)
     }
 
+    /// Returns the number of calls that wait because all servers limit their requests.
+    #[must_use]
+    pub fn waiting_calls(&self) -> usize {
+        self.permit_queue().len()
+    }
+
     /// Locks the queue of the calls that wait for a permit.
     pub(crate) fn permit_queue(&self) -> MutexGuard<'_, PermitQueue> {
         lock(&self.permit_queue)
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -186,7 +186,7 @@
             });
             let left = max_wait.saturating_sub(began.elapsed());
             if left.is_zero() || self.is_hopeless(held, left) {
-                return Err(SelectError::Limited(self.room_after(held)));
+                return Err(SelectError::Limited(self.retry_after(held)));
             }
             // After a notification and after a timeout alike, the loop tries again.
             let _ = timeout(left.min(WAIT_POLL_INTERVAL), changed).await;
@@ -242,17 +242,16 @@
         server_limit::room_after(ahead, 1, self.rate(held.pool)) > left
     }
 
-    fn room_after(&self, held: &HeldPlace<'_>) -> Duration {
+    fn retry_after(&self, held: &HeldPlace<'_>) -> Duration {
         let ahead = held.pool.permit_queue().ahead(held.place);
         let entries = lock(&self.table).entry_count();
-        server_limit::room_after(ahead, entries, self.rate(held.pool))
+        let room_after = server_limit::room_after(ahead, entries, self.rate(held.pool));
+        server_limit::retry_after(room_after)
     }
 
-    /// Returns the sum of the limits of a pool's servers.
     fn rate(&self, pool: &PoolState) -> RequestRate {
-        let table = lock(&self.table);
-        let servers = pool.servers.values();
-        servers.filter_map(|server| table.limit(key(server))).sum()
+        let servers = pool.servers.values().map(|server| key(server));
+        lock(&self.table).total_rate(servers)
     }
 
     /// Returns the limits of the servers, by server id.
