--- a/crates/node/tests/order_faults.rs
+++ b/crates/node/tests/order_faults.rs
@@ -596,6 +596,15 @@
 Faults of the model engines are outside of this table. A prompt part that crashes each server that answers with it is
 refused by all entries after three crashes half a second apart; see `crates/core/tests/suspect_parts.rs`.
 
+Faults around the limits and the versions of servers are outside of it as well:
+
+- The entry that grants the permits of a limited server stops: there are no permits until the others notice, at most 3.5 s;
+  calls go to other servers or wait. `the_limit_holds_while_entries_are_replaced`.
+- Entries are cut off from each other: each group grants its share. `entries_cut_off_from_each_other_share_the_limit`.
+- Messages about permits are lost: so are the permits. `lost_messages_only_lose_permits`.
+- The entry that began a stream stops: its keepers know the version. All of them stop: the stream ends with a refusal as not
+  run. `crates/core/tests/stream_version.rs`, `platform/tests/stream_versions.rs`.
+
 | step | faults | `burn` | `unsent` | `late` |
 | --- | --- | --- | --- | --- |
 ";
