Correct what heads without end cost in the comment of MAX_HEAD_BYTES

The comment said that 100 servers would fill the memory of a small VM; 100 connections of 400 KiB take 40 MB, and the users' smallest VM has 96 MB.

--- a/crates/http/src/connection_pool.rs
+++ b/crates/http/src/connection_pool.rs
@@ -33,7 +33,7 @@
 /// keeps a request from being sent while the server closes the connection.
 const REUSE_FRACTION: (u32, u32) = (1, 2);
 /// Size limit of the head of a response, and of the bytes that a connection reads ahead. Without it, the HTTP library
-/// buffers about 400 KiB, and 100 servers that send a head without end would fill the memory of a small VM.
+/// buffers about 400 KiB, so 100 connections with a head without end would take 40 MB of a small VM's memory.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// Maximum number of idle connections per address; the oldest one is closed first.
 const MAX_IDLE_PER_ADDRESS: usize = 32;
