Let calls in flight use the servers that are registered now

What callers saw: a stream whose server failed or fell silent was cut, and a call that waited for a permit was refused with no_server, if a server had joined the pool after the call had begun. A server that joins is idle, so it is the cheapest choice.

Cause: a call kept the set of servers as of its start. The choice is made in the load view, which is shared and current; the chosen server was then looked up in the call's own set, and was not found there. The versions that a stream may go on at came from the same old set. Class of fault: two copies of one state, of which a long call updates only one.

Now a pool lives as long as the fleet, its servers are replaced under the lock of the load view, and a call looks them up at each choice. Ruled out: that a call is sent to a server that left meanwhile; the third test passed before, since the load view is current.

Evidence: platform/tests/registry_changes.rs; two of its three tests failed before (the stream was cut; 503 no_server) and all pass. 46 tests of the path, the feed, peers, limits and versions pass.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,6 +1,5 @@
 //! Dispatches a call: chooses a server, sends the call, and decides whether a failed attempt is retried.
 
-use std::borrow::Cow;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
@@ -153,17 +152,6 @@
         self.version = Some(version);
     }
 
-    /// Returns the servers that were tried and those of versions that the call may not be sent to.
-    fn excluded_servers(&self, pool: &PoolState) -> Cow<'_, [ServerId]> {
-        let Some(version) = self.version else {
-            return Cow::Borrowed(&self.tried_servers);
-        };
-        let servers = pool.servers.values();
-        let others = servers.filter(|server| version_id(&server.version) != version);
-        let others = others.map(|server| server.id.clone());
-        Cow::Owned(self.tried_servers.iter().cloned().chain(others).collect())
-    }
-
     /// Records the failure of an attempt whose response had started.
     pub(crate) fn record_possible_run(&mut self) {
         self.possible_runs += 1;
@@ -241,13 +229,14 @@
         call: &Call,
         pool: &PoolState,
     ) -> Result<Option<VersionId>, Refusal> {
+        let versions = pool.recent_versions();
         let known = match &call.resumed_attempt {
             Some(first) => {
                 let lookup = self.summaries.lookup_version(call.workspace_name(), first);
                 Some(lookup.await)
             }
             // Callers that do not name the first attempt can be served while there is no other version.
-            None => (pool.recent_versions.len() > 1).then_some(None),
+            None => (versions.len() > 1).then_some(None),
         };
         let result = match known {
             None => Ok(None),
@@ -255,7 +244,7 @@
             Some(Some(version)) if pool.has_version(version) => Ok(Some(version)),
             Some(Some(_)) => Err(Refusal::StreamVersionGone),
         };
-        log::stream_taken_up(call, &pool.recent_versions, result.ok().flatten());
+        log::stream_taken_up(call, &versions, result.ok().flatten());
         result
     }
 
@@ -449,12 +438,12 @@
         attempts: &mut Attempts,
     ) -> Result<(SentCall, SelectedServer), Option<AttemptError>> {
         let number = self.next_call_number.fetch_add(1, Ordering::Relaxed);
-        let excluded_servers = attempts.excluded_servers(pool);
         let request = ServerRequest {
             pool,
             number,
             demand: &call.demand,
-            tried_servers: &excluded_servers,
+            tried_servers: &attempts.tried_servers,
+            version: attempts.version,
             deadline: call.deadline(),
         };
         let selected = match self.summaries.limits().select(&self.fleet, request).await {
@@ -466,7 +455,6 @@
             }
         };
         let choice = &selected.choice;
-        let server = pool.servers.get(&choice.server).ok_or(None)?;
         let expected_latency = if call.demand.prompt_tokens > 0 {
             let normal_ms = choice.first_token_ms / choice.slowness;
             ENGINE_FIRST_TOKEN_MARGIN + Duration::from_secs_f64(normal_ms / 1_000.0)
@@ -474,7 +462,7 @@
             PLAIN_SERVICE_EXPECTED_LATENCY
         };
         let sent_call = SentCall {
-            server: Arc::clone(server),
+            server: Arc::clone(&selected.server),
             pool: Arc::clone(pool),
             sent_at: Instant::now(),
             summaries: Arc::clone(&self.summaries),
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -40,18 +40,25 @@
 /// caller's tries last.
 const VERSION_RETENTION: Duration = Duration::from_mins(1);
 
-/// Servers of one pool with this entry's view of their load.
+/// Servers that accept new calls, by name.
+pub type ServersById = BTreeMap<ServerId, Arc<BackendServer>>;
+
+/// One pool with this entry's view of the load of its servers. It lives as long as the fleet, so that calls in flight see
+/// the servers that join and leave meanwhile.
 #[derive(Debug)]
 pub struct PoolState {
+    registered: RwLock<RegisteredServers>,
+    /// View of the load and health of the registered servers.
+    load_view: Mutex<Pool>,
+    /// Calls that wait for a permit because all servers limit their requests.
+    permit_queue: Mutex<PermitQueue>,
+}
+
+#[derive(Debug, Default)]
+struct RegisteredServers {
+    servers: Arc<ServersById>,
     /// Software versions of the servers that are registered or left within [`VERSION_RETENTION`].
-    pub(crate) recent_versions: BTreeSet<String>,
-    /// Servers that accept new calls, by name.
-    pub servers: BTreeMap<ServerId, Arc<BackendServer>>,
-    /// View of the load and health of the servers. It is shared with the later states of the pool, so that a change of
-    /// the servers loses nothing.
-    load_view: Arc<Mutex<Pool>>,
-    /// Calls that wait for a permit because all servers limit their requests; shared like `load_view`.
-    permit_queue: Arc<Mutex<PermitQueue>>,
+    recent_versions: Arc<BTreeSet<String>>,
 }
 
 /// All pools of backend servers, as seen from one entry.
@@ -122,35 +129,34 @@
             pool.insert(server.id.clone(), Arc::new(server));
         }
         let mut pools = write_lock(&self.pools);
-        let mut updated = HashMap::new();
-        for name in pools.keys().chain(by_pool.keys()) {
-            let servers = by_pool.get(name).cloned().unwrap_or_default();
-            let (load_view, permit_queue) = pools.get(name).map_or_else(
-                || {
-                    let pool = Pool::new(self.zone.clone(), self.costs.clone());
-                    (Arc::new(Mutex::new(pool)), Arc::default())
-                },
-                |pool| (Arc::clone(&pool.load_view), Arc::clone(&pool.permit_queue)),
-            );
+        for name in by_pool.keys() {
+            pools
+                .entry(name.clone())
+                .or_insert_with(|| Arc::new(PoolState::new(&self.zone, &self.costs)));
+        }
+        for (name, pool) in &*pools {
             let recent = versions.get(name).into_iter().flatten();
-            let state = PoolState {
-                recent_versions: recent.map(|(version, _)| version.clone()).collect(),
-                servers,
-                load_view,
-                permit_queue,
+            let registered = RegisteredServers {
+                servers: Arc::new(by_pool.remove(name).unwrap_or_default()),
+                recent_versions: Arc::new(recent.map(|(version, _)| version.clone()).collect()),
             };
             let spec = specs.get(name);
             let memory_tokens = spec.and_then(|spec| spec.memory_tokens).unwrap_or(0);
-            let mut locked_view = state.load_view();
-            locked_view.set_servers(&state.specs(memory_tokens));
+            let mut load_view = pool.load_view();
+            load_view.set_servers(&server_specs(&registered.servers, memory_tokens));
             let event_tokens = spec.and_then(|spec| spec.event_tokens);
             if let Some((event_tokens, limit)) = event_tokens.zip(table.pause_limit(name)) {
-                locked_view.set_stream_limits(event_tokens, limit);
+                load_view.set_stream_limits(event_tokens, limit);
             }
-            drop(locked_view);
-            updated.insert(name.clone(), Arc::new(state));
+            // Replaced under the lock of the load view, so that a server which is chosen there is found here.
+            *write_lock(&pool.registered) = registered;
         }
-        *pools = updated;
+    }
+
+    /// Returns the servers of all pools that accept new calls, by pool.
+    pub(crate) fn servers(&self) -> Vec<Arc<ServersById>> {
+        let pools = read_lock(&self.pools);
+        pools.values().map(|pool| pool.servers()).collect()
     }
 
     /// Returns all pools with their names, in no particular order.
@@ -165,6 +171,25 @@
 }
 
 impl PoolState {
+    fn new(zone: &ZoneId, costs: &CostSettings) -> Self {
+        Self {
+            registered: RwLock::default(),
+            load_view: Mutex::new(Pool::new(zone.clone(), costs.clone())),
+            permit_queue: Mutex::default(),
+        }
+    }
+
+    /// Returns the servers that accept new calls now.
+    #[must_use]
+    pub fn servers(&self) -> Arc<ServersById> {
+        Arc::clone(&read_lock(&self.registered).servers)
+    }
+
+    /// Returns the software versions of the servers that are registered or left a short time ago.
+    pub(crate) fn recent_versions(&self) -> Arc<BTreeSet<String>> {
+        Arc::clone(&read_lock(&self.registered).recent_versions)
+    }
+
     /// Locks this entry's view of the load and health of the pool's servers.
     pub fn load_view(&self) -> MutexGuard<'_, Pool> {
         lock(&self.load_view)
@@ -172,7 +197,8 @@
 
     /// Returns whether a server of a version accepts new calls.
     pub(crate) fn has_version(&self, version: VersionId) -> bool {
-        let mut servers = self.servers.values();
+        let servers = self.servers();
+        let mut servers = servers.values();
         servers.any(|server| version_id(&server.version) == version)
     }
 
@@ -186,15 +212,14 @@
     pub(crate) fn permit_queue(&self) -> MutexGuard<'_, PermitQueue> {
         lock(&self.permit_queue)
     }
+}
 
-    fn specs(&self, memory_tokens: u64) -> Vec<ServerSpec> {
-        let servers = self.servers.values();
-        let specs = servers.map(|server| ServerSpec {
-            id: server.id.clone(),
-            zone: server.zone.clone(),
-            slots: server.slots,
-            memory_tokens,
-        });
-        specs.collect()
-    }
+fn server_specs(servers: &ServersById, memory_tokens: u64) -> Vec<ServerSpec> {
+    let specs = servers.values().map(|server| ServerSpec {
+        id: server.id.clone(),
+        zone: server.zone.clone(),
+        slots: server.slots,
+        memory_tokens,
+    });
+    specs.collect()
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -197,7 +197,7 @@
                 .fleet
                 .pools()
                 .iter()
-                .any(|(_, pool)| !pool.servers.is_empty())
+                .any(|(_, pool)| !pool.servers().is_empty())
     }
 
     /// Begins the shutdown: the entry is no longer ready, and every response closes its connection.
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -3,6 +3,7 @@
 //! [`LimitTable`] decides who may call a limited server; this module keeps the calls that wait for a permit and logs the
 //! changes. [`Summaries`](crate::peers::Summaries) sends and receives the messages.
 
+use std::borrow::Cow;
 use std::collections::{BTreeSet, HashMap};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -14,11 +15,12 @@
     self, CallNeed, GRANT_WAIT, LimitChange, LimitStatement, LimitTable, PermitMessage, Place,
     RequestRate, Selection, ServerKey, server_key, wire,
 };
+use tanagerford_core::stream_version::{VersionId, version_id};
 use tanagerford_sync::lock;
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
-use crate::fleet::{BackendServer, Fleet, PoolState};
+use crate::fleet::{BackendServer, Fleet, PoolState, ServersById};
 
 /// Interval at which a waiting call looks for a server even if no permit arrives, since a server may have joined.
 const WAIT_POLL_INTERVAL: Duration = Duration::from_millis(50);
@@ -42,12 +44,29 @@
     pub(crate) number: CallNumber,
     pub(crate) demand: &'a Demand,
     pub(crate) tried_servers: &'a [ServerId],
+    /// Version of the servers that the call may be sent to; `None` if any may run it.
+    pub(crate) version: Option<VersionId>,
     pub(crate) deadline: Instant,
 }
 
+impl ServerRequest<'_> {
+    /// Returns the servers that were tried and those of versions that the call may not be sent to.
+    fn excluded_servers(&self, servers: &ServersById) -> Cow<'_, [ServerId]> {
+        let Some(version) = self.version else {
+            return Cow::Borrowed(self.tried_servers);
+        };
+        let others = servers
+            .values()
+            .filter(|server| version_id(&server.version) != version);
+        let others = others.map(|server| server.id.clone());
+        Cow::Owned(self.tried_servers.iter().cloned().chain(others).collect())
+    }
+}
+
 /// Server to which a call is sent.
 #[derive(Debug)]
 pub(crate) struct SelectedServer {
+    pub(crate) server: Arc<BackendServer>,
     pub(crate) choice: Choice,
     /// Cheaper server that was left out because it limits its requests.
     pub(crate) avoided: Option<ServerId>,
@@ -136,7 +155,8 @@
     ) -> Option<Choice> {
         let table = lock(&self.table);
         let mut load_view = pool.load_view();
-        server_limit::preview(&mut load_view, &table, now, demand, keys(pool))
+        let servers = pool.servers();
+        server_limit::preview(&mut load_view, &table, now, demand, keys(&servers))
     }
 
     /// Selects a server for a call and adds the call to the load there. Waits for a permit if all servers limit their
@@ -158,12 +178,14 @@
             let may_try = pool.permit_queue().may_try(rank, place);
             if may_try {
                 let can_await_grant = place.is_none() && began.elapsed() < GRANT_WAIT;
-                match self.try_select(fleet.now(), request, can_await_grant) {
+                let (selection, server) = self.try_select(fleet.now(), request, can_await_grant);
+                match selection {
                     Selection::Send { choice, avoided } => {
                         if let Some(held) = &mut held {
                             held.is_served = true;
                         }
                         return Ok(SelectedServer {
+                            server: server.ok_or(SelectError::NoServer)?,
                             choice,
                             avoided,
                             held: began.elapsed(),
@@ -199,22 +221,26 @@
         now: Duration,
         request: ServerRequest<'_>,
         can_await_grant: bool,
-    ) -> Selection {
+    ) -> (Selection, Option<Arc<BackendServer>>) {
         let ServerRequest { pool, demand, .. } = request;
         let queue = pool.permit_queue();
+        let permit_rank = queue.permit_rank(demand.rank);
+        let waiting_calls = queue.len();
+        drop(queue);
+        let mut table = lock(&self.table);
+        let mut load_view = pool.load_view();
+        let servers = pool.servers();
+        let excluded_servers = request.excluded_servers(&servers);
         let call = CallNeed {
             demand,
-            tried_servers: request.tried_servers,
-            permit_rank: queue.permit_rank(demand.rank),
+            tried_servers: &excluded_servers,
+            permit_rank,
             can_await_grant,
-            waiting_calls: queue.len(),
+            waiting_calls,
         };
-        drop(queue);
-        let mut table = lock(&self.table);
-        let mut load_view = pool.load_view();
         let has_limits = !table.is_empty();
         let select = |load_view: &mut Pool, table: &mut LimitTable| {
-            server_limit::select(load_view, table, now, call, keys(pool))
+            server_limit::select(load_view, table, now, call, keys(&servers))
         };
         let mut selection = select(&mut load_view, &mut table);
         if matches!(selection, Selection::AwaitGrant | Selection::Wait) {
@@ -222,18 +248,17 @@
             table.settle(now);
             selection = select(&mut load_view, &mut table);
         }
+        let mut server = None;
         if let Selection::Send { choice, .. } = &selection {
-            if !pool.servers.contains_key(&choice.server) {
-                return Selection::NoServer;
-            }
             load_view.on_start(now, &choice.server, request.number, demand);
+            server = servers.get(&choice.server).cloned();
         }
         drop((table, load_view));
         if has_limits {
             // If the channel is full, a wake-up is already pending.
             let _ = self.wake_up.try_send(());
         }
-        selection
+        (selection, server)
     }
 
     /// Returns whether the calls ahead use up all permits that the limits allow within the time that is left.
@@ -250,7 +275,8 @@
     }
 
     fn rate(&self, pool: &PoolState) -> RequestRate {
-        let servers = pool.servers.values().map(|server| key(server));
+        let servers = pool.servers();
+        let servers = servers.values().map(|server| key(server));
         lock(&self.table).total_rate(servers)
     }
 
@@ -260,8 +286,8 @@
         if table.is_empty() {
             return Vec::new();
         }
-        let pools = fleet.pools();
-        let servers = pools.iter().flat_map(|(_, pool)| pool.servers.values());
+        let servers = fleet.servers();
+        let servers = servers.iter().flat_map(|servers| servers.values());
         let limits =
             servers.filter_map(|server| Some((server.id.clone(), table.limit(key(server))?)));
         limits.collect()
@@ -272,8 +298,8 @@
         if lock(&self.table).is_empty() {
             return;
         }
-        let pools = fleet.pools();
-        let servers = pools.iter().flat_map(|(_, pool)| pool.servers.values());
+        let servers = fleet.servers();
+        let servers = servers.iter().flat_map(|servers| servers.values());
         let registered: BTreeSet<ServerKey> = servers.map(|server| key(server)).collect();
         lock(&self.table).retain(|server| registered.contains(&server));
     }
@@ -345,8 +371,8 @@
             return;
         }
         self.changed.notify_waiters();
-        let pools = fleet.pools();
-        let servers = pools.iter().flat_map(|(_, pool)| pool.servers.values());
+        let servers = fleet.servers();
+        let servers = servers.iter().flat_map(|servers| servers.values());
         let ids: HashMap<ServerKey, &Arc<BackendServer>> =
             servers.map(|server| (key(server), server)).collect();
         for (server, change) in changes {
@@ -362,8 +388,8 @@
 }
 
 /// Returns a function from the ids of a pool's servers to their keys.
-fn keys(pool: &PoolState) -> impl Fn(&str) -> ServerKey {
-    |id| pool.servers.get(id).map_or(0, |server| key(server))
+fn keys(servers: &ServersById) -> impl Fn(&str) -> ServerKey {
+    |id| servers.get(id).map_or(0, |server| key(server))
 }
 
 fn log_change(server: &str, change: LimitChange, source: &'static str) {
