Keep a silent server until another one answers

What callers saw: a stream was cut when its server sent nothing for 800 ms and no other server could go on, although the server had not failed and went on later; the late answer of a server that began after three times the objective was thrown away, and the caller got 502 in its place.

Cause: silence was taken for failure. An entry gave up the server that held an answer before another server had one, and asked only then whether the retry budget, the limits, the version or a quarantine allow another server at all. Class of fault: a resource is given up before its replacement is there.

Now an exchange with a silent server stays in flight (`in_flight`) until another server answers, the caller leaves or the deadline passes; the first usable answer counts and the others are ended. A relay waits for its own server and for another one at the same time, drops the partial event only when it switches, and asks again every 200 ms while none may go on. A late refusal of a silent server takes back its possible run, so that 503 can be said when no server has run the call. A retry for which no server is left goes back to the budget. First attempts and resumed streams share one loop, `try_servers`.

Ruled out: that a call runs at more servers than max_attempts (a silent or abandoned attempt counts as a possible run), and that a silent server works on beside the new one (its connection closes with the first chunk of the other answer; two tests).

--- a/crates/core/src/dispatch/budget.rs
+++ b/crates/core/src/dispatch/budget.rs
@@ -65,6 +65,11 @@
         true
     }
 
+    /// Returns the retry that was taken last, since it was not sent.
+    pub fn return_retry(&mut self) {
+        self.retries.pop_back();
+    }
+
     fn evict_expired(&mut self, now: Duration, limits: &BudgetLimits) {
         for queue in [&mut self.requests, &mut self.retries] {
             while queue
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -15,13 +15,14 @@
 use tanagerford_http::connection_pool::{ExchangeError, PooledResponse};
 use tanagerford_http::{Body, Reply};
 use tanagerford_sync::lock;
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout, timeout_at};
 
 use crate::buffered::BufferedResponse;
 use crate::call::{Call, RetryPolicy};
 use crate::codec::{AttemptContext, Codec, ResponseHead};
 use crate::fleet::{BackendServer, PoolState};
 use crate::gateway::Gateway;
+use crate::in_flight::{Exchange, ExchangeResult, InFlight};
 use crate::limits::{LimitHeader, SelectError, SelectedServer, ServerRequest};
 use crate::log;
 use crate::peers::Summaries;
@@ -52,13 +53,14 @@
     expected_latency: Duration,
     number: CallNumber,
     call: Arc<Call>,
-    is_end_logged: bool,
+    /// Whether the outcome of the attempt was recorded and logged.
+    pub(crate) is_end_logged: bool,
 }
 
 impl Drop for SentCall {
     fn drop(&mut self) {
         if !self.is_end_logged {
-            // The caller disconnected before the response started.
+            // The caller disconnected before the response started, or another server answered first.
             tracing::info!(
                 request = self.call.id,
                 route = self.call.route.name,
@@ -123,6 +125,11 @@
         }
     }
 
+    /// Returns whether a retry after this failure is deducted from the budget.
+    fn uses_retry_budget(self) -> bool {
+        self != Self::Unreachable
+    }
+
     fn outcome(self) -> CallOutcome {
         match self {
             Self::Unreachable => CallOutcome::Unreachable,
@@ -134,8 +141,15 @@
     }
 }
 
+/// Server and time of an attempt.
+struct Target {
+    server: Arc<BackendServer>,
+    pool: Arc<PoolState>,
+    sent_at: Instant,
+}
+
 /// Attempts of one call so far.
-#[derive(Debug, Default)]
+#[derive(Default)]
 pub(crate) struct Attempts {
     pub(crate) tried_servers: Vec<ServerId>,
     /// Attempts that a server may have run.
@@ -144,6 +158,8 @@
     version: Option<VersionId>,
     /// Time after which the servers' limits have room, if they are the reason why the call was not sent.
     limited: Option<Duration>,
+    /// Exchanges with servers that have not begun to answer.
+    in_flight: InFlight,
 }
 
 impl Attempts {
@@ -156,6 +172,12 @@
     pub(crate) fn record_possible_run(&mut self) {
         self.possible_runs += 1;
     }
+
+    /// Ends the exchanges with all other servers, since one answers. They may have run the call.
+    pub(crate) fn abandon_in_flight(&mut self) {
+        let unrecorded = self.in_flight.abandon();
+        self.possible_runs += u32::try_from(unrecorded).unwrap_or(u32::MAX);
+    }
 }
 
 impl<C: Codec> Gateway<C> {
@@ -186,41 +208,111 @@
                 Err(refusal) => return self.refuse_call(&call, refusal),
             }
         }
-        let mut last_error = None;
+        let resume_after = call.resume_after;
+        let answer = self.try_servers(&call, &pool, &pool_name, &mut attempts, resume_after, None);
+        match answer.await {
+            Ok(started) => self.deliver(call, pool, attempts, started).await,
+            Err(refusal) => self.refuse_call(&call, refusal),
+        }
+    }
+
+    /// Sends a call to servers of its pool until one begins to answer. `failure` is the failure of an earlier attempt, if
+    /// there was one. When no other server may take the call, a silent one has until the deadline.
+    pub(crate) async fn try_servers(
+        self: &Arc<Self>,
+        call: &Arc<Call>,
+        pool: &Arc<PoolState>,
+        pool_name: &PoolId,
+        attempts: &mut Attempts,
+        resume_after: Option<u64>,
+        failure: Option<AttemptError>,
+    ) -> Result<StartedResponse, Refusal> {
+        let mut last_error = failure;
         // First failure that a server reported. The caller receives it if no other server succeeds.
         let mut reported_failure = None;
         loop {
-            if last_error
-                .is_some_and(|error| !self.allow_retry(&call, &pool_name, &attempts, error))
-            {
+            if last_error.is_some_and(|error| !self.allow_retry(call, pool_name, attempts, error)) {
                 break;
             }
-            if let Some(part) = self.quarantine.quarantined_part(self.fleet.now(), &call) {
+            if let Some(part) = self.quarantine.quarantined_part(self.fleet.now(), call) {
                 if attempts.possible_runs > 0 {
                     break;
                 }
-                return self.refuse_call(&call, Refusal::QuarantinedPart(part));
+                return Err(Refusal::QuarantinedPart(part));
             }
-            let resume_after = call.resume_after;
-            match self
-                .attempt(&call, &pool, &mut attempts, resume_after)
-                .await
-            {
+            match self.attempt(call, pool, attempts, resume_after).await {
                 Ok(started) if started.is_server_failure() && reported_failure.is_none() => {
                     attempts.record_possible_run();
                     last_error = Some(AttemptError::Failed);
                     reported_failure = Some(started);
                 }
-                Ok(started) => return self.deliver(call, pool, attempts, started).await,
+                Ok(started) => {
+                    attempts.abandon_in_flight();
+                    return Ok(started);
+                }
                 Err(Some(error)) => last_error = Some(error),
-                Err(None) => break,
+                Err(None) => {
+                    if last_error.is_some_and(AttemptError::uses_retry_budget) {
+                        self.return_retry(pool_name);
+                    }
+                    break;
+                }
             }
         }
-        if let Some(started) = reported_failure {
-            return self.deliver(call, pool, attempts, started).await;
+        if reported_failure.is_none() {
+            reported_failure = self.await_silent_servers(call, attempts).await;
+        }
+        attempts.abandon_in_flight();
+        reported_failure.ok_or_else(|| final_refusal(call, attempts, last_error))
+    }
+
+    /// Waits until the deadline for the answer of a server that was silent, which may go on.
+    async fn await_silent_servers(
+        self: &Arc<Self>,
+        call: &Arc<Call>,
+        attempts: &mut Attempts,
+    ) -> Option<StartedResponse> {
+        while !attempts.in_flight.is_empty() {
+            let remaining = call.deadline().saturating_duration_since(Instant::now());
+            let result = timeout(remaining, attempts.in_flight.first_result()).await;
+            let (sent_call, result) = result.ok()?;
+            let started = self.on_late_result(attempts, sent_call, result);
+            if started.is_some() {
+                return started;
+            }
+        }
+        None
+    }
+
+    /// Records the late result of an attempt that was recorded as silent; returns the response if there is one.
+    fn on_late_result(
+        self: &Arc<Self>,
+        attempts: &mut Attempts,
+        sent_call: SentCall,
+        result: ExchangeResult,
+    ) -> Option<StartedResponse> {
+        let outcome = self.record_outcome(&sent_call, &result);
+        tracing::info!(
+            request = sent_call.call.id,
+            route = sent_call.call.route.name,
+            workspace = sent_call.call.workspace_name(),
+            server = sent_call.server.id,
+            outcome,
+            after_ms = sent_call.sent_at.elapsed().as_millis(),
+            "late answer"
+        );
+        match result {
+            Ok((response, first_chunk)) => {
+                Some(self.start_response(sent_call, response, first_chunk))
+            }
+            Err(error) => {
+                // The silent attempt was counted as a possible run.
+                if matches!(error, AttemptError::NotRun | AttemptError::Unreachable) {
+                    attempts.possible_runs = attempts.possible_runs.saturating_sub(1);
+                }
+                None
+            }
         }
-        let refusal = final_refusal(&call, &attempts, last_error);
-        self.refuse_call(&call, refusal)
     }
 
     /// Returns the version at which the stream began that the call resumes; `None` if servers of only one version run.
@@ -333,82 +425,135 @@
         if remaining < MIN_REMAINING {
             return Err(None);
         }
-        let (mut sent_call, selected) = self.select_server(call, pool, attempts).await?;
+        let (sent_call, selected) = self.select_server(call, pool, attempts).await?;
         let choice = selected.choice;
         // The call may have waited for a permit.
         let remaining = deadline.saturating_duration_since(Instant::now());
         attempts.tried_servers.push(sent_call.server.id.clone());
         self.summaries.on_call_sent(&sent_call.server, &call.demand);
-        let result = self
-            .send_to_server(call, &sent_call, remaining, resume_after, attempts)
-            .await;
-        let server = &sent_call.server.id;
-        let outcome = match &result {
+        let time_limit = response_timeout(call, remaining, attempts, self.processor.delay());
+        let number = sent_call.number;
+        let target = Target {
+            server: Arc::clone(&sent_call.server),
+            pool: Arc::clone(pool),
+            sent_at: sent_call.sent_at,
+        };
+        let exchange =
+            Arc::clone(self).send_to_server(Arc::clone(call), target, remaining, resume_after);
+        attempts.in_flight.push(Exchange::new(sent_call, exchange));
+        let expiry = Instant::now() + time_limit;
+        let newest = loop {
+            let result = timeout_at(expiry.into(), attempts.in_flight.first_result()).await;
+            match result {
+                Ok((sent_call, result)) if sent_call.number == number => {
+                    break Some((sent_call, result));
+                }
+                Ok((sent_call, result)) => {
+                    let started = self.on_late_result(attempts, sent_call, result);
+                    if let Some(started) = started.filter(|started| !started.is_server_failure()) {
+                        return Ok(started);
+                    }
+                }
+                Err(_) => break None,
+            }
+        };
+        let log_end = |sent_call: &mut SentCall, outcome: &'static str| {
+            self.metrics.on_attempt(outcome);
+            tracing::info!(
+                request = call.id,
+                route = call.route.name,
+                workspace = call.workspace_name(),
+                rank = call.shedding_rank(),
+                server = sent_call.server.id,
+                version = sent_call.server.version,
+                outcome,
+                sends = attempts.tried_servers.len(),
+                cost_ms = choice.cost_ms,
+                uncached_tokens = choice.uncached_tokens,
+                in_flight = choice.in_flight,
+                waiting_tokens = choice.waiting_tokens,
+                first_token_ms = choice.first_token_ms,
+                candidates = choice.candidates,
+                avoided = selected.avoided,
+                held_ms = selected.held.as_millis(),
+                remaining_ms = remaining.as_millis(),
+                processor_delay_ms = self.processor.delay().as_millis(),
+                after_ms = sent_call.sent_at.elapsed().as_millis(),
+                "attempt"
+            );
+            sent_call.is_end_logged = true;
+        };
+        let Some((mut sent_call, result)) = newest else {
+            // The exchange stays in flight, since the server may go on.
+            if let Some(sent_call) = attempts.in_flight.newest() {
+                let result = Err(AttemptError::TimedOut);
+                let outcome = self.record_outcome(sent_call, &result);
+                log_end(sent_call, outcome);
+            }
+            attempts.possible_runs += 1;
+            return Err(Some(AttemptError::TimedOut));
+        };
+        let outcome = self.record_outcome(&sent_call, &result);
+        log_end(&mut sent_call, outcome);
+        match result {
+            Ok((response, first_chunk)) => {
+                Ok(self.start_response(sent_call, response, first_chunk))
+            }
+            Err(error) => {
+                attempts.possible_runs += u32::from(error == AttemptError::Broken);
+                Err(Some(error))
+            }
+        }
+    }
+
+    /// Records the result of an exchange in the health of its server; returns the name of the outcome.
+    fn record_outcome(
+        self: &Arc<Self>,
+        sent_call: &SentCall,
+        result: &ExchangeResult,
+    ) -> &'static str {
+        let outcome = match result {
             Ok((response, _)) if response.head.status().is_server_error() => CallOutcome::Failed,
             Ok(_) => CallOutcome::Answered {
                 slowness: sent_call.slowness(self.processor.delay()),
             },
             Err(error) => error.outcome(),
         };
-        pool.load_view()
-            .on_outcome(self.fleet.now(), server, outcome);
-        let outcome_name = match &result {
+        let mut load_view = sent_call.pool.load_view();
+        load_view.on_outcome(self.fleet.now(), &sent_call.server.id, outcome);
+        drop(load_view);
+        match result {
             Ok(_) if outcome == CallOutcome::Failed => AttemptError::Failed.name(),
             Ok(_) => "answered",
-            Err(error) => error.name(),
-        };
-        self.metrics.on_attempt(outcome_name);
-        tracing::info!(
-            request = call.id,
-            route = call.route.name,
-            workspace = call.workspace_name(),
-            rank = call.shedding_rank(),
-            server,
-            version = sent_call.server.version,
-            outcome = outcome_name,
-            sends = attempts.tried_servers.len(),
-            cost_ms = choice.cost_ms,
-            uncached_tokens = choice.uncached_tokens,
-            in_flight = choice.in_flight,
-            waiting_tokens = choice.waiting_tokens,
-            first_token_ms = choice.first_token_ms,
-            candidates = choice.candidates,
-            avoided = selected.avoided,
-            held_ms = selected.held.as_millis(),
-            remaining_ms = remaining.as_millis(),
-            processor_delay_ms = self.processor.delay().as_millis(),
-            after_ms = sent_call.sent_at.elapsed().as_millis(),
-            "attempt"
-        );
-        sent_call.is_end_logged = true;
-        match result {
-            Ok((response, first_chunk)) => {
-                if response.head.status().is_success() {
-                    let now = self.fleet.now();
-                    let mut load_view = pool.load_view();
-                    load_view.on_first_part(now, &sent_call.server.id, sent_call.number);
-                    drop(load_view);
-                    self.summaries.on_load_change();
-                }
-                Ok(StartedResponse {
-                    sent_call,
-                    response,
-                    first_chunk,
-                })
-            }
             Err(error) => {
-                if error == AttemptError::Broken {
-                    self.check_for_crash(&sent_call, ConnectionEnd::Broken);
+                if *error == AttemptError::Broken {
+                    self.check_for_crash(sent_call, ConnectionEnd::Broken);
                 }
-                attempts.possible_runs += u32::from(matches!(
-                    error,
-                    AttemptError::Broken | AttemptError::TimedOut
-                ));
-                Err(Some(error))
+                error.name()
             }
         }
     }
 
+    /// Records that the response of a server has begun.
+    fn start_response(
+        &self,
+        sent_call: SentCall,
+        response: PooledResponse,
+        first_chunk: Option<Bytes>,
+    ) -> StartedResponse {
+        if response.head.status().is_success() {
+            let mut load_view = sent_call.pool.load_view();
+            load_view.on_first_part(self.fleet.now(), &sent_call.server.id, sent_call.number);
+            drop(load_view);
+            self.summaries.on_load_change();
+        }
+        StartedResponse {
+            sent_call,
+            response,
+            first_chunk,
+        }
+    }
+
     /// Spawns a task that checks whether the server has crashed after the connection of a call has ended.
     pub(crate) fn check_for_crash(self: &Arc<Self>, sent_call: &SentCall, end: ConnectionEnd) {
         let quarantine = Arc::clone(&self.quarantine);
@@ -476,72 +621,67 @@
 
     /// Sends one attempt to its server and returns the checked head and the first chunk of the response.
     async fn send_to_server(
-        &self,
-        call: &Call,
-        sent_call: &SentCall,
+        self: Arc<Self>,
+        call: Arc<Call>,
+        target: Target,
         remaining: Duration,
         resume_after: Option<u64>,
-        attempts: &Attempts,
-    ) -> Result<(PooledResponse, Option<Bytes>), AttemptError> {
+    ) -> ExchangeResult {
         let context = AttemptContext {
-            server: &sent_call.server,
+            server: &target.server,
             remaining,
             resume_after,
         };
-        let request = self.codec.request(call, context);
-        let processor_delay = self.processor.delay();
-        let time_limit = response_timeout(call, remaining, attempts, processor_delay);
-        let exchange = async {
-            let connect_timeout = CONNECT_TIMEOUT.min(remaining);
-            let sending =
-                self.connection_pool
-                    .send(sent_call.server.address, request, connect_timeout, true);
-            let mut response = sending.await.map_err(|error| attempt_error(call, &error))?;
-            let head = self.codec.response_head(&response.head);
-            self.check_head(call, sent_call, &head, response.head.status())?;
-            let first_chunk = response
-                .next_chunk()
-                .await
-                .map_err(|_| AttemptError::Broken)?;
-            Ok((response, first_chunk))
-        };
-        let result = timeout(time_limit, exchange).await;
-        result.unwrap_or(Err(AttemptError::TimedOut))
+        let request = self.codec.request(&call, context);
+        let connect_timeout = CONNECT_TIMEOUT.min(remaining);
+        let sending =
+            self.connection_pool
+                .send(target.server.address, request, connect_timeout, true);
+        let mut response = sending
+            .await
+            .map_err(|error| attempt_error(&call, &error))?;
+        let head = self.codec.response_head(&response.head);
+        self.check_head(&call, &target, &head, response.head.status())?;
+        let first_chunk = response
+            .next_chunk()
+            .await
+            .map_err(|_| AttemptError::Broken)?;
+        Ok((response, first_chunk))
     }
 
     /// Updates the load view from a response's head and returns an error if the response cannot be used.
     fn check_head(
         &self,
         call: &Call,
-        sent_call: &SentCall,
+        target: &Target,
         head: &ResponseHead,
         status: StatusCode,
     ) -> Result<(), AttemptError> {
         if head.id.as_ref().is_some_and(|id| *id != call.id) {
             tracing::warn!(
                 request = call.id,
-                server = sent_call.server.id,
+                server = target.server.id,
                 other = head.id,
                 "response belongs to another call"
             );
             return Err(AttemptError::Broken);
         }
         if let Some(load) = head.load {
-            sent_call
+            target
                 .pool
                 .load_view()
-                .on_load(self.fleet.now(), &sent_call.server.id, load);
+                .on_load(self.fleet.now(), &target.server.id, load);
         }
         if !head.is_wrong_server && (head.is_authentic || head.limit != LimitHeader::Absent) {
             let now = self.fleet.now();
-            let requested_at = now.saturating_sub(sent_call.sent_at.elapsed());
+            let requested_at = now.saturating_sub(target.sent_at.elapsed());
             let limits = self.summaries.limits();
-            limits.on_answer(&sent_call.server, head.limit, requested_at, now);
+            limits.on_answer(&target.server, head.limit, requested_at, now);
         }
         if head.is_wrong_server {
-            sent_call.pool.load_view().on_outcome(
+            target.pool.load_view().on_outcome(
                 self.fleet.now(),
-                &sent_call.server.id,
+                &target.server.id,
                 CallOutcome::Restarted,
             );
             return Err(AttemptError::NotRun);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -253,6 +253,11 @@
         })
     }
 
+    /// Returns a retry to the budget of a pool, since no server was left to send it to.
+    pub(crate) fn return_retry(&self, pool: &PoolId) {
+        self.with_budget(pool, RetryBudget::return_retry);
+    }
+
     /// Returns the estimated arrival time of a request that is read now. The request may have waited for the processor,
     /// and the caller's timeout includes that wait.
     fn estimated_arrival(&self) -> Instant {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! A request passes through these modules: [`gateway`] reads it, checks its route and key against the [`table`] and
 //! applies overload control; `attempt` chooses a server from the [`fleet`], sends the [`Call`] and decides about
-//! retries; `relay` and `buffered` return the response to the caller. Beside this path, [`peers`] exchanges load
+//! retries; `in_flight` holds what was sent until a server answers; `relay` and `buffered` return the response to the caller. Beside this path, [`peers`] exchanges load
 //! summaries with the other entries, [`copies`] reads newer configurations from them, and [`registry`] tracks the
 //! backend servers.
 //!
@@ -17,6 +17,7 @@
 pub mod events;
 pub mod fleet;
 pub mod gateway;
+mod in_flight;
 pub mod limits;
 mod log;
 mod metrics;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -5,10 +5,10 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use futures_lite::stream;
+use futures_lite::{future, stream};
 use tanagerford_core::dispatch::CallOutcome;
 use tanagerford_http::Body;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout, timeout_at};
 
 use crate::attempt::{AttemptError, Attempts, StartedResponse};
 use crate::call::{Call, RetryPolicy};
@@ -19,8 +19,10 @@
 use crate::metrics::StreamGuard;
 use crate::quarantine::ConnectionEnd;
 
-/// Time without data from the server after which a resumable stream is resumed at another server.
+/// Time without data from the server after which another server is asked to go on with a resumable stream.
 const RESUME_IDLE_TIMEOUT: Duration = Duration::from_millis(800);
+/// Interval at which other servers are asked again while none may go on with the stream of a silent server.
+const TAKE_OVER_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Event stream from a server to a caller.
 pub(crate) struct Relay<C> {
@@ -29,6 +31,8 @@
     pool: Arc<PoolState>,
     attempts: Attempts,
     started: StartedResponse,
+    /// Whether the server of `started` counts as a possible run among the attempts.
+    is_run_counted: bool,
     /// Counts the stream among those of its version.
     _guard: StreamGuard,
     events: EventSplitter,
@@ -40,6 +44,14 @@
     longest_pause: Duration,
 }
 
+/// What ends the silence of a stream's server.
+enum SilenceEnd {
+    /// The server goes on, or its connection has ended.
+    Own(Result<Option<Bytes>, hyper::Error>),
+    /// Another server goes on with the stream.
+    Other(Box<StartedResponse>),
+}
+
 /// Reason for which a stream cannot continue at its server.
 #[derive(Debug, Clone, Copy)]
 enum RelayError {
@@ -77,6 +89,7 @@
             pool,
             attempts,
             started,
+            is_run_counted: false,
             sent_bytes: 0,
             first_event_after: None,
             last_sent_at: Instant::now(),
@@ -147,6 +160,7 @@
             match self.next_from_server().await {
                 Ok(Some(data)) if data.is_empty() => {}
                 Ok(next) => return Ok(next),
+                Err(RelayError::IdleTimeout) => self.outlast_silence().await?,
                 Err(error) => self.resume(error).await?,
             }
         }
@@ -193,53 +207,88 @@
         }
     }
 
-    /// Resumes the stream at another server after the last complete event. Returns `error` if that is not possible.
-    async fn resume(&mut self, error: RelayError) -> Result<(), RelayError> {
-        let server = &self.started.sent_call.server.id;
-        let (outcome, attempt_error) = match error {
-            RelayError::Expired => return Err(error),
-            RelayError::IdleTimeout => (CallOutcome::TimedOut, AttemptError::TimedOut),
-            RelayError::Broken => (CallOutcome::Broken, AttemptError::Broken),
+    /// Waits until the silent server goes on or another one goes on in its place, whichever is first. The server is sound
+    /// until its connection ends, so it is not given up before.
+    async fn outlast_silence(&mut self) -> Result<(), RelayError> {
+        self.record_failure(CallOutcome::TimedOut);
+        let deadline = self.call.deadline();
+        let after = self.events.last_id();
+        let (gateway, call, pool) = (&self.gateway, &self.call, &self.pool);
+        let pool_name = &self.started.sent_call.server.pool;
+        let (attempts, response) = (&mut self.attempts, &mut self.started.response);
+        let own = async { SilenceEnd::Own(response.next_chunk().await) };
+        let other = async {
+            loop {
+                let failure = Some(AttemptError::TimedOut);
+                let answer = gateway.try_servers(call, pool, pool_name, attempts, after, failure);
+                match answer.await {
+                    Ok(started) if started.response.head.status().is_success() => {
+                        return SilenceEnd::Other(Box::new(started));
+                    }
+                    _ => sleep(TAKE_OVER_INTERVAL).await,
+                }
+            }
         };
-        self.pool
-            .load_view()
-            .on_outcome(self.gateway.fleet.now(), server, outcome);
-        if matches!(error, RelayError::Broken) {
-            let sent_call = &self.started.sent_call;
-            self.gateway
-                .check_for_crash(sent_call, ConnectionEnd::Broken);
+        match timeout_at(deadline.into(), future::or(own, other)).await {
+            Ok(SilenceEnd::Own(Ok(chunk))) => {
+                self.attempts.abandon_in_flight();
+                self.started.first_chunk = chunk;
+                Ok(())
+            }
+            Ok(SilenceEnd::Own(Err(_))) => self.resume(RelayError::Broken).await,
+            Ok(SilenceEnd::Other(started)) => {
+                self.switch_to(*started);
+                Ok(())
+            }
+            Err(_) => Err(RelayError::IdleTimeout),
+        }
+    }
+
+    /// Resumes the stream at another server after its server has failed. Returns `error` if that is not possible.
+    async fn resume(&mut self, error: RelayError) -> Result<(), RelayError> {
+        if matches!(error, RelayError::Expired) {
+            return Err(error);
         }
+        self.record_failure(CallOutcome::Broken);
+        self.gateway
+            .check_for_crash(&self.started.sent_call, ConnectionEnd::Broken);
         if self.call.retry_policy() != RetryPolicy::Resumable {
             return Err(error);
         }
-        self.attempts.record_possible_run();
-        let pool_name = self.started.sent_call.server.pool.clone();
-        let mut last_error = attempt_error;
-        self.events.drop_partial();
-        loop {
-            if !self
-                .gateway
-                .allow_retry(&self.call, &pool_name, &self.attempts, last_error)
-            {
-                return Err(error);
-            }
-            let now = self.gateway.fleet.now();
-            let quarantine = &self.gateway.quarantine;
-            if quarantine.quarantined_part(now, &self.call).is_some() {
-                return Err(error);
-            }
-            let after = self.events.last_id();
-            let attempt = self
-                .gateway
-                .attempt(&self.call, &self.pool, &mut self.attempts, after);
-            match attempt.await {
-                Ok(started) if started.response.head.status().is_success() => {
-                    self.started = started;
-                    return Ok(());
-                }
-                Err(Some(error)) => last_error = error,
-                Ok(_) | Err(None) => return Err(error),
+        let after = self.events.last_id();
+        let pool_name = &self.started.sent_call.server.pool;
+        let answer = self.gateway.try_servers(
+            &self.call,
+            &self.pool,
+            pool_name,
+            &mut self.attempts,
+            after,
+            Some(AttemptError::Broken),
+        );
+        match answer.await {
+            Ok(started) if started.response.head.status().is_success() => {
+                self.switch_to(started);
+                Ok(())
             }
+            _ => Err(error),
         }
     }
+
+    /// Records that the server of the stream failed or fell silent.
+    fn record_failure(&mut self, outcome: CallOutcome) {
+        let now = self.gateway.fleet.now();
+        let server = &self.started.sent_call.server.id;
+        self.pool.load_view().on_outcome(now, server, outcome);
+        if !self.is_run_counted {
+            self.is_run_counted = true;
+            self.attempts.record_possible_run();
+        }
+    }
+
+    /// Goes on with the stream at another server after the last complete event.
+    fn switch_to(&mut self, started: StartedResponse) {
+        self.events.drop_partial();
+        self.started = started;
+        self.is_run_counted = false;
+    }
 }
