Return the events before a gap in the same chunk

What callers saw: a stream that lacks an event and looks whole. If one chunk of a server completed event 5 and brought event 7, the splitter had accepted 5 when it reported the gap, so 5 was discarded with the chunk and the stream resumed after it.

Now the events before the gap are returned first and the next call reports the gap. Evidence: events_before_a_gap_in_the_same_chunk_are_returned failed before (Err in place of event 5); 4 tests pass.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -1,6 +1,6 @@
 //! Splits a stream of server-sent events into complete events.
 
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 
 /// Size limit of a buffered incomplete event, in bytes.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
@@ -19,6 +19,12 @@
     },
 }
 
+/// Relation of an event to the events before it.
+enum Accepted {
+    New { last_id: Option<u64> },
+    Duplicate,
+}
+
 /// Collects complete events, so that a stream that breaks within an event can resume at another server.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
@@ -59,7 +65,8 @@
     ///
     /// # Errors
     ///
-    /// Returns an [`EventError`] when an event is missing or too long.
+    /// Returns an [`EventError`] when an event is missing or too long. Events before a gap in the same bytes are returned
+    /// first; the next call returns the error.
     ///
     /// # Examples
     ///
@@ -76,9 +83,14 @@
         self.buffer.extend_from_slice(data);
         let mut complete = BytesMut::new();
         while let Some(end) = event_end(&self.buffer) {
-            let event = self.buffer.split_to(end);
-            if self.accept(&event)? {
-                complete.extend_from_slice(&event);
+            match self.accept(&self.buffer[..end]) {
+                Ok(Accepted::New { last_id }) => {
+                    self.last_id = last_id;
+                    complete.extend_from_slice(&self.buffer.split_to(end));
+                }
+                Ok(Accepted::Duplicate) => self.buffer.advance(end),
+                Err(_) if !complete.is_empty() => return Ok(complete.freeze()),
+                Err(error) => return Err(error),
             }
         }
         if self.buffer.len() > MAX_EVENT_BYTES {
@@ -87,21 +99,20 @@
         Ok(complete.freeze())
     }
 
-    /// Returns whether the event is new.
-    fn accept(&mut self, event: &[u8]) -> Result<bool, EventError> {
+    /// Compares the number of an event with that of the last one.
+    fn accept(&self, event: &[u8]) -> Result<Accepted, EventError> {
         let Some(found) = event_id(event) else {
-            return Ok(true);
+            return Ok(Accepted::New {
+                last_id: self.last_id,
+            });
         };
-        if let Some(after) = self.last_id {
-            if found <= after {
-                return Ok(false);
-            }
-            if found != after + 1 {
-                return Err(EventError::Gap { after, found });
-            }
+        match self.last_id {
+            Some(after) if found <= after => Ok(Accepted::Duplicate),
+            Some(after) if found != after + 1 => Err(EventError::Gap { after, found }),
+            _ => Ok(Accepted::New {
+                last_id: Some(found),
+            }),
         }
-        self.last_id = Some(found);
-        Ok(true)
     }
 }
 
--- a/crates/gateway/tests/events.rs
+++ b/crates/gateway/tests/events.rs
@@ -15,6 +15,19 @@
     assert_eq!(gap, Err(EventError::Gap { after: 4, found: 6 }));
 }
 
+/// Guards against an event that is lost because the chunk that completes it has a gap behind it: a stream that resumes after
+/// the last accepted event would never bring it again.
+#[test]
+fn events_before_a_gap_in_the_same_chunk_are_returned() {
+    let mut splitter = EventSplitter::after(Some(4));
+    let complete = splitter.push(b"id: 5\n\nid: 7\n\n").unwrap();
+    assert_eq!(&complete[..], b"id: 5\n\n");
+    assert_eq!(splitter.last_id(), Some(5));
+    assert!(splitter.has_partial());
+    let gap = splitter.push(b"");
+    assert_eq!(gap, Err(EventError::Gap { after: 5, found: 7 }));
+}
+
 /// Guards against a buffer that grows without bound when a server never terminates an event.
 #[test]
 fn an_event_without_end_is_an_error() {
