Count each run once while several servers are asked

- The connection of a silent server breaks while another one is being asked: the other one was given up uncounted and a third one was asked, so a stream that may run twice ran three times.
Now the one that was asked first goes on.
- A call that answers late counted as a possible run twice, and was cut when it broke although it may run once more.
- A late failure of the silent server was replaced by a 502 of the entry.
- The answer of a silent server was not read while the call waited for a permit of another one.
- A quarantined part took a retry from the budget each time a server was looked for.
By reading, no test.
- A server that goes on kept the failures that its silence had counted in its health.
By reading, no test.

Not changed: a silent server keeps running beside the other one until that one's first event arrives, as resumed streams did before.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
+use futures_lite::future;
 use http::{Response, StatusCode};
 use tanagerford_core::dispatch::{
     CallNumber, CallOutcome, Choice, GATE_POLL_INTERVAL, GateDecision, MAX_ATTEMPTS_PER_CALL,
@@ -91,6 +92,8 @@
     pub(crate) sent_call: SentCall,
     pub(crate) response: PooledResponse,
     pub(crate) first_chunk: Option<Bytes>,
+    /// Whether the attempt was silent before and counts among the possible runs.
+    pub(crate) is_run_counted: bool,
 }
 
 impl StartedResponse {
@@ -141,6 +144,19 @@
     }
 }
 
+/// Server for the next attempt, or the answer that makes the attempt needless.
+enum NextServer {
+    Selected(SentCall, SelectedServer),
+    Answered(StartedResponse),
+}
+
+/// What ends the wait for a server.
+enum Wait {
+    Selected(Result<(SentCall, SelectedServer), SelectError>),
+    /// A server that was silent before answers.
+    Answered((SentCall, ExchangeResult)),
+}
+
 /// Server and time of an attempt.
 struct Target {
     server: Arc<BackendServer>,
@@ -160,6 +176,8 @@
     limited: Option<Duration>,
     /// Exchanges with servers that have not begun to answer.
     in_flight: InFlight,
+    /// First failure that a server reported. The caller receives it if no other server succeeds.
+    reported_failure: Option<Box<StartedResponse>>,
 }
 
 impl Attempts {
@@ -173,6 +191,15 @@
         self.possible_runs += 1;
     }
 
+    /// Keeps the failure that a server reported, if it is the first one.
+    fn keep_failure(&mut self, started: StartedResponse) {
+        if !started.is_run_counted {
+            self.record_possible_run();
+        }
+        self.reported_failure
+            .get_or_insert_with(|| Box::new(started));
+    }
+
     /// Ends the exchanges with all other servers, since one answers. They may have run the call.
     pub(crate) fn abandon_in_flight(&mut self) {
         let unrecorded = self.in_flight.abandon();
@@ -228,25 +255,23 @@
         failure: Option<AttemptError>,
     ) -> Result<StartedResponse, Refusal> {
         let mut last_error = failure;
-        // First failure that a server reported. The caller receives it if no other server succeeds.
-        let mut reported_failure = None;
         loop {
-            if last_error.is_some_and(|error| !self.allow_retry(call, pool_name, attempts, error)) {
-                break;
-            }
             if let Some(part) = self.quarantine.quarantined_part(self.fleet.now(), call) {
                 if attempts.possible_runs > 0 {
                     break;
                 }
                 return Err(Refusal::QuarantinedPart(part));
             }
+            if last_error.is_some_and(|error| !self.allow_retry(call, pool_name, attempts, error)) {
+                break;
+            }
             match self.attempt(call, pool, attempts, resume_after).await {
-                Ok(started) if started.is_server_failure() && reported_failure.is_none() => {
-                    attempts.record_possible_run();
+                Ok(started) if started.is_server_failure() => {
+                    attempts.keep_failure(started);
                     last_error = Some(AttemptError::Failed);
-                    reported_failure = Some(started);
                 }
                 Ok(started) => {
+                    attempts.reported_failure = None;
                     attempts.abandon_in_flight();
                     return Ok(started);
                 }
@@ -259,11 +284,19 @@
                 }
             }
         }
-        if reported_failure.is_none() {
-            reported_failure = self.await_silent_servers(call, attempts).await;
+        // A failure that a server reported is not held back, since its caller can retry at once.
+        if attempts.reported_failure.is_none()
+            && let Some(started) = self.await_silent_servers(call, attempts).await
+        {
+            attempts.abandon_in_flight();
+            return Ok(started);
         }
         attempts.abandon_in_flight();
-        reported_failure.ok_or_else(|| final_refusal(call, attempts, last_error))
+        let failure = attempts.reported_failure.take();
+        failure.map_or_else(
+            || Err(final_refusal(call, attempts, last_error)),
+            |started| Ok(*started),
+        )
     }
 
     /// Waits until the deadline for the answer of a server that was silent, which may go on.
@@ -276,9 +309,10 @@
             let remaining = call.deadline().saturating_duration_since(Instant::now());
             let result = timeout(remaining, attempts.in_flight.first_result()).await;
             let (sent_call, result) = result.ok()?;
-            let started = self.on_late_result(attempts, sent_call, result);
-            if started.is_some() {
-                return started;
+            match self.on_late_result(attempts, sent_call, result) {
+                Some(started) if started.is_server_failure() => attempts.keep_failure(started),
+                Some(started) => return Some(started),
+                None => {}
             }
         }
         None
@@ -301,13 +335,18 @@
             after_ms = sent_call.sent_at.elapsed().as_millis(),
             "late answer"
         );
+        let is_run_counted = sent_call.is_end_logged;
         match result {
             Ok((response, first_chunk)) => {
-                Some(self.start_response(sent_call, response, first_chunk))
+                let started = self.start_response(sent_call, response, first_chunk);
+                Some(StartedResponse {
+                    is_run_counted,
+                    ..started
+                })
             }
             Err(error) => {
-                // The silent attempt was counted as a possible run.
-                if matches!(error, AttemptError::NotRun | AttemptError::Unreachable) {
+                let has_not_run = matches!(error, AttemptError::NotRun | AttemptError::Unreachable);
+                if has_not_run && is_run_counted {
                     attempts.possible_runs = attempts.possible_runs.saturating_sub(1);
                 }
                 None
@@ -425,7 +464,10 @@
         if remaining < MIN_REMAINING {
             return Err(None);
         }
-        let (sent_call, selected) = self.select_server(call, pool, attempts).await?;
+        let (sent_call, selected) = match self.next_server(call, pool, attempts).await? {
+            NextServer::Selected(sent_call, selected) => (sent_call, selected),
+            NextServer::Answered(started) => return Ok(started),
+        };
         let choice = selected.choice;
         // The call may have waited for a permit.
         let remaining = deadline.saturating_duration_since(Instant::now());
@@ -448,12 +490,13 @@
                 Ok((sent_call, result)) if sent_call.number == number => {
                     break Some((sent_call, result));
                 }
-                Ok((sent_call, result)) => {
-                    let started = self.on_late_result(attempts, sent_call, result);
-                    if let Some(started) = started.filter(|started| !started.is_server_failure()) {
-                        return Ok(started);
+                Ok((sent_call, result)) => match self.on_late_result(attempts, sent_call, result) {
+                    Some(started) if started.is_server_failure() => {
+                        attempts.keep_failure(started);
                     }
-                }
+                    Some(started) => return Ok(started),
+                    None => {}
+                },
                 Err(_) => break None,
             }
         };
@@ -551,6 +594,7 @@
             sent_call,
             response,
             first_chunk,
+            is_run_counted: false,
         }
     }
 
@@ -575,30 +619,55 @@
         }
     }
 
-    /// Selects a server and adds the call to its load; `Err(None)` when no server can take it in time.
+    /// Selects a server for the next attempt, unless a silent one answers meanwhile. `Err(None)` means that no server can
+    /// take the call in time.
+    async fn next_server(
+        self: &Arc<Self>,
+        call: &Arc<Call>,
+        pool: &Arc<PoolState>,
+        attempts: &mut Attempts,
+    ) -> Result<NextServer, Option<AttemptError>> {
+        loop {
+            let (tried_servers, version) = (&attempts.tried_servers, attempts.version);
+            let selecting = self.select_server(call, pool, tried_servers, version);
+            let selecting = async { Wait::Selected(selecting.await) };
+            let answering = async { Wait::Answered(attempts.in_flight.first_result().await) };
+            match future::or(selecting, answering).await {
+                Wait::Selected(Ok((sent_call, selected))) => {
+                    return Ok(NextServer::Selected(sent_call, selected));
+                }
+                Wait::Selected(Err(SelectError::NoServer)) => return Err(None),
+                Wait::Selected(Err(SelectError::Limited(wait))) => {
+                    attempts.limited = Some(wait);
+                    return Err(None);
+                }
+                Wait::Answered((sent_call, result)) => {
+                    if let Some(started) = self.on_late_result(attempts, sent_call, result) {
+                        return Ok(NextServer::Answered(started));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Selects a server and adds the call to its load.
     async fn select_server(
         &self,
         call: &Arc<Call>,
         pool: &Arc<PoolState>,
-        attempts: &mut Attempts,
-    ) -> Result<(SentCall, SelectedServer), Option<AttemptError>> {
+        tried_servers: &[ServerId],
+        version: Option<VersionId>,
+    ) -> Result<(SentCall, SelectedServer), SelectError> {
         let number = self.next_call_number.fetch_add(1, Ordering::Relaxed);
         let request = ServerRequest {
             pool,
             number,
             demand: &call.demand,
-            tried_servers: &attempts.tried_servers,
-            version: attempts.version,
+            tried_servers,
+            version,
             deadline: call.deadline(),
         };
-        let selected = match self.summaries.limits().select(&self.fleet, request).await {
-            Ok(selected) => selected,
-            Err(SelectError::NoServer) => return Err(None),
-            Err(SelectError::Limited(wait)) => {
-                attempts.limited = Some(wait);
-                return Err(None);
-            }
-        };
+        let selected = self.summaries.limits().select(&self.fleet, request).await?;
         let choice = &selected.choice;
         let expected_latency = if call.demand.prompt_tokens > 0 {
             let normal_ms = choice.first_token_ms / choice.slowness;
@@ -755,7 +824,8 @@
         _ if attempts.possible_runs > 0 && is_expired => Refusal::TimedOut,
         _ if attempts.possible_runs > 0 => Refusal::ServerFailed,
         _ if is_expired => Refusal::Expired,
-        Some(AttemptError::NotRun) => Refusal::Overloaded,
+        // A silent server has refused the call in the meantime, or it would count as a possible run.
+        Some(AttemptError::NotRun | AttemptError::TimedOut) => Refusal::Overloaded,
         _ => attempts
             .limited
             .map_or(Refusal::NoServer, Refusal::ServerLimit),
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,7 +1,9 @@
 //! Forwards an event stream to the caller, and resumes it at another server if the route allows it.
 
 use std::io;
+use std::pin::pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -10,7 +12,7 @@
 use tanagerford_http::Body;
 use tokio::time::{sleep, timeout, timeout_at};
 
-use crate::attempt::{AttemptError, Attempts, StartedResponse};
+use crate::attempt::{AttemptError, Attempts, SentCall, StartedResponse};
 use crate::call::{Call, RetryPolicy};
 use crate::codec::Codec;
 use crate::events::EventSplitter;
@@ -31,8 +33,6 @@
     pool: Arc<PoolState>,
     attempts: Attempts,
     started: StartedResponse,
-    /// Whether the server of `started` counts as a possible run among the attempts.
-    is_run_counted: bool,
     /// Counts the stream among those of its version.
     _guard: StreamGuard,
     events: EventSplitter,
@@ -44,12 +44,12 @@
     longest_pause: Duration,
 }
 
-/// What ends the silence of a stream's server.
+/// First event after a stream's server fell silent.
 enum SilenceEnd {
     /// The server goes on, or its connection has ended.
     Own(Result<Option<Bytes>, hyper::Error>),
-    /// Another server goes on with the stream.
-    Other(Box<StartedResponse>),
+    /// Another server goes on with the stream; `None` if the own one has failed and no other takes over.
+    Other(Option<Box<StartedResponse>>),
 }
 
 /// Reason for which a stream cannot continue at its server.
@@ -89,7 +89,6 @@
             pool,
             attempts,
             started,
-            is_run_counted: false,
             sent_bytes: 0,
             first_event_after: None,
             last_sent_at: Instant::now(),
@@ -211,37 +210,62 @@
     /// until its connection ends, so it is not given up before.
     async fn outlast_silence(&mut self) -> Result<(), RelayError> {
         self.record_failure(CallOutcome::TimedOut);
-        let deadline = self.call.deadline();
+        match self.silence_end().await {
+            Some(SilenceEnd::Own(Ok(chunk))) => {
+                self.on_silence_end(chunk);
+                Ok(())
+            }
+            Some(SilenceEnd::Other(Some(started))) => {
+                self.switch_to(*started);
+                Ok(())
+            }
+            Some(SilenceEnd::Own(Err(_)) | SilenceEnd::Other(None)) => Err(RelayError::Broken),
+            None => Err(RelayError::IdleTimeout),
+        }
+    }
+
+    /// Returns what ends the silence of the stream's server; `None` at the deadline.
+    async fn silence_end(&mut self) -> Option<SilenceEnd> {
         let after = self.events.last_id();
+        let deadline = self.call.deadline().into();
         let (gateway, call, pool) = (&self.gateway, &self.call, &self.pool);
-        let pool_name = &self.started.sent_call.server.pool;
-        let (attempts, response) = (&mut self.attempts, &mut self.started.response);
-        let own = async { SilenceEnd::Own(response.next_chunk().await) };
-        let other = async {
+        let (sent_call, response) = (&self.started.sent_call, &mut self.started.response);
+        let (pool_name, attempts) = (&sent_call.server.pool, &mut self.attempts);
+        let own_has_failed = AtomicBool::new(false);
+        let mut taking_over = pin!(async {
             loop {
                 let failure = Some(AttemptError::TimedOut);
                 let answer = gateway.try_servers(call, pool, pool_name, attempts, after, failure);
                 match answer.await {
                     Ok(started) if started.response.head.status().is_success() => {
-                        return SilenceEnd::Other(Box::new(started));
+                        return Some(Box::new(started));
                     }
+                    _ if own_has_failed.load(Ordering::Relaxed) => return None,
                     _ => sleep(TAKE_OVER_INTERVAL).await,
                 }
             }
-        };
-        match timeout_at(deadline.into(), future::or(own, other)).await {
-            Ok(SilenceEnd::Own(Ok(chunk))) => {
-                self.attempts.abandon_in_flight();
-                self.started.first_chunk = chunk;
-                Ok(())
-            }
-            Ok(SilenceEnd::Own(Err(_))) => self.resume(RelayError::Broken).await,
-            Ok(SilenceEnd::Other(started)) => {
-                self.switch_to(*started);
-                Ok(())
-            }
-            Err(_) => Err(RelayError::IdleTimeout),
+        });
+        let own = async { SilenceEnd::Own(response.next_chunk().await) };
+        let other = async { SilenceEnd::Other(taking_over.as_mut().await) };
+        let mut end = timeout_at(deadline, future::or(own, other)).await;
+        if let Ok(SilenceEnd::Own(Err(_))) = end {
+            own_has_failed.store(true, Ordering::Relaxed);
+            record_failure(gateway, sent_call, CallOutcome::Broken);
+            end = timeout_at(deadline, taking_over)
+                .await
+                .map(SilenceEnd::Other);
         }
+        end.ok()
+    }
+
+    /// Goes on with the stream's own server after a silence.
+    fn on_silence_end(&mut self, chunk: Option<Bytes>) {
+        self.attempts.abandon_in_flight();
+        self.started.first_chunk = chunk;
+        let now = self.gateway.fleet.now();
+        let server = &self.started.sent_call.server.id;
+        let outcome = CallOutcome::Answered { slowness: 1.0 };
+        self.pool.load_view().on_outcome(now, server, outcome);
     }
 
     /// Resumes the stream at another server after its server has failed. Returns `error` if that is not possible.
@@ -250,8 +274,6 @@
             return Err(error);
         }
         self.record_failure(CallOutcome::Broken);
-        self.gateway
-            .check_for_crash(&self.started.sent_call, ConnectionEnd::Broken);
         if self.call.retry_policy() != RetryPolicy::Resumable {
             return Err(error);
         }
@@ -276,11 +298,9 @@
 
     /// Records that the server of the stream failed or fell silent.
     fn record_failure(&mut self, outcome: CallOutcome) {
-        let now = self.gateway.fleet.now();
-        let server = &self.started.sent_call.server.id;
-        self.pool.load_view().on_outcome(now, server, outcome);
-        if !self.is_run_counted {
-            self.is_run_counted = true;
+        record_failure(&self.gateway, &self.started.sent_call, outcome);
+        if !self.started.is_run_counted {
+            self.started.is_run_counted = true;
             self.attempts.record_possible_run();
         }
     }
@@ -289,6 +309,15 @@
     fn switch_to(&mut self, started: StartedResponse) {
         self.events.drop_partial();
         self.started = started;
-        self.is_run_counted = false;
+    }
+}
+
+/// Records the failure or silence of a stream's server in its health, and checks whether a failed server has crashed.
+fn record_failure<C: Codec>(gateway: &Arc<Gateway<C>>, sent_call: &SentCall, outcome: CallOutcome) {
+    let mut load_view = sent_call.pool.load_view();
+    load_view.on_outcome(gateway.fleet.now(), &sent_call.server.id, outcome);
+    drop(load_view);
+    if outcome == CallOutcome::Broken {
+        gateway.check_for_crash(sent_call, ConnectionEnd::Broken);
     }
 }
