Account for the end of every request that was read whole

A call that was dropped without a logged end wrote `caller left`, whatever had dropped it, so neither logs nor metrics could tell a caller that left from a panic or from dropped work, and a request that ended before its route and key were known was in no count.

A guard now belongs to the outermost future that handles a request and then to the body of its streamed answer. The paths that answer, refuse or cut a request record a typed end; the guard records caller left, dropped or panicked if none did. The metrics `requests_read` and `requests_ended{how,reason}` agree once nothing is in flight. Log messages and fields stay as they are; new are `request dropped` and `request panicked`. What callers get is unchanged.

No run covers `request dropped`, since no path is known to end that way.

--- a/crates/gateway/src/buffered.rs
+++ b/crates/gateway/src/buffered.rs
@@ -15,6 +15,7 @@
 use crate::codec::Codec;
 use crate::gateway::Gateway;
 use crate::refusal::Refusal;
+use crate::request_end::RequestEnd;
 
 /// Target of this module's log lines. Operators' filters match it, so it is independent of the module's name.
 const LOG_TARGET: &str = "tanagerford_gateway::held";
@@ -60,7 +61,7 @@
     }
 
     fn on_complete(&self) {
-        self.gateway.record_end(&self.call);
+        self.gateway.record_end(&self.call, RequestEnd::Answered);
         let status = self.started.response.head.status();
         self.gateway.on_complete_answer(&self.started);
         tracing::info!(
@@ -101,7 +102,8 @@
                         reason = refusal.name(),
                         "answer is cut"
                     );
-                    response.gateway.record_end(&response.call);
+                    let end = RequestEnd::Cut(refusal.name());
+                    response.gateway.record_end(&response.call, end);
                     Some((Err(io::ErrorKind::ConnectionAborted.into()), None))
                 }
             }
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -1,15 +1,14 @@
 //! A caller's request, independent of the protocol that carried it.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
 use tanagerford_core::dispatch::Demand;
 
-use crate::log;
 use crate::processor::AdmissionGuard;
+use crate::request_end::RequestRecord;
 use crate::table::{Route, Workspace};
 
 /// Time after the deadline during which an answer that is ready is still forwarded.
@@ -55,21 +54,12 @@
     pub(crate) arrived: Instant,
     /// Time at which the caller stops waiting, if the request states it.
     pub(crate) caller_deadline: Option<Instant>,
-    /// Whether the final response or refusal was logged.
-    pub(crate) is_ended: AtomicBool,
+    /// Record of the request, which stores its end.
+    pub(crate) record: Arc<RequestRecord>,
     /// Counts the call among the entry's admitted calls until it is dropped.
     pub(crate) admission: Option<AdmissionGuard>,
 }
 
-impl Drop for Call {
-    fn drop(&mut self) {
-        // A call without a logged end is dropped only when the caller closes its connection, which drops the future.
-        if !self.is_ended.load(Ordering::Acquire) {
-            log::caller_left(self);
-        }
-    }
-}
-
 impl Call {
     /// Returns the name of the workspace, or an empty string for a call without one.
     pub(crate) fn workspace_name(&self) -> &str {
@@ -77,11 +67,6 @@
         workspace.map_or("", |workspace| &workspace.name)
     }
 
-    /// Marks the end as logged, so that dropping the call does not log it as left by the caller.
-    pub(crate) fn mark_ended(&self) {
-        self.is_ended.store(true, Ordering::Release);
-    }
-
     pub(crate) fn retry_policy(&self) -> RetryPolicy {
         self.route.retry_policy
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -27,6 +27,7 @@
 use crate::processor::ProcessorMonitor;
 use crate::quarantine::Quarantine;
 use crate::refusal::Refusal;
+use crate::request_end::{RequestEnd, RequestGuard, RequestRecord};
 use crate::table::{ConfigurationSource, RoutingTable, Version};
 
 /// Timeout for reading a body. The caller's own deadline is usually shorter.
@@ -274,7 +275,12 @@
             .unwrap_or(BODY_TIMEOUT)
             .min(BODY_TIMEOUT);
         let refusal = match timeout(body_timeout, read_body(body, limits.max_body_bytes)).await {
-            Ok(Ok(body)) => return self.admit(&parts, head, body, arrived).await,
+            Ok(Ok(body)) => {
+                let guard = RequestGuard::new(&self.metrics, &head, arrived);
+                let record = Arc::clone(guard.record());
+                let reply = self.admit(&parts, head, body, record).await;
+                return guard.watch(reply);
+            }
             Ok(Err(StatusCode::PAYLOAD_TOO_LARGE)) => Refusal::TooLarge,
             Ok(Err(_)) => Refusal::Malformed,
             Err(_) => Refusal::SlowBody,
@@ -288,24 +294,28 @@
         parts: &http::request::Parts,
         head: CallHead,
         body: Bytes,
-        arrived: Instant,
+        record: Arc<RequestRecord>,
     ) -> Reply {
+        let arrived = record.arrived;
         let Some(table) = self.table() else {
             let info = RequestInfo::from_head(&head, arrived);
-            return self.refuse(info, Refusal::NoConfiguration);
+            return self.refuse_read(&record, info, Refusal::NoConfiguration);
         };
         let route = table.route(&head.host, parts.uri.path());
         let info = RequestInfo::from_head(&head, arrived).with_route(route.map(|route| &**route));
         let Some(route) = route else {
-            return self.refuse(info, Refusal::NoRoute);
+            return self.refuse_read(&record, info, Refusal::NoRoute);
         };
         let mut workspace = None;
         if table.needs_key() && !route.is_public {
             workspace = head.key.as_deref().and_then(|key| table.workspace(key));
             if workspace.is_none() {
-                return self.refuse(info, Refusal::UnknownKey);
+                return self.refuse_read(&record, info, Refusal::UnknownKey);
             }
         }
+        let workspace = workspace.cloned();
+        // The lines of a request that ends in no regular way name both, too.
+        let _ = record.route.set((Arc::clone(route), workspace.clone()));
         let mut demand = head.demand;
         demand.body_bytes = body.len();
         let mut call = Call {
@@ -315,13 +325,13 @@
             headers: head.headers,
             body,
             route: Arc::clone(route),
-            workspace: workspace.cloned(),
+            workspace,
             demand,
             resume_after: head.resume_after,
             resumed_attempt: head.resumed_attempt,
             arrived,
-            caller_deadline: head.caller_timeout.map(|timeout| arrived + timeout),
-            is_ended: AtomicBool::new(false),
+            caller_deadline: record.caller_deadline,
+            record,
             admission: None,
         };
         call.demand.rank = call.priority();
@@ -331,7 +341,7 @@
         match admission {
             Ok(guard) => call.admission = Some(guard),
             Err(reason) => {
-                self.record_end(&call);
+                self.record_end(&call, RequestEnd::Refused(Refusal::Busy));
                 let info = RequestInfo::from_call(&call).with_shed_reason(reason);
                 return self.refuse(info, Refusal::Busy);
             }
@@ -341,13 +351,13 @@
 
     /// Records the end of a call and refuses it.
     pub(crate) fn refuse_call(&self, call: &Call, refusal: Refusal) -> Reply {
-        self.record_end(call);
+        self.record_end(call, RequestEnd::Refused(refusal));
         self.refuse(RequestInfo::from_call(call), refusal)
     }
 
-    /// Records that a call has its final response, and counts and logs a response long after the deadline.
-    pub(crate) fn record_end(&self, call: &Call) {
-        call.mark_ended();
+    /// Records how a call ended, and counts and logs a response long after the deadline.
+    pub(crate) fn record_end(&self, call: &Call, end: RequestEnd) {
+        call.record.end(end);
         let overrun = Instant::now().saturating_duration_since(call.deadline());
         if overrun >= DEADLINE_OVERRUN_THRESHOLD {
             self.metrics.on_deadline_overrun();
@@ -355,6 +365,17 @@
         }
     }
 
+    /// Records the end of a request for which there is no call yet, and refuses it.
+    fn refuse_read(
+        &self,
+        record: &RequestRecord,
+        info: RequestInfo<'_>,
+        refusal: Refusal,
+    ) -> Reply {
+        record.end(RequestEnd::Refused(refusal));
+        self.refuse(info, refusal)
+    }
+
     fn refuse(&self, info: RequestInfo<'_>, refusal: Refusal) -> Reply {
         self.metrics.on_refusal(refusal);
         log::refused(info, refusal, self.version(), self.processor.delay());
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! A request passes through these modules: [`gateway`] reads it, checks its route and key against the [`table`] and
 //! applies overload control; `attempt` chooses a server from the [`fleet`], sends the [`Call`] and decides about
-//! retries; `relay` and `buffered` return the response to the caller. Beside this path, [`peers`] exchanges load
+//! retries; `relay` and `buffered` return the response to the caller; `request_end` accounts for the end of each request. Beside this path, [`peers`] exchanges load
 //! summaries with the other entries, [`copies`] reads newer configurations from them, and [`registry`] tracks the
 //! backend servers.
 //!
@@ -26,6 +26,7 @@
 pub mod refusal;
 pub mod registry;
 mod relay;
+mod request_end;
 pub mod table;
 mod versions;
 
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -1,6 +1,7 @@
 //! Log lines about the end of requests.
 //!
-//! Every request ends with exactly one of the lines `refused`, `answered`, `stream ended` or `caller left`.
+//! Every request ends with exactly one of the lines `refused`, `answered`, `stream ended`, `answer is cut`, `caller left`,
+//! `request dropped` or `request panicked`.
 //! `docs/OPERATIONS.md` describes the fields of the gateway's log lines; a snapshot test of the platform's adapter
 //! records the fields of the lines about requests.
 
@@ -13,6 +14,7 @@
 use crate::call::Call;
 use crate::codec::CallHead;
 use crate::refusal::Refusal;
+use crate::request_end::RequestRecord;
 use crate::table::{Route, Version};
 
 /// Properties of a request that are known when it ends.
@@ -72,6 +74,21 @@
         }
     }
 
+    /// Describes a request that was read whole.
+    pub(crate) fn from_record(record: &'a RequestRecord) -> Self {
+        let (route, workspace) = record
+            .route
+            .get()
+            .map_or((None, None), |(route, workspace)| {
+                (Some(&**route), workspace.as_ref())
+            });
+        Self {
+            request: &record.id,
+            workspace: workspace.map_or("", |workspace| &workspace.name),
+            ..Self::without_head(record.arrived).with_route(route)
+        }
+    }
+
     /// Adds the reason for which an entry that is short of processor time refuses the call.
     pub(crate) fn with_shed_reason(self, reason: ShedReason) -> Self {
         Self {
@@ -141,15 +158,40 @@
 }
 
 /// Logs a caller that closed its connection before its response was complete.
-pub(crate) fn caller_left(call: &Call) {
+pub(crate) fn caller_left(record: &RequestRecord) {
+    let info = RequestInfo::from_record(record);
     tracing::info!(
-        request = call.id,
-        route = call.route.name,
-        workspace = call.workspace_name(),
-        patience_ms = call
+        request = info.request,
+        route = info.route,
+        workspace = info.workspace,
+        patience_ms = record
             .caller_deadline
-            .map(|end| end.saturating_duration_since(call.arrived).as_millis()),
-        after_ms = call.arrived.elapsed().as_millis(),
+            .map(|end| end.saturating_duration_since(record.arrived).as_millis()),
+        after_ms = record.arrived.elapsed().as_millis(),
         "caller left"
     );
 }
+
+/// Logs a request whose handling ended without an answer, a refusal or a cut.
+pub(crate) fn dropped(record: &RequestRecord) {
+    let info = RequestInfo::from_record(record);
+    tracing::error!(
+        request = info.request,
+        route = info.route,
+        workspace = info.workspace,
+        after_ms = record.arrived.elapsed().as_millis(),
+        "request dropped"
+    );
+}
+
+/// Logs a request whose handling panicked.
+pub(crate) fn panicked(record: &RequestRecord) {
+    let info = RequestInfo::from_record(record);
+    tracing::error!(
+        request = info.request,
+        route = info.route,
+        workspace = info.workspace,
+        after_ms = record.arrived.elapsed().as_millis(),
+        "request panicked"
+    );
+}
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -16,6 +16,7 @@
 use tanagerford_core::server_limit::RequestRate;
 
 use crate::refusal::Refusal;
+use crate::request_end::RequestEnd;
 use crate::table::Version;
 
 /// Upper bounds of the buckets of the processor delay, in seconds.
@@ -28,6 +29,12 @@
     reason: &'static str,
 }
 
+#[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct EndLabels {
+    how: &'static str,
+    reason: &'static str,
+}
+
 #[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct SourceLabels {
     source: &'static str,
@@ -62,6 +69,8 @@
 #[derive(Debug)]
 pub(crate) struct Metrics {
     registry: Registry,
+    requests_read: Counter,
+    requests_ended: Family<EndLabels, Counter>,
     refusals: Family<ReasonLabels, Counter>,
     attempts: Family<ReasonLabels, Counter>,
     admissions: Family<AdmissionLabels, Counter>,
@@ -138,6 +147,18 @@
             "requests per second that a backend server takes from all entries together",
             server_limits.clone(),
         );
+        let requests_read = Counter::default();
+        registry.register(
+            "requests_read",
+            "requests that were read whole",
+            requests_read.clone(),
+        );
+        let requests_ended = Family::<EndLabels, Counter>::default();
+        registry.register(
+            "requests_ended",
+            "requests that were read whole and have ended, by how",
+            requests_ended.clone(),
+        );
         let streams = Family::<VersionLabels, Gauge>::default();
         registry.register(
             "streams",
@@ -152,6 +173,8 @@
             configurations,
             version,
             registry,
+            requests_read,
+            requests_ended,
             refusals,
             attempts,
             admissions,
@@ -162,6 +185,18 @@
 }
 
 impl Metrics {
+    pub(crate) fn on_request_read(&self) {
+        self.requests_read.inc();
+    }
+
+    pub(crate) fn on_request_end(&self, end: RequestEnd) {
+        let labels = EndLabels {
+            how: end.name(),
+            reason: end.reason(),
+        };
+        self.requests_ended.get_or_create(&labels).inc();
+    }
+
     pub(crate) fn on_refusal(&self, refusal: Refusal) {
         let reason = refusal.name();
         self.refusals.get_or_create(&ReasonLabels { reason }).inc();
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -18,6 +18,7 @@
 use crate::gateway::Gateway;
 use crate::metrics::StreamGuard;
 use crate::quarantine::ConnectionEnd;
+use crate::request_end::RequestEnd;
 
 /// Time without data from the server after which a resumable stream is resumed at another server.
 const RESUME_IDLE_TIMEOUT: Duration = Duration::from_millis(800);
@@ -94,11 +95,11 @@
                 }
                 Ok(None) => {
                     relay.gateway.on_complete_answer(&relay.started);
-                    relay.log_end("answered");
+                    relay.log_end("answered", RequestEnd::StreamComplete);
                     None
                 }
                 Err(error) => {
-                    relay.log_end(error.name());
+                    relay.log_end(error.name(), RequestEnd::Cut(error.name()));
                     Some((Err(io::Error::from(io::ErrorKind::ConnectionAborted)), None))
                 }
             }
@@ -121,8 +122,8 @@
         self.last_sent_at = now;
     }
 
-    fn log_end(&self, outcome: &str) {
-        self.gateway.record_end(&self.call);
+    fn log_end(&self, outcome: &str, end: RequestEnd) {
+        self.gateway.record_end(&self.call, end);
         tracing::info!(
             request = self.call.id,
             route = self.call.route.name,
--- a/crates/operator/src/explain/history.rs
+++ b/crates/operator/src/explain/history.rs
@@ -43,7 +43,13 @@
 pub(super) fn is_end(record: &Record) -> bool {
     matches!(
         record.message.as_str(),
-        "refused" | "answered" | "stream ended" | "answer is cut" | "caller left"
+        "refused"
+            | "answered"
+            | "stream ended"
+            | "answer is cut"
+            | "caller left"
+            | "request dropped"
+            | "request panicked"
     )
 }
 
@@ -198,6 +204,8 @@
             "caller_left_waiting".to_owned()
         }
         "caller left" => "caller_left".to_owned(),
+        "request dropped" => "dropped".to_owned(),
+        "request panicked" => "panicked".to_owned(),
         _ => "unfinished".to_owned(),
     }
 }
@@ -311,6 +319,14 @@
             field("after_ms"),
             field("patience_ms")
         ),
+        "request dropped" => format!(
+            "a fault of the entry: it ended the request after {} ms without an answer or a refusal",
+            field("after_ms")
+        ),
+        "request panicked" => format!(
+            "a fault of the entry: it panicked after {} ms while it handled the request",
+            field("after_ms")
+        ),
         _ => "the logs do not contain the end of this request".to_owned(),
     }
 }
--- a/crates/operator/tests/explain.rs
+++ b/crates/operator/tests/explain.rs
@@ -113,3 +113,25 @@
     assert!(parse("12 s front-a-1 plain text").is_none());
     assert!(parse(r#"{"level":"INFO"}"#).is_none());
 }
+
+/// Guards against requests that a fault of the entry ended and that are listed as unfinished or as left by their callers.
+#[test]
+fn faults_of_the_entry_are_causes_of_their_own() {
+    for (message, cause) in [
+        ("request dropped", "dropped"),
+        ("request panicked", "panicked"),
+    ] {
+        let line =
+            format!(r#"{{"message":"{message}","request":"r-1","route":"r","after_ms":"7"}}"#);
+        let mut history = RequestHistory::new("r-1");
+        history.add(parse(&line).unwrap());
+        let found = history.explain().unwrap();
+        assert_eq!(found.cause, cause);
+        assert!(
+            found.summary.starts_with("a fault of the entry"),
+            "{}",
+            found.summary
+        );
+        assert!(found.summary.contains("after 7 ms"), "{}", found.summary);
+    }
+}
