Answer a request whose handling panics instead of closing its connection

A panic while a request was handled unwound through the task of the caller's connection: the caller, which had sent a whole request, saw a closed connection, without an answer, a refusal or a log line that names the request.

The panic is now caught where the request's guard lives, for the handling as well as for each chunk of a streamed body. The caller gets 502 `internal_error`, a status that promises nothing, with its attempt id; the connection stays usable unless the request was not read whole. A stream is cut. Both write the line `request panicked` of level error with the message of the panic. This works because all that a call shares with others is behind locks that stay usable after a panic (tanagerford_sync; the feed's lock does the same), and because its load, permit and admission are given back by guards.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,12 +1,15 @@
 //! Accepts requests, checks their route and key, and dispatches them.
 
+use std::any::Any;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, RwLock};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use futures_lite::FutureExt;
 use http::{HeaderValue, Request, StatusCode, header};
 use hyper::body::Incoming;
 use tanagerford_core::dispatch::{BudgetLimits, LongPromptGate, RetryBudget};
@@ -27,7 +30,7 @@
 use crate::processor::ProcessorMonitor;
 use crate::quarantine::Quarantine;
 use crate::refusal::Refusal;
-use crate::request_end::{RequestEnd, RequestGuard, RequestRecord};
+use crate::request_end::{RequestEnd, RequestGuard, RequestRecord, panic_message};
 use crate::table::{ConfigurationSource, RoutingTable, Version};
 
 /// Timeout for reading a body. The caller's own deadline is usually shorter.
@@ -261,9 +264,47 @@
         now.checked_sub(self.processor.delay()).unwrap_or(now)
     }
 
-    /// Reads a request completely and handles it.
+    /// Reads a request completely and handles it. A panic meanwhile ends with a refusal.
     async fn receive(self: &Arc<Self>, request: Request<Incoming>) -> Reply {
         let arrived = self.estimated_arrival();
+        let mut guard = None;
+        let handling = self.read_and_admit(request, arrived, &mut guard);
+        // What a call shares with others is behind locks, which stay usable after a panic (see `tanagerford_sync`).
+        let result = AssertUnwindSafe(handling).catch_unwind().await;
+        match (result, guard) {
+            (Ok(reply), Some(guard)) => guard.watch(reply),
+            (Ok(reply), None) => reply,
+            (Err(panic), guard) => self.refuse_panicked(guard.as_ref(), arrived, &*panic),
+        }
+    }
+
+    /// Refuses a request whose handling panicked; `guard` is `None` if it was not read whole.
+    fn refuse_panicked(
+        &self,
+        guard: Option<&RequestGuard>,
+        arrived: Instant,
+        panic: &(dyn Any + Send),
+    ) -> Reply {
+        let refusal = Refusal::InternalError;
+        self.metrics.on_refusal(refusal);
+        if let Some(guard) = guard {
+            guard.end_as_panicked(panic);
+            return self.close_if_stopping(self.codec.refuse(Some(&guard.record().id), refusal));
+        }
+        log::panicked(RequestInfo::without_head(arrived), panic_message(panic));
+        let mut reply = self.codec.refuse(None, refusal);
+        // The rest of the request may be unread.
+        close_connection(&mut reply);
+        reply
+    }
+
+    /// Reads a request completely and handles it; sets the guard when the request was read.
+    async fn read_and_admit(
+        self: &Arc<Self>,
+        request: Request<Incoming>,
+        arrived: Instant,
+        guard: &mut Option<RequestGuard>,
+    ) -> Reply {
         let (parts, body) = request.into_parts();
         let head = match self.codec.call_head(&parts) {
             Ok(head) => head,
@@ -276,10 +317,10 @@
             .min(BODY_TIMEOUT);
         let refusal = match timeout(body_timeout, read_body(body, limits.max_body_bytes)).await {
             Ok(Ok(body)) => {
-                let guard = RequestGuard::new(&self.metrics, &head, arrived);
-                let record = Arc::clone(guard.record());
-                let reply = self.admit(&parts, head, body, record).await;
-                return guard.watch(reply);
+                let new_guard = RequestGuard::new(&self.metrics, &head, arrived);
+                let record = Arc::clone(new_guard.record());
+                *guard = Some(new_guard);
+                return self.admit(&parts, head, body, record).await;
             }
             Ok(Err(StatusCode::PAYLOAD_TOO_LARGE)) => Refusal::TooLarge,
             Ok(Err(_)) => Refusal::Malformed,
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -184,14 +184,14 @@
     );
 }
 
-/// Logs a request whose handling panicked.
-pub(crate) fn panicked(record: &RequestRecord) {
-    let info = RequestInfo::from_record(record);
+/// Logs a request whose handling panicked. `panic` is the message of the panic, if it is known.
+pub(crate) fn panicked(info: RequestInfo<'_>, panic: Option<&str>) {
     tracing::error!(
         request = info.request,
         route = info.route,
         workspace = info.workspace,
-        after_ms = record.arrived.elapsed().as_millis(),
+        panic,
+        after_ms = info.arrived.elapsed().as_millis(),
         "request panicked"
     );
 }
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -45,6 +45,8 @@
     ServerFailed,
     /// The deadline passed while a server may have been running the request.
     TimedOut,
+    /// The entry panicked while it handled the request, which a server may have run.
+    InternalError,
 }
 
 impl Refusal {
@@ -69,6 +71,7 @@
             Self::Expired => "expired",
             Self::ServerFailed => "server_failed",
             Self::TimedOut => "timed_out",
+            Self::InternalError => "internal_error",
         }
     }
 
@@ -93,7 +96,10 @@
     /// ```
     #[must_use]
     pub fn is_not_run(self) -> bool {
-        !matches!(self, Self::ServerFailed | Self::TimedOut)
+        !matches!(
+            self,
+            Self::ServerFailed | Self::TimedOut | Self::InternalError
+        )
     }
 
     /// Returns the delay after which the caller should retry, or `None` if a retry is not expected to help.
--- a/crates/gateway/src/request_end.rs
+++ b/crates/gateway/src/request_end.rs
@@ -4,19 +4,21 @@
 //! handles the request and then to the body of its streamed answer, and records the end of a request for which no path
 //! did.
 
+use std::any::Any;
 use std::io;
+use std::panic::AssertUnwindSafe;
 use std::sync::{Arc, OnceLock};
 use std::time::Instant;
 
 use bytes::Bytes;
-use futures_lite::{Stream, StreamExt, stream};
+use futures_lite::{FutureExt, Stream, StreamExt, stream};
 use http_body_util::BodyDataStream;
 use hyper::body::Body as _;
 use tanagerford_http::{Body, Reply};
 
 use crate::call::CallId;
 use crate::codec::CallHead;
-use crate::log;
+use crate::log::{self, RequestInfo};
 use crate::metrics::Metrics;
 use crate::refusal::Refusal;
 use crate::table::{Route, Workspace};
@@ -109,7 +111,8 @@
 ///
 /// A guard that is dropped before the request has an end records one. These places can drop it:
 ///
-/// - A panic in the handling or in the streamed body unwinds through the guard.
+/// - A panic while the response to an earlier panic is created unwinds through the guard. The guard's owner catches all other
+///   panics.
 /// - The HTTP library drops the future of [`Service::handle`](tanagerford_http::server::Service::handle), or the body
 ///   of the response, when it closes the connection: because the caller has closed or reset it, or because a write to
 ///   the caller failed. It does not do so at a timeout or at the begin of a shutdown, which waits for both. All of this
@@ -129,7 +132,7 @@
         }
         if std::thread::panicking() {
             self.0.end(RequestEnd::Panicked);
-            log::panicked(&self.0);
+            log::panicked(RequestInfo::from_record(&self.0), None);
         } else {
             self.0.end(RequestEnd::CallerLeft);
             log::caller_left(&self.0);
@@ -164,12 +167,17 @@
         let chunks = BodyDataStream::new(body);
         stream::unfold(Some((self, chunks)), |state| async {
             let (guard, mut chunks) = state?;
-            match chunks.next().await {
-                Some(Ok(chunk)) => Some((Ok(chunk), Some((guard, chunks)))),
-                end => {
+            // The stream is not polled again after a panic.
+            match AssertUnwindSafe(chunks.next()).catch_unwind().await {
+                Ok(Some(Ok(chunk))) => Some((Ok(chunk), Some((guard, chunks)))),
+                Ok(end) => {
                     guard.end_as_dropped();
                     end.map(|chunk| (chunk, None))
                 }
+                Err(panic) => {
+                    guard.end_as_panicked(&*panic);
+                    Some((Err(io::ErrorKind::ConnectionAborted.into()), None))
+                }
             }
         })
     }
@@ -181,4 +189,16 @@
             log::dropped(&self.0);
         }
     }
+
+    /// Records that the handling panicked.
+    pub(crate) fn end_as_panicked(&self, panic: &(dyn Any + Send)) {
+        self.0.end(RequestEnd::Panicked);
+        log::panicked(RequestInfo::from_record(&self.0), panic_message(panic));
+    }
+}
+
+/// Returns the message of a panic; `None` if its payload is not a text.
+pub(crate) fn panic_message(panic: &(dyn Any + Send)) -> Option<&str> {
+    let text = panic.downcast_ref::<String>().map(String::as_str);
+    text.or_else(|| panic.downcast_ref::<&str>().copied())
 }
--- a/crates/operator/src/explain/history.rs
+++ b/crates/operator/src/explain/history.rs
@@ -324,8 +324,9 @@
             field("after_ms")
         ),
         "request panicked" => format!(
-            "a fault of the entry: it panicked after {} ms while it handled the request",
-            field("after_ms")
+            "a fault of the entry: it panicked after {} ms while it handled the request ({})",
+            field("after_ms"),
+            field("panic")
         ),
         _ => "the logs do not contain the end of this request".to_owned(),
     }
