Count an answer without a body of a stream route as answered

A successful answer to HEAD, or with status 204, has no body by definition. On a stream route the entry passed a streamed body nevertheless, which the HTTP library dropped unread. The caller got its answer, but the log said `caller left`, and the server's view of the call ended as abandoned.

Such answers now take the path of answers that are no streams, which records their end before the head is passed on.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
-use http::{Response, StatusCode};
+use http::{Method, Response, StatusCode};
 use tanagerford_core::dispatch::{
     CallNumber, CallOutcome, Choice, GATE_POLL_INTERVAL, GateDecision, MAX_ATTEMPTS_PER_CALL,
     RemainingTime,
@@ -577,7 +577,9 @@
     ) -> Reply {
         self.metrics.observe_first_chunk(call.arrived.elapsed());
         let status = started.response.head.status();
-        if call.route.is_stream && status.is_success() {
+        // The HTTP library drops the body of a response that has none by definition, which looks like a caller that left.
+        let has_body = call.method != Method::HEAD && status != StatusCode::NO_CONTENT;
+        if call.route.is_stream && status.is_success() && has_body {
             let mut head = clone_head(&started.response.head);
             self.codec.strip_connection_headers(&mut head);
             head.headers_mut().remove(http::header::CONTENT_LENGTH);
