Count the requests that end with their process

The comment of the request's guard said that the end of the process drops all tasks, which it does not; it also names callers that close only their sending side, which a trial showed to count as left.

The new test, a server that never answers and an order with a minute of time, failed before for lack of the field; it reads 1 now.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -209,6 +209,12 @@
         self.is_stopping.store(true, Ordering::Release);
     }
 
+    /// Returns the number of requests that were read whole and have not ended.
+    #[must_use]
+    pub fn requests_in_flight(&self) -> u64 {
+        self.metrics.requests_in_flight()
+    }
+
     /// Returns the backend servers with this entry's view of their load.
     #[must_use]
     pub fn fleet(&self) -> &Arc<Fleet> {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,7 +1,7 @@
 //! Counters and latency histograms of an entry.
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use prometheus_client::encoding::EncodeLabelSet;
@@ -70,6 +70,7 @@
 pub(crate) struct Metrics {
     registry: Registry,
     requests_read: Counter,
+    requests_in_flight: AtomicU64,
     requests_ended: Family<EndLabels, Counter>,
     refusals: Family<ReasonLabels, Counter>,
     attempts: Family<ReasonLabels, Counter>,
@@ -174,6 +175,7 @@
             version,
             registry,
             requests_read,
+            requests_in_flight: AtomicU64::new(0),
             requests_ended,
             refusals,
             attempts,
@@ -187,6 +189,12 @@
 impl Metrics {
     pub(crate) fn on_request_read(&self) {
         self.requests_read.inc();
+        self.requests_in_flight.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Returns the number of requests that were read whole and have not ended.
+    pub(crate) fn requests_in_flight(&self) -> u64 {
+        self.requests_in_flight.load(Ordering::Relaxed)
     }
 
     pub(crate) fn on_request_end(&self, end: RequestEnd) {
@@ -195,6 +203,7 @@
             reason: end.reason(),
         };
         self.requests_ended.get_or_create(&labels).inc();
+        self.requests_in_flight.fetch_sub(1, Ordering::Relaxed);
     }
 
     pub(crate) fn on_refusal(&self, refusal: Refusal) {
--- a/crates/gateway/src/request_end.rs
+++ b/crates/gateway/src/request_end.rs
@@ -114,10 +114,11 @@
 /// - A panic while the response to an earlier panic is created unwinds through the guard. The guard's owner catches all other
 ///   panics.
 /// - The HTTP library drops the future of [`Service::handle`](tanagerford_http::server::Service::handle), or the body
-///   of the response, when it closes the connection: because the caller has closed or reset it, or because a write to
-///   the caller failed. It does not do so at a timeout or at the begin of a shutdown, which waits for both. All of this
-///   counts as the caller's leaving.
-/// - The runtime drops all tasks when the process ends. This also counts as the caller's leaving.
+///   of the response, when it closes the connection: because the caller has closed or reset it, has closed its sending
+///   side, or because a write to the caller failed. It does not do so at a timeout or at the begin of a shutdown, which
+///   waits for both. All of this counts as the caller's leaving.
+///
+/// The end of the process drops no guard; `requests_in_flight` of its last log line counts these requests.
 ///
 /// A future *inside* of the handling that is dropped, by a timeout or a `select`, does not drop the guard, since the guard
 /// belongs to the outermost future. If the handling then returns a response or a body ends without a recorded end,
--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -171,8 +171,10 @@
     thread::sleep(READINESS_PROPAGATION_TIME);
     stop.begin_shutdown();
     wait_until_closed(stop, deadline);
+    // These requests end with the process and have no line of their own.
     tracing::info!(
         open_connections = stop.open_connections(),
+        requests_in_flight = gateway.requests_in_flight(),
         "entry has stopped"
     );
 }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -6,6 +6,7 @@
 
 use std::io::BufReader;
 use std::net::{SocketAddr, TcpStream};
+use std::thread;
 
 use support::store::StoreStandin;
 use support::{Action, CONFIGURATION, Worker, answer, chunk, read_message, request};
@@ -90,6 +91,38 @@
     assert!(process.find_line("entry has stopped").is_some());
 }
 
+/// Guards against requests that end with their process at the end of the time for a stop and are in no log line.
+#[test]
+fn requests_that_end_with_the_process_are_counted() {
+    let store = StoreStandin::start();
+    let (engine, plain) = (Worker::start([Action::Hang]), Worker::start([Action::Hang]));
+    let workdir = Workdir::new("gateway_in_flight");
+    workdir.write(
+        "settings.toml",
+        platform_settings("front-1", "zone-a", store.address, 100),
+    );
+    let arguments = ["gateway", "--settings", "settings.toml"];
+    let mut process = Process::start(&workdir, &arguments, STARTED);
+    let callers = process.address(STARTED, "callers");
+    let readiness = process.address(STARTED, "readiness");
+    // Longer than the time for a stop.
+    let configuration = CONFIGURATION.replace("\"timeoutMs\": 5000", "\"timeoutMs\": 60000");
+    store.put("op/config", &configuration);
+    store.put("servers/e-1", &registration("engines", &engine));
+    store.put("servers/p-1", &registration("plain", &plain));
+    wait_until(|| status(readiness, "/tanagerford/ready").as_deref() == Some("200"));
+    let order = request("POST /orders/1", "id-1", "Content-Length: 0\r\n");
+    let order = order.replace("Remaining: 8000", "Remaining: 60000");
+    let caller = thread::spawn(move || call(callers, &order));
+    wait_until(|| !plain.received().is_empty());
+    process.terminate();
+    assert!(process.wait().success());
+    let got = caller.join().expect("caller");
+    assert!(got.is_none(), "{got:?}");
+    let line = process.find_line("entry has stopped").expect("last line");
+    assert_eq!(line["requests_in_flight"], 1, "{line}");
+}
+
 /// Guards against a process that starts with invalid settings, and against reporting only the first finding.
 #[test]
 fn all_findings_of_settings_are_reported() {
