--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,12 +1,15 @@
 //! Accepts requests, checks their route and key, and dispatches them.
 
+use std::any::Any;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, RwLock};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use futures_lite::FutureExt;
 use http::{HeaderValue, Request, StatusCode, header};
 use hyper::body::Incoming;
 use tanagerford_core::dispatch::{BudgetLimits, LongPromptGate, RetryBudget};
@@ -27,6 +30,7 @@
 use crate::processor::ProcessorMonitor;
 use crate::quarantine::Quarantine;
 use crate::refusal::Refusal;
+use crate::request_end::{RequestEnd, RequestGuard, RequestRecord, panic_message};
 use crate::table::{ConfigurationSource, RoutingTable, Version};
 
 /// Timeout for reading a body. The caller's own deadline is usually shorter.
@@ -205,6 +209,12 @@
         self.is_stopping.store(true, Ordering::Release);
     }
 
+    /// Returns the number of requests that were read whole and have not ended.
+    #[must_use]
+    pub fn requests_in_flight(&self) -> u64 {
+        self.metrics.requests_in_flight()
+    }
+
     /// Returns the backend servers with this entry's view of their load.
     #[must_use]
     pub fn fleet(&self) -> &Arc<Fleet> {
@@ -265,9 +275,47 @@
         now.checked_sub(self.processor.delay()).unwrap_or(now)
     }
 
-    /// Reads a request completely and handles it.
+    /// Reads a request completely and handles it. A panic meanwhile ends with a refusal.
     async fn receive(self: &Arc<Self>, request: Request<Incoming>) -> Reply {
         let arrived = self.estimated_arrival();
+        let mut guard = None;
+        let handling = self.read_and_admit(request, arrived, &mut guard);
+        // What a call shares with others is behind locks, which stay usable after a panic (see `tanagerford_sync`).
+        let result = AssertUnwindSafe(handling).catch_unwind().await;
+        match (result, guard) {
+            (Ok(reply), Some(guard)) => guard.watch(reply),
+            (Ok(reply), None) => reply,
+            (Err(panic), guard) => self.refuse_panicked(guard.as_ref(), arrived, &*panic),
+        }
+    }
+
+    /// Refuses a request whose handling panicked; `guard` is `None` if it was not read whole.
+    fn refuse_panicked(
+        &self,
+        guard: Option<&RequestGuard>,
+        arrived: Instant,
+        panic: &(dyn Any + Send),
+    ) -> Reply {
+        let refusal = Refusal::InternalError;
+        self.metrics.on_refusal(refusal);
+        if let Some(guard) = guard {
+            guard.end_as_panicked(panic);
+            return self.close_if_stopping(self.codec.refuse(Some(&guard.record().id), refusal));
+        }
+        log::panicked(RequestInfo::without_head(arrived), panic_message(panic));
+        let mut reply = self.codec.refuse(None, refusal);
+        // The rest of the request may be unread.
+        close_connection(&mut reply);
+        reply
+    }
+
+    /// Reads a request completely and handles it; sets the guard when the request was read.
+    async fn read_and_admit(
+        self: &Arc<Self>,
+        request: Request<Incoming>,
+        arrived: Instant,
+        guard: &mut Option<RequestGuard>,
+    ) -> Reply {
         let (parts, body) = request.into_parts();
         let head = match self.codec.call_head(&parts) {
             Ok(head) => head,
@@ -279,7 +327,12 @@
             .unwrap_or(BODY_TIMEOUT)
             .min(BODY_TIMEOUT);
         let refusal = match timeout(body_timeout, read_body(body, limits.max_body_bytes)).await {
-            Ok(Ok(body)) => return self.admit(&parts, head, body, arrived).await,
+            Ok(Ok(body)) => {
+                let new_guard = RequestGuard::new(&self.metrics, &head, arrived);
+                let record = Arc::clone(new_guard.record());
+                *guard = Some(new_guard);
+                return self.admit(&parts, head, body, record).await;
+            }
             Ok(Err(StatusCode::PAYLOAD_TOO_LARGE)) => Refusal::TooLarge,
             Ok(Err(_)) => Refusal::Malformed,
             Err(_) => Refusal::SlowBody,
@@ -293,24 +346,28 @@
         parts: &http::request::Parts,
         head: CallHead,
         body: Bytes,
-        arrived: Instant,
+        record: Arc<RequestRecord>,
     ) -> Reply {
+        let arrived = record.arrived;
         let Some(table) = self.table() else {
             let info = RequestInfo::from_head(&head, arrived);
-            return self.refuse(info, Refusal::NoConfiguration);
+            return self.refuse_read(&record, info, Refusal::NoConfiguration);
         };
         let route = table.route(&head.host, parts.uri.path());
         let info = RequestInfo::from_head(&head, arrived).with_route(route.map(|route| &**route));
         let Some(route) = route else {
-            return self.refuse(info, Refusal::NoRoute);
+            return self.refuse_read(&record, info, Refusal::NoRoute);
         };
         let mut workspace = None;
         if table.needs_key() && !route.is_public {
             workspace = head.key.as_deref().and_then(|key| table.workspace(key));
             if workspace.is_none() {
-                return self.refuse(info, Refusal::UnknownKey);
+                return self.refuse_read(&record, info, Refusal::UnknownKey);
             }
         }
+        let workspace = workspace.cloned();
+        // The lines of a request that ends in no regular way name both, too.
+        let _ = record.route.set((Arc::clone(route), workspace.clone()));
         let mut demand = head.demand;
         demand.body_bytes = body.len();
         let mut call = Call {
@@ -320,13 +377,13 @@
             headers: head.headers,
             body,
             route: Arc::clone(route),
-            workspace: workspace.cloned(),
+            workspace,
             demand,
             resume_after: head.resume_after,
             resumed_attempt: head.resumed_attempt,
             arrived,
-            caller_deadline: head.caller_timeout.map(|timeout| arrived + timeout),
-            is_ended: AtomicBool::new(false),
+            caller_deadline: record.caller_deadline,
+            record,
             admission: None,
         };
         call.demand.rank = call.priority();
@@ -336,7 +393,7 @@
         match admission {
             Ok(guard) => call.admission = Some(guard),
             Err(reason) => {
-                self.record_end(&call);
+                self.record_end(&call, RequestEnd::Refused(Refusal::Busy));
                 let info = RequestInfo::from_call(&call).with_shed_reason(reason);
                 return self.refuse(info, Refusal::Busy);
             }
@@ -346,13 +403,13 @@
 
     /// Records the end of a call and refuses it.
     pub(crate) fn refuse_call(&self, call: &Call, refusal: Refusal) -> Reply {
-        self.record_end(call);
+        self.record_end(call, RequestEnd::Refused(refusal));
         self.refuse(RequestInfo::from_call(call), refusal)
     }
 
-    /// Records that a call has its final response, and counts and logs a response long after the deadline.
-    pub(crate) fn record_end(&self, call: &Call) {
-        call.mark_ended();
+    /// Records how a call ended, and counts and logs a response long after the deadline.
+    pub(crate) fn record_end(&self, call: &Call, end: RequestEnd) {
+        call.record.end(end);
         let overrun = Instant::now().saturating_duration_since(call.deadline());
         if overrun >= DEADLINE_OVERRUN_THRESHOLD {
             self.metrics.on_deadline_overrun();
@@ -360,6 +417,17 @@
         }
     }
 
+    /// Records the end of a request for which there is no call yet, and refuses it.
+    fn refuse_read(
+        &self,
+        record: &RequestRecord,
+        info: RequestInfo<'_>,
+        refusal: Refusal,
+    ) -> Reply {
+        record.end(RequestEnd::Refused(refusal));
+        self.refuse(info, refusal)
+    }
+
     fn refuse(&self, info: RequestInfo<'_>, refusal: Refusal) -> Reply {
         self.metrics.on_refusal(refusal);
         log::refused(info, refusal, self.version(), self.processor.delay());
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,7 +1,7 @@
 //! Counters and latency histograms of an entry.
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use prometheus_client::encoding::EncodeLabelSet;
@@ -16,6 +16,7 @@
 use tanagerford_core::server_limit::RequestRate;
 
 use crate::refusal::Refusal;
+use crate::request_end::RequestEnd;
 use crate::table::Version;
 
 /// Upper bounds of the buckets of the processor delay, in seconds.
@@ -28,6 +29,12 @@
     reason: &'static str,
 }
 
+#[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct EndLabels {
+    how: &'static str,
+    reason: &'static str,
+}
+
 #[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct SourceLabels {
     source: &'static str,
@@ -62,6 +69,9 @@
 #[derive(Debug)]
 pub(crate) struct Metrics {
     registry: Registry,
+    requests_read: Counter,
+    requests_in_flight: AtomicU64,
+    requests_ended: Family<EndLabels, Counter>,
     refusals: Family<ReasonLabels, Counter>,
     attempts: Family<ReasonLabels, Counter>,
     admissions: Family<AdmissionLabels, Counter>,
@@ -138,6 +148,18 @@
             "requests per second that a backend server takes from all entries together",
             server_limits.clone(),
         );
+        let requests_read = Counter::default();
+        registry.register(
+            "requests_read",
+            "requests that were read whole",
+            requests_read.clone(),
+        );
+        let requests_ended = Family::<EndLabels, Counter>::default();
+        registry.register(
+            "requests_ended",
+            "requests that were read whole and have ended, by how",
+            requests_ended.clone(),
+        );
         let streams = Family::<VersionLabels, Gauge>::default();
         registry.register(
             "streams",
@@ -152,6 +174,9 @@
             configurations,
             version,
             registry,
+            requests_read,
+            requests_in_flight: AtomicU64::new(0),
+            requests_ended,
             refusals,
             attempts,
             admissions,
@@ -162,6 +187,25 @@
 }
 
 impl Metrics {
+    pub(crate) fn on_request_read(&self) {
+        self.requests_read.inc();
+        self.requests_in_flight.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Returns the number of requests that were read whole and have not ended.
+    pub(crate) fn requests_in_flight(&self) -> u64 {
+        self.requests_in_flight.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn on_request_end(&self, end: RequestEnd) {
+        let labels = EndLabels {
+            how: end.name(),
+            reason: end.reason(),
+        };
+        self.requests_ended.get_or_create(&labels).inc();
+        self.requests_in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+
     pub(crate) fn on_refusal(&self, refusal: Refusal) {
         let reason = refusal.name();
         self.refusals.get_or_create(&ReasonLabels { reason }).inc();
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -20,6 +20,7 @@
 use crate::gateway::Gateway;
 use crate::metrics::StreamGuard;
 use crate::quarantine::ConnectionEnd;
+use crate::request_end::RequestEnd;
 
 /// Time without data from the server after which another server is asked to go on with a resumable stream.
 const RESUME_IDLE_TIMEOUT: Duration = Duration::from_millis(800);
@@ -106,11 +107,11 @@
                 }
                 Ok(None) => {
                     relay.gateway.on_complete_answer(&relay.started);
-                    relay.log_end("answered");
+                    relay.log_end("answered", RequestEnd::StreamComplete);
                     None
                 }
                 Err(error) => {
-                    relay.log_end(error.name());
+                    relay.log_end(error.name(), RequestEnd::Cut(error.name()));
                     Some((Err(io::Error::from(io::ErrorKind::ConnectionAborted)), None))
                 }
             }
@@ -133,8 +134,8 @@
         self.last_sent_at = now;
     }
 
-    fn log_end(&self, outcome: &str) {
-        self.gateway.record_end(&self.call);
+    fn log_end(&self, outcome: &str, end: RequestEnd) {
+        self.gateway.record_end(&self.call, end);
         tracing::info!(
             request = self.call.id,
             route = self.call.route.name,
