Refuse the calls that no server has answered before a stopping entry ends

What callers saw: a call whose server was silent when the time for a stop was over lost its connection without an answer. Since silent servers are kept, more calls wait for their deadline, which may lie beyond the end of the process.

Now these calls get 502 (`stopping`, which promises nothing) 0.25 s before the end. Streams that have begun are still cut.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use futures_lite::FutureExt;
+use futures_lite::{FutureExt, future};
 use http::{HeaderValue, Request, StatusCode, header};
 use hyper::body::Incoming;
 use tanagerford_core::dispatch::{BudgetLimits, LongPromptGate, RetryBudget};
@@ -72,6 +72,8 @@
     /// Number of live entries, including this one.
     entry_count: AtomicUsize,
     is_stopping: AtomicBool,
+    /// Closed when the calls that no server has answered must end, since the process is about to.
+    stop: (async_channel::Sender<()>, async_channel::Receiver<()>),
 }
 
 impl<C: Codec> Gateway<C> {
@@ -108,6 +110,7 @@
             configuration: RwLock::default(),
             budgets: Mutex::default(),
             is_stopping: AtomicBool::new(false),
+            stop: async_channel::bounded(1),
         })
     }
 
@@ -209,6 +212,11 @@
         self.is_stopping.store(true, Ordering::Release);
     }
 
+    /// Refuses the calls that no server has answered yet, and those that arrive later.
+    pub fn end_calls(&self) {
+        self.stop.0.close();
+    }
+
     /// Returns the number of requests that were read whole and have not ended.
     #[must_use]
     pub fn requests_in_flight(&self) -> u64 {
@@ -331,7 +339,14 @@
                 let new_guard = RequestGuard::new(&self.metrics, &head, arrived);
                 let record = Arc::clone(new_guard.record());
                 *guard = Some(new_guard);
-                return self.admit(&parts, head, body, record).await;
+                let answer = self.admit(&parts, head, body, Arc::clone(&record));
+                let stopped = async {
+                    // The channel carries no messages; it closes.
+                    let _ = self.stop.1.recv().await;
+                    let info = RequestInfo::from_record(&record);
+                    self.refuse_read(&record, info, Refusal::Stopping)
+                };
+                return future::or(answer, stopped).await;
             }
             Ok(Err(StatusCode::PAYLOAD_TOO_LARGE)) => Refusal::TooLarge,
             Ok(Err(_)) => Refusal::Malformed,
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -47,6 +47,8 @@
     TimedOut,
     /// The entry panicked while it handled the request, which a server may have run.
     InternalError,
+    /// The entry stops before a server has answered; a server may have run the request.
+    Stopping,
 }
 
 impl Refusal {
@@ -72,6 +74,7 @@
             Self::ServerFailed => "server_failed",
             Self::TimedOut => "timed_out",
             Self::InternalError => "internal_error",
+            Self::Stopping => "stopping",
         }
     }
 
@@ -98,7 +101,7 @@
     pub fn is_not_run(self) -> bool {
         !matches!(
             self,
-            Self::ServerFailed | Self::TimedOut | Self::InternalError
+            Self::ServerFailed | Self::TimedOut | Self::InternalError | Self::Stopping
         )
     }
 
--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -48,6 +48,9 @@
 /// second apart, with a margin. Then idle connections are closed, and new ones are closed before their request is read,
 /// because a stream that begins later could not end before the process does.
 const READINESS_PROPAGATION_TIME: Duration = Duration::from_millis(2_500);
+/// Time before the end of a stopping process at which the calls that no server has answered are refused, so that their
+/// callers get a response.
+const LAST_REFUSAL_TIME: Duration = Duration::from_millis(250);
 /// Interval at which a stopping process checks for open connections.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Number of entries among which the retry budget is divided until their actual number is known.
@@ -170,6 +173,11 @@
     let deadline = began + grace * STOP_DEADLINE_SHARE.0 / STOP_DEADLINE_SHARE.1;
     thread::sleep(READINESS_PROPAGATION_TIME);
     stop.begin_shutdown();
+    wait_until_closed(
+        stop,
+        deadline.checked_sub(LAST_REFUSAL_TIME).unwrap_or(began),
+    );
+    gateway.end_calls();
     wait_until_closed(stop, deadline);
     // These requests end with the process and have no line of their own.
     tracing::info!(
