Bound the idle timeout that a server names

What callers saw: 502, and a closed connection before panics were caught, in place of a whole answer, when the server's Keep-Alive names a timeout beyond the range of the clock: adding it to the time panicked as the connection was returned to the pool.

Now a timeout counts as one hour at most; connections are reused for half of it.

--- a/crates/http/src/connection_pool.rs
+++ b/crates/http/src/connection_pool.rs
@@ -29,6 +29,8 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Assumed idle timeout of a server that does not send one in `Keep-Alive`.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
+/// Longest idle timeout of a server that is believed. Times beyond the range of the clock must not be added to it.
+const MAX_IDLE_TIMEOUT: Duration = Duration::from_hours(1);
 /// Fraction (numerator, denominator) of the server's idle timeout during which a connection is reused. The margin
 /// keeps a request from being sent while the server closes the connection.
 const REUSE_FRACTION: (u32, u32) = (1, 2);
@@ -209,7 +211,7 @@
         let (name, seconds) = parameter.split_once('=')?;
         (name.trim() == "timeout").then(|| seconds.trim().parse().ok())?
     })?;
-    Some(Duration::from_secs(timeout))
+    Some(Duration::from_secs(timeout).min(MAX_IDLE_TIMEOUT))
 }
 
 impl PooledResponse {
