Play silent servers, series of configurations and idle connections in the soak

Each seed now begins with six pieces of planned work and a calm time, before the faults and with a generator of its own, so that the faults of a seed stay what they were. A piece lets some servers, or all of a pool, fall silent for 0.9 to 1.4 s, publishes up to four configurations (key, a route that comes and goes, a route that moves, idle timeout 0.5 or 15 s), and reloads or stops an entry. None of it is an unplanned fault: every failure beside it is a violation, except that a request which silent servers kept for the shortest timeout of a route (5 s) may fail. A connection that ends without an answer to a request that no server ran is a violation too, unless its entry was stopped.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -18,6 +18,7 @@
 mod request_log;
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -50,6 +51,16 @@
 const LIMIT_SETTLE_TIME: Duration = Duration::from_secs(3);
 /// Span in which the requests at a limited server are counted.
 const LIMIT_SPAN: Duration = Duration::from_secs(4);
+/// Number of pieces of planned work per seed, before the first fault.
+const PLANNED_WORK: u32 = 6;
+/// Range of the time for which a sound server falls silent.
+const SILENCE_MS: RangeInclusive<u64> = 900..=1_400;
+/// Idle timeouts of the configurations.
+const IDLE_TIMEOUTS: [Duration; 2] = [Duration::from_millis(500), Duration::from_secs(15)];
+/// Time after which all entries have a configuration. The idle timeout changes only while the store is undisturbed.
+const CONFIGURATION_TIME: Duration = Duration::from_secs(1);
+/// Time after the planned work, for connections that opened at a shorter idle timeout than the one in force.
+const CALM_TIME: Duration = Duration::from_secs(4);
 /// Number of faults that are injected per seed.
 const FAULTS: u32 = 6;
 const STARTED: &str = "entry has started";
@@ -120,16 +131,73 @@
     }
 }
 
-/// Returns the configuration with this version, with or without the third key of [`caller::KEYS`].
-fn configuration(version: u64, has_third_key: bool) -> String {
-    let quay = if has_third_key {
-        r#", {"name": "quay", "apiKeys": ["key-3"], "priority": 2}"#
-    } else {
-        ""
+/// Content of a configuration that changes from one to the next.
+#[derive(Debug, Clone, Copy)]
+struct Configuration {
+    version: u64,
+    /// Whether the third key of [`caller::KEYS`] is accepted.
+    has_third_key: bool,
+    /// Whether [`caller::EXTRA_PATH`] has a route.
+    has_extra_route: bool,
+    /// Whether the route of lookups uses the pool of the streams.
+    has_moved_route: bool,
+    idle_timeout: Duration,
+}
+
+impl Configuration {
+    const FIRST: Self = Self {
+        version: 7,
+        has_third_key: true,
+        has_extra_route: true,
+        has_moved_route: false,
+        idle_timeout: IDLE_TIMEOUTS[1],
     };
-    CONFIGURATION
-        .replace("\"version\": 7", &format!("\"version\": {version}"))
-        .replace("\"priority\": 1}]", &format!("\"priority\": 1}}{quay}]"))
+
+    /// Returns the next configuration, in which the third key changes.
+    fn next(self) -> Self {
+        Self {
+            version: self.version + 2,
+            has_third_key: !self.has_third_key,
+            ..self
+        }
+    }
+
+    /// Returns the next configuration, with random changes of the routes and the idle timeout.
+    fn next_random(self, random: &mut Pcg64) -> Self {
+        let idle_timeout = IDLE_TIMEOUTS.choose(random).copied();
+        Self {
+            has_extra_route: random.random_bool(0.5),
+            has_moved_route: random.random_bool(0.5),
+            idle_timeout: idle_timeout.unwrap_or(self.idle_timeout),
+            ..self.next()
+        }
+    }
+
+    fn document(&self) -> String {
+        let quay = r#", {"name": "quay", "apiKeys": ["key-3"], "priority": 2}"#;
+        let quay = if self.has_third_key { quay } else { "" };
+        let extra = r#"{"name": "extra", "host": "app.example", "pathPrefix": "/extra/", "type": "streaming",
+            "timeoutMs": 5000, "targetLatencyMs": 500, "priority": 1, "service": "engines", "gapTargetMs": 300},
+            {"name": "orders""#;
+        let extra = if self.has_extra_route {
+            extra
+        } else {
+            r#"{"name": "orders""#
+        };
+        let lookups = r#""timeoutMs": 5000, "targetLatencyMs": 100, "priority": 2, "service": "plain", "maxAttempts": 2},"#;
+        let pool = if self.has_moved_route {
+            "engines"
+        } else {
+            "plain"
+        };
+        let idle_timeout = format!("\"idleTimeoutMs\": {}", self.idle_timeout.as_millis());
+        CONFIGURATION
+            .replace("\"version\": 7", &format!("\"version\": {}", self.version))
+            .replace("\"priority\": 1}]", &format!("\"priority\": 1}}{quay}]"))
+            .replace(r#"{"name": "orders""#, extra)
+            .replace(lookups, &lookups.replace("plain", pool))
+            .replace("\"idleTimeoutMs\": 15000", &idle_timeout)
+    }
 }
 
 /// Processes and stand-ins into which faults are injected.
@@ -138,8 +206,8 @@
     fleet: Fleet,
     servers: Vec<(Backend, Proxy)>,
     request_log: Arc<RequestLog>,
-    /// Version of the current configuration, and whether it has the third key of [`caller::KEYS`].
-    configuration: Mutex<(u64, bool)>,
+    /// Published configurations with the time at which each was replaced; the current one is the last.
+    configurations: Mutex<Vec<(Configuration, Option<Instant>)>>,
     /// Begin and end of each time in which an entry was stopped, killed or paused.
     entry_faults: Mutex<Vec<(Instant, Instant)>>,
     /// Number of the next request that checks for recovery.
@@ -150,7 +218,7 @@
     fn start(seed: u64) -> Self {
         let request_log = Arc::new(RequestLog::default());
         let store = StoreStandin::start();
-        store.put("op/config", &configuration(7, true));
+        store.put("op/config", &Configuration::FIRST.document());
         let limit = LIMITS_PER_S[usize::try_from(seed).unwrap_or(0) % LIMITS_PER_S.len()];
         let servers = ["plain", "engines"].into_iter().flat_map(|pool| {
             let (request_log, store) = (&request_log, &store);
@@ -174,18 +242,93 @@
             store,
             servers,
             request_log,
-            configuration: Mutex::new((7, true)),
+            configurations: Mutex::new(vec![(Configuration::FIRST, None)]),
             entry_faults: Mutex::default(),
             next_check: AtomicU32::new(0),
         }
     }
 
+    fn configuration(&self) -> Configuration {
+        let configurations = self.configurations.lock().expect("lock");
+        configurations
+            .last()
+            .map_or(Configuration::FIRST, |(current, _)| *current)
+    }
+
+    fn publish(&self, next: Configuration) {
+        let mut configurations = self.configurations.lock().expect("lock");
+        if let Some((_, replaced_at)) = configurations.last_mut() {
+            *replaced_at = Some(Instant::now());
+        }
+        configurations.push((next, None));
+        self.store.put("op/config", &next.document());
+    }
+
     /// Publishes the next configuration, which adds or removes the third key.
     fn publish_next_configuration(&self) {
-        let mut current = self.configuration.lock().expect("lock");
-        *current = (current.0 + 2, !current.1);
-        self.store
-            .put("op/config", &configuration(current.0, current.1));
+        self.publish(self.configuration().next());
+    }
+
+    /// Returns the shortest idle timeout that an entry may have had in force since a time.
+    fn idle_timeout_since(&self, time: Instant) -> Duration {
+        let configurations = self.configurations.lock().expect("lock");
+        let in_force = configurations.iter().filter(|(_, replaced_at)| {
+            replaced_at.is_none_or(|replaced_at| replaced_at + CONFIGURATION_TIME > time)
+        });
+        let timeouts = in_force.map(|(configuration, _)| configuration.idle_timeout);
+        timeouts.min().unwrap_or_default()
+    }
+
+    /// Lets some servers, or all of a pool, fall silent.
+    fn silence_servers(&self, random: &mut Pcg64) {
+        let has_silent_pool = random.random_bool(0.3);
+        let pool = random.random_range(0..self.servers.len() / SERVERS);
+        for (index, (backend, _)) in self.servers.iter().enumerate() {
+            let is_silent = random.random_bool(0.4);
+            let length = Duration::from_millis(random.random_range(SILENCE_MS));
+            if is_silent || has_silent_pool && index / SERVERS == pool {
+                self.request_log.record_silence(Instant::now() + length);
+                backend.fall_silent(length);
+            }
+        }
+    }
+
+    /// Does work that no caller may notice: servers fall silent and go on, while configurations follow each other and an
+    /// entry reloads its settings or stops.
+    fn do_planned_work(&self, random: &mut Pcg64) -> &'static str {
+        self.silence_servers(random);
+        for _ in 0..random.random_range(0..5_u8) {
+            self.publish(self.configuration().next_random(random));
+            thread::sleep(Duration::from_millis(random.random_range(30..300)));
+        }
+        let entry = random.random_range(0..ENTRIES);
+        match random.random_range(0..3_u8) {
+            0 => {
+                self.fleet.signal(entry, Process::send_sighup);
+                "reload beside silent servers"
+            }
+            1 => {
+                let began = Instant::now();
+                self.restart_entry(entry);
+                let fault = (began, Instant::now());
+                self.entry_faults.lock().expect("lock").push(fault);
+                "stop beside silent servers"
+            }
+            _ => "silent servers",
+        }
+    }
+
+    /// Stops an entry with SIGTERM and starts it again.
+    fn restart_entry(&self, entry: usize) {
+        // Callers continue to use their open connections until the process exits.
+        if let Some(mut process) = self.fleet.take_process(entry) {
+            process.terminate();
+            if !process.wait().success() {
+                self.request_log
+                    .add_violation("an entry exited with a failure after SIGTERM");
+            }
+        }
+        self.fleet.start_entry(entry);
     }
 
     /// Injects a random fault for a random time, ends it, and returns its name.
@@ -242,15 +385,7 @@
                 "entry paused"
             }),
             2 => {
-                // Callers continue to use their open connections until the process exits.
-                if let Some(mut process) = self.fleet.take_process(entry) {
-                    process.terminate();
-                    if !process.wait().success() {
-                        self.request_log
-                            .add_violation("an entry exited with a failure after SIGTERM");
-                    }
-                }
-                self.fleet.start_entry(entry);
+                self.restart_entry(entry);
                 "entry stopped"
             }
             3 => {
@@ -323,7 +458,7 @@
     /// Waits until every entry serves requests on all routes and accepts the third key exactly if the latest
     /// configuration has it.
     fn wait_recovered(&self) {
-        let (_, has_third_key) = *self.configuration.lock().expect("lock");
+        let current = self.configuration();
         for (index, address) in self.fleet.addresses().into_iter().enumerate() {
             let status = |path: &str, key: (&str, &str)| {
                 let number = self.next_check.fetch_add(1, Ordering::Relaxed);
@@ -332,11 +467,17 @@
             };
             wait_until(|| {
                 let paths = ["/orders/1", "/looks/1", "/drafts/1", "/chat/1"];
-                let expected = if has_third_key { "200" } else { "401" };
+                let expected = if current.has_third_key { "200" } else { "401" };
+                let extra = if current.has_extra_route {
+                    "200"
+                } else {
+                    "404"
+                };
                 paths
                     .iter()
                     .all(|path| status(path, caller::KEYS[0]).as_deref() == Some("200"))
                     && status("/looks/1", caller::KEYS[2]).as_deref() == Some(expected)
+                    && status(caller::EXTRA_PATH, caller::KEYS[0]).as_deref() == Some(extra)
             });
         }
     }
@@ -361,12 +502,21 @@
     let served: u32 = thread::scope(|scope| {
         let callers = (0..CALLERS).map(|number| {
             let (environment, stop) = (&environment, &stop);
-            scope.spawn(move || {
-                let (fleet, request_log) = (&environment.fleet, &environment.request_log);
-                caller::call_until(stop, fleet, request_log, seed, number)
-            })
+            scope.spawn(move || caller::call_until(stop, environment, seed, number))
         });
         let callers: Vec<_> = callers.collect();
+        // A generator of its own, so that a seed's faults do not depend on the planned work.
+        let mut planned = Pcg64::seed_from_u64(!seed);
+        for _ in 0..PLANNED_WORK {
+            thread::sleep(Duration::from_millis(planned.random_range(0..700)));
+            names.push(environment.do_planned_work(&mut planned));
+        }
+        environment.publish(Configuration {
+            idle_timeout: IDLE_TIMEOUTS[1],
+            ..environment.configuration().next()
+        });
+        thread::sleep(CALM_TIME);
+        environment.wait_recovered();
         for _ in 0..FAULTS {
             // Some faults begin while the previous one still has effects, others after a full recovery.
             thread::sleep(Duration::from_millis(random.random_range(0..700)));
@@ -397,8 +547,8 @@
 }
 
 /// Guards against guarantees that hold only without faults: a request that must not be repeated runs at most once, an
-/// answer goes to its own caller, a request that was refused as not run never runs, a graceful stop interrupts no
-/// request, and all requests are served again after the faults.
+/// answer goes to its own caller, a request that was refused as not run never runs, a graceful stop, a configuration or a
+/// server that falls silent for a second interrupts no request, and all requests are served again after the faults.
 #[test]
 fn guarantees_hold_under_random_faults() {
     let failed: Vec<String> = seeds()
--- a/tests/soak/backend.rs
+++ b/tests/soak/backend.rs
@@ -41,6 +41,8 @@
     /// Requests per second that the server takes from all entries together, if it names a limit.
     pub limit: Option<f64>,
     arrivals: Arc<Mutex<Vec<Instant>>>,
+    /// End of the time in which the server runs requests but sends nothing.
+    silent_until: Arc<Mutex<Option<Instant>>>,
 }
 
 /// Returns whether requests of a path may run more than once.
@@ -48,6 +50,13 @@
     path.starts_with("/looks/") || path.starts_with("/chat/")
 }
 
+/// Returns whether the answer on a path is an event stream.
+pub fn is_stream(path: &str) -> bool {
+    ["/chat/", "/drafts/", "/extra/"]
+        .iter()
+        .any(|prefix| path.starts_with(prefix))
+}
+
 /// Returns the event `number` of the stream of a request from a server of a version.
 pub fn event(id: &str, number: u32, version: &str) -> String {
     format!("id: {number}\ndata: {id}/{number}/{version}\n\n")
@@ -62,6 +71,7 @@
             version,
             limit,
             arrivals: Arc::default(),
+            silent_until: Arc::default(),
         };
         let (handle, request_log) = (backend.clone(), Arc::clone(request_log));
         thread::spawn(move || {
@@ -77,6 +87,18 @@
         *self.mode.lock().expect("lock") = mode;
     }
 
+    /// Makes the server send nothing for a time, and go on where it stopped.
+    pub fn fall_silent(&self, length: Duration) {
+        *self.silent_until.lock().expect("lock") = Some(Instant::now() + length);
+    }
+
+    fn wait_while_silent(&self) {
+        let until = *self.silent_until.lock().expect("lock");
+        if let Some(left) = until.and_then(|until| until.checked_duration_since(Instant::now())) {
+            thread::sleep(left);
+        }
+    }
+
     /// Returns the times at which requests arrived.
     pub fn arrivals(&self) -> Vec<Instant> {
         self.arrivals.lock().expect("lock").clone()
@@ -128,6 +150,7 @@
         if request.body != format!("body of {id}").as_bytes() {
             request_log.add_violation(format!("{id} came with another body"));
         }
+        self.wait_while_silent();
         match mode {
             Mode::CloseWithoutAnswer => return None,
             Mode::ReportFailure => {
@@ -140,7 +163,7 @@
             Mode::Slow => thread::sleep(Duration::from_millis(500)),
             Mode::Normal | Mode::CutAnswer | Mode::Refuse => {}
         }
-        if path.starts_with("/chat/") || path.starts_with("/drafts/") {
+        if is_stream(path) {
             return self.write_stream(request, writer, mode == Mode::CutAnswer);
         }
         let body = format!("answer of {id}");
@@ -177,6 +200,7 @@
                 .write_all(chunk(&event(id, number, self.version)).as_bytes())
                 .ok()?;
             thread::sleep(EVENT_INTERVAL);
+            self.wait_while_silent();
         }
         writer.write_all(b"0\r\n\r\n").ok()
     }
--- a/tests/soak/request_log.rs
+++ b/tests/soak/request_log.rs
@@ -11,6 +11,8 @@
     violations: Mutex<Vec<String>>,
     /// Begin and end of each unplanned fault; the end is absent while the fault lasts.
     faults: Mutex<Vec<(Instant, Option<Instant>)>>,
+    /// End of the latest time in which a server was silent.
+    silent_until: Mutex<Option<Instant>>,
 }
 
 #[derive(Debug, Default)]
@@ -73,6 +75,18 @@
         self.faults.lock().expect("lock")[fault].1 = Some(Instant::now());
     }
 
+    /// Records that a server sends nothing until a time.
+    pub fn record_silence(&self, until: Instant) {
+        let mut latest = self.silent_until.lock().expect("lock");
+        *latest = (*latest).max(Some(until));
+    }
+
+    /// Returns whether a server has been silent since `begin`.
+    pub fn was_silent(&self, begin: Instant) -> bool {
+        let latest = *self.silent_until.lock().expect("lock");
+        latest.is_some_and(|until| until > begin)
+    }
+
     /// Returns whether an unplanned fault has been active since `begin` or ended less than [`super::SETTLE_TIME`]
     /// before.
     pub fn was_disturbed(&self, begin: Instant) -> bool {
