Apply the timeouts in force to open connections of callers

Cause: a connection read its limits once, when it opened, and the HTTP library's only timer for it counted idle time and the head together. What callers saw: after a configuration that raised the idle timeout to more than 3.75 times, the entry closed connections that callers may still reuse (up to four fifths of the timeout in force); a request whose first bytes arrived shortly before that timer ended was cut after a part of its head had been read; and a request whose bytes reached the kernel after the runtime's last look for events was reset unread. The header timeout of the configuration was never applied.

Change: one watchdog per connection, in the connection's own task, checks the timeouts in force at the earliest time at which one can have passed. Both timeouts get 13 s more, the time within which a configuration has to be in force everywhere, in place of the factor of 3; after a lowered timeout a connection stays open at least that long. The head's timeout counts from its first byte. Before an idle connection is closed, the connection reads once more, and the kernel is asked for unread bytes past the runtime's readiness, which may be older than the wait for the processor. A request resets no timer: it sets a phase at its head, its end and its last write.

The cost per request was not measured.

--- a/crates/gateway/src/copies.rs
+++ b/crates/gateway/src/copies.rs
@@ -63,7 +63,9 @@
     fn limits(&self) -> ServerLimits {
         ServerLimits {
             max_header_bytes: MAX_HEADER_BYTES,
+            header_timeout: COPY_TIMEOUT,
             idle_timeout: COPY_TIMEOUT,
+            propagation_time: Duration::ZERO,
         }
     }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -31,9 +31,9 @@
 
 /// Timeout for reading a body. The caller's own deadline is usually shorter.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
-/// Factor by which connections are kept open beyond the configured idle timeout. A caller that respects the timeout
-/// then never sends a request on a connection that the entry is closing, even if the timeout was raised recently.
-const IDLE_TIMEOUT_FACTOR: u32 = 3;
+/// Longest time between the moments at which a caller and this entry learn of changed limits: the time within which a
+/// configuration has to be in force everywhere. Until then connections are kept that a caller may still use.
+const LIMITS_PROPAGATION_TIME: Duration = Duration::from_secs(13);
 
 /// Minimum overrun of a call's deadline that is counted and logged. The platform's rules allow twice as much.
 const DEADLINE_OVERRUN_THRESHOLD: Duration = Duration::from_millis(250);
@@ -391,7 +391,9 @@
         let limits = self.0.table().map(|table| table.limits).unwrap_or_default();
         ServerLimits {
             max_header_bytes: limits.max_header_bytes,
-            idle_timeout: limits.idle_timeout * IDLE_TIMEOUT_FACTOR,
+            header_timeout: limits.header_timeout,
+            idle_timeout: limits.idle_timeout,
+            propagation_time: LIMITS_PROPAGATION_TIME,
         }
     }
 }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -7,6 +7,7 @@
 //! blocking calls, so the body never yields to `hyper`, which then buffers all events until the body ends. Here a body
 //! yields between events. This also lets the listener detect a caller that disconnects while its request waits.
 
+mod activity;
 mod body;
 pub mod client;
 mod connection;
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -1,26 +1,28 @@
 //! HTTP/1.1 server whose connections run as tasks of a `tokio` runtime.
 //!
-//! Unlike [`Listener`](crate::Listener), it passes each request to the service before the body is read. It reads its
-//! limits for each connection because they may change with the configuration.
+//! Unlike [`Listener`](crate::Listener), it passes each request to the service before the body is read. Its timeouts may
+//! change with the configuration, so a watchdog of each connection applies those in force.
 
 use std::convert::Infallible;
-use std::future::Future;
+use std::future::{Future, poll_fn};
 use std::io;
 use std::net::{self, SocketAddr};
 use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::task::Poll;
 use std::time::Duration;
 
 use futures_lite::future;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
 use socket2::{Domain, SockRef, Socket, TcpKeepalive, Type};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::Handle;
+use tokio::time::{Instant, sleep_until};
 
+use crate::activity::{Activity, Phase, TrackedBody, TrackedStream};
 use crate::connection::Reply;
 
 /// Minimum size of the read buffer that `hyper` accepts, in bytes.
@@ -32,6 +34,10 @@
 /// Idle time before keep-alive probes, which detect a caller that disappeared without closing its connection.
 const KEEPALIVE_TIME: Duration = Duration::from_secs(5);
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(2);
+/// Time after which a connection whose timeout is too long for the clock is checked again.
+const LONGEST_CHECK_INTERVAL: Duration = Duration::from_hours(1);
+/// Time in which the runtime should read the bytes that the kernel held when a timeout passed.
+const UNREAD_CHECK_DELAY: Duration = Duration::from_millis(100);
 
 /// Handles the requests of a [`Server`].
 pub trait Service: Send + Sync + 'static {
@@ -42,17 +48,23 @@
         peer: SocketAddr,
     ) -> impl Future<Output = Reply> + Send;
 
-    /// Returns the limits for a new connection; called once per connection.
+    /// Returns the limits in force; called when a connection opens and when a timeout of a connection may have passed.
     fn limits(&self) -> ServerLimits;
 }
 
-/// Limits of one connection.
-#[derive(Debug, Clone, Copy)]
+/// Limits of connections. A connection keeps the size limit that was in force when it opened. Its timeouts are those in
+/// force at each moment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ServerLimits {
     /// Maximum size of a request's head, in bytes; values below 8,192 count as 8,192.
     pub max_header_bytes: usize,
-    /// Timeout for reading a request's head; an idle connection is closed after it.
+    /// Timeout for reading a request's head, from its first byte. The connection then ends without a response.
+    pub header_timeout: Duration,
+    /// Timeout from the last byte of a response, or from the opening of a connection, to the next request.
     pub idle_timeout: Duration,
+    /// Time that is added to both timeouts, and that a connection stays open at least after a timeout was lowered: the
+    /// callers and this process may learn of changed limits at different times.
+    pub propagation_time: Duration,
 }
 
 /// Server that is bound but does not accept connections yet.
@@ -189,26 +201,102 @@
         .with_interval(KEEPALIVE_INTERVAL);
     SockRef::from(&stream).set_tcp_keepalive(&keepalive)?;
     let limits = service.limits();
-    let handler =
-        service_fn(
-            |request| async move { Ok::<_, Infallible>(service.handle(request, peer).await) },
-        );
+    let activity = Activity::new();
+    let handler = service_fn(|request| {
+        let guard = activity.begin_request();
+        async move {
+            let reply = service.handle(request, peer).await;
+            Ok::<_, Infallible>(reply.map(|body| TrackedBody::new(body, guard)))
+        }
+    });
+    // The watchdog replaces the library's timeout for heads, which includes the idle time and cannot be changed later.
     let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(limits.idle_timeout)
+        .header_read_timeout(None)
         .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(stream), handler);
+        .serve_connection(TrackedStream::new(stream, Arc::clone(&activity)), handler);
     let mut connection = pin!(connection);
-    let stop = async {
-        let _ = stopped.recv().await;
-        None
-    };
-    let finished = async { Some(connection.as_mut().await) };
-    if let Some(result) = future::or(finished, stop).await {
-        result?;
-    } else {
-        connection.as_mut().graceful_shutdown();
-        connection.await?;
+    let mut watchdog = Watchdog { limits };
+    let now = Instant::now();
+    let check_time = watchdog.next_check(activity.phase(), now).unwrap_or(now);
+    let mut timer = pin!(sleep_until(check_time));
+    let mut stop = pin!(stopped.recv());
+    let mut is_closing = false;
+    poll_fn(|context| {
+        loop {
+            // The connection reads first, so a request that has arrived is handled before the connection is closed.
+            if let Poll::Ready(result) = connection.as_mut().poll(context) {
+                return Poll::Ready(result.map_err(Into::into));
+            }
+            if is_closing {
+                return Poll::Pending;
+            }
+            if stop.as_mut().poll(context).is_ready() {
+                is_closing = true;
+                connection.as_mut().graceful_shutdown();
+                continue;
+            }
+            if timer.as_mut().poll(context).is_pending() {
+                return Poll::Pending;
+            }
+            let now = Instant::now();
+            let phase = activity.phase();
+            if let Some(time) = watchdog.check(phase, service.limits(), now) {
+                timer.as_mut().reset(time);
+                continue;
+            }
+            activity.check_unread();
+            if let Poll::Ready(result) = connection.as_mut().poll(context) {
+                return Poll::Ready(result.map_err(Into::into));
+            }
+            if activity.has_unread() || activity.phase() != phase {
+                timer.as_mut().reset(now + UNREAD_CHECK_DELAY);
+            } else if let Phase::Head(_) = phase {
+                return Poll::Ready(Err("timeout for the head of a request".into()));
+            } else {
+                is_closing = true;
+                connection.as_mut().graceful_shutdown();
+            }
+        }
+    })
+    .await
+}
+
+/// Decides when a connection has exceeded a timeout. It is checked at the earliest time at which that is possible, so a
+/// request resets no timer.
+struct Watchdog {
+    /// Limits at the last check.
+    limits: ServerLimits,
+}
+
+impl Watchdog {
+    /// Returns the time of the next check, or `None` if a timeout has passed. `limits` are those in force.
+    fn check(&mut self, phase: Phase, limits: ServerLimits, now: Instant) -> Option<Instant> {
+        let previous = std::mem::replace(&mut self.limits, limits);
+        let is_lowered = limits.idle_timeout < previous.idle_timeout
+            || limits.header_timeout < previous.header_timeout;
+        if is_lowered {
+            // Callers may not know the lowered limits yet.
+            return Some(now + limits.propagation_time);
+        }
+        self.next_check(phase, now)
+    }
+
+    /// Returns the earliest time at which a timeout can have passed, or `None` if one has passed.
+    fn next_check(&self, phase: Phase, now: Instant) -> Option<Instant> {
+        let limits = &self.limits;
+        let expiry = |since: Instant, timeout: Duration| {
+            let end = since.checked_add(timeout.saturating_add(limits.propagation_time));
+            end.unwrap_or(now + LONGEST_CHECK_INTERVAL)
+        };
+        let idle_expiry = match phase {
+            Phase::Head(since) => {
+                return Some(expiry(since, limits.header_timeout)).filter(|end| *end > now);
+            }
+            Phase::Idle(since) => expiry(since, limits.idle_timeout),
+            Phase::Request => expiry(now, limits.idle_timeout),
+        };
+        // A head that begins at once can exceed its timeout first.
+        let next = idle_expiry.min(expiry(now, limits.header_timeout));
+        (idle_expiry > now).then_some(next)
     }
-    Ok(())
 }
--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -201,7 +201,9 @@
     fn limits(&self) -> ServerLimits {
         ServerLimits {
             max_header_bytes: 16 * 1024,
+            header_timeout: Duration::from_secs(10),
             idle_timeout: Duration::from_mins(1),
+            propagation_time: Duration::ZERO,
         }
     }
 }
