Answer a request that arrives as the listener stops

Cause: `begin_shutdown` closed every kept connection that was between two requests for the HTTP library, which counts a request only from the end of its head. What callers saw at the end of a stop's readiness time: a request whose head had arrived in part was dropped after the entry had read that part, and one that the kernel held, but the runtime had not yet reported, was reset unread.

Change: a stopping connection with a begun head waits for the rest, at most the header timeout; before an idle one is closed, the kernel is asked for unread bytes, as for the idle timeout. An answer that begins after the stop announces the end of its connection. A request that arrives after the close is never read, so its caller may send it again.

Evidence: tests in crates/http/tests/connections.rs.

--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -14,6 +14,7 @@
 use std::time::Duration;
 
 use futures_lite::future;
+use http::{HeaderValue, header};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -177,7 +178,8 @@
 }
 
 impl ServerStopHandle {
-    /// Stops accepting, closes idle connections at once and busy ones after their reply. Does not wait.
+    /// Stops accepting, closes idle connections at once and busy ones after their reply. A connection is busy from the
+    /// moment at which the kernel holds a byte of a request. Does not wait.
     pub fn begin_shutdown(&self) {
         self.stop.close();
     }
@@ -205,7 +207,10 @@
     let handler = service_fn(|request| {
         let guard = activity.begin_request();
         async move {
-            let reply = service.handle(request, peer).await;
+            let mut reply = service.handle(request, peer).await;
+            if stopped.is_closed() {
+                close_connection(&mut reply);
+            }
             Ok::<_, Infallible>(reply.map(|body| TrackedBody::new(body, guard)))
         }
     });
@@ -220,7 +225,7 @@
     let check_time = watchdog.next_check(activity.phase(), now).unwrap_or(now);
     let mut timer = pin!(sleep_until(check_time));
     let mut stop = pin!(stopped.recv());
-    let mut is_closing = false;
+    let (mut is_stopping, mut is_closing) = (false, false);
     poll_fn(|context| {
         loop {
             // The connection reads first, so a request that has arrived is handled before the connection is closed.
@@ -230,37 +235,49 @@
             if is_closing {
                 return Poll::Pending;
             }
-            if stop.as_mut().poll(context).is_ready() {
-                is_closing = true;
-                connection.as_mut().graceful_shutdown();
-                continue;
-            }
-            if timer.as_mut().poll(context).is_pending() {
-                return Poll::Pending;
-            }
-            let now = Instant::now();
+            is_stopping = is_stopping || stop.as_mut().poll(context).is_ready();
             let phase = activity.phase();
-            if let Some(time) = watchdog.check(phase, service.limits(), now) {
-                timer.as_mut().reset(time);
-                continue;
+            // A request whose head has begun to arrive is still answered.
+            let is_stopped = is_stopping && !matches!(phase, Phase::Head(_));
+            if !is_stopped {
+                if timer.as_mut().poll(context).is_pending() {
+                    return Poll::Pending;
+                }
+                if let Some(time) = watchdog.check(phase, service.limits(), Instant::now()) {
+                    timer.as_mut().reset(time);
+                    continue;
+                }
             }
-            activity.check_unread();
-            if let Poll::Ready(result) = connection.as_mut().poll(context) {
-                return Poll::Ready(result.map_err(Into::into));
+            if phase != Phase::Request {
+                activity.check_unread();
+                if let Poll::Ready(result) = connection.as_mut().poll(context) {
+                    return Poll::Ready(result.map_err(Into::into));
+                }
+                let is_unread = activity.has_unread();
+                if is_unread || activity.phase() != phase {
+                    timer.as_mut().reset(Instant::now() + UNREAD_CHECK_DELAY);
+                    if is_unread && timer.as_mut().poll(context).is_pending() {
+                        return Poll::Pending;
+                    }
+                    continue;
+                }
             }
-            if activity.has_unread() || activity.phase() != phase {
-                timer.as_mut().reset(now + UNREAD_CHECK_DELAY);
-            } else if let Phase::Head(_) = phase {
+            if let Phase::Head(_) = phase {
                 return Poll::Ready(Err("timeout for the head of a request".into()));
-            } else {
-                is_closing = true;
-                connection.as_mut().graceful_shutdown();
             }
+            is_closing = true;
+            connection.as_mut().graceful_shutdown();
         }
     })
     .await
 }
 
+/// Sets the header that announces the end of the connection after this reply.
+fn close_connection(reply: &mut Reply) {
+    let close = HeaderValue::from_static("close");
+    reply.headers_mut().insert(header::CONNECTION, close);
+}
+
 /// Decides when a connection has exceeded a timeout. It is checked at the earliest time at which that is possible, so a
 /// request resets no timer.
 struct Watchdog {
--- a/crates/http/tests/connections.rs
+++ b/crates/http/tests/connections.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, mpsc};
 use std::thread;
 use std::time::Duration;
@@ -36,16 +37,26 @@
 }
 
 /// Answers every request with "done" after its body.
-struct Done(Mutex<ServerLimits>);
+struct Done {
+    limits: Mutex<ServerLimits>,
+    handled: AtomicUsize,
+}
+
+impl Done {
+    fn handled(&self) -> usize {
+        self.handled.load(Ordering::Relaxed)
+    }
+}
 
 impl Service for Done {
     async fn handle(&self, request: Request<Incoming>, _peer: SocketAddr) -> Reply {
+        self.handled.fetch_add(1, Ordering::Relaxed);
         let read = read_body(request.into_body(), usize::MAX).await;
         Reply::new(Body::full(if read.is_ok() { "done" } else { "failed" }))
     }
 
     fn limits(&self) -> ServerLimits {
-        *self.0.lock().expect("lock")
+        *self.limits.lock().expect("lock")
     }
 }
 
@@ -57,7 +68,7 @@
 
 impl Setup {
     fn set_limits(&self, change: impl FnOnce(&mut ServerLimits)) {
-        change(&mut self.service.0.lock().expect("lock"));
+        change(&mut self.service.limits.lock().expect("lock"));
     }
 
     async fn connect(&self) -> Caller {
@@ -80,7 +91,10 @@
         });
         let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
         let server = Server::bind(any_port, Handle::current()).expect("bind");
-        let service = Arc::new(Done(Mutex::new(limits())));
+        let service = Arc::new(Done {
+            limits: Mutex::new(limits()),
+            handled: AtomicUsize::new(0),
+        });
         let setup = Setup {
             service: Arc::clone(&service),
             address: server.address().expect("address"),
@@ -278,3 +292,70 @@
         assert!(caller.is_answered().await);
     });
 }
+
+/// Guards against a request that a stopping server has read in part and then drops.
+#[test]
+fn a_head_that_began_before_the_stop_is_answered() {
+    run(async |setup| {
+        let (new, kept) = (setup.connect().await, setup.connect().await);
+        kept.send(REQUEST);
+        assert!(kept.is_answered().await);
+        let (start, end) = REQUEST.split_at(10);
+        for caller in [&new, &kept] {
+            caller.send(start);
+        }
+        settle().await;
+        setup.stop.begin_shutdown();
+        settle().await;
+        for caller in [&new, &kept] {
+            caller.send(end);
+            let text = caller.receive_until("done").await;
+            assert!(text.contains("\r\nconnection: close\r\n"), "{text}");
+            assert!(text.ends_with("done"), "{text}");
+            assert!(caller.is_closed().await);
+        }
+    });
+}
+
+/// Guards against a request that is lost because it arrives when the server stops, and against one that a stopping server
+/// reads and does not answer.
+#[test]
+fn a_request_that_arrives_before_the_stop_is_answered_and_a_later_one_is_not_read() {
+    run(async |setup| {
+        let (early, late) = (setup.connect().await, setup.connect().await);
+        for caller in [&early, &late] {
+            caller.send(REQUEST);
+            assert!(caller.is_answered().await);
+        }
+        // The runtime has not looked for events since, so the server cannot know of the request when it stops.
+        early.send(REQUEST);
+        setup.stop.begin_shutdown();
+        assert!(early.is_answered().await);
+        assert!(early.is_closed().await);
+        // The connection may have ended.
+        let _ = late.0.try_write(REQUEST.as_bytes());
+        assert!(late.is_closed().await);
+        assert_eq!(setup.service.handled(), 3);
+    });
+}
+
+/// Guards against a stop that waits forever for heads without end or for callers that send nothing.
+#[test]
+fn a_stop_ends_idle_connections_and_heads_without_end() {
+    run(async |setup| {
+        let (new, kept, unfinished) = (
+            setup.connect().await,
+            setup.connect().await,
+            setup.connect().await,
+        );
+        kept.send(REQUEST);
+        assert!(kept.is_answered().await);
+        unfinished.send("GET / ");
+        settle().await;
+        setup.stop.begin_shutdown();
+        assert!(new.is_closed().await);
+        assert!(kept.is_closed().await);
+        advance(HEADER_TIMEOUT + PROPAGATION_TIME + STEP).await;
+        assert!(unfinished.is_closed().await);
+    });
+}
