Let the refusals of requests over a limit reach callers that still send

Cause: the entry refuses a body over the limit, a slow body or a head over the limit before it has read the rest, and then closed the connection with unread bytes. The kernel answers with a reset, which can destroy the refusal, and a caller that writes its request before it reads fails while it writes. What callers saw: a reset in place of 413 or 431, which they send again as if the connection had been lost.

Change: a reply to a request with an unread body carries `UnreadBody`. The connection then shuts down its write side and discards what still arrives until the caller closes, for at most 5 s and 16 MiB. The same holds for a connection that ends within a head. An idle connection is closed as before, without reading: a request that arrives then stays unread.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -12,7 +12,7 @@
 use tanagerford_core::dispatch::{BudgetLimits, LongPromptGate, RetryBudget};
 use tanagerford_core::ids::PoolId;
 use tanagerford_http::connection_pool::ConnectionPool;
-use tanagerford_http::server::{ServerLimits, Service};
+use tanagerford_http::server::{ServerLimits, Service, UnreadBody};
 use tanagerford_http::{Reply, read_body};
 use tanagerford_sync::{lock, read_lock, write_lock};
 use tokio::runtime::Handle;
@@ -279,7 +279,9 @@
             Ok(Err(_)) => Refusal::Malformed,
             Err(_) => Refusal::SlowBody,
         };
-        self.refuse(RequestInfo::from_head(&head, arrived), refusal)
+        let mut reply = self.refuse(RequestInfo::from_head(&head, arrived), refusal);
+        reply.extensions_mut().insert(UnreadBody);
+        reply
     }
 
     /// Checks the route, the key and the load of the entry, and dispatches the request if it is admitted.
--- a/crates/http/src/activity.rs
+++ b/crates/http/src/activity.rs
@@ -1,11 +1,13 @@
 //! Activity of one connection of a [`Server`](crate::server::Server), which decides when the connection may be closed.
 
+use std::future::Future;
 use std::io;
 use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use bytes::Bytes;
 use hyper::body::Frame;
@@ -13,11 +15,18 @@
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use tanagerford_sync::lock;
+use tokio::io::{AsyncRead, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::time::Instant;
+use tokio::time::{Instant, Sleep, sleep};
 
 use crate::body::Body;
 
+/// Longest time for which the rest of a request is discarded after the reply.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(5);
+/// Maximum size of the rest of a request that is discarded, twice the default limit of a body.
+const MAX_DISCARDED_BYTES: usize = 16 * 1024 * 1024;
+const DISCARD_BUFFER_BYTES: usize = 8 * 1024;
+
 /// Phase of a connection that has one request at a time.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Phase {
@@ -36,6 +45,8 @@
     /// Whether the next read that finds nothing asks the kernel for bytes that the runtime does not know of yet.
     must_check_unread: AtomicBool,
     has_unread: AtomicBool,
+    /// Whether a reply was made before the request's body had been read to its end.
+    is_body_unread: AtomicBool,
 }
 
 impl Activity {
@@ -44,6 +55,7 @@
             phase: Mutex::new(Phase::Idle(Instant::now())),
             must_check_unread: AtomicBool::new(false),
             has_unread: AtomicBool::new(false),
+            is_body_unread: AtomicBool::new(false),
         })
     }
 
@@ -68,6 +80,17 @@
         self.has_unread.load(Ordering::Relaxed)
     }
 
+    /// Records that the connection ends with a reply to a request whose body was not read to its end.
+    pub(crate) fn set_body_unread(&self) {
+        self.is_body_unread.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether the caller may still be sending a request that the connection has begun to read and will not
+    /// read to its end.
+    fn has_unread_request(&self) -> bool {
+        self.is_body_unread.load(Ordering::Relaxed) || matches!(self.phase(), Phase::Head(_))
+    }
+
     fn on_read(&self) {
         let mut phase = lock(&self.phase);
         if matches!(*phase, Phase::Idle(_)) {
@@ -133,6 +156,15 @@
 pub(crate) struct TrackedStream {
     stream: TokioIo<TcpStream>,
     activity: Arc<Activity>,
+    /// Set when the write side is shut down and the rest of a request is discarded.
+    discard: Option<Discard>,
+}
+
+/// Progress of discarding the rest of a request.
+#[derive(Debug)]
+struct Discard {
+    timer: Pin<Box<Sleep>>,
+    remaining_bytes: usize,
 }
 
 impl TrackedStream {
@@ -140,7 +172,31 @@
         Self {
             stream: TokioIo::new(stream),
             activity,
+            discard: None,
+        }
+    }
+
+    /// Discards the rest of a request until the caller closes the connection. Closing a socket with unread bytes resets
+    /// the connection, which can destroy the reply on its way to the caller.
+    fn poll_discard(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        let discard = self.discard.get_or_insert_with(|| Discard {
+            timer: Box::pin(sleep(DISCARD_TIMEOUT)),
+            remaining_bytes: MAX_DISCARDED_BYTES,
+        });
+        let mut bytes = [0; DISCARD_BUFFER_BYTES];
+        while discard.remaining_bytes > 0 && discard.timer.as_mut().poll(context).is_pending() {
+            let mut buffer = ReadBuf::new(&mut bytes);
+            let stream = Pin::new(self.stream.inner_mut());
+            match ready!(stream.poll_read(context, &mut buffer)) {
+                Ok(()) if !buffer.filled().is_empty() => {
+                    let length = buffer.filled().len();
+                    discard.remaining_bytes = discard.remaining_bytes.saturating_sub(length);
+                }
+                // The caller has closed the connection.
+                Ok(()) | Err(_) => break,
+            }
         }
+        Poll::Ready(())
     }
 }
 
@@ -196,7 +252,13 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
+        if self.discard.is_none() {
+            ready!(Pin::new(&mut self.stream).poll_shutdown(context))?;
+        }
+        if self.activity.has_unread_request() {
+            ready!(self.poll_discard(context));
+        }
+        Poll::Ready(Ok(()))
     }
 }
 
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -53,6 +53,13 @@
     fn limits(&self) -> ServerLimits;
 }
 
+/// Extension of a reply to a request whose body was not read to its end.
+///
+/// The reply then announces the end of the connection, and the server discards what the caller still sends, within
+/// limits, so that the reply reaches the caller.
+#[derive(Debug, Clone, Copy)]
+pub struct UnreadBody;
+
 /// Limits of connections. A connection keeps the size limit that was in force when it opened. Its timeouts are those in
 /// force at each moment.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -206,9 +213,14 @@
     let activity = Activity::new();
     let handler = service_fn(|request| {
         let guard = activity.begin_request();
+        let activity = &activity;
         async move {
             let mut reply = service.handle(request, peer).await;
-            if stopped.is_closed() {
+            let is_body_unread = reply.extensions().get::<UnreadBody>().is_some();
+            if is_body_unread {
+                activity.set_body_unread();
+            }
+            if is_body_unread || stopped.is_closed() {
                 close_connection(&mut reply);
             }
             Ok::<_, Infallible>(reply.map(|body| TrackedBody::new(body, guard)))
