Let the refusal of a malformed head reach a caller that still sends its body

Cause: `Gateway::receive` refuses a malformed head at once and drops the body. The connection was then closed while the body was still on its way, so the kernel reset it. What callers saw: an error while they wrote their body, in place of the 400, which tells them not to send the request again.

Change: such a reply carries `UnreadBody` unless the request has no body, so the connection discards the rest before it closes.

A refusal whose caller sends more than 16 MiB, or for longer than 5 s, can still be lost.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use http::{HeaderValue, Request, StatusCode, header};
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use tanagerford_core::dispatch::{BudgetLimits, LongPromptGate, RetryBudget};
 use tanagerford_core::ids::PoolId;
 use tanagerford_http::connection_pool::ConnectionPool;
@@ -266,7 +266,14 @@
         let (parts, body) = request.into_parts();
         let head = match self.codec.call_head(&parts) {
             Ok(head) => head,
-            Err(refusal) => return self.refuse(RequestInfo::without_head(arrived), refusal),
+            Err(refusal) => {
+                let reply = self.refuse(RequestInfo::without_head(arrived), refusal);
+                return if body.is_end_stream() {
+                    reply
+                } else {
+                    with_unread_body(reply)
+                };
+            }
         };
         let limits = self.table().map(|table| table.limits).unwrap_or_default();
         let body_timeout = head
@@ -279,9 +286,7 @@
             Ok(Err(_)) => Refusal::Malformed,
             Err(_) => Refusal::SlowBody,
         };
-        let mut reply = self.refuse(RequestInfo::from_head(&head, arrived), refusal);
-        reply.extensions_mut().insert(UnreadBody);
-        reply
+        with_unread_body(self.refuse(RequestInfo::from_head(&head, arrived), refusal))
     }
 
     /// Checks the route, the key and the load of the entry, and dispatches the request if it is admitted.
@@ -400,6 +405,12 @@
     }
 }
 
+/// Marks the response to a request whose body was not read to its end.
+fn with_unread_body(mut reply: Reply) -> Reply {
+    reply.extensions_mut().insert(UnreadBody);
+    reply
+}
+
 /// Sets the header that announces the end of the connection after this response.
 fn close_connection(reply: &mut Reply) {
     let close = HeaderValue::from_static("close");
