Test that no request is lost beside reloads by signal and configurations

No fault was found there: SIGHUP only reads the settings file and logs whether it changed; it touches no connection. The test keeps three busy callers, an idle connection and one with a begun head open over six reloads, each beside a configuration that raises the idle timeout to 2 min or lowers it to 2 s, and expects 200, or 503 with its promise, on connections that stay open.

A first form of the test hung and then failed in the test's own code: its callers sent without a pause, so the process dropped the log lines that the test waits for, and a failed check did not end them.

--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -4,8 +4,11 @@
 mod support;
 mod workdir;
 
-use std::io::BufReader;
+use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::Duration;
 
 use support::store::StoreStandin;
 use support::{Action, CONFIGURATION, Worker, answer, chunk, read_message, request};
@@ -22,7 +25,6 @@
 }
 
 fn status(address: SocketAddr, path: &str) -> Option<String> {
-    use std::io::Write;
     let mut stream = TcpStream::connect(address).ok()?;
     write!(stream, "GET {path} HTTP/1.1\r\nHost: ready\r\n\r\n").ok()?;
     let message = read_message(&mut BufReader::new(stream))?;
@@ -30,7 +32,6 @@
 }
 
 fn call(address: SocketAddr, text: &str) -> Option<support::Received> {
-    use std::io::Write;
     let mut stream = TcpStream::connect(address).ok()?;
     stream.write_all(text.as_bytes()).ok()?;
     read_message(&mut BufReader::new(stream))
@@ -90,6 +91,97 @@
     assert!(process.find_line("entry has stopped").is_some());
 }
 
+/// Guards against a request without an answer beside a reload by signal and a new configuration.
+#[test]
+fn every_request_is_answered_beside_reloads_and_configurations() {
+    const RELOADED: &str = "settings reloaded; no changes";
+    const IN_FORCE: &str = "configuration in force";
+    /// Faster callers fill the queue of log lines, which then drops the lines that the test waits for.
+    const REQUEST_INTERVAL: Duration = Duration::from_millis(10);
+    let store = StoreStandin::start();
+    let plain = Worker::start([answer("done")]);
+    let workdir = Workdir::new("gateway_reloads");
+    workdir.write(
+        "settings.toml",
+        platform_settings("front-1", "zone-a", store.address, 100),
+    );
+    store.put("op/config", CONFIGURATION);
+    store.put("servers/p-1", &registration("plain", &plain));
+    let arguments = ["gateway", "--settings", "settings.toml"];
+    let mut process = Process::start(&workdir, &arguments, STARTED);
+    let callers = process.address(STARTED, "callers");
+    let readiness = process.address(STARTED, "readiness");
+    wait_until(|| status(readiness, "/tanagerford/ready").as_deref() == Some("200"));
+    let text = request("POST /orders/1", "id-1", "Content-Length: 0\r\n");
+    let (start, end) = text.split_at(text.len() / 2);
+    let is_done = AtomicBool::new(false);
+    thread::scope(|scope| {
+        for _ in 0..3 {
+            // A kept connection that is always in use, beside one that is idle and one with a begun head.
+            scope.spawn(|| {
+                let mut caller = connect(callers);
+                while !is_done.load(Ordering::Relaxed) {
+                    exchange(&mut caller, &text);
+                    thread::sleep(REQUEST_INTERVAL);
+                }
+            });
+        }
+        let _end = SetOnDrop(&is_done);
+        let mut partial = connect(callers);
+        let mut idle = connect(callers);
+        for round in 1..=6 {
+            exchange(&mut idle, &text);
+            partial
+                .get_mut()
+                .write_all(start.as_bytes())
+                .expect("entry reads");
+            let idle_timeout_ms = if round % 2 == 0 { 2_000 } else { 120_000 };
+            let changed = CONFIGURATION
+                .replace("\"version\": 7", &format!("\"version\": {}", 7 + round))
+                .replace(
+                    "\"idleTimeoutMs\": 15000",
+                    &format!("\"idleTimeoutMs\": {idle_timeout_ms}"),
+                );
+            store.put("op/config", &changed);
+            process.send_sighup();
+            wait_until(|| process.count_lines(IN_FORCE) > round);
+            wait_until(|| process.count_lines(RELOADED) >= round);
+            exchange(&mut partial, end);
+        }
+        exchange(&mut idle, &text);
+    });
+    process.terminate();
+    assert!(process.wait().success());
+}
+
+/// Sets a flag when the scope ends, also with a failed check.
+struct SetOnDrop<'a>(&'a AtomicBool);
+
+impl Drop for SetOnDrop<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+}
+
+fn connect(address: SocketAddr) -> BufReader<TcpStream> {
+    let stream = TcpStream::connect(address).expect("entry accepts");
+    stream
+        .set_read_timeout(Some(support::TIMEOUT))
+        .expect("timeout is valid");
+    BufReader::new(stream)
+}
+
+/// Sends a request or the rest of one and expects a success, or a refusal with the promise that the request has not run, on a
+/// connection that stays open.
+fn exchange(caller: &mut BufReader<TcpStream>, text: &str) {
+    let sent = caller.get_mut().write_all(text.as_bytes());
+    sent.expect("entry reads");
+    let got = read_message(caller).expect("answer");
+    let status = got.line.split(' ').nth(1);
+    assert!(matches!(status, Some("200" | "503")), "{got:?}");
+    assert_ne!(got.header("connection"), Some("close"), "{got:?}");
+}
+
 /// Guards against a process that starts with invalid settings, and against reporting only the first finding.
 #[test]
 fn all_findings_of_settings_are_reported() {
