--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -11,11 +11,11 @@
 use bytes::Bytes;
 use futures_lite::{FutureExt, future};
 use http::{HeaderValue, Request, StatusCode, header};
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use tanagerford_core::dispatch::{BudgetLimits, LongPromptGate, RetryBudget};
 use tanagerford_core::ids::PoolId;
 use tanagerford_http::connection_pool::ConnectionPool;
-use tanagerford_http::server::{ServerLimits, Service};
+use tanagerford_http::server::{ServerLimits, Service, UnreadBody};
 use tanagerford_http::{Reply, read_body};
 use tanagerford_sync::{lock, read_lock, write_lock};
 use tokio::runtime::Handle;
@@ -35,9 +35,9 @@
 
 /// Timeout for reading a body. The caller's own deadline is usually shorter.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
-/// Factor by which connections are kept open beyond the configured idle timeout. A caller that respects the timeout
-/// then never sends a request on a connection that the entry is closing, even if the timeout was raised recently.
-const IDLE_TIMEOUT_FACTOR: u32 = 3;
+/// Longest time between the moments at which a caller and this entry learn of changed limits: the time within which a
+/// configuration has to be in force everywhere. Until then connections are kept that a caller may still use.
+const LIMITS_PROPAGATION_TIME: Duration = Duration::from_secs(13);
 
 /// Minimum overrun of a call's deadline that is counted and logged. The platform's rules allow twice as much.
 const DEADLINE_OVERRUN_THRESHOLD: Duration = Duration::from_millis(250);
@@ -311,10 +311,8 @@
             return self.close_if_stopping(self.codec.refuse(Some(&guard.record().id), refusal));
         }
         log::panicked(RequestInfo::without_head(arrived), panic_message(panic));
-        let mut reply = self.codec.refuse(None, refusal);
         // The rest of the request may be unread.
-        close_connection(&mut reply);
-        reply
+        with_unread_body(self.codec.refuse(None, refusal))
     }
 
     /// Reads a request completely and handles it; sets the guard when the request was read.
@@ -327,7 +325,14 @@
         let (parts, body) = request.into_parts();
         let head = match self.codec.call_head(&parts) {
             Ok(head) => head,
-            Err(refusal) => return self.refuse(RequestInfo::without_head(arrived), refusal),
+            Err(refusal) => {
+                let reply = self.refuse(RequestInfo::without_head(arrived), refusal);
+                return if body.is_end_stream() {
+                    reply
+                } else {
+                    with_unread_body(reply)
+                };
+            }
         };
         let limits = self.table().map(|table| table.limits).unwrap_or_default();
         let body_timeout = head
@@ -352,7 +357,7 @@
             Ok(Err(_)) => Refusal::Malformed,
             Err(_) => Refusal::SlowBody,
         };
-        self.refuse(RequestInfo::from_head(&head, arrived), refusal)
+        with_unread_body(self.refuse(RequestInfo::from_head(&head, arrived), refusal))
     }
 
     /// Checks the route, the key and the load of the entry, and dispatches the request if it is admitted.
@@ -479,11 +484,19 @@
         let limits = self.0.table().map(|table| table.limits).unwrap_or_default();
         ServerLimits {
             max_header_bytes: limits.max_header_bytes,
-            idle_timeout: limits.idle_timeout * IDLE_TIMEOUT_FACTOR,
+            header_timeout: limits.header_timeout,
+            idle_timeout: limits.idle_timeout,
+            propagation_time: LIMITS_PROPAGATION_TIME,
         }
     }
 }
 
+/// Marks the response to a request whose body was not read to its end.
+fn with_unread_body(mut reply: Reply) -> Reply {
+    reply.extensions_mut().insert(UnreadBody);
+    reply
+}
+
 /// Sets the header that announces the end of the connection after this response.
 fn close_connection(reply: &mut Reply) {
     let close = HeaderValue::from_static("close");
