Log and count the rests that servers ask for and their leaving

Entries read Retry-After of answers with 503 and 429 and Server-Leaving, believe them only with the attempt's id, log a rest that ends later than the known one and the first word of leaving, and count both in two gauges. core::availability holds them by start of a server. No decision uses them yet.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,7 @@
 //! model checker and the policy simulation run the same code.
 
 pub mod admission;
+pub mod availability;
 pub mod capacity;
 pub mod config;
 pub mod dispatch;
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -538,6 +538,10 @@
             let limits = self.summaries.limits();
             limits.on_answer(&sent_call.server, head.limit, requested_at, now);
         }
+        if !head.is_wrong_server && head.id.is_some() {
+            let limits = self.summaries.limits();
+            limits.on_server_state(self.fleet.now(), &sent_call.server, head.availability);
+        }
         if head.is_wrong_server {
             sent_call.pool.load_view().on_outcome(
                 self.fleet.now(),
--- a/crates/gateway/src/codec.rs
+++ b/crates/gateway/src/codec.rs
@@ -12,7 +12,7 @@
 
 use crate::call::{Call, CallId};
 use crate::fleet::BackendServer;
-use crate::limits::LimitHeader;
+use crate::limits::{AvailabilityHeader, LimitHeader};
 use crate::refusal::Refusal;
 
 /// Content of a request's head except its method and target.
@@ -62,6 +62,8 @@
     pub load: Option<ReportedLoad>,
     /// Limit that the server names for its requests.
     pub limit: LimitHeader,
+    /// What the server says about further calls of this entry.
+    pub availability: AvailabilityHeader,
 }
 
 /// Translates between a wire protocol and the neutral types of this crate.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -231,6 +231,8 @@
         self.metrics.set_quarantined_parts(parts.len());
         let limits = self.summaries.limits().limits(&self.fleet);
         self.metrics.set_server_limits(limits);
+        let unavailable = self.summaries.limits().unavailable_counts(self.fleet.now());
+        self.metrics.set_unavailable_servers(unavailable);
         self.metrics.text()
     }
 
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -8,6 +8,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use tanagerford_core::availability::{AvailabilityTable, MAX_REST};
 use tanagerford_core::dispatch::{CallNumber, Choice, Demand, Pool};
 use tanagerford_core::exchange::EntryNumber;
 use tanagerford_core::ids::ServerId;
@@ -37,6 +38,18 @@
     Invalid,
 }
 
+/// What the head of an answer says about further calls of this entry to its server.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct AvailabilityHeader {
+    /// Longest time for which the server, which turned a request away, wants no further call; `None` if it names no
+    /// readable one.
+    pub rest: Option<Duration>,
+    /// Whether the head names a time of rest that cannot be read.
+    pub is_rest_unreadable: bool,
+    /// Whether the server says that it leaves.
+    pub is_leaving: bool,
+}
+
 /// Call that needs a server.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct ServerRequest<'a> {
@@ -87,6 +100,7 @@
 #[derive(Debug)]
 pub(crate) struct RequestLimits {
     table: Mutex<LimitTable>,
+    availability: Mutex<AvailabilityTable>,
     /// Wakes the waiting calls when permits have arrived or a limit has changed.
     changed: Notify,
     /// Wakes the task that sends messages.
@@ -113,6 +127,7 @@
     pub(crate) fn new(entry: EntryNumber, wake_up: async_channel::Sender<()>) -> Self {
         Self {
             table: Mutex::new(LimitTable::new(entry)),
+            availability: Mutex::default(),
             changed: Notify::new(),
             wake_up,
         }
@@ -146,6 +161,45 @@
         }
     }
 
+    /// Records what the head of an answer says about a rest or the leaving of its server, and logs a change.
+    pub(crate) fn on_server_state(
+        &self,
+        now: Duration,
+        server: &BackendServer,
+        header: AvailabilityHeader,
+    ) {
+        if header.is_rest_unreadable {
+            tracing::warn!(
+                server = server.id,
+                "answer names an unreadable time of rest"
+            );
+        }
+        let mut availability = lock(&self.availability);
+        let rest = header.rest.filter(|rest| !rest.is_zero());
+        if let Some(rest) = rest
+            && availability.on_rest(now, key(server), rest)
+        {
+            tracing::info!(
+                server = server.id,
+                rest_ms = rest.min(MAX_REST).as_millis(),
+                source = "answer",
+                "server asks for rest"
+            );
+        }
+        if header.is_leaving && availability.on_leaving(now, key(server)) {
+            tracing::info!(server = server.id, source = "answer", "server leaves");
+        }
+    }
+
+    /// Returns the numbers of servers at rest and of those that leave.
+    pub(crate) fn unavailable_counts(&self, now: Duration) -> (usize, usize) {
+        let availability = lock(&self.availability);
+        (
+            availability.resting_count(now),
+            availability.leaving_count(),
+        )
+    }
+
     /// Returns the server that a call would get now, if any.
     pub(crate) fn preview(
         &self,
@@ -293,14 +347,13 @@
         limits.collect()
     }
 
-    /// Forgets the limits of servers that are no longer registered.
+    /// Forgets the limits of servers that are no longer registered, and what need not be remembered of the others.
     pub(crate) fn retain_registered(&self, fleet: &Fleet) {
-        if lock(&self.table).is_empty() {
-            return;
-        }
         let servers = fleet.servers();
         let servers = servers.iter().flat_map(|servers| servers.values());
         let registered: BTreeSet<ServerKey> = servers.map(|server| key(server)).collect();
+        let is_registered = |server| registered.contains(&server);
+        lock(&self.availability).settle(fleet.now(), is_registered);
         lock(&self.table).retain(|server| registered.contains(&server));
     }
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -72,6 +72,8 @@
     version: Gauge<u64, AtomicU64>,
     quarantined_parts: Gauge<u64, AtomicU64>,
     server_limits: Family<ServerLabels, Gauge<f64, AtomicU64>>,
+    servers_at_rest: Gauge<u64, AtomicU64>,
+    servers_leaving: Gauge<u64, AtomicU64>,
     streams: Family<VersionLabels, Gauge>,
 }
 
@@ -138,6 +140,18 @@
             "requests per second that a backend server takes from all entries together",
             server_limits.clone(),
         );
+        let servers_at_rest = Gauge::default();
+        registry.register(
+            "servers_at_rest",
+            "backend servers that asked this entry for a rest which has not ended",
+            servers_at_rest.clone(),
+        );
+        let servers_leaving = Gauge::default();
+        registry.register(
+            "servers_leaving",
+            "backend servers that told this entry that they leave",
+            servers_leaving.clone(),
+        );
         let streams = Family::<VersionLabels, Gauge>::default();
         registry.register(
             "streams",
@@ -147,6 +161,8 @@
         Self {
             streams,
             server_limits,
+            servers_at_rest,
+            servers_leaving,
             quarantined_parts,
             deadline_overruns,
             configurations,
@@ -216,6 +232,13 @@
         }
     }
 
+    /// Sets the numbers of servers at rest and of those that leave.
+    pub(crate) fn set_unavailable_servers(&self, (at_rest, leaving): (usize, usize)) {
+        let count = |number| u64::try_from(number).unwrap_or(u64::MAX);
+        self.servers_at_rest.set(count(at_rest));
+        self.servers_leaving.set(count(leaving));
+    }
+
     pub(crate) fn observe_processor_delay(&self, delay: Duration) {
         self.processor_delay.observe(delay.as_secs_f64());
     }
