Send no call to a server that asked for a rest

Callers saw no fault; servers in need got calls that they had asked not to get. After a rest, calls begin with one in flight.

--- a/crates/core/src/server_limit/select.rs
+++ b/crates/core/src/server_limit/select.rs
@@ -88,16 +88,17 @@
     Selection::Send { choice, avoided }
 }
 
-/// Returns the server that [`select`] would choose; if all servers are limited and this entry holds no permit, the best of
+/// Returns the server that [`select`] would choose for a call that may not be sent to the `excluded` servers; if all servers are limited and this entry holds no permit, the best of
 /// them.
 pub fn preview(
     pool: &mut Pool,
     limits: &LimitTable,
     now: Duration,
     demand: &Demand,
+    excluded: &[ServerId],
     key: impl Fn(&str) -> ServerKey,
 ) -> Option<Choice> {
-    let call = CallNeed::new(demand, &[]);
+    let call = CallNeed::new(demand, excluded);
     let (best, permitted) = choose(pool, limits, now, call, &key);
     permitted.or(best)
 }
--- a/crates/emulator/src/entry.rs
+++ b/crates/emulator/src/entry.rs
@@ -202,7 +202,7 @@
 
     /// Returns the engine that a call would get now, if any.
     pub(crate) fn preview(&mut self, now: Duration, demand: &Demand) -> Option<Choice> {
-        server_limit::preview(&mut self.engines, &self.limits, now, demand, limit_key)
+        server_limit::preview(&mut self.engines, &self.limits, now, demand, &[], limit_key)
     }
 
     pub(crate) fn decide_long_prompt(
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -6,6 +6,7 @@
 
 use bytes::{Bytes, BytesMut};
 use http::{Response, StatusCode};
+use tanagerford_core::availability::retry_after;
 use tanagerford_core::dispatch::{
     CallNumber, CallOutcome, Choice, GATE_POLL_INTERVAL, GateDecision, MAX_ATTEMPTS_PER_CALL,
     RemainingTime,
@@ -102,6 +103,8 @@
 pub(crate) enum AttemptError {
     /// The connection could not be established; nothing was sent.
     Unreachable,
+    /// The server asked for a rest before the call was written; nothing was sent.
+    Withheld,
     /// The server states that it did not run the call.
     NotRun,
     /// The connection broke or the response was invalid; the server may have run the call.
@@ -116,6 +119,7 @@
     fn name(self) -> &'static str {
         match self {
             Self::Unreachable => "unreachable",
+            Self::Withheld => "withheld",
             Self::NotRun => "not_run",
             Self::Broken => "broken",
             Self::TimedOut => "silent",
@@ -123,13 +127,15 @@
         }
     }
 
-    fn outcome(self) -> CallOutcome {
+    /// Returns what the attempt shows about its server; `None` if the server was not involved.
+    fn outcome(self) -> Option<CallOutcome> {
         match self {
-            Self::Unreachable => CallOutcome::Unreachable,
-            Self::NotRun => CallOutcome::Refused,
-            Self::Broken => CallOutcome::Broken,
-            Self::TimedOut => CallOutcome::TimedOut,
-            Self::Failed => CallOutcome::Failed,
+            Self::Unreachable => Some(CallOutcome::Unreachable),
+            Self::Withheld => None,
+            Self::NotRun => Some(CallOutcome::Refused),
+            Self::Broken => Some(CallOutcome::Broken),
+            Self::TimedOut => Some(CallOutcome::TimedOut),
+            Self::Failed => Some(CallOutcome::Failed),
         }
     }
 }
@@ -144,6 +150,8 @@
     version: Option<VersionId>,
     /// Time after which the servers' limits have room, if they are the reason why the call was not sent.
     limited: Option<Duration>,
+    /// Time after which the first server is back from its rest, if rests are the reason why the call was not sent.
+    at_rest: Option<Duration>,
 }
 
 impl Attempts {
@@ -297,7 +305,7 @@
     }
 
     /// Returns whether the call may be sent to another server after `error`, and deducts the retry from the pool's
-    /// budget. A call that could not connect is retried without a deduction.
+    /// budget. A call that could not connect or was withheld is retried without a deduction.
     pub(crate) fn allow_retry(
         &self,
         call: &Call,
@@ -309,7 +317,7 @@
             return false;
         }
         match error {
-            AttemptError::Unreachable => true,
+            AttemptError::Unreachable | AttemptError::Withheld => true,
             AttemptError::NotRun => self.try_take_retry(pool),
             AttemptError::Broken | AttemptError::TimedOut | AttemptError::Failed => {
                 call.retry_policy() != RetryPolicy::AtMostOnce
@@ -344,16 +352,20 @@
             .await;
         let server = &sent_call.server.id;
         let outcome = match &result {
-            Ok((response, _)) if response.head.status().is_server_error() => CallOutcome::Failed,
-            Ok(_) => CallOutcome::Answered {
+            Ok((response, _)) if response.head.status().is_server_error() => {
+                Some(CallOutcome::Failed)
+            }
+            Ok(_) => Some(CallOutcome::Answered {
                 slowness: sent_call.slowness(self.processor.delay()),
-            },
+            }),
             Err(error) => error.outcome(),
         };
-        pool.load_view()
-            .on_outcome(self.fleet.now(), server, outcome);
+        if let Some(outcome) = outcome {
+            pool.load_view()
+                .on_outcome(self.fleet.now(), server, outcome);
+        }
         let outcome_name = match &result {
-            Ok(_) if outcome == CallOutcome::Failed => AttemptError::Failed.name(),
+            Ok(_) if outcome == Some(CallOutcome::Failed) => AttemptError::Failed.name(),
             Ok(_) => "answered",
             Err(error) => error.name(),
         };
@@ -397,6 +409,10 @@
                 })
             }
             Err(error) => {
+                if error == AttemptError::Withheld {
+                    // The server is not tried, and may take the call when its rest has ended.
+                    attempts.tried_servers.pop();
+                }
                 if error == AttemptError::Broken {
                     self.check_for_crash(&sent_call, ConnectionEnd::Broken);
                 }
@@ -453,6 +469,10 @@
                 attempts.limited = Some(wait);
                 return Err(None);
             }
+            Err(SelectError::AtRest(back_in)) => {
+                attempts.at_rest = Some(back_in);
+                return Err(None);
+            }
         };
         let choice = &selected.choice;
         let expected_latency = if call.demand.prompt_tokens > 0 {
@@ -493,9 +513,11 @@
         let time_limit = response_timeout(call, remaining, attempts, processor_delay);
         let exchange = async {
             let connect_timeout = CONNECT_TIMEOUT.min(remaining);
+            let server = &sent_call.server;
+            let may_send = || self.summaries.limits().may_send(self.fleet.now(), server);
             let sending =
                 self.connection_pool
-                    .send(sent_call.server.address, request, connect_timeout, true);
+                    .send(server.address, request, connect_timeout, true, may_send);
             let mut response = sending.await.map_err(|error| attempt_error(call, &error))?;
             let head = self.codec.response_head(&response.head);
             self.check_head(call, sent_call, &head, response.head.status())?;
@@ -539,8 +561,10 @@
             limits.on_answer(&sent_call.server, head.limit, requested_at, now);
         }
         if !head.is_wrong_server && head.id.is_some() {
+            let now = self.fleet.now();
+            let requested_at = now.saturating_sub(sent_call.sent_at.elapsed());
             let limits = self.summaries.limits();
-            limits.on_server_state(self.fleet.now(), &sent_call.server, head.availability);
+            limits.on_server_state(&sent_call.server, head.availability, requested_at, now);
         }
         if head.is_wrong_server {
             sent_call.pool.load_view().on_outcome(
@@ -619,6 +643,10 @@
         _ if attempts.possible_runs > 0 && is_expired => Refusal::TimedOut,
         _ if attempts.possible_runs > 0 => Refusal::ServerFailed,
         _ if is_expired => Refusal::Expired,
+        _ if let Some(back_in) = attempts.at_rest => {
+            let hash = xxhash_rust::xxh3::xxh3_64(call.id.as_bytes());
+            Refusal::ServersAtRest(retry_after(back_in, hash))
+        }
         Some(AttemptError::NotRun) => Refusal::Overloaded,
         _ => attempts
             .limited
@@ -646,6 +674,7 @@
 fn attempt_error(call: &Call, error: &ExchangeError) -> AttemptError {
     match error {
         ExchangeError::Connect(_) | ExchangeError::NotSent => AttemptError::Unreachable,
+        ExchangeError::Withheld => AttemptError::Withheld,
         ExchangeError::Broken(error) => {
             tracing::debug!(request = call.id, %error, "connection to the server broke");
             AttemptError::Broken
--- a/crates/gateway/src/copies.rs
+++ b/crates/gateway/src/copies.rs
@@ -129,7 +129,7 @@
         request.headers_mut().insert(http::header::HOST, host);
         let connection_pool = &self.gateway.connection_pool;
         let sent = connection_pool
-            .send(peer, request, COPY_TIMEOUT, false)
+            .send(peer, request, COPY_TIMEOUT, false, || true)
             .await;
         let mut response = sent.map_err(|error| format!("{error:?}"))?;
         let mut document = BytesMut::new();
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -8,7 +8,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use tanagerford_core::availability::{AvailabilityTable, MAX_REST};
+use tanagerford_core::availability::{AvailabilityTable, MAX_REST, PoolAvailability, TrialCall};
 use tanagerford_core::dispatch::{CallNumber, Choice, Demand, Pool};
 use tanagerford_core::exchange::EntryNumber;
 use tanagerford_core::ids::ServerId;
@@ -83,8 +83,31 @@
     pub(crate) choice: Choice,
     /// Cheaper server that was left out because it limits its requests.
     pub(crate) avoided: Option<ServerId>,
-    /// Time for which the call waited for a permit.
+    /// Time for which the call waited for a permit or for the end of a rest.
     pub(crate) held: Duration,
+    /// Counts the call among the first ones after a rest until it is answered.
+    _trial: Option<TrialGuard>,
+}
+
+/// One of the first calls to a server after its rest, until it is dropped.
+#[derive(Debug)]
+struct TrialGuard {
+    availability: Arc<Mutex<AvailabilityTable>>,
+    call: TrialCall,
+}
+
+impl Drop for TrialGuard {
+    fn drop(&mut self) {
+        lock(&self.availability).on_end(self.call);
+    }
+}
+
+/// Result of one try to select a server.
+struct Tried {
+    selection: Selection,
+    server: Option<Arc<BackendServer>>,
+    trial: Option<TrialGuard>,
+    availability: PoolAvailability,
 }
 
 /// Reason why no server was selected.
@@ -94,13 +117,15 @@
     NoServer,
     /// All servers limit their requests; they have room after this time.
     Limited(Duration),
+    /// The servers that are left asked for a rest; the first one is back after this time.
+    AtRest(Duration),
 }
 
 /// Limits of the servers as known to this entry.
 #[derive(Debug)]
 pub(crate) struct RequestLimits {
     table: Mutex<LimitTable>,
-    availability: Mutex<AvailabilityTable>,
+    availability: Arc<Mutex<AvailabilityTable>>,
     /// Wakes the waiting calls when permits have arrived or a limit has changed.
     changed: Notify,
     /// Wakes the task that sends messages.
@@ -127,7 +152,7 @@
     pub(crate) fn new(entry: EntryNumber, wake_up: async_channel::Sender<()>) -> Self {
         Self {
             table: Mutex::new(LimitTable::new(entry)),
-            availability: Mutex::default(),
+            availability: Arc::default(),
             changed: Notify::new(),
             wake_up,
         }
@@ -164,9 +189,10 @@
     /// Records what the head of an answer says about a rest or the leaving of its server, and logs a change.
     pub(crate) fn on_server_state(
         &self,
-        now: Duration,
         server: &BackendServer,
         header: AvailabilityHeader,
+        requested_at: Duration,
+        now: Duration,
     ) {
         if header.is_rest_unreadable {
             tracing::warn!(
@@ -176,6 +202,10 @@
         }
         let mut availability = lock(&self.availability);
         let rest = header.rest.filter(|rest| !rest.is_zero());
+        if rest.is_none() && !availability.is_empty() {
+            availability.on_accepted(requested_at, key(server));
+            self.changed.notify_waiters();
+        }
         if let Some(rest) = rest
             && availability.on_rest(now, key(server), rest)
         {
@@ -191,6 +221,27 @@
         }
     }
 
+    /// Returns whether a call for which a server was selected earlier may still be sent there.
+    pub(crate) fn may_send(&self, now: Duration, server: &BackendServer) -> bool {
+        lock(&self.availability).may_send(now, key(server))
+    }
+
+    /// Returns which servers of a pool are available to a call that cannot use the excluded ones.
+    fn pool_availability(
+        availability: &AvailabilityTable,
+        now: Duration,
+        servers: &ServersById,
+        excluded: &[ServerId],
+    ) -> PoolAvailability {
+        if availability.is_empty() {
+            return PoolAvailability::default();
+        }
+        let servers = servers
+            .iter()
+            .map(|(id, server)| (id.as_str(), key(server)));
+        availability.of_pool(now, servers, |id| excluded.iter().any(|other| other == id))
+    }
+
     /// Returns the numbers of servers at rest and of those that leave.
     pub(crate) fn unavailable_counts(&self, now: Duration) -> (usize, usize) {
         let availability = lock(&self.availability);
@@ -207,14 +258,23 @@
         pool: &PoolState,
         demand: &Demand,
     ) -> Option<Choice> {
+        let availability = lock(&self.availability);
         let table = lock(&self.table);
         let mut load_view = pool.load_view();
         let servers = pool.servers();
-        server_limit::preview(&mut load_view, &table, now, demand, keys(&servers))
+        let left_out = Self::pool_availability(&availability, now, &servers, &[]).unavailable;
+        server_limit::preview(
+            &mut load_view,
+            &table,
+            now,
+            demand,
+            &left_out,
+            keys(&servers),
+        )
     }
 
     /// Selects a server for a call and adds the call to the load there. Waits for a permit if all servers limit their
-    /// requests, in order of rank.
+    /// requests, and for the end of the first rest if all servers of the pool are at rest, in order of rank.
     pub(crate) async fn select(
         &self,
         fleet: &Fleet,
@@ -230,22 +290,43 @@
             let changed = self.changed.notified();
             let place = held.as_ref().map(|held| held.place);
             let may_try = pool.permit_queue().may_try(rank, place);
+            let mut poll_after = WAIT_POLL_INTERVAL;
             if may_try {
                 let can_await_grant = place.is_none() && began.elapsed() < GRANT_WAIT;
-                let (selection, server) = self.try_select(fleet.now(), request, can_await_grant);
-                match selection {
+                let now = fleet.now();
+                let tried = self.try_select(now, request, can_await_grant);
+                match tried.selection {
                     Selection::Send { choice, avoided } => {
                         if let Some(held) = &mut held {
                             held.is_served = true;
                         }
                         return Ok(SelectedServer {
-                            server: server.ok_or(SelectError::NoServer)?,
+                            server: tried.server.ok_or(SelectError::NoServer)?,
                             choice,
                             avoided,
                             held: began.elapsed(),
+                            _trial: tried.trial,
                         });
                     }
-                    Selection::NoServer => return Err(SelectError::NoServer),
+                    Selection::NoServer => {
+                        let PoolAvailability {
+                            back_at,
+                            pool_back_at,
+                            ..
+                        } = tried.availability;
+                        let first = back_at.or(pool_back_at).ok_or(SelectError::NoServer)?;
+                        let back_in = first.saturating_sub(now);
+                        let left = max_wait.saturating_sub(began.elapsed());
+                        // A call that waits at the head of the queue holds up all others of the pool, so it waits only
+                        // while no server is available to them either, and for a server that it can use.
+                        let can_wait = back_at.is_some() && pool_back_at.is_some();
+                        if !can_wait || back_in > left {
+                            return Err(SelectError::AtRest(back_in));
+                        }
+                        if !back_in.is_zero() {
+                            poll_after = poll_after.min(back_in);
+                        }
+                    }
                     Selection::AwaitGrant => {
                         let left = GRANT_WAIT.saturating_sub(began.elapsed());
                         let _ = timeout(left, changed).await;
@@ -261,11 +342,23 @@
                 is_served: false,
             });
             let left = max_wait.saturating_sub(began.elapsed());
-            if left.is_zero() || self.is_hopeless(held, left) {
-                return Err(SelectError::Limited(self.retry_after(held)));
+            let now = fleet.now();
+            let availability = self.availability_of(now, pool, request.tried_servers);
+            let back_in = availability
+                .back_at
+                .map(|back_at| back_at.saturating_sub(now));
+            let is_back_in_time = back_in.is_some_and(|back_in| back_in <= left);
+            let left_out = &availability.unavailable;
+            if left.is_zero() || (!is_back_in_time && self.is_hopeless(held, left_out, left)) {
+                return Err(match back_in {
+                    Some(back_in) if availability.pool_back_at.is_some() => {
+                        SelectError::AtRest(back_in)
+                    }
+                    _ => SelectError::Limited(self.retry_after(held, left_out)),
+                });
             }
             // After a notification and after a timeout alike, the loop tries again.
-            let _ = timeout(left.min(WAIT_POLL_INTERVAL), changed).await;
+            let _ = timeout(left.min(poll_after), changed).await;
         }
     }
 
@@ -275,16 +368,23 @@
         now: Duration,
         request: ServerRequest<'_>,
         can_await_grant: bool,
-    ) -> (Selection, Option<Arc<BackendServer>>) {
+    ) -> Tried {
         let ServerRequest { pool, demand, .. } = request;
         let queue = pool.permit_queue();
         let permit_rank = queue.permit_rank(demand.rank);
         let waiting_calls = queue.len();
         drop(queue);
+        let mut available = lock(&self.availability);
         let mut table = lock(&self.table);
         let mut load_view = pool.load_view();
         let servers = pool.servers();
-        let excluded_servers = request.excluded_servers(&servers);
+        let mut excluded_servers = request.excluded_servers(&servers);
+        let availability = Self::pool_availability(&available, now, &servers, &excluded_servers);
+        if !availability.unavailable.is_empty() {
+            excluded_servers
+                .to_mut()
+                .extend_from_slice(&availability.unavailable);
+        }
         let call = CallNeed {
             demand,
             tried_servers: &excluded_servers,
@@ -302,35 +402,58 @@
             table.settle(now);
             selection = select(&mut load_view, &mut table);
         }
-        let mut server = None;
+        let (mut server, mut trial) = (None, None);
         if let Selection::Send { choice, .. } = &selection {
+            trial = available.on_send(now, keys(&servers)(&choice.server));
             load_view.on_start(now, &choice.server, request.number, demand);
             server = servers.get(&choice.server).cloned();
         }
-        drop((table, load_view));
+        drop((available, table, load_view));
+        let trial = trial.map(|call| TrialGuard {
+            availability: Arc::clone(&self.availability),
+            call,
+        });
         if has_limits {
             // If the channel is full, a wake-up is already pending.
             let _ = self.wake_up.try_send(());
         }
-        (selection, server)
+        Tried {
+            selection,
+            server,
+            trial,
+            availability,
+        }
+    }
+
+    fn availability_of(
+        &self,
+        now: Duration,
+        pool: &PoolState,
+        excluded: &[ServerId],
+    ) -> PoolAvailability {
+        let availability = lock(&self.availability);
+        Self::pool_availability(&availability, now, &pool.servers(), excluded)
     }
 
     /// Returns whether the calls ahead use up all permits that the limits allow within the time that is left.
-    fn is_hopeless(&self, held: &HeldPlace<'_>, left: Duration) -> bool {
+    fn is_hopeless(&self, held: &HeldPlace<'_>, left_out: &[ServerId], left: Duration) -> bool {
         let ahead = held.pool.permit_queue().ahead(held.place);
-        server_limit::room_after(ahead, 1, self.rate(held.pool)) > left
+        server_limit::room_after(ahead, 1, self.rate(held.pool, left_out)) > left
     }
 
-    fn retry_after(&self, held: &HeldPlace<'_>) -> Duration {
+    fn retry_after(&self, held: &HeldPlace<'_>, left_out: &[ServerId]) -> Duration {
         let ahead = held.pool.permit_queue().ahead(held.place);
         let entries = lock(&self.table).entry_count();
-        let room_after = server_limit::room_after(ahead, entries, self.rate(held.pool));
+        let room_after = server_limit::room_after(ahead, entries, self.rate(held.pool, left_out));
         server_limit::retry_after(room_after)
     }
 
-    fn rate(&self, pool: &PoolState) -> RequestRate {
+    /// Returns the sum of the limits of the servers that are available.
+    fn rate(&self, pool: &PoolState, left_out: &[ServerId]) -> RequestRate {
         let servers = pool.servers();
-        let servers = servers.values().map(|server| key(server));
+        let servers = servers.values();
+        let servers = servers.filter(|server| !left_out.contains(&server.id));
+        let servers = servers.map(|server| key(server));
         lock(&self.table).total_rate(servers)
     }
 
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -29,6 +29,8 @@
     Overloaded,
     /// All servers of the pool limit their requests. The limits have room again after this time.
     ServerLimit(Duration),
+    /// The servers of the pool asked for a rest. The caller should retry after this time, when the first one is back.
+    ServersAtRest(Duration),
     /// The caller resumes a stream, and no entry that answers knows the version at which it began.
     StreamVersionUnknown,
     /// The caller resumes a stream, and no server of the version that began it accepts calls.
@@ -61,6 +63,7 @@
             Self::NoServer => "no_server",
             Self::Overloaded => "overloaded",
             Self::ServerLimit(_) => "server_limit",
+            Self::ServersAtRest(_) => "servers_at_rest",
             Self::StreamVersionUnknown => "stream_version_unknown",
             Self::StreamVersionGone => "stream_version_gone",
             Self::Busy => "entry_busy",
@@ -104,7 +107,7 @@
             Self::NoConfiguration => Some(Duration::from_secs(1)),
             Self::NoServer => Some(Duration::from_millis(150)),
             Self::Overloaded => Some(OVERLOAD_RETRY_AFTER),
-            Self::ServerLimit(wait) => Some(wait),
+            Self::ServerLimit(wait) | Self::ServersAtRest(wait) => Some(wait),
             Self::Busy => Some(BUSY_RETRY_AFTER),
             Self::Quarantined | Self::QuarantinedPart(_) => Some(Duration::from_secs(30)),
             _ => None,
--- a/crates/http/src/connection_pool.rs
+++ b/crates/http/src/connection_pool.rs
@@ -45,6 +45,8 @@
     Connect(io::Error),
     /// The connection was closed before the request was written.
     NotSent,
+    /// The caller of [`ConnectionPool::send`] withdrew the request before it was written.
+    Withheld,
     /// The connection broke or the response was malformed; the request may have run.
     Broken(hyper::Error),
 }
@@ -88,7 +90,8 @@
     /// Sends a request and waits for the head of the response.
     ///
     /// With `can_reuse` an idle connection may be used. This is safe even for a request that must not be repeated,
-    /// because connections are reused only well within the server's idle timeout.
+    /// because connections are reused only well within the server's idle timeout. `may_send` is asked immediately before the
+    /// request is written, since establishing a connection takes time.
     ///
     /// # Errors
     ///
@@ -99,9 +102,13 @@
         request: Request<Full<Bytes>>,
         connect_timeout: Duration,
         can_reuse: bool,
+        may_send: impl Fn() -> bool,
     ) -> Result<PooledResponse, ExchangeError> {
         let mut request = request;
         while can_reuse && let Some(mut sender) = self.take_idle(address) {
+            if !may_send() {
+                return Err(ExchangeError::Withheld);
+            }
             match sender.try_send_request(request).await {
                 Ok(response) => return Ok(self.pooled_response(address, sender, response)),
                 Err(mut error) => match error.take_message() {
@@ -111,6 +118,9 @@
             }
         }
         let mut sender = self.connect(address, connect_timeout).await?;
+        if !may_send() {
+            return Err(ExchangeError::Withheld);
+        }
         match sender.try_send_request(request).await {
             Ok(response) => Ok(self.pooled_response(address, sender, response)),
             Err(mut error) => match error.take_message() {
--- a/crates/operator/src/explain/history.rs
+++ b/crates/operator/src/explain/history.rs
@@ -256,6 +256,9 @@
                 "server_limit" => {
                     "all servers of its pool limited their requests and none had room in time"
                 }
+                "servers_at_rest" => {
+                    "the servers of its pool asked for a rest and none was back in time"
+                }
                 "entry_busy" => "the entry was short of processor time",
                 "quarantined" => "requests with the same content crashed servers",
                 "quarantined_part" => {
