--- a/crates/core/src/availability.rs
+++ b/crates/core/src/availability.rs
@@ -21,6 +21,9 @@
     (Duration::from_millis(200), Duration::from_secs(5));
 /// Part of the delay before a retry (as a divisor) over which retries are spread.
 const RETRY_SPREAD_DIVISOR: u32 = 4;
+/// Time after the first word that a server leaves in which it may still be used if no other one is available. It is well
+/// below the time after which the rules forbid calls there.
+const LEAVING_GRACE: Duration = Duration::from_secs(1);
 /// Time for which the state of a server that leaves is kept after it was last registered.
 const LEAVING_RETENTION: Duration = Duration::from_hours(24);
 
@@ -31,6 +34,10 @@
     Now,
     /// A call may be sent from this time on. The present time means that a call may be sent once another one is answered.
     At(Duration),
+    /// The server leaves. A call may be sent only if no other server is available.
+    LastResort,
+    /// No call may be sent any more.
+    Never,
 }
 
 /// First call to a server after its rest, or one of the next ones.
@@ -74,6 +81,13 @@
     max_in_flight: u32,
 }
 
+impl Leaving {
+    /// Returns whether the server may still be used if no other one is available.
+    fn is_grace(&self, now: Duration) -> bool {
+        now < self.first_at + LEAVING_GRACE
+    }
+}
+
 impl Rest {
     /// Returns whether the number of calls after the rest is limited.
     fn is_slow_start(&self, now: Duration) -> bool {
@@ -83,6 +97,8 @@
 
 #[derive(Debug)]
 struct Leaving {
+    /// Time of the first answer that said so.
+    first_at: Duration,
     /// Time at which the server last was registered, or said that it leaves.
     last_seen_at: Duration,
 }
@@ -112,6 +128,9 @@
 /// assert!(table.on_leaving(at(13), 77));
 /// assert!(!table.on_leaving(at(14), 77));
 /// assert_eq!(table.leaving_count(), 1);
+/// assert_eq!(table.availability(at(13), 77), Availability::LastResort);
+/// assert_eq!(table.availability(at(14), 77), Availability::Never);
+/// assert!(table.is_leaving(77));
 /// ```
 #[derive(Debug, Default)]
 pub struct AvailabilityTable {
@@ -161,8 +180,17 @@
     /// Returns whether this entry may send a call to a server.
     #[must_use]
     pub fn availability(&self, now: Duration, server: ServerKey) -> Availability {
-        let state = self.servers.get(&server);
-        match state.and_then(|state| state.rest.as_ref()) {
+        let Some(state) = self.servers.get(&server) else {
+            return Availability::Now;
+        };
+        if let Some(leaving) = &state.leaving {
+            return if leaving.is_grace(now) && self.may_send(now, server) {
+                Availability::LastResort
+            } else {
+                Availability::Never
+            };
+        }
+        match &state.rest {
             Some(rest) if now < rest.ends_at => Availability::At(rest.ends_at),
             Some(rest) if rest.is_slow_start(now) && rest.in_flight >= rest.max_in_flight => {
                 Availability::At(now)
@@ -174,9 +202,20 @@
     /// Returns whether a call that was selected earlier may still be sent to a server.
     #[must_use]
     pub fn may_send(&self, now: Duration, server: ServerKey) -> bool {
-        let state = self.servers.get(&server);
-        let rest = state.and_then(|state| state.rest.as_ref());
+        let Some(state) = self.servers.get(&server) else {
+            return true;
+        };
+        let rest = state.rest.as_ref();
+        let leaving = state.leaving.as_ref();
         rest.is_none_or(|rest| rest.ends_at <= now)
+            && leaving.is_none_or(|leaving| leaving.is_grace(now))
+    }
+
+    /// Returns whether a server said that it leaves.
+    #[must_use]
+    pub fn is_leaving(&self, server: ServerKey) -> bool {
+        let state = self.servers.get(&server);
+        state.is_some_and(|state| state.leaving.is_some())
     }
 
     /// Records a call to a server. If it is one of the first calls after a rest, its end has to be reported with
@@ -202,7 +241,8 @@
         }
     }
 
-    /// Returns the servers of a pool to which a call may not be sent now. `is_excluded` tells which servers the call cannot
+    /// Returns the servers of a pool to which a call may not be sent now. A server that leaves is among them if another one
+    /// is left for the call, and soon in any case. `is_excluded` tells which servers the call cannot
     /// use for another reason.
     pub fn of_pool<'a>(
         &self,
@@ -215,9 +255,19 @@
         };
         let mut result = PoolAvailability::default();
         let mut is_any_available = false;
+        let mut is_other_left = false;
+        let mut last_resorts = Vec::new();
         for (id, key) in servers {
             match self.availability(now, key) {
-                Availability::Now => is_any_available = true,
+                Availability::Now => {
+                    is_any_available = true;
+                    is_other_left |= !is_excluded(id);
+                }
+                Availability::LastResort => {
+                    is_any_available = true;
+                    last_resorts.push(id.to_owned());
+                }
+                Availability::Never => result.unavailable.push(id.to_owned()),
                 Availability::At(time) => {
                     result.unavailable.push(id.to_owned());
                     result.pool_back_at = earlier(result.pool_back_at, time);
@@ -230,6 +280,9 @@
         if is_any_available {
             result.pool_back_at = None;
         }
+        if is_other_left {
+            result.unavailable.append(&mut last_resorts);
+        }
         result
     }
 
@@ -243,7 +296,11 @@
     pub fn on_leaving(&mut self, now: Duration, server: ServerKey) -> bool {
         let state = self.servers.entry(server).or_default();
         let is_first = state.leaving.is_none();
-        state.leaving = Some(Leaving { last_seen_at: now });
+        let leaving = state.leaving.get_or_insert(Leaving {
+            first_at: now,
+            last_seen_at: now,
+        });
+        leaving.last_seen_at = now;
         is_first
     }
 
--- a/crates/core/tests/availability.rs
+++ b/crates/core/tests/availability.rs
@@ -13,6 +13,9 @@
 /// Time after a rest at which the slow start is over in any case.
 const SLOW_START_TIME: Duration = Duration::from_secs(10);
 
+/// Time for which a server that leaves may be used if no other one is available.
+const LEAVING_GRACE: Duration = Duration::from_secs(1);
+
 fn ms(value: u64) -> Duration {
     Duration::from_millis(value)
 }
@@ -147,6 +150,50 @@
     assert_eq!(pool.unavailable, ["a"]);
 }
 
+/// Guards against a server that leaves and gets calls while another one is available, or for longer than a short time, and
+/// against a rest of such a server that calls wait for.
+#[test]
+fn a_server_that_leaves_is_the_last_resort_for_a_second() {
+    let mut table = AvailabilityTable::default();
+    assert!(table.on_leaving(ms(1_000), 1));
+    // Later answers say so again and do not prolong the time.
+    assert!(!table.on_leaving(ms(1_900), 1));
+    let both = [("a", 1), ("b", 2)];
+    let unavailable = |table: &AvailabilityTable, now, excluded: &str| {
+        let pool = table.of_pool(now, both, |id| id == excluded);
+        assert_eq!((pool.back_at, pool.pool_back_at), (None, None));
+        pool.unavailable
+    };
+    assert_eq!(unavailable(&table, ms(1_000), ""), ["a"]);
+    assert_eq!(unavailable(&table, ms(1_999), "b"), [""; 0]);
+    assert!(table.may_send(ms(1_999), 1));
+    assert_eq!(unavailable(&table, ms(2_000), "b"), ["a"]);
+    assert!(!table.may_send(ms(2_000), 1));
+    let alone = table.of_pool(ms(2_000), [("a", 1)], |_| false);
+    assert_eq!((alone.back_at, alone.pool_back_at), (None, None));
+    assert_eq!(alone.unavailable, ["a"]);
+    let mut table = AvailabilityTable::default();
+    table.on_leaving(ms(0), 1);
+    table.on_rest(ms(0), 1, ms(100));
+    assert_eq!(table.availability(ms(10), 1), Availability::Never);
+}
+
+/// Guards against leaving that ends because the registry's record goes, comes back or is old, and against memory that grows
+/// with the servers that ever left.
+#[test]
+fn leaving_is_kept_for_a_day_after_the_server_was_registered() {
+    let mut table = AvailabilityTable::default();
+    table.on_leaving(ms(0), SERVER);
+    let registered = ms(5_000);
+    table.settle(ms(1_000), |_| false);
+    table.settle(registered, |_| true);
+    let day = Duration::from_hours(24);
+    table.settle(registered + day.saturating_sub(ms(1)), |_| false);
+    assert!(table.is_leaving(SERVER));
+    table.settle(registered + day, |_| false);
+    assert!(table.is_empty());
+}
+
 /// Step of a random history of one server under one id.
 #[derive(Debug, Clone)]
 enum Step {
@@ -159,6 +206,8 @@
     Accept(u64),
     /// End of the oldest call.
     End,
+    /// Answer that says that the server leaves.
+    Leave,
     /// New start of the server.
     Restart,
     /// Change of the registry; tells whether the server is registered.
@@ -179,6 +228,7 @@
         (0_u64..400, rest_ms).prop_map(|(ago, rest)| Step::TurnAway(ago, rest)),
         (0_u64..6_000).prop_map(Step::Accept),
         Just(Step::End),
+        Just(Step::Leave),
         Just(Step::Restart),
         any::<bool>().prop_map(Step::Registry),
     ]
@@ -188,7 +238,7 @@
     #![proptest_config(ProptestConfig { failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(36), ..ProptestConfig::default() })]
 
     /// Guards against any order of answers, restarts and changes of the registry in which more than two requests reach a
-    /// server at rest, and against servers that are never called again.
+    /// server at rest, or one reaches a server that leaves, and against servers that are never called again.
     #[test]
     fn at_most_two_requests_reach_a_server_at_rest(steps in prop::collection::vec(step(), 1..120)) {
         let mut table = AvailabilityTable::default();
@@ -197,6 +247,7 @@
         let mut sends: Vec<(u64, Duration)> = Vec::new();
         let mut rests: Vec<(u64, Duration, Duration)> = Vec::new();
         let mut calls: Vec<TrialCall> = Vec::new();
+        let mut left: Vec<(u64, Duration)> = Vec::new();
         for step in steps {
             let server = server_key("server", Some(start));
             match step {
@@ -219,6 +270,11 @@
                         table.on_end(calls.remove(0));
                     }
                 }
+                Step::Leave => {
+                    if table.on_leaving(now, server) {
+                        left.push((start, now));
+                    }
+                }
                 Step::Restart => start += 1,
                 Step::Registry(is_registered) => table.settle(now, |_| is_registered),
             }
@@ -228,9 +284,15 @@
             let count = sends.iter().filter(|(of, at)| *of == start && counted.contains(at)).count();
             prop_assert!(count <= MAX_REQUESTS, "{count} requests in {counted:?}");
         }
+        for (start, at) in &left {
+            let is_late = |(of, sent): &(u64, Duration)| of == start && sent > at;
+            prop_assert!(!sends.iter().any(is_late), "a call to a server that leaves while others are available");
+            prop_assert!(!table.may_send(now.max(*at + LEAVING_GRACE), server_key("server", Some(*start))));
+        }
+        start += u64::from(left.iter().any(|(of, _)| *of == start));
         let later = now + MAX_REST + SLOW_START_TIME;
         prop_assert_eq!(table.availability(later, server_key("server", Some(start))), Availability::Now);
-        table.settle(later, |_| true);
+        table.settle(later, |_| false);
         prop_assert!(table.is_empty());
     }
 }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -103,7 +103,7 @@
 pub(crate) enum AttemptError {
     /// The connection could not be established; nothing was sent.
     Unreachable,
-    /// The server asked for a rest before the call was written; nothing was sent.
+    /// The server asked for a rest or said that it leaves before the call was written; nothing was sent.
     Withheld,
     /// The server states that it did not run the call.
     NotRun,
@@ -238,6 +238,8 @@
         pool: &PoolState,
     ) -> Result<Option<VersionId>, Refusal> {
         let versions = pool.recent_versions();
+        let limits = self.summaries.limits();
+        let is_served = |version| pool.has_version(version, |server| limits.is_leaving(server));
         let known = match &call.resumed_attempt {
             Some(first) => {
                 let lookup = self.summaries.lookup_version(call.workspace_name(), first);
@@ -249,7 +251,7 @@
         let result = match known {
             None => Ok(None),
             Some(None) => Err(Refusal::StreamVersionUnknown),
-            Some(Some(version)) if pool.has_version(version) => Ok(Some(version)),
+            Some(Some(version)) if is_served(version) => Ok(Some(version)),
             Some(Some(_)) => Err(Refusal::StreamVersionGone),
         };
         log::stream_taken_up(call, &versions, result.ok().flatten());
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -195,11 +195,15 @@
         lock(&self.load_view)
     }
 
-    /// Returns whether a server of a version accepts new calls.
-    pub(crate) fn has_version(&self, version: VersionId) -> bool {
+    /// Returns whether a server of a version accepts new calls and does not leave.
+    pub(crate) fn has_version(
+        &self,
+        version: VersionId,
+        is_leaving: impl Fn(&BackendServer) -> bool,
+    ) -> bool {
         let servers = self.servers();
         let mut servers = servers.values();
-        servers.any(|server| version_id(&server.version) == version)
+        servers.any(|server| version_id(&server.version) == version && !is_leaving(server))
     }
 
     /// Returns the number of calls that wait because all servers limit their requests.
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -226,6 +226,11 @@
         lock(&self.availability).may_send(now, key(server))
     }
 
+    /// Returns whether a server said that it leaves.
+    pub(crate) fn is_leaving(&self, server: &BackendServer) -> bool {
+        lock(&self.availability).is_leaving(key(server))
+    }
+
     /// Returns which servers of a pool are available to a call that cannot use the excluded ones.
     fn pool_availability(
         availability: &AvailabilityTable,
