Emulate engines that ask for rests

A new disturbance: a share of the engines turns each request away and asks its entry for a rest. Entries of the emulator use core::availability as the gateway does.

--- a/crates/emulator/src/entry.rs
+++ b/crates/emulator/src/entry.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use tanagerford_core::availability::{AvailabilityTable, PoolAvailability};
 use tanagerford_core::dispatch::{
     Choice, Demand, GateDecision, LongPromptGate, OverloadGate, Pool, RemainingTime, RetryBudget,
     ServerSpec, WaiterNumber,
@@ -35,7 +36,9 @@
     long_prompt_gate: LongPromptGate,
     /// Limits of the engines; the emulated plain services set none.
     pub(crate) limits: LimitTable,
-    /// Calls that wait for permits.
+    /// What the engines asked for; the emulated plain services ask for nothing.
+    pub(crate) availability: AvailabilityTable,
+    /// Calls that wait for permits or the end of a rest.
     pub(crate) permit_queue: PermitQueue,
     /// Time of the earliest scheduled step of the permits; `Duration::MAX` when none is scheduled.
     pub(crate) next_permits_at: Duration,
@@ -128,6 +131,7 @@
             service_budget: RetryBudget::default(),
             long_prompt_gate: LongPromptGate::new(policy.gate.clone()),
             limits,
+            availability: AvailabilityTable::default(),
             permit_queue: PermitQueue::default(),
             next_permits_at: Duration::MAX,
             overload_gate: policy.overload.clone().map(OverloadGate::new),
@@ -153,7 +157,24 @@
         }
     }
 
-    /// Selects a server for a call among those that have not been tried.
+    /// Returns which servers are available to a call that was sent to some of them before.
+    pub(crate) fn pool_availability(
+        &self,
+        now: Duration,
+        tried_servers: &[ServerId],
+        servers: &[ServerSpec],
+    ) -> PoolAvailability {
+        if self.availability.is_empty() || self.placement != Placement::Cost {
+            return PoolAvailability::default();
+        }
+        let servers = servers
+            .iter()
+            .map(|server| (server.id.as_str(), limit_key(&server.id)));
+        let is_tried = |id: &str| tried_servers.iter().any(|tried| tried == id);
+        self.availability.of_pool(now, servers, is_tried)
+    }
+
+    /// Selects a server for a call among those that have not been tried and are available.
     pub(crate) fn select(
         &mut self,
         now: Duration,
@@ -164,13 +185,18 @@
         can_await_grant: bool,
     ) -> Selection {
         if self.placement == Placement::Cost {
+            let mut excluded = tried_servers.to_vec();
+            excluded.extend(
+                self.pool_availability(now, tried_servers, servers)
+                    .unavailable,
+            );
             let pool = match target {
                 Target::Engines => &mut self.engines,
                 Target::Services => &mut self.services,
             };
             let call = CallNeed {
                 demand,
-                tried_servers,
+                tried_servers: &excluded,
                 permit_rank: self.permit_queue.permit_rank(demand.rank),
                 can_await_grant,
                 waiting_calls: self.permit_queue.len(),
@@ -201,8 +227,15 @@
     }
 
     /// Returns the engine that a call would get now, if any.
-    pub(crate) fn preview(&mut self, now: Duration, demand: &Demand) -> Option<Choice> {
-        server_limit::preview(&mut self.engines, &self.limits, now, demand, &[], limit_key)
+    pub(crate) fn preview(
+        &mut self,
+        now: Duration,
+        demand: &Demand,
+        servers: &[ServerSpec],
+    ) -> Option<Choice> {
+        let excluded = self.pool_availability(now, &[], servers).unavailable;
+        let limits = &self.limits;
+        server_limit::preview(&mut self.engines, limits, now, demand, &excluded, limit_key)
     }
 
     pub(crate) fn decide_long_prompt(
--- a/crates/emulator/src/load.rs
+++ b/crates/emulator/src/load.rs
@@ -259,6 +259,13 @@
         #[serde(rename = "per_s")]
         rate: f64,
     },
+    /// A share of the engines turns each request away and asks its entry for a rest.
+    RestingEngines {
+        /// Share of the engines.
+        share: f64,
+        /// Time of the rest in seconds.
+        rest_s: f64,
+    },
     /// A share of the callers disconnects after `after_ms`.
     GiveUp {
         /// Share of the callers.
--- a/crates/emulator/src/report.rs
+++ b/crates/emulator/src/report.rs
@@ -125,6 +125,9 @@
     /// Requests at the engines that limited their rate, one item for each engine and disturbance.
     #[serde(skip)]
     pub limited_engines: Vec<LimitedEngine>,
+    /// Requests at the engines that asked for rests, one item for each engine and disturbance.
+    #[serde(skip)]
+    pub resting_engines: Vec<RestingEngine>,
     /// Counts of each class by the second in which the caller sent the request.
     #[serde(skip)]
     class_seconds: Vec<Vec<SecondCounts>>,
@@ -160,6 +163,34 @@
     }
 }
 
+/// Requests that reached an engine from the time on at which it began to ask for rests.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RestingEngine {
+    /// Position of the engine.
+    pub engine: usize,
+    /// Time of each rest.
+    pub rest: Duration,
+    /// Times at which requests reached the engine, with the positions of their entries, in ascending order.
+    pub arrivals: Vec<(Duration, usize)>,
+    /// Those requests that it turned away, each of which begins a rest.
+    pub refusals: Vec<(Duration, usize)>,
+}
+
+impl RestingEngine {
+    /// Returns the largest number of requests from one entry between `grace` after a refusal and the end of its rest.
+    #[must_use]
+    pub fn most_arrivals_at_rest(&self, grace: Duration) -> usize {
+        let counts = self.refusals.iter().map(|(at, entry)| {
+            let rest = *at + grace..*at + self.rest;
+            let arrivals = self.arrivals.iter();
+            arrivals
+                .filter(|(arrived_at, from)| from == entry && rest.contains(arrived_at))
+                .count()
+        });
+        counts.max().unwrap_or_default()
+    }
+}
+
 /// Requests of one class that were sent in one second.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 struct SecondCounts {
@@ -186,6 +217,7 @@
             noticed_late: 0,
             permit_messages: 0,
             limited_engines: Vec::new(),
+            resting_engines: Vec::new(),
             class_seconds: vec![Vec::new(); load.classes.len()],
             class_values: load
                 .classes
--- a/crates/emulator/src/simulation.rs
+++ b/crates/emulator/src/simulation.rs
@@ -7,6 +7,7 @@
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
+use tanagerford_core::availability::{self, PoolAvailability, TrialCall};
 use tanagerford_core::dispatch::{
     Arrival, ArrivingCall, BUSY_RETRY_AFTER, BudgetLimits, CallNumber, CallOutcome,
     GATE_POLL_INTERVAL, GateDecision, MAX_ATTEMPTS_PER_CALL, OVERLOAD_RETRY_AFTER, PROBE_INTERVAL,
@@ -24,7 +25,7 @@
 use crate::entry::{Entry, Target, entry_number, limit_key, server_specs, zone_name};
 use crate::load::{Class, DisturbanceKind, Load, Placement, Policy};
 use crate::processor::{Processor, WorkKind};
-use crate::report::{LimitedEngine, Outcome, RunResult};
+use crate::report::{LimitedEngine, Outcome, RestingEngine, RunResult};
 use crate::service::PlainServer;
 
 /// Callers wait for the advised time before a retry, but at most for this fraction (1/3) of their remaining time.
@@ -90,8 +91,11 @@
         /// Limit that the server names in the head of its answer.
         limit: Option<f64>,
     },
-    /// The server refused the request without running it.
-    Refused(ReportedLoad),
+    /// The server refused the request without running it, and may have asked for a rest.
+    Refused {
+        load: ReportedLoad,
+        rest: Option<Duration>,
+    },
     /// The connection broke; the server may have run the request.
     Lost,
 }
@@ -158,6 +162,8 @@
     place: Option<Place>,
     /// Time until which it waits for a grant that is expected at once.
     grant_until: Option<Duration>,
+    /// Set while it is one of the first calls to its server after a rest.
+    trial: Option<TrialCall>,
     /// Time at which the latest attempt was sent.
     sent_at: Duration,
 }
@@ -190,6 +196,8 @@
     affected_engines: Vec<Vec<usize>>,
     /// Engines that limit the rate of their requests, with their positions in the result.
     limited_engines: BTreeMap<usize, usize>,
+    /// Engines that ask for rests or did so, with their positions in the result and the time at which they stop asking.
+    resting_engines: BTreeMap<usize, (usize, Duration)>,
     retry_limits: BudgetLimits,
     result: RunResult,
 }
@@ -260,6 +268,7 @@
             attempts: BTreeMap::new(),
             affected_engines: vec![Vec::new(); load.disturbances.len()],
             limited_engines: BTreeMap::new(),
+            resting_engines: BTreeMap::new(),
             retry_limits: BudgetLimits {
                 ratio: load.budget.ratio,
                 extra: load.budget.extra,
@@ -313,6 +322,7 @@
             waiter: None,
             place: None,
             grant_until: None,
+            trial: None,
             sent_at: Duration::ZERO,
         };
         let index = self.calls.len();
@@ -499,7 +509,7 @@
             let objective = milliseconds(class.objective_ms);
             let waited = self.now.saturating_sub(call.arrived_at);
             let entry = &mut self.entries[call.entry];
-            let choice = entry.preview(self.now, &call.job.demand);
+            let choice = entry.preview(self.now, &call.job.demand, &self.engine_specs);
             if let Some(choice) = choice {
                 let longest = longest_objective(self.load, class);
                 let remaining = RemainingTime::after(waited, objective, longest);
@@ -541,13 +551,17 @@
                 return self.send_permits(entry);
             }
             Selection::Wait => return self.hold_call(index),
-            Selection::NoServer => return self.refuse(index, OVERLOAD_RETRY_AFTER),
+            Selection::NoServer => {
+                let availability = entry.pool_availability(now, &call.tried_servers, specs);
+                return self.wait_for_rest(index, &availability);
+            }
         };
         call.grant_until = None;
         if let Some(place) = call.place.take() {
             entry.permit_queue.leave(place, true);
         }
         call.sent_at = now;
+        call.trial = entry.availability.on_send(now, limit_key(&choice.server));
         let position = specs.iter().position(|spec| spec.id == choice.server);
         let Some(server) = position else {
             return self.refuse(index, OVERLOAD_RETRY_AFTER);
@@ -578,6 +592,26 @@
         }
     }
 
+    /// Lets a call wait for the end of the first rest, or refuses it if it cannot use the server or the rest is too long.
+    fn wait_for_rest(&mut self, index: CallIndex, availability: &PoolAvailability) {
+        let call = &self.calls[index];
+        let Some(back_at) = availability.back_at.or(availability.pool_back_at) else {
+            return self.refuse(index, OVERLOAD_RETRY_AFTER);
+        };
+        let back_in = back_at.saturating_sub(self.now);
+        let deadline = call.job.at + call.job.caller_timeout;
+        let waited = self.now.saturating_sub(call.arrived_at);
+        let left = max_wait(deadline.saturating_sub(call.arrived_at)).saturating_sub(waited);
+        let can_wait = availability.back_at.is_some() && availability.pool_back_at.is_some();
+        if !can_wait || left.is_zero() || back_in > left {
+            // A multiplicative hash spreads the retries of successive calls.
+            let hash = u64::try_from(index).unwrap_or_default();
+            let hash = hash.wrapping_mul(0x9E37_79B9_7F4A_7C15);
+            return self.refuse(index, availability::retry_after(back_in, hash));
+        }
+        self.hold_call(index);
+    }
+
     /// Lets a call wait for a permit, or refuses it if it has waited long enough.
     fn hold_call(&mut self, index: CallIndex) {
         let call = &mut self.calls[index];
@@ -664,8 +698,9 @@
             let limited = &mut self.result.limited_engines[*position];
             limited.arrivals.push(self.now);
         }
+        let rest = self.rest_for(server, self.calls[index].entry);
         let is_down = self.is_down(server);
-        if !is_down && self.engines[server].submit(request) {
+        if !is_down && rest.is_none() && self.engines[server].submit(request) {
             self.start_step(server);
             return;
         }
@@ -673,7 +708,10 @@
         let reply = if is_down {
             Reply::Lost
         } else {
-            Reply::Refused(self.engines[server].load())
+            Reply::Refused {
+                load: self.engines[server].load(),
+                rest,
+            }
         };
         self.schedule(
             self.now + delay,
@@ -692,7 +730,10 @@
             }
             Some(false) => {}
             None => {
-                let reply = Reply::Refused(self.services[server].load());
+                let reply = Reply::Refused {
+                    load: self.services[server].load(),
+                    rest: None,
+                };
                 let delay = self.delay_to(index, server);
                 self.schedule(
                     self.now + delay,
@@ -796,10 +837,13 @@
             } => {
                 if is_first {
                     self.learn_limit(index, limit);
+                    self.learn_rest(index, None);
+                    self.end_trial(index);
                 }
                 self.on_data(index, attempt, server, (is_last, is_first), load);
             }
-            Reply::Refused(load) => {
+            Reply::Refused { load, rest } => {
+                self.learn_rest(index, rest);
                 self.end_attempt(index, attempt, server, CallOutcome::Refused);
                 self.update_pool(index, |pool, id, now| pool.on_load(now, id, load));
                 self.retry(index, true);
@@ -871,6 +915,40 @@
         self.schedule_permits(entry);
     }
 
+    /// Records a request that reaches an engine from an entry, and returns the rest that the engine asks for, if any.
+    fn rest_for(&mut self, engine: usize, entry: usize) -> Option<Duration> {
+        let (position, ends_at) = *self.resting_engines.get(&engine)?;
+        let resting = &mut self.result.resting_engines[position];
+        resting.arrivals.push((self.now, entry));
+        if self.now >= ends_at {
+            return None;
+        }
+        resting.refusals.push((self.now, entry));
+        Some(resting.rest)
+    }
+
+    /// Records whether an answer asks for a rest.
+    fn learn_rest(&mut self, index: CallIndex, rest: Option<Duration>) {
+        let call = &self.calls[index];
+        let Some(server) = call.tried_servers.last() else {
+            return;
+        };
+        let availability = &mut self.entries[call.entry].availability;
+        if let Some(rest) = rest {
+            availability.on_rest(self.now, limit_key(server), rest);
+        } else {
+            availability.on_accepted(call.sent_at, limit_key(server));
+        }
+    }
+
+    /// Ends the part of a call as one of the first ones after a rest.
+    fn end_trial(&mut self, index: CallIndex) {
+        let call = &mut self.calls[index];
+        if let Some(trial) = call.trial.take() {
+            self.entries[call.entry].availability.on_end(trial);
+        }
+    }
+
     /// Sends the messages about permits that are due at an entry, and schedules the next step.
     fn send_permits(&mut self, entry: usize) {
         let now = self.now;
@@ -933,6 +1011,7 @@
             pool.on_end(id, attempt);
         });
         self.attempts.remove(&attempt);
+        self.end_trial(index);
         let call = &mut self.calls[index];
         call.attempt = None;
         let (entry, target) = (call.entry, call.target);
@@ -1128,6 +1207,20 @@
                     self.crash(engine);
                 }
             }
+            DisturbanceKind::RestingEngines { share, rest_s } => {
+                let ends_at =
+                    self.now + Duration::from_secs_f64(self.load.disturbances[index].for_s);
+                for engine in self.pick_engines(index, *share) {
+                    let position = self.result.resting_engines.len();
+                    self.resting_engines.insert(engine, (position, ends_at));
+                    self.result.resting_engines.push(RestingEngine {
+                        engine,
+                        rest: Duration::from_secs_f64(*rest_s),
+                        arrivals: Vec::new(),
+                        refusals: Vec::new(),
+                    });
+                }
+            }
             DisturbanceKind::LimitedEngines { share, rate } => {
                 for engine in self.pick_engines(index, *share) {
                     self.limited_engines
