--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -50,7 +50,7 @@
     registered: RwLock<RegisteredServers>,
     /// View of the load and health of the registered servers.
     load_view: Mutex<Pool>,
-    /// Calls that wait for a permit because all servers limit their requests.
+    /// Calls that wait because all servers limit their requests or are at rest.
     permit_queue: Mutex<PermitQueue>,
 }
 
@@ -206,13 +206,13 @@
         servers.any(|server| version_id(&server.version) == version && !is_leaving(server))
     }
 
-    /// Returns the number of calls that wait because all servers limit their requests.
+    /// Returns the number of calls that wait because all servers limit their requests or are at rest.
     #[must_use]
     pub fn waiting_calls(&self) -> usize {
         self.permit_queue().len()
     }
 
-    /// Locks the queue of the calls that wait for a permit.
+    /// Locks the queue of the calls that wait for a permit or the end of a rest.
     pub(crate) fn permit_queue(&self) -> MutexGuard<'_, PermitQueue> {
         lock(&self.permit_queue)
     }
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -477,6 +477,10 @@
 
     /// Forgets the limits of servers that are no longer registered, and what need not be remembered of the others.
     pub(crate) fn retain_registered(&self, fleet: &Fleet) {
+        let has_limits = !lock(&self.table).is_empty();
+        if !has_limits && lock(&self.availability).is_empty() {
+            return;
+        }
         let servers = fleet.servers();
         let servers = servers.iter().flat_map(|servers| servers.values());
         let registered: BTreeSet<ServerKey> = servers.map(|server| key(server)).collect();
