--- a/crates/core/src/availability.rs
+++ b/crates/core/src/availability.rs
@@ -24,8 +24,9 @@
 /// Time after the first word that a server leaves in which it may still be used if no other one is available. It is well
 /// below the time after which the rules forbid calls there.
 const LEAVING_GRACE: Duration = Duration::from_secs(1);
-/// Time for which the state of a server that leaves is kept after it was last registered.
-const LEAVING_RETENTION: Duration = Duration::from_hours(24);
+/// Time for which the state of a server that leaves is kept after it was last registered. It exceeds the age of a backup that
+/// the store is restored from.
+const LEAVING_RETENTION: Duration = Duration::from_mins(10);
 
 /// Whether this entry may send a call to a server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -81,13 +82,6 @@
     max_in_flight: u32,
 }
 
-impl Leaving {
-    /// Returns whether the server may still be used if no other one is available.
-    fn is_grace(&self, now: Duration) -> bool {
-        now < self.first_at + LEAVING_GRACE
-    }
-}
-
 impl Rest {
     /// Returns whether the number of calls after the rest is limited.
     fn is_slow_start(&self, now: Duration) -> bool {
@@ -103,6 +97,13 @@
     last_seen_at: Duration,
 }
 
+impl Leaving {
+    /// Returns whether the server may still be used if no other one is available.
+    fn is_grace(&self, now: Duration) -> bool {
+        now < self.first_at + LEAVING_GRACE
+    }
+}
+
 /// What servers asked this entry for.
 ///
 /// # Examples
@@ -321,7 +322,7 @@
         servers.filter(|state| state.leaving.is_some()).count()
     }
 
-    /// Forgets servers that left and have not been registered for a day, and rests whose slow start has ended.
+    /// Forgets servers that left and have not been registered for ten minutes, and rests whose slow start has ended.
     pub fn settle(&mut self, now: Duration, is_registered: impl Fn(ServerKey) -> bool) {
         for (server, state) in &mut self.servers {
             state.leaving.take_if(|leaving| {
--- a/crates/core/src/server_limit/select.rs
+++ b/crates/core/src/server_limit/select.rs
@@ -88,7 +88,8 @@
     Selection::Send { choice, avoided }
 }
 
-/// Returns the server that [`select`] would choose for a call that may not be sent to the `excluded` servers; if all servers are limited and this entry holds no permit, the best of
+/// Returns the server that [`select`] would choose for a call that may not be sent to the `excluded` servers; if all servers
+/// are limited and this entry holds no permit, the best of
 /// them.
 pub fn preview(
     pool: &mut Pool,
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -5,7 +5,8 @@
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
-use http::{Response, StatusCode};
+use futures_lite::future;
+use http::{Method, Response, StatusCode};
 use tanagerford_core::availability::retry_after;
 use tanagerford_core::dispatch::{
     CallNumber, CallOutcome, Choice, GATE_POLL_INTERVAL, GateDecision, MAX_ATTEMPTS_PER_CALL,
@@ -16,13 +17,14 @@
 use tanagerford_http::connection_pool::{ExchangeError, PooledResponse};
 use tanagerford_http::{Body, Reply};
 use tanagerford_sync::lock;
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout, timeout_at};
 
 use crate::buffered::BufferedResponse;
 use crate::call::{Call, RetryPolicy};
 use crate::codec::{AttemptContext, Codec, ResponseHead};
 use crate::fleet::{BackendServer, PoolState};
 use crate::gateway::Gateway;
+use crate::in_flight::{Exchange, ExchangeResult, InFlight};
 use crate::limits::{LimitHeader, SelectError, SelectedServer, ServerRequest};
 use crate::log;
 use crate::peers::Summaries;
@@ -53,13 +55,14 @@
     expected_latency: Duration,
     number: CallNumber,
     call: Arc<Call>,
-    is_end_logged: bool,
+    /// Whether the outcome of the attempt was recorded and logged.
+    pub(crate) is_end_logged: bool,
 }
 
 impl Drop for SentCall {
     fn drop(&mut self) {
         if !self.is_end_logged {
-            // The caller disconnected before the response started.
+            // The caller disconnected before the response started, or another server answered first.
             tracing::info!(
                 request = self.call.id,
                 route = self.call.route.name,
@@ -90,6 +93,8 @@
     pub(crate) sent_call: SentCall,
     pub(crate) response: PooledResponse,
     pub(crate) first_chunk: Option<Bytes>,
+    /// Whether the attempt was silent before and counts among the possible runs.
+    pub(crate) is_run_counted: bool,
 }
 
 impl StartedResponse {
@@ -127,6 +132,11 @@
         }
     }
 
+    /// Returns whether a retry after this failure is deducted from the budget.
+    fn uses_retry_budget(self) -> bool {
+        !matches!(self, Self::Unreachable | Self::Withheld)
+    }
+
     /// Returns what the attempt shows about its server; `None` if the server was not involved.
     fn outcome(self) -> Option<CallOutcome> {
         match self {
@@ -140,8 +150,28 @@
     }
 }
 
+/// Server for the next attempt, or the answer that makes the attempt needless.
+enum NextServer {
+    Selected(SentCall, SelectedServer),
+    Answered(StartedResponse),
+}
+
+/// What ends the wait for a server.
+enum Wait {
+    Selected(Result<(SentCall, SelectedServer), SelectError>),
+    /// A server that was silent before answers.
+    Answered((SentCall, ExchangeResult)),
+}
+
+/// Server and time of an attempt.
+struct Target {
+    server: Arc<BackendServer>,
+    pool: Arc<PoolState>,
+    sent_at: Instant,
+}
+
 /// Attempts of one call so far.
-#[derive(Debug, Default)]
+#[derive(Default)]
 pub(crate) struct Attempts {
     pub(crate) tried_servers: Vec<ServerId>,
     /// Attempts that a server may have run.
@@ -152,6 +182,10 @@
     limited: Option<Duration>,
     /// Time after which the first server is back from its rest, if rests are the reason why the call was not sent.
     at_rest: Option<Duration>,
+    /// Exchanges with servers that have not begun to answer.
+    in_flight: InFlight,
+    /// First failure that a server reported. The caller receives it if no other server succeeds.
+    reported_failure: Option<Box<StartedResponse>>,
 }
 
 impl Attempts {
@@ -164,6 +198,21 @@
     pub(crate) fn record_possible_run(&mut self) {
         self.possible_runs += 1;
     }
+
+    /// Keeps the failure that a server reported, if it is the first one.
+    fn keep_failure(&mut self, started: StartedResponse) {
+        if !started.is_run_counted {
+            self.record_possible_run();
+        }
+        self.reported_failure
+            .get_or_insert_with(|| Box::new(started));
+    }
+
+    /// Ends the exchanges with all other servers, since one answers. They may have run the call.
+    pub(crate) fn abandon_in_flight(&mut self) {
+        let unrecorded = self.in_flight.abandon();
+        self.possible_runs += u32::try_from(unrecorded).unwrap_or(u32::MAX);
+    }
 }
 
 impl<C: Codec> Gateway<C> {
@@ -194,41 +243,126 @@
                 Err(refusal) => return self.refuse_call(&call, refusal),
             }
         }
-        let mut last_error = None;
-        // First failure that a server reported. The caller receives it if no other server succeeds.
-        let mut reported_failure = None;
+        let resume_after = call.resume_after;
+        let answer = self.try_servers(&call, &pool, &pool_name, &mut attempts, resume_after, None);
+        match answer.await {
+            Ok(started) => self.deliver(call, pool, attempts, started).await,
+            Err(refusal) => self.refuse_call(&call, refusal),
+        }
+    }
+
+    /// Sends a call to servers of its pool until one begins to answer. `failure` is the failure of an earlier attempt, if
+    /// there was one. When no other server may take the call, a silent one has until the deadline.
+    pub(crate) async fn try_servers(
+        self: &Arc<Self>,
+        call: &Arc<Call>,
+        pool: &Arc<PoolState>,
+        pool_name: &PoolId,
+        attempts: &mut Attempts,
+        resume_after: Option<u64>,
+        failure: Option<AttemptError>,
+    ) -> Result<StartedResponse, Refusal> {
+        let mut last_error = failure;
         loop {
-            if last_error
-                .is_some_and(|error| !self.allow_retry(&call, &pool_name, &attempts, error))
-            {
-                break;
-            }
-            if let Some(part) = self.quarantine.quarantined_part(self.fleet.now(), &call) {
+            if let Some(part) = self.quarantine.quarantined_part(self.fleet.now(), call) {
                 if attempts.possible_runs > 0 {
                     break;
                 }
-                return self.refuse_call(&call, Refusal::QuarantinedPart(part));
+                return Err(Refusal::QuarantinedPart(part));
+            }
+            if last_error.is_some_and(|error| !self.allow_retry(call, pool_name, attempts, error)) {
+                break;
             }
-            let resume_after = call.resume_after;
-            match self
-                .attempt(&call, &pool, &mut attempts, resume_after)
-                .await
-            {
-                Ok(started) if started.is_server_failure() && reported_failure.is_none() => {
-                    attempts.record_possible_run();
+            match self.attempt(call, pool, attempts, resume_after).await {
+                Ok(started) if started.is_server_failure() => {
+                    attempts.keep_failure(started);
                     last_error = Some(AttemptError::Failed);
-                    reported_failure = Some(started);
                 }
-                Ok(started) => return self.deliver(call, pool, attempts, started).await,
+                Ok(started) => {
+                    attempts.reported_failure = None;
+                    attempts.abandon_in_flight();
+                    return Ok(started);
+                }
                 Err(Some(error)) => last_error = Some(error),
-                Err(None) => break,
+                Err(None) => {
+                    if last_error.is_some_and(AttemptError::uses_retry_budget) {
+                        self.return_retry(pool_name);
+                    }
+                    break;
+                }
             }
         }
-        if let Some(started) = reported_failure {
-            return self.deliver(call, pool, attempts, started).await;
+        // A failure that a server reported is not held back, since its caller can retry at once.
+        if attempts.reported_failure.is_none()
+            && let Some(started) = self.await_silent_servers(call, attempts).await
+        {
+            attempts.abandon_in_flight();
+            return Ok(started);
+        }
+        attempts.abandon_in_flight();
+        let failure = attempts.reported_failure.take();
+        failure.map_or_else(
+            || Err(final_refusal(call, attempts, last_error)),
+            |started| Ok(*started),
+        )
+    }
+
+    /// Waits until the deadline for the answer of a server that was silent, which may go on.
+    async fn await_silent_servers(
+        self: &Arc<Self>,
+        call: &Arc<Call>,
+        attempts: &mut Attempts,
+    ) -> Option<StartedResponse> {
+        while !attempts.in_flight.is_empty() {
+            let remaining = call.deadline().saturating_duration_since(Instant::now());
+            let result = timeout(remaining, attempts.in_flight.first_result()).await;
+            let (sent_call, result) = result.ok()?;
+            match self.on_late_result(attempts, sent_call, result) {
+                Some(started) if started.is_server_failure() => attempts.keep_failure(started),
+                Some(started) => return Some(started),
+                None => {}
+            }
+        }
+        None
+    }
+
+    /// Records the late result of an attempt that was recorded as silent; returns the response if there is one.
+    fn on_late_result(
+        self: &Arc<Self>,
+        attempts: &mut Attempts,
+        sent_call: SentCall,
+        result: ExchangeResult,
+    ) -> Option<StartedResponse> {
+        let outcome = self.record_outcome(&sent_call, &result);
+        tracing::info!(
+            request = sent_call.call.id,
+            route = sent_call.call.route.name,
+            workspace = sent_call.call.workspace_name(),
+            server = sent_call.server.id,
+            outcome,
+            after_ms = sent_call.sent_at.elapsed().as_millis(),
+            "late answer"
+        );
+        let is_run_counted = sent_call.is_end_logged;
+        match result {
+            Ok((response, first_chunk)) => {
+                let started = self.start_response(sent_call, response, first_chunk);
+                Some(StartedResponse {
+                    is_run_counted,
+                    ..started
+                })
+            }
+            Err(error) => {
+                let has_not_run = matches!(
+                    error,
+                    AttemptError::NotRun | AttemptError::Unreachable | AttemptError::Withheld
+                );
+                if has_not_run && is_run_counted {
+                    attempts.possible_runs = attempts.possible_runs.saturating_sub(1);
+                }
+                None
+            }
         }
-        let refusal = final_refusal(&call, &attempts, last_error);
-        self.refuse_call(&call, refusal)
     }
 
     /// Returns the version at which the stream began that the call resumes; `None` if servers of only one version run.
@@ -343,17 +477,102 @@
         if remaining < MIN_REMAINING {
             return Err(None);
         }
-        let (mut sent_call, selected) = self.select_server(call, pool, attempts).await?;
+        let (sent_call, selected) = match self.next_server(call, pool, attempts).await? {
+            NextServer::Selected(sent_call, selected) => (sent_call, selected),
+            NextServer::Answered(started) => return Ok(started),
+        };
         let choice = selected.choice;
         // The call may have waited for a permit.
         let remaining = deadline.saturating_duration_since(Instant::now());
         attempts.tried_servers.push(sent_call.server.id.clone());
         self.summaries.on_call_sent(&sent_call.server, &call.demand);
-        let result = self
-            .send_to_server(call, &sent_call, remaining, resume_after, attempts)
-            .await;
-        let server = &sent_call.server.id;
-        let outcome = match &result {
+        let time_limit = response_timeout(call, remaining, attempts, self.processor.delay());
+        let number = sent_call.number;
+        let target = Target {
+            server: Arc::clone(&sent_call.server),
+            pool: Arc::clone(pool),
+            sent_at: sent_call.sent_at,
+        };
+        let exchange =
+            Arc::clone(self).send_to_server(Arc::clone(call), target, remaining, resume_after);
+        attempts.in_flight.push(Exchange::new(sent_call, exchange));
+        let expiry = Instant::now() + time_limit;
+        let newest = loop {
+            let result = timeout_at(expiry.into(), attempts.in_flight.first_result()).await;
+            match result {
+                Ok((sent_call, result)) if sent_call.number == number => {
+                    break Some((sent_call, result));
+                }
+                Ok((sent_call, result)) => match self.on_late_result(attempts, sent_call, result) {
+                    Some(started) if started.is_server_failure() => {
+                        attempts.keep_failure(started);
+                    }
+                    Some(started) => return Ok(started),
+                    None => {}
+                },
+                Err(_) => break None,
+            }
+        };
+        let log_end = |sent_call: &mut SentCall, outcome: &'static str| {
+            self.metrics.on_attempt(outcome);
+            tracing::info!(
+                request = call.id,
+                route = call.route.name,
+                workspace = call.workspace_name(),
+                rank = call.shedding_rank(),
+                server = sent_call.server.id,
+                version = sent_call.server.version,
+                outcome,
+                sends = attempts.tried_servers.len(),
+                cost_ms = choice.cost_ms,
+                uncached_tokens = choice.uncached_tokens,
+                in_flight = choice.in_flight,
+                waiting_tokens = choice.waiting_tokens,
+                first_token_ms = choice.first_token_ms,
+                candidates = choice.candidates,
+                avoided = selected.avoided,
+                held_ms = selected.held.as_millis(),
+                remaining_ms = remaining.as_millis(),
+                processor_delay_ms = self.processor.delay().as_millis(),
+                after_ms = sent_call.sent_at.elapsed().as_millis(),
+                "attempt"
+            );
+            sent_call.is_end_logged = true;
+        };
+        let Some((mut sent_call, result)) = newest else {
+            // The exchange stays in flight, since the server may go on.
+            if let Some(sent_call) = attempts.in_flight.newest() {
+                let result = Err(AttemptError::TimedOut);
+                let outcome = self.record_outcome(sent_call, &result);
+                log_end(sent_call, outcome);
+            }
+            attempts.possible_runs += 1;
+            return Err(Some(AttemptError::TimedOut));
+        };
+        let outcome = self.record_outcome(&sent_call, &result);
+        log_end(&mut sent_call, outcome);
+        match result {
+            Ok((response, first_chunk)) => {
+                Ok(self.start_response(sent_call, response, first_chunk))
+            }
+            Err(error) => {
+                if error == AttemptError::Withheld {
+                    // The server is not tried, and may take the call when its rest has ended.
+                    attempts.tried_servers.pop();
+                }
+                attempts.possible_runs += u32::from(error == AttemptError::Broken);
+                Err(Some(error))
+            }
+        }
+    }
+
+    /// Records the result of an exchange in the health of its server; returns the name of the outcome.
+    fn record_outcome(
+        self: &Arc<Self>,
+        sent_call: &SentCall,
+        result: &ExchangeResult,
+    ) -> &'static str {
+        let outcome = match result {
             Ok((response, _)) if response.head.status().is_server_error() => {
                 Some(CallOutcome::Failed)
             }
@@ -363,70 +582,42 @@
             Err(error) => error.outcome(),
         };
         if let Some(outcome) = outcome {
-            pool.load_view()
-                .on_outcome(self.fleet.now(), server, outcome);
+            let mut load_view = sent_call.pool.load_view();
+            load_view.on_outcome(self.fleet.now(), &sent_call.server.id, outcome);
         }
-        let outcome_name = match &result {
+        match result {
             Ok(_) if outcome == Some(CallOutcome::Failed) => AttemptError::Failed.name(),
             Ok(_) => "answered",
-            Err(error) => error.name(),
-        };
-        self.metrics.on_attempt(outcome_name);
-        tracing::info!(
-            request = call.id,
-            route = call.route.name,
-            workspace = call.workspace_name(),
-            rank = call.shedding_rank(),
-            server,
-            version = sent_call.server.version,
-            outcome = outcome_name,
-            sends = attempts.tried_servers.len(),
-            cost_ms = choice.cost_ms,
-            uncached_tokens = choice.uncached_tokens,
-            in_flight = choice.in_flight,
-            waiting_tokens = choice.waiting_tokens,
-            first_token_ms = choice.first_token_ms,
-            candidates = choice.candidates,
-            avoided = selected.avoided,
-            held_ms = selected.held.as_millis(),
-            remaining_ms = remaining.as_millis(),
-            processor_delay_ms = self.processor.delay().as_millis(),
-            after_ms = sent_call.sent_at.elapsed().as_millis(),
-            "attempt"
-        );
-        sent_call.is_end_logged = true;
-        match result {
-            Ok((response, first_chunk)) => {
-                if response.head.status().is_success() {
-                    let now = self.fleet.now();
-                    let mut load_view = pool.load_view();
-                    load_view.on_first_part(now, &sent_call.server.id, sent_call.number);
-                    drop(load_view);
-                    self.summaries.on_load_change();
-                }
-                Ok(StartedResponse {
-                    sent_call,
-                    response,
-                    first_chunk,
-                })
-            }
             Err(error) => {
-                if error == AttemptError::Withheld {
-                    // The server is not tried, and may take the call when its rest has ended.
-                    attempts.tried_servers.pop();
+                if *error == AttemptError::Broken {
+                    self.check_for_crash(sent_call, ConnectionEnd::Broken);
                 }
-                if error == AttemptError::Broken {
-                    self.check_for_crash(&sent_call, ConnectionEnd::Broken);
-                }
-                attempts.possible_runs += u32::from(matches!(
-                    error,
-                    AttemptError::Broken | AttemptError::TimedOut
-                ));
-                Err(Some(error))
+                error.name()
             }
         }
     }
 
+    /// Records that the response of a server has begun.
+    fn start_response(
+        &self,
+        sent_call: SentCall,
+        response: PooledResponse,
+        first_chunk: Option<Bytes>,
+    ) -> StartedResponse {
+        if response.head.status().is_success() {
+            let mut load_view = sent_call.pool.load_view();
+            load_view.on_first_part(self.fleet.now(), &sent_call.server.id, sent_call.number);
+            drop(load_view);
+            self.summaries.on_load_change();
+        }
+        StartedResponse {
+            sent_call,
+            response,
+            first_chunk,
+            is_run_counted: false,
+        }
+    }
+
     /// Spawns a task that checks whether the server has crashed after the connection of a call has ended.
     pub(crate) fn check_for_crash(self: &Arc<Self>, sent_call: &SentCall, end: ConnectionEnd) {
         let quarantine = Arc::clone(&self.quarantine);
@@ -448,34 +639,59 @@
         }
     }
 
-    /// Selects a server and adds the call to its load; `Err(None)` when no server can take it in time.
+    /// Selects a server for the next attempt, unless a silent one answers meanwhile. `Err(None)` means that no server can
+    /// take the call in time.
+    async fn next_server(
+        self: &Arc<Self>,
+        call: &Arc<Call>,
+        pool: &Arc<PoolState>,
+        attempts: &mut Attempts,
+    ) -> Result<NextServer, Option<AttemptError>> {
+        loop {
+            let (tried_servers, version) = (&attempts.tried_servers, attempts.version);
+            let selecting = self.select_server(call, pool, tried_servers, version);
+            let selecting = async { Wait::Selected(selecting.await) };
+            let answering = async { Wait::Answered(attempts.in_flight.first_result().await) };
+            match future::or(selecting, answering).await {
+                Wait::Selected(Ok((sent_call, selected))) => {
+                    return Ok(NextServer::Selected(sent_call, selected));
+                }
+                Wait::Selected(Err(SelectError::NoServer)) => return Err(None),
+                Wait::Selected(Err(SelectError::Limited(wait))) => {
+                    attempts.limited = Some(wait);
+                    return Err(None);
+                }
+                Wait::Selected(Err(SelectError::AtRest(back_in))) => {
+                    attempts.at_rest = Some(back_in);
+                    return Err(None);
+                }
+                Wait::Answered((sent_call, result)) => {
+                    if let Some(started) = self.on_late_result(attempts, sent_call, result) {
+                        return Ok(NextServer::Answered(started));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Selects a server and adds the call to its load.
     async fn select_server(
         &self,
         call: &Arc<Call>,
         pool: &Arc<PoolState>,
-        attempts: &mut Attempts,
-    ) -> Result<(SentCall, SelectedServer), Option<AttemptError>> {
+        tried_servers: &[ServerId],
+        version: Option<VersionId>,
+    ) -> Result<(SentCall, SelectedServer), SelectError> {
         let number = self.next_call_number.fetch_add(1, Ordering::Relaxed);
         let request = ServerRequest {
             pool,
             number,
             demand: &call.demand,
-            tried_servers: &attempts.tried_servers,
-            version: attempts.version,
+            tried_servers,
+            version,
             deadline: call.deadline(),
         };
-        let selected = match self.summaries.limits().select(&self.fleet, request).await {
-            Ok(selected) => selected,
-            Err(SelectError::NoServer) => return Err(None),
-            Err(SelectError::Limited(wait)) => {
-                attempts.limited = Some(wait);
-                return Err(None);
-            }
-            Err(SelectError::AtRest(back_in)) => {
-                attempts.at_rest = Some(back_in);
-                return Err(None);
-            }
-        };
+        let selected = self.summaries.limits().select(&self.fleet, request).await?;
         let choice = &selected.choice;
         let expected_latency = if call.demand.prompt_tokens > 0 {
             let normal_ms = choice.first_token_ms / choice.slowness;
@@ -498,80 +714,75 @@
 
     /// Sends one attempt to its server and returns the checked head and the first chunk of the response.
     async fn send_to_server(
-        &self,
-        call: &Call,
-        sent_call: &SentCall,
+        self: Arc<Self>,
+        call: Arc<Call>,
+        target: Target,
         remaining: Duration,
         resume_after: Option<u64>,
-        attempts: &Attempts,
-    ) -> Result<(PooledResponse, Option<Bytes>), AttemptError> {
+    ) -> ExchangeResult {
         let context = AttemptContext {
-            server: &sent_call.server,
+            server: &target.server,
             remaining,
             resume_after,
         };
-        let request = self.codec.request(call, context);
-        let processor_delay = self.processor.delay();
-        let time_limit = response_timeout(call, remaining, attempts, processor_delay);
-        let exchange = async {
-            let connect_timeout = CONNECT_TIMEOUT.min(remaining);
-            let server = &sent_call.server;
-            let may_send = || self.summaries.limits().may_send(self.fleet.now(), server);
-            let sending =
-                self.connection_pool
-                    .send(server.address, request, connect_timeout, true, may_send);
-            let mut response = sending.await.map_err(|error| attempt_error(call, &error))?;
-            let head = self.codec.response_head(&response.head);
-            self.check_head(call, sent_call, &head, response.head.status())?;
-            let first_chunk = response
-                .next_chunk()
-                .await
-                .map_err(|_| AttemptError::Broken)?;
-            Ok((response, first_chunk))
-        };
-        let result = timeout(time_limit, exchange).await;
-        result.unwrap_or(Err(AttemptError::TimedOut))
+        let request = self.codec.request(&call, context);
+        let connect_timeout = CONNECT_TIMEOUT.min(remaining);
+        let server = &target.server;
+        let may_send = || self.summaries.limits().may_send(self.fleet.now(), server);
+        let sending =
+            self.connection_pool
+                .send(server.address, request, connect_timeout, true, may_send);
+        let mut response = sending
+            .await
+            .map_err(|error| attempt_error(&call, &error))?;
+        let head = self.codec.response_head(&response.head);
+        self.check_head(&call, &target, &head, response.head.status())?;
+        let first_chunk = response
+            .next_chunk()
+            .await
+            .map_err(|_| AttemptError::Broken)?;
+        Ok((response, first_chunk))
     }
 
     /// Updates the load view from a response's head and returns an error if the response cannot be used.
     fn check_head(
         &self,
         call: &Call,
-        sent_call: &SentCall,
+        target: &Target,
         head: &ResponseHead,
         status: StatusCode,
     ) -> Result<(), AttemptError> {
         if head.id.as_ref().is_some_and(|id| *id != call.id) {
             tracing::warn!(
                 request = call.id,
-                server = sent_call.server.id,
+                server = target.server.id,
                 other = head.id,
                 "response belongs to another call"
             );
             return Err(AttemptError::Broken);
         }
         if let Some(load) = head.load {
-            sent_call
+            target
                 .pool
                 .load_view()
-                .on_load(self.fleet.now(), &sent_call.server.id, load);
+                .on_load(self.fleet.now(), &target.server.id, load);
         }
         if !head.is_wrong_server && (head.is_authentic || head.limit != LimitHeader::Absent) {
             let now = self.fleet.now();
-            let requested_at = now.saturating_sub(sent_call.sent_at.elapsed());
+            let requested_at = now.saturating_sub(target.sent_at.elapsed());
             let limits = self.summaries.limits();
-            limits.on_answer(&sent_call.server, head.limit, requested_at, now);
+            limits.on_answer(&target.server, head.limit, requested_at, now);
         }
         if !head.is_wrong_server && head.id.is_some() {
             let now = self.fleet.now();
-            let requested_at = now.saturating_sub(sent_call.sent_at.elapsed());
+            let requested_at = now.saturating_sub(target.sent_at.elapsed());
             let limits = self.summaries.limits();
-            limits.on_server_state(&sent_call.server, head.availability, requested_at, now);
+            limits.on_server_state(&target.server, head.availability, requested_at, now);
         }
         if head.is_wrong_server {
-            sent_call.pool.load_view().on_outcome(
+            target.pool.load_view().on_outcome(
                 self.fleet.now(),
-                &sent_call.server.id,
+                &target.server.id,
                 CallOutcome::Restarted,
             );
             return Err(AttemptError::NotRun);
@@ -595,7 +806,9 @@
     ) -> Reply {
         self.metrics.observe_first_chunk(call.arrived.elapsed());
         let status = started.response.head.status();
-        if call.route.is_stream && status.is_success() {
+        // The HTTP library drops the body of a response that has none by definition, which looks like a caller that left.
+        let has_body = call.method != Method::HEAD && status != StatusCode::NO_CONTENT;
+        if call.route.is_stream && status.is_success() && has_body {
             let mut head = clone_head(&started.response.head);
             self.codec.strip_connection_headers(&mut head);
             head.headers_mut().remove(http::header::CONTENT_LENGTH);
@@ -649,7 +862,8 @@
             let hash = xxhash_rust::xxh3::xxh3_64(call.id.as_bytes());
             Refusal::ServersAtRest(retry_after(back_in, hash))
         }
-        Some(AttemptError::NotRun) => Refusal::Overloaded,
+        // A silent server has refused the call in the meantime, or it would count as a possible run.
+        Some(AttemptError::NotRun | AttemptError::TimedOut) => Refusal::Overloaded,
         _ => attempts
             .limited
             .map_or(Refusal::NoServer, Refusal::ServerLimit),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,7 +1,7 @@
 //! Counters and latency histograms of an entry.
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use prometheus_client::encoding::EncodeLabelSet;
@@ -10,12 +10,13 @@
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
-use prometheus_client::registry::Registry;
+use prometheus_client::registry::{Metric, Registry};
 use tanagerford_core::dispatch::Rank;
 use tanagerford_core::ids::ServerId;
 use tanagerford_core::server_limit::RequestRate;
 
 use crate::refusal::Refusal;
+use crate::request_end::RequestEnd;
 use crate::table::Version;
 
 /// Upper bounds of the buckets of the processor delay, in seconds.
@@ -28,6 +29,12 @@
     reason: &'static str,
 }
 
+#[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct EndLabels {
+    how: &'static str,
+    reason: &'static str,
+}
+
 #[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct SourceLabels {
     source: &'static str,
@@ -62,6 +69,9 @@
 #[derive(Debug)]
 pub(crate) struct Metrics {
     registry: Registry,
+    requests_read: Counter,
+    requests_in_flight: AtomicU64,
+    requests_ended: Family<EndLabels, Counter>,
     refusals: Family<ReasonLabels, Counter>,
     attempts: Family<ReasonLabels, Counter>,
     admissions: Family<AdmissionLabels, Counter>,
@@ -80,83 +90,82 @@
 impl Default for Metrics {
     fn default() -> Self {
         let mut registry = Registry::with_prefix("tanagerford_gateway");
-        let refusals = Family::<ReasonLabels, Counter>::default();
-        let attempts = Family::<ReasonLabels, Counter>::default();
-        let first_chunk = Histogram::new(LATENCY_BUCKETS_S);
-        let processor_delay = Histogram::new(DELAY_BUCKETS_S);
-        registry.register(
+        let refusals = register(
+            &mut registry,
             "refusals",
             "answers of the entry itself, by reason",
-            refusals.clone(),
         );
-        registry.register(
+        let attempts = register(
+            &mut registry,
             "attempts",
             "calls to backend servers, by their end",
-            attempts.clone(),
         );
+        let first_chunk = Histogram::new(LATENCY_BUCKETS_S);
         registry.register(
             "first_part_seconds",
             "time from a request's head to the first part of its answer",
             first_chunk.clone(),
         );
+        let processor_delay = Histogram::new(DELAY_BUCKETS_S);
         registry.register(
             "processor_delay_seconds",
             "time for which what was due waited for the processor",
             processor_delay.clone(),
         );
-        let admissions = Family::<AdmissionLabels, Counter>::default();
-        registry.register(
+        let admissions = register(
+            &mut registry,
             "admissions",
             "calls that the entry admitted, or refused for lack of processor time, by rank",
-            admissions.clone(),
         );
-        let deadline_overruns = Counter::default();
-        let configurations = Family::<SourceLabels, Counter>::default();
-        let version = Gauge::default();
-        registry.register(
+        let deadline_overruns = register(
+            &mut registry,
             "past_limit",
             "calls that ended noticeably after their time limit",
-            deadline_overruns.clone(),
         );
-        registry.register(
+        let configurations = register(
+            &mut registry,
             "configurations",
             "configurations that came into force, by the way they came",
-            configurations.clone(),
         );
-        registry.register(
+        let version = register(
+            &mut registry,
             "configuration_version",
             "version of the configuration in force",
-            version.clone(),
         );
-        let quarantined_parts = Gauge::default();
-        registry.register(
+        let quarantined_parts = register(
+            &mut registry,
             "quarantined_parts",
             "prompt parts whose requests are refused because they crash backend servers",
-            quarantined_parts.clone(),
         );
-        let server_limits = Family::<ServerLabels, Gauge<f64, AtomicU64>>::default();
-        registry.register(
+        let server_limits = register(
+            &mut registry,
             "server_limit",
             "requests per second that a backend server takes from all entries together",
-            server_limits.clone(),
         );
-        let servers_at_rest = Gauge::default();
-        registry.register(
+        let servers_at_rest = register(
+            &mut registry,
             "servers_at_rest",
             "backend servers that asked this entry for a rest which has not ended",
-            servers_at_rest.clone(),
         );
-        let servers_leaving = Gauge::default();
-        registry.register(
+        let servers_leaving = register(
+            &mut registry,
             "servers_leaving",
             "backend servers that told this entry that they leave",
-            servers_leaving.clone(),
         );
-        let streams = Family::<VersionLabels, Gauge>::default();
-        registry.register(
+        let requests_read = register(
+            &mut registry,
+            "requests_read",
+            "requests that were read whole",
+        );
+        let requests_ended = register(
+            &mut registry,
+            "requests_ended",
+            "requests that were read whole and have ended, by how",
+        );
+        let streams = register(
+            &mut registry,
             "streams",
             "streams in flight, by the software version of their servers",
-            streams.clone(),
         );
         Self {
             streams,
@@ -168,6 +177,9 @@
             configurations,
             version,
             registry,
+            requests_read,
+            requests_in_flight: AtomicU64::new(0),
+            requests_ended,
             refusals,
             attempts,
             admissions,
@@ -177,7 +189,33 @@
     }
 }
 
+/// Registers a metric that begins at zero.
+fn register<M: Metric + Clone + Default>(registry: &mut Registry, name: &str, help: &str) -> M {
+    let metric = M::default();
+    registry.register(name, help, metric.clone());
+    metric
+}
+
 impl Metrics {
+    pub(crate) fn on_request_read(&self) {
+        self.requests_read.inc();
+        self.requests_in_flight.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Returns the number of requests that were read whole and have not ended.
+    pub(crate) fn requests_in_flight(&self) -> u64 {
+        self.requests_in_flight.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn on_request_end(&self, end: RequestEnd) {
+        let labels = EndLabels {
+            how: end.name(),
+            reason: end.reason(),
+        };
+        self.requests_ended.get_or_create(&labels).inc();
+        self.requests_in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+
     pub(crate) fn on_refusal(&self, refusal: Refusal) {
         let reason = refusal.name();
         self.refusals.get_or_create(&ReasonLabels { reason }).inc();
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -47,6 +47,10 @@
     ServerFailed,
     /// The deadline passed while a server may have been running the request.
     TimedOut,
+    /// The entry panicked while it handled the request, which a server may have run.
+    InternalError,
+    /// The entry stops before a server has answered; a server may have run the request.
+    Stopping,
 }
 
 impl Refusal {
@@ -72,6 +76,8 @@
             Self::Expired => "expired",
             Self::ServerFailed => "server_failed",
             Self::TimedOut => "timed_out",
+            Self::InternalError => "internal_error",
+            Self::Stopping => "stopping",
         }
     }
 
@@ -96,7 +102,10 @@
     /// ```
     #[must_use]
     pub fn is_not_run(self) -> bool {
-        !matches!(self, Self::ServerFailed | Self::TimedOut)
+        !matches!(
+            self,
+            Self::ServerFailed | Self::TimedOut | Self::InternalError | Self::Stopping
+        )
     }
 
     /// Returns the delay after which the caller should retry, or `None` if a retry is not expected to help.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,16 +1,18 @@
 //! Forwards an event stream to the caller, and resumes it at another server if the route allows it.
 
 use std::io;
+use std::pin::pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use futures_lite::stream;
+use futures_lite::{future, stream};
 use tanagerford_core::dispatch::CallOutcome;
 use tanagerford_http::Body;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout, timeout_at};
 
-use crate::attempt::{AttemptError, Attempts, StartedResponse};
+use crate::attempt::{AttemptError, Attempts, SentCall, StartedResponse};
 use crate::call::{Call, RetryPolicy};
 use crate::codec::Codec;
 use crate::events::EventSplitter;
@@ -18,9 +20,12 @@
 use crate::gateway::Gateway;
 use crate::metrics::StreamGuard;
 use crate::quarantine::ConnectionEnd;
+use crate::request_end::RequestEnd;
 
-/// Time without data from the server after which a resumable stream is resumed at another server.
+/// Time without data from the server after which another server is asked to go on with a resumable stream.
 const RESUME_IDLE_TIMEOUT: Duration = Duration::from_millis(800);
+/// Interval at which other servers are asked again while none may go on with the stream of a silent server.
+const TAKE_OVER_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Event stream from a server to a caller.
 pub(crate) struct Relay<C> {
@@ -40,6 +45,14 @@
     longest_pause: Duration,
 }
 
+/// First event after a stream's server fell silent.
+enum SilenceEnd {
+    /// The server goes on, or its connection has ended.
+    Own(Result<Option<Bytes>, hyper::Error>),
+    /// Another server goes on with the stream; `None` if the own one has failed and no other takes over.
+    Other(Option<Box<StartedResponse>>),
+}
+
 /// Reason for which a stream cannot continue at its server.
 #[derive(Debug, Clone, Copy)]
 enum RelayError {
@@ -94,11 +107,11 @@
                 }
                 Ok(None) => {
                     relay.gateway.on_complete_answer(&relay.started);
-                    relay.log_end("answered");
+                    relay.log_end("answered", RequestEnd::StreamComplete);
                     None
                 }
                 Err(error) => {
-                    relay.log_end(error.name());
+                    relay.log_end(error.name(), RequestEnd::Cut(error.name()));
                     Some((Err(io::Error::from(io::ErrorKind::ConnectionAborted)), None))
                 }
             }
@@ -121,8 +134,8 @@
         self.last_sent_at = now;
     }
 
-    fn log_end(&self, outcome: &str) {
-        self.gateway.record_end(&self.call);
+    fn log_end(&self, outcome: &str, end: RequestEnd) {
+        self.gateway.record_end(&self.call, end);
         tracing::info!(
             request = self.call.id,
             route = self.call.route.name,
@@ -147,6 +160,7 @@
             match self.next_from_server().await {
                 Ok(Some(data)) if data.is_empty() => {}
                 Ok(next) => return Ok(next),
+                Err(RelayError::IdleTimeout) => self.outlast_silence().await?,
                 Err(error) => self.resume(error).await?,
             }
         }
@@ -193,53 +207,118 @@
         }
     }
 
-    /// Resumes the stream at another server after the last complete event. Returns `error` if that is not possible.
-    async fn resume(&mut self, error: RelayError) -> Result<(), RelayError> {
+    /// Waits until the silent server goes on or another one goes on in its place, whichever is first. The server is sound
+    /// until its connection ends, so it is not given up before.
+    async fn outlast_silence(&mut self) -> Result<(), RelayError> {
+        self.record_failure(CallOutcome::TimedOut);
+        match self.silence_end().await {
+            Some(SilenceEnd::Own(Ok(chunk))) => {
+                self.on_silence_end(chunk);
+                Ok(())
+            }
+            Some(SilenceEnd::Other(Some(started))) => {
+                self.switch_to(*started);
+                Ok(())
+            }
+            Some(SilenceEnd::Own(Err(_)) | SilenceEnd::Other(None)) => Err(RelayError::Broken),
+            None => Err(RelayError::IdleTimeout),
+        }
+    }
+
+    /// Returns what ends the silence of the stream's server; `None` at the deadline.
+    async fn silence_end(&mut self) -> Option<SilenceEnd> {
+        let after = self.events.last_id();
+        let deadline = self.call.deadline().into();
+        let (gateway, call, pool) = (&self.gateway, &self.call, &self.pool);
+        let (sent_call, response) = (&self.started.sent_call, &mut self.started.response);
+        let (pool_name, attempts) = (&sent_call.server.pool, &mut self.attempts);
+        let own_has_failed = AtomicBool::new(false);
+        let mut taking_over = pin!(async {
+            loop {
+                let failure = Some(AttemptError::TimedOut);
+                let answer = gateway.try_servers(call, pool, pool_name, attempts, after, failure);
+                match answer.await {
+                    Ok(started) if started.response.head.status().is_success() => {
+                        return Some(Box::new(started));
+                    }
+                    _ if own_has_failed.load(Ordering::Relaxed) => return None,
+                    _ => sleep(TAKE_OVER_INTERVAL).await,
+                }
+            }
+        });
+        let own = async { SilenceEnd::Own(response.next_chunk().await) };
+        let other = async { SilenceEnd::Other(taking_over.as_mut().await) };
+        let mut end = timeout_at(deadline, future::or(own, other)).await;
+        if let Ok(SilenceEnd::Own(Err(_))) = end {
+            own_has_failed.store(true, Ordering::Relaxed);
+            record_failure(gateway, sent_call, CallOutcome::Broken);
+            end = timeout_at(deadline, taking_over)
+                .await
+                .map(SilenceEnd::Other);
+        }
+        end.ok()
+    }
+
+    /// Goes on with the stream's own server after a silence.
+    fn on_silence_end(&mut self, chunk: Option<Bytes>) {
+        self.attempts.abandon_in_flight();
+        self.started.first_chunk = chunk;
+        let now = self.gateway.fleet.now();
         let server = &self.started.sent_call.server.id;
-        let (outcome, attempt_error) = match error {
-            RelayError::Expired => return Err(error),
-            RelayError::IdleTimeout => (CallOutcome::TimedOut, AttemptError::TimedOut),
-            RelayError::Broken => (CallOutcome::Broken, AttemptError::Broken),
-        };
-        self.pool
-            .load_view()
-            .on_outcome(self.gateway.fleet.now(), server, outcome);
-        if matches!(error, RelayError::Broken) {
-            let sent_call = &self.started.sent_call;
-            self.gateway
-                .check_for_crash(sent_call, ConnectionEnd::Broken);
+        let outcome = CallOutcome::Answered { slowness: 1.0 };
+        self.pool.load_view().on_outcome(now, server, outcome);
+    }
+
+    /// Resumes the stream at another server after its server has failed. Returns `error` if that is not possible.
+    async fn resume(&mut self, error: RelayError) -> Result<(), RelayError> {
+        if matches!(error, RelayError::Expired) {
+            return Err(error);
         }
+        self.record_failure(CallOutcome::Broken);
         if self.call.retry_policy() != RetryPolicy::Resumable {
             return Err(error);
         }
-        self.attempts.record_possible_run();
-        let pool_name = self.started.sent_call.server.pool.clone();
-        let mut last_error = attempt_error;
-        self.events.drop_partial();
-        loop {
-            if !self
-                .gateway
-                .allow_retry(&self.call, &pool_name, &self.attempts, last_error)
-            {
-                return Err(error);
-            }
-            let now = self.gateway.fleet.now();
-            let quarantine = &self.gateway.quarantine;
-            if quarantine.quarantined_part(now, &self.call).is_some() {
-                return Err(error);
-            }
-            let after = self.events.last_id();
-            let attempt = self
-                .gateway
-                .attempt(&self.call, &self.pool, &mut self.attempts, after);
-            match attempt.await {
-                Ok(started) if started.response.head.status().is_success() => {
-                    self.started = started;
-                    return Ok(());
-                }
-                Err(Some(error)) => last_error = error,
-                Ok(_) | Err(None) => return Err(error),
+        let after = self.events.last_id();
+        let pool_name = &self.started.sent_call.server.pool;
+        let answer = self.gateway.try_servers(
+            &self.call,
+            &self.pool,
+            pool_name,
+            &mut self.attempts,
+            after,
+            Some(AttemptError::Broken),
+        );
+        match answer.await {
+            Ok(started) if started.response.head.status().is_success() => {
+                self.switch_to(started);
+                Ok(())
             }
+            _ => Err(error),
+        }
+    }
+
+    /// Records that the server of the stream failed or fell silent.
+    fn record_failure(&mut self, outcome: CallOutcome) {
+        record_failure(&self.gateway, &self.started.sent_call, outcome);
+        if !self.started.is_run_counted {
+            self.started.is_run_counted = true;
+            self.attempts.record_possible_run();
         }
     }
+
+    /// Goes on with the stream at another server after the last complete event.
+    fn switch_to(&mut self, started: StartedResponse) {
+        self.events.drop_partial();
+        self.started = started;
+    }
+}
+
+/// Records the failure or silence of a stream's server in its health, and checks whether a failed server has crashed.
+fn record_failure<C: Codec>(gateway: &Arc<Gateway<C>>, sent_call: &SentCall, outcome: CallOutcome) {
+    let mut load_view = sent_call.pool.load_view();
+    load_view.on_outcome(gateway.fleet.now(), &sent_call.server.id, outcome);
+    drop(load_view);
+    if outcome == CallOutcome::Broken {
+        gateway.check_for_crash(sent_call, ConnectionEnd::Broken);
+    }
 }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -6,6 +6,7 @@
 
 use std::io::BufReader;
 use std::net::{SocketAddr, TcpStream};
+use std::thread;
 
 use support::store::StoreStandin;
 use support::{Action, CONFIGURATION, Worker, answer, chunk, read_message, request};
@@ -90,6 +91,48 @@
     assert!(process.find_line("entry has stopped").is_some());
 }
 
+/// Guards against a call that ends without an answer when the time for a stop is over, and against streams that are cut then
+/// and are in no log line.
+#[test]
+fn a_stopping_process_refuses_unanswered_calls_and_counts_cut_streams() {
+    let store = StoreStandin::start();
+    let begun = support::STREAM_HEAD.to_owned() + &chunk("id: 1\ndata: a\n\n");
+    let engine = Worker::start([Action::WriteAndHang(begun)]);
+    let plain = Worker::start([Action::Hang]);
+    let workdir = Workdir::new("gateway_in_flight");
+    workdir.write(
+        "settings.toml",
+        platform_settings("front-1", "zone-a", store.address, 100),
+    );
+    let arguments = ["gateway", "--settings", "settings.toml"];
+    let mut process = Process::start(&workdir, &arguments, STARTED);
+    let callers = process.address(STARTED, "callers");
+    let readiness = process.address(STARTED, "readiness");
+    // Longer than the time for a stop.
+    let configuration = CONFIGURATION.replace("\"timeoutMs\": 5000", "\"timeoutMs\": 60000");
+    store.put("op/config", &configuration);
+    store.put("servers/e-1", &registration("engines", &engine));
+    store.put("servers/p-1", &registration("plain", &plain));
+    wait_until(|| status(readiness, "/tanagerford/ready").as_deref() == Some("200"));
+    let send = |line: &str, id: &str| {
+        let text = request(line, id, "Content-Length: 0\r\n");
+        let text = text.replace("Remaining: 8000", "Remaining: 60000");
+        thread::spawn(move || call(callers, &text))
+    };
+    let order = send("POST /orders/1", "id-1");
+    let stream = send("POST /drafts/1", "id-2");
+    wait_until(|| !plain.received().is_empty() && !engine.received().is_empty());
+    process.terminate();
+    assert!(process.wait().success());
+    let got = order.join().expect("caller").expect("an answer");
+    assert_eq!(got.line, "HTTP/1.1 502 Bad Gateway");
+    assert_eq!(got.body, br#"{"error":"stopping"}"#);
+    let got = stream.join().expect("caller");
+    assert!(got.is_none(), "{got:?}");
+    let line = process.find_line("entry has stopped").expect("last line");
+    assert_eq!(line["requests_in_flight"], 1, "{line}");
+}
+
 /// Guards against a process that starts with invalid settings, and against reporting only the first finding.
 #[test]
 fn all_findings_of_settings_are_reported() {
