--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -7,6 +7,7 @@
 use bytes::{Bytes, BytesMut};
 use futures_lite::future;
 use http::{Method, Response, StatusCode};
+use tanagerford_core::availability::retry_after;
 use tanagerford_core::dispatch::{
     CallNumber, CallOutcome, Choice, GATE_POLL_INTERVAL, GateDecision, MAX_ATTEMPTS_PER_CALL,
     RemainingTime,
@@ -107,6 +108,8 @@
 pub(crate) enum AttemptError {
     /// The connection could not be established; nothing was sent.
     Unreachable,
+    /// The server asked for a rest or said that it leaves before the call was written; nothing was sent.
+    Withheld,
     /// The server states that it did not run the call.
     NotRun,
     /// The connection broke or the response was invalid; the server may have run the call.
@@ -121,6 +124,7 @@
     fn name(self) -> &'static str {
         match self {
             Self::Unreachable => "unreachable",
+            Self::Withheld => "withheld",
             Self::NotRun => "not_run",
             Self::Broken => "broken",
             Self::TimedOut => "silent",
@@ -130,16 +134,18 @@
 
     /// Returns whether a retry after this failure is deducted from the budget.
     fn uses_retry_budget(self) -> bool {
-        self != Self::Unreachable
+        !matches!(self, Self::Unreachable | Self::Withheld)
     }
 
-    fn outcome(self) -> CallOutcome {
+    /// Returns what the attempt shows about its server; `None` if the server was not involved.
+    fn outcome(self) -> Option<CallOutcome> {
         match self {
-            Self::Unreachable => CallOutcome::Unreachable,
-            Self::NotRun => CallOutcome::Refused,
-            Self::Broken => CallOutcome::Broken,
-            Self::TimedOut => CallOutcome::TimedOut,
-            Self::Failed => CallOutcome::Failed,
+            Self::Unreachable => Some(CallOutcome::Unreachable),
+            Self::Withheld => None,
+            Self::NotRun => Some(CallOutcome::Refused),
+            Self::Broken => Some(CallOutcome::Broken),
+            Self::TimedOut => Some(CallOutcome::TimedOut),
+            Self::Failed => Some(CallOutcome::Failed),
         }
     }
 }
@@ -174,6 +180,8 @@
     version: Option<VersionId>,
     /// Time after which the servers' limits have room, if they are the reason why the call was not sent.
     limited: Option<Duration>,
+    /// Time after which the first server is back from its rest, if rests are the reason why the call was not sent.
+    at_rest: Option<Duration>,
     /// Exchanges with servers that have not begun to answer.
     in_flight: InFlight,
     /// First failure that a server reported. The caller receives it if no other server succeeds.
@@ -345,7 +353,10 @@
                 })
             }
             Err(error) => {
-                let has_not_run = matches!(error, AttemptError::NotRun | AttemptError::Unreachable);
+                let has_not_run = matches!(
+                    error,
+                    AttemptError::NotRun | AttemptError::Unreachable | AttemptError::Withheld
+                );
                 if has_not_run && is_run_counted {
                     attempts.possible_runs = attempts.possible_runs.saturating_sub(1);
                 }
@@ -361,6 +372,8 @@
         pool: &PoolState,
     ) -> Result<Option<VersionId>, Refusal> {
         let versions = pool.recent_versions();
+        let limits = self.summaries.limits();
+        let is_served = |version| pool.has_version(version, |server| limits.is_leaving(server));
         let known = match &call.resumed_attempt {
             Some(first) => {
                 let lookup = self.summaries.lookup_version(call.workspace_name(), first);
@@ -372,7 +385,7 @@
         let result = match known {
             None => Ok(None),
             Some(None) => Err(Refusal::StreamVersionUnknown),
-            Some(Some(version)) if pool.has_version(version) => Ok(Some(version)),
+            Some(Some(version)) if is_served(version) => Ok(Some(version)),
             Some(Some(_)) => Err(Refusal::StreamVersionGone),
         };
         log::stream_taken_up(call, &versions, result.ok().flatten());
@@ -428,7 +441,7 @@
     }
 
     /// Returns whether the call may be sent to another server after `error`, and deducts the retry from the pool's
-    /// budget. A call that could not connect is retried without a deduction.
+    /// budget. A call that could not connect or was withheld is retried without a deduction.
     pub(crate) fn allow_retry(
         &self,
         call: &Call,
@@ -440,7 +453,7 @@
             return false;
         }
         match error {
-            AttemptError::Unreachable => true,
+            AttemptError::Unreachable | AttemptError::Withheld => true,
             AttemptError::NotRun => self.try_take_retry(pool),
             AttemptError::Broken | AttemptError::TimedOut | AttemptError::Failed => {
                 call.retry_policy() != RetryPolicy::AtMostOnce
@@ -543,6 +556,10 @@
                 Ok(self.start_response(sent_call, response, first_chunk))
             }
             Err(error) => {
+                if error == AttemptError::Withheld {
+                    // The server is not tried, and may take the call when its rest has ended.
+                    attempts.tried_servers.pop();
+                }
                 attempts.possible_runs += u32::from(error == AttemptError::Broken);
                 Err(Some(error))
             }
@@ -556,17 +573,20 @@
         result: &ExchangeResult,
     ) -> &'static str {
         let outcome = match result {
-            Ok((response, _)) if response.head.status().is_server_error() => CallOutcome::Failed,
-            Ok(_) => CallOutcome::Answered {
+            Ok((response, _)) if response.head.status().is_server_error() => {
+                Some(CallOutcome::Failed)
+            }
+            Ok(_) => Some(CallOutcome::Answered {
                 slowness: sent_call.slowness(self.processor.delay()),
-            },
+            }),
             Err(error) => error.outcome(),
         };
-        let mut load_view = sent_call.pool.load_view();
-        load_view.on_outcome(self.fleet.now(), &sent_call.server.id, outcome);
-        drop(load_view);
+        if let Some(outcome) = outcome {
+            let mut load_view = sent_call.pool.load_view();
+            load_view.on_outcome(self.fleet.now(), &sent_call.server.id, outcome);
+        }
         match result {
-            Ok(_) if outcome == CallOutcome::Failed => AttemptError::Failed.name(),
+            Ok(_) if outcome == Some(CallOutcome::Failed) => AttemptError::Failed.name(),
             Ok(_) => "answered",
             Err(error) => {
                 if *error == AttemptError::Broken {
@@ -641,6 +661,10 @@
                     attempts.limited = Some(wait);
                     return Err(None);
                 }
+                Wait::Selected(Err(SelectError::AtRest(back_in))) => {
+                    attempts.at_rest = Some(back_in);
+                    return Err(None);
+                }
                 Wait::Answered((sent_call, result)) => {
                     if let Some(started) = self.on_late_result(attempts, sent_call, result) {
                         return Ok(NextServer::Answered(started));
@@ -703,9 +727,11 @@
         };
         let request = self.codec.request(&call, context);
         let connect_timeout = CONNECT_TIMEOUT.min(remaining);
+        let server = &target.server;
+        let may_send = || self.summaries.limits().may_send(self.fleet.now(), server);
         let sending =
             self.connection_pool
-                .send(target.server.address, request, connect_timeout, true);
+                .send(server.address, request, connect_timeout, true, may_send);
         let mut response = sending
             .await
             .map_err(|error| attempt_error(&call, &error))?;
@@ -747,6 +773,12 @@
             let limits = self.summaries.limits();
             limits.on_answer(&target.server, head.limit, requested_at, now);
         }
+        if !head.is_wrong_server && head.id.is_some() {
+            let now = self.fleet.now();
+            let requested_at = now.saturating_sub(target.sent_at.elapsed());
+            let limits = self.summaries.limits();
+            limits.on_server_state(&target.server, head.availability, requested_at, now);
+        }
         if head.is_wrong_server {
             target.pool.load_view().on_outcome(
                 self.fleet.now(),
@@ -826,6 +858,10 @@
         _ if attempts.possible_runs > 0 && is_expired => Refusal::TimedOut,
         _ if attempts.possible_runs > 0 => Refusal::ServerFailed,
         _ if is_expired => Refusal::Expired,
+        _ if let Some(back_in) = attempts.at_rest => {
+            let hash = xxhash_rust::xxh3::xxh3_64(call.id.as_bytes());
+            Refusal::ServersAtRest(retry_after(back_in, hash))
+        }
         // A silent server has refused the call in the meantime, or it would count as a possible run.
         Some(AttemptError::NotRun | AttemptError::TimedOut) => Refusal::Overloaded,
         _ => attempts
@@ -854,6 +890,7 @@
 fn attempt_error(call: &Call, error: &ExchangeError) -> AttemptError {
     match error {
         ExchangeError::Connect(_) | ExchangeError::NotSent => AttemptError::Unreachable,
+        ExchangeError::Withheld => AttemptError::Withheld,
         ExchangeError::Broken(error) => {
             tracing::debug!(request = call.id, %error, "connection to the server broke");
             AttemptError::Broken
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -10,7 +10,7 @@
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
-use prometheus_client::registry::Registry;
+use prometheus_client::registry::{Metric, Registry};
 use tanagerford_core::dispatch::Rank;
 use tanagerford_core::ids::ServerId;
 use tanagerford_core::server_limit::RequestRate;
@@ -82,93 +82,96 @@
     version: Gauge<u64, AtomicU64>,
     quarantined_parts: Gauge<u64, AtomicU64>,
     server_limits: Family<ServerLabels, Gauge<f64, AtomicU64>>,
+    servers_at_rest: Gauge<u64, AtomicU64>,
+    servers_leaving: Gauge<u64, AtomicU64>,
     streams: Family<VersionLabels, Gauge>,
 }
 
 impl Default for Metrics {
     fn default() -> Self {
         let mut registry = Registry::with_prefix("tanagerford_gateway");
-        let refusals = Family::<ReasonLabels, Counter>::default();
-        let attempts = Family::<ReasonLabels, Counter>::default();
-        let first_chunk = Histogram::new(LATENCY_BUCKETS_S);
-        let processor_delay = Histogram::new(DELAY_BUCKETS_S);
-        registry.register(
+        let refusals = register(
+            &mut registry,
             "refusals",
             "answers of the entry itself, by reason",
-            refusals.clone(),
         );
-        registry.register(
+        let attempts = register(
+            &mut registry,
             "attempts",
             "calls to backend servers, by their end",
-            attempts.clone(),
         );
+        let first_chunk = Histogram::new(LATENCY_BUCKETS_S);
         registry.register(
             "first_part_seconds",
             "time from a request's head to the first part of its answer",
             first_chunk.clone(),
         );
+        let processor_delay = Histogram::new(DELAY_BUCKETS_S);
         registry.register(
             "processor_delay_seconds",
             "time for which what was due waited for the processor",
             processor_delay.clone(),
         );
-        let admissions = Family::<AdmissionLabels, Counter>::default();
-        registry.register(
+        let admissions = register(
+            &mut registry,
             "admissions",
             "calls that the entry admitted, or refused for lack of processor time, by rank",
-            admissions.clone(),
         );
-        let deadline_overruns = Counter::default();
-        let configurations = Family::<SourceLabels, Counter>::default();
-        let version = Gauge::default();
-        registry.register(
+        let deadline_overruns = register(
+            &mut registry,
             "past_limit",
             "calls that ended noticeably after their time limit",
-            deadline_overruns.clone(),
         );
-        registry.register(
+        let configurations = register(
+            &mut registry,
             "configurations",
             "configurations that came into force, by the way they came",
-            configurations.clone(),
         );
-        registry.register(
+        let version = register(
+            &mut registry,
             "configuration_version",
             "version of the configuration in force",
-            version.clone(),
         );
-        let quarantined_parts = Gauge::default();
-        registry.register(
+        let quarantined_parts = register(
+            &mut registry,
             "quarantined_parts",
             "prompt parts whose requests are refused because they crash backend servers",
-            quarantined_parts.clone(),
         );
-        let server_limits = Family::<ServerLabels, Gauge<f64, AtomicU64>>::default();
-        registry.register(
+        let server_limits = register(
+            &mut registry,
             "server_limit",
             "requests per second that a backend server takes from all entries together",
-            server_limits.clone(),
         );
-        let requests_read = Counter::default();
-        registry.register(
+        let servers_at_rest = register(
+            &mut registry,
+            "servers_at_rest",
+            "backend servers that asked this entry for a rest which has not ended",
+        );
+        let servers_leaving = register(
+            &mut registry,
+            "servers_leaving",
+            "backend servers that told this entry that they leave",
+        );
+        let requests_read = register(
+            &mut registry,
             "requests_read",
             "requests that were read whole",
-            requests_read.clone(),
         );
-        let requests_ended = Family::<EndLabels, Counter>::default();
-        registry.register(
+        let requests_ended = register(
+            &mut registry,
             "requests_ended",
             "requests that were read whole and have ended, by how",
-            requests_ended.clone(),
         );
-        let streams = Family::<VersionLabels, Gauge>::default();
-        registry.register(
+        let streams = register(
+            &mut registry,
             "streams",
             "streams in flight, by the software version of their servers",
-            streams.clone(),
         );
         Self {
             streams,
             server_limits,
+            servers_at_rest,
+            servers_leaving,
             quarantined_parts,
             deadline_overruns,
             configurations,
@@ -186,6 +189,13 @@
     }
 }
 
+/// Registers a metric that begins at zero.
+fn register<M: Metric + Clone + Default>(registry: &mut Registry, name: &str, help: &str) -> M {
+    let metric = M::default();
+    registry.register(name, help, metric.clone());
+    metric
+}
+
 impl Metrics {
     pub(crate) fn on_request_read(&self) {
         self.requests_read.inc();
@@ -260,6 +270,13 @@
         }
     }
 
+    /// Sets the numbers of servers at rest and of those that leave.
+    pub(crate) fn set_unavailable_servers(&self, (at_rest, leaving): (usize, usize)) {
+        let count = |number| u64::try_from(number).unwrap_or(u64::MAX);
+        self.servers_at_rest.set(count(at_rest));
+        self.servers_leaving.set(count(leaving));
+    }
+
     pub(crate) fn observe_processor_delay(&self, delay: Duration) {
         self.processor_delay.observe(delay.as_secs_f64());
     }
