Check in the soak that entries leave a server at rest that asks for it

Half of the pieces of planned work now let one server without a limit of each pool refuse all requests for 0.6 to 1.6 s, with Retry-After: 1. Callers name the port of their entry in a header, which the entry forwards, so that a server can tell entries and their starts apart. More than two requests of one entry at that server from 0.5 to 1 s after such a refusal are a violation, unless an entry was stopped, killed or paused meanwhile. HAS_RESTS switches it off.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -24,7 +24,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use backend::{Backend, Mode, VERSIONS};
+use backend::{Backend, Mode, REST_TIME, VERSIONS};
 use proxy::Proxy;
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
@@ -55,6 +55,14 @@
 const PLANNED_WORK: u32 = 6;
 /// Range of the time for which a sound server falls silent.
 const SILENCE_MS: RangeInclusive<u64> = 900..=1_400;
+/// Whether servers ask for rest.
+const HAS_RESTS: bool = true;
+/// Range of the time for which a server refuses all requests and asks for rest.
+const REST_MS: RangeInclusive<u64> = 600..=1_600;
+/// Time after a refusal that asked for rest, during which requests may be under way.
+const REST_GRACE: Duration = Duration::from_millis(500);
+/// Requests that an entry may send after [`REST_GRACE`].
+const REQUESTS_IN_REST: usize = 2;
 /// Idle timeouts of the configurations.
 const IDLE_TIMEOUTS: [Duration; 2] = [Duration::from_millis(500), Duration::from_secs(15)];
 /// Time after which all entries have a configuration. The idle timeout changes only while the store is undisturbed.
@@ -301,6 +309,10 @@
             self.publish(self.configuration().next_random(random));
             thread::sleep(Duration::from_millis(random.random_range(30..300)));
         }
+        if HAS_RESTS && random.random_bool(0.5) {
+            self.rest_servers(random);
+            return "rest beside silent servers";
+        }
         let entry = random.random_range(0..ENTRIES);
         match random.random_range(0..3_u8) {
             0 => {
@@ -346,9 +358,11 @@
     fn check_limits(&self) {
         let faults = self.entry_faults.lock().expect("lock");
         for (backend, _) in &self.servers {
-            let (Some(limit), arrivals) = (backend.limit, backend.arrivals()) else {
+            let Some(limit) = backend.limit else {
                 continue;
             };
+            let arrivals = backend.arrivals();
+            let arrivals: Vec<Instant> = arrivals.iter().map(|arrival| arrival.at).collect();
             let allowed = 1.5 * limit * LIMIT_SPAN.as_secs_f64() + 5.0;
             let settled = arrivals.first().map(|first| *first + LIMIT_SETTLE_TIME);
             for (index, begin) in arrivals.iter().enumerate() {
@@ -367,6 +381,41 @@
         }
     }
 
+    /// Records the servers that got more than [`REQUESTS_IN_REST`] requests from an entry which they had asked for rest.
+    fn check_rests(&self) {
+        let faults = self.entry_faults.lock().expect("lock");
+        for (backend, _) in &self.servers {
+            let arrivals = backend.arrivals();
+            for rest in backend.rests() {
+                let span = rest.at + REST_GRACE..rest.at + REST_TIME;
+                let is_excused = faults
+                    .iter()
+                    .any(|(begin, end)| *begin < span.end && rest.at < *end);
+                let late = arrivals
+                    .iter()
+                    .filter(|arrival| arrival.entry == rest.entry && span.contains(&arrival.at));
+                let count = late.count();
+                if !is_excused && count > REQUESTS_IN_REST {
+                    let text = format!(
+                        "{count} requests of one entry from 0.5 to 1 s after it was asked for 1 s of rest"
+                    );
+                    self.request_log.add_violation(text);
+                    break;
+                }
+            }
+        }
+    }
+
+    /// Lets one server without a limit of each pool refuse all requests and ask for rest.
+    fn rest_servers(&self, random: &mut Pcg64) {
+        for pool in self.servers.chunks(SERVERS) {
+            let length = Duration::from_millis(random.random_range(REST_MS));
+            let (backend, _) = &pool[random.random_range(0..SERVERS - 1)];
+            backend.rest(length);
+        }
+        thread::sleep(REST_TIME);
+    }
+
     fn inject(&self, random: &mut Pcg64) -> &'static str {
         let entry = random.random_range(0..ENTRIES);
         let server = random.random_range(0..self.servers.len());
@@ -463,7 +512,7 @@
             let status = |path: &str, key: (&str, &str)| {
                 let number = self.next_check.fetch_add(1, Ordering::Relaxed);
                 let id = format!("check-{index}-{number}");
-                response_status(address, &caller::request(path, &id, key))
+                response_status(address, &caller::request(address, path, &id, key))
             };
             wait_until(|| {
                 let paths = ["/orders/1", "/looks/1", "/drafts/1", "/chat/1"];
@@ -528,6 +577,7 @@
         served.sum()
     });
     environment.check_limits();
+    environment.check_rests();
     println!("seed {seed}: {served} answers; {}", names.join(", "));
     let mut violations = environment.request_log.violations();
     if served == 0 {
--- a/tests/soak/backend.rs
+++ b/tests/soak/backend.rs
@@ -16,6 +16,9 @@
 /// Time between the events of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(15);
 
+/// Time for which a server that rests wants no request from an entry that it refused.
+pub const REST_TIME: Duration = Duration::from_secs(1);
+
 /// How a server handles requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Mode {
@@ -40,9 +43,21 @@
     version: &'static str,
     /// Requests per second that the server takes from all entries together, if it names a limit.
     pub limit: Option<f64>,
-    arrivals: Arc<Mutex<Vec<Instant>>>,
+    arrivals: Arc<Mutex<Vec<Arrival>>>,
     /// End of the time in which the server runs requests but sends nothing.
     silent_until: Arc<Mutex<Option<Instant>>>,
+    /// End of the time in which the server refuses all requests and asks for rest.
+    resting_until: Arc<Mutex<Option<Instant>>>,
+    /// Refusals that asked for rest.
+    rests: Arc<Mutex<Vec<Arrival>>>,
+}
+
+/// Time of an event at a server, with the entry that it concerns.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Arrival {
+    pub at: Instant,
+    /// Port at which the entry takes callers, which every start of an entry picks anew.
+    pub entry: String,
 }
 
 /// Returns whether requests of a path may run more than once.
@@ -72,6 +87,8 @@
             limit,
             arrivals: Arc::default(),
             silent_until: Arc::default(),
+            resting_until: Arc::default(),
+            rests: Arc::default(),
         };
         let (handle, request_log) = (backend.clone(), Arc::clone(request_log));
         thread::spawn(move || {
@@ -99,8 +116,23 @@
         }
     }
 
-    /// Returns the times at which requests arrived.
-    pub fn arrivals(&self) -> Vec<Instant> {
+    /// Makes the server refuse all requests for a time and ask each entry for [`REST_TIME`].
+    pub fn rest(&self, length: Duration) {
+        *self.resting_until.lock().expect("lock") = Some(Instant::now() + length);
+    }
+
+    fn is_resting(&self) -> bool {
+        let until = *self.resting_until.lock().expect("lock");
+        until.is_some_and(|until| Instant::now() < until)
+    }
+
+    /// Returns the refusals that asked for rest.
+    pub fn rests(&self) -> Vec<Arrival> {
+        self.rests.lock().expect("lock").clone()
+    }
+
+    /// Returns the requests that arrived.
+    pub fn arrivals(&self) -> Vec<Arrival> {
         self.arrivals.lock().expect("lock").clone()
     }
 
@@ -130,13 +162,25 @@
         request_log: &RequestLog,
     ) -> Option<()> {
         let mode = *self.mode.lock().expect("lock");
-        self.arrivals.lock().expect("lock").push(Instant::now());
+        let entry = request.header("x-soak-entry").unwrap_or_default();
+        let arrival = Arrival {
+            at: Instant::now(),
+            entry: entry.to_owned(),
+        };
+        self.arrivals.lock().expect("lock").push(arrival.clone());
         let limit = self.limit_header();
         let id = request.id();
         let path = request.line.split(' ').nth(1).unwrap_or_default();
-        if mode == Mode::Refuse {
+        let is_resting = self.is_resting();
+        if is_resting || mode == Mode::Refuse {
+            let rest = if is_resting {
+                self.rests.lock().expect("lock").push(arrival);
+                format!("Retry-After: {}\r\n", REST_TIME.as_secs())
+            } else {
+                String::new()
+            };
             let refusal = format!(
-                "HTTP/1.1 503 Full\r\n{limit}X-Tanagerford-Attempt-Id: {id}\r\n\
+                "HTTP/1.1 503 Full\r\n{limit}{rest}X-Tanagerford-Attempt-Id: {id}\r\n\
                  X-Tanagerford-Not-Executed: full\r\nContent-Length: 0\r\n\r\n"
             );
             return writer.write_all(refusal.as_bytes()).ok();
--- a/tests/soak/caller.rs
+++ b/tests/soak/caller.rs
@@ -97,7 +97,7 @@
         };
         let idle = connection.last_used.elapsed();
         let begin = Instant::now();
-        let answer = connection.exchange(&request(path, &id, *key));
+        let answer = connection.exchange(&request(connection.address, path, &id, *key));
         if answer.is_none() && request_log.runs(&id) == 0 && !request_log.was_disturbed(begin) {
             // An entry that stops is taken out of the addresses before, and a request may cross its close.
             if fleet.addresses().contains(&connection.address) {
@@ -143,13 +143,15 @@
     is_late || request_log.was_disturbed(begin)
 }
 
-/// Returns a request. Backend servers check its body and whether the entry derived the workspace from the key.
-pub fn request(path: &str, id: &str, (key, workspace): (&str, &str)) -> String {
+/// Returns a request to the entry at an address. Backend servers check its body and whether the entry derived the workspace
+/// from the key, and tell entries apart by the port.
+pub fn request(entry: SocketAddr, path: &str, id: &str, (key, workspace): (&str, &str)) -> String {
     let body = format!("body of {id}");
     format!(
         "POST {path} HTTP/1.1\r\nHost: app.example\r\nX-Tanagerford-Attempt-Id: {id}\r\n\
          X-Tanagerford-Deadline-Remaining: 8000\r\nX-Api-Key: {key}\r\nX-Soak-Workspace: {workspace}\r\n\
-         Content-Length: {}\r\n\r\n{body}",
+         X-Soak-Entry: {}\r\nContent-Length: {}\r\n\r\n{body}",
+        entry.port(),
         body.len()
     )
 }
