Check in the soak that entries leave a server that says it leaves

In the calm time after the planned work, one server without a limit of each pool now adds the header to its answers for 4 s and stays ready in the registry. Then it is registered with a later time of its start and stops saying so. Every server has a seal of its own, so an answer that reached its caller with that seal was passed on by the entry whose port the request names. A request of that entry at the server over 2 s later is a violation. HAS_LEAVING_SERVERS switches it off.

The check fails on this commit, as no entry reads the header yet.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -44,6 +44,7 @@
 const SETTLE_TIME: Duration = Duration::from_secs(5);
 const ENTRIES: usize = 3;
 const SERVERS: usize = 3;
+const POOLS: [&str; 2] = ["plain", "engines"];
 const CALLERS: u32 = 6;
 /// Limits that a server of each pool names, in requests per second; the seed picks one.
 const LIMITS_PER_S: [f64; 3] = [0.5, 2.0, 8.0];
@@ -55,6 +56,8 @@
 const PLANNED_WORK: u32 = 6;
 /// Range of the time for which a sound server falls silent.
 const SILENCE_MS: RangeInclusive<u64> = 900..=1_400;
+/// Whether servers say in their answers that they leave.
+const HAS_LEAVING_SERVERS: bool = true;
 /// Whether servers ask for rest.
 const HAS_RESTS: bool = true;
 /// Range of the time for which a server refuses all requests and asks for rest.
@@ -208,6 +211,22 @@
     }
 }
 
+/// Registers a server; `started_unix_ms` tells its starts apart.
+fn register_server(
+    store: &StoreStandin,
+    pool: &str,
+    index: usize,
+    proxy: &Proxy,
+    started_unix_ms: u64,
+) {
+    let version = VERSIONS[usize::from(index == 1)];
+    let entry = format!(
+        r#"{{"service":"{pool}","address":"{}","zone":"zone-{index}","slots":16,"state":"ready","version":"{version}","sequence":1,"born":{started_unix_ms}}}"#,
+        proxy.address
+    );
+    store.put(&format!("servers/{pool}-{index}"), &entry);
+}
+
 /// Processes and stand-ins into which faults are injected.
 struct Environment {
     store: StoreStandin,
@@ -228,7 +247,7 @@
         let store = StoreStandin::start();
         store.put("op/config", &Configuration::FIRST.document());
         let limit = LIMITS_PER_S[usize::try_from(seed).unwrap_or(0) % LIMITS_PER_S.len()];
-        let servers = ["plain", "engines"].into_iter().flat_map(|pool| {
+        let servers = POOLS.into_iter().flat_map(|pool| {
             let (request_log, store) = (&request_log, &store);
             (0..SERVERS).map(move |index| {
                 // The last server of each pool names a limit. Two of three have the same version.
@@ -236,11 +255,7 @@
                 let version = VERSIONS[usize::from(index == 1)];
                 let backend = Backend::start(request_log, version, limit);
                 let proxy = Proxy::start(backend.address);
-                let entry = format!(
-                    r#"{{"service":"{pool}","address":"{}","zone":"zone-{index}","slots":16,"state":"ready","version":"{version}","sequence":1}}"#,
-                    proxy.address
-                );
-                store.put(&format!("servers/{pool}-{index}"), &entry);
+                register_server(store, pool, index, &proxy, 1);
                 (backend, proxy)
             })
         });
@@ -406,6 +421,38 @@
         }
     }
 
+    /// Lets one server without a limit of each pool say that it leaves, and start anew after a time.
+    fn leave_servers(&self, random: &mut Pcg64, length: Duration) {
+        let leaving = POOLS.map(|_| random.random_range(0..SERVERS - 1));
+        let servers = || {
+            POOLS
+                .into_iter()
+                .zip(self.servers.chunks(SERVERS))
+                .zip(leaving)
+        };
+        for ((_, servers), index) in servers() {
+            servers[index].0.begin_leaving();
+        }
+        thread::sleep(length);
+        for ((pool, servers), index) in servers() {
+            let (backend, proxy) = &servers[index];
+            backend.end_leaving();
+            register_server(&self.store, pool, index, proxy, 2);
+        }
+    }
+
+    /// Records the servers that got requests from an entry long after it had passed on that they leave.
+    fn check_leaving(&self) {
+        for (backend, _) in &self.servers {
+            let count = backend.requests_after_leaving(&self.request_log);
+            if count > 0 {
+                self.request_log.add_violation(format!(
+                    "{count} requests over 2 s after their entry had passed on that the server leaves"
+                ));
+            }
+        }
+    }
+
     /// Lets one server without a limit of each pool refuse all requests and ask for rest.
     fn rest_servers(&self, random: &mut Pcg64) {
         for pool in self.servers.chunks(SERVERS) {
@@ -564,7 +611,11 @@
             idle_timeout: IDLE_TIMEOUTS[1],
             ..environment.configuration().next()
         });
-        thread::sleep(CALM_TIME);
+        if HAS_LEAVING_SERVERS {
+            environment.leave_servers(&mut planned, CALM_TIME);
+        } else {
+            thread::sleep(CALM_TIME);
+        }
         environment.wait_recovered();
         for _ in 0..FAULTS {
             // Some faults begin while the previous one still has effects, others after a full recovery.
@@ -578,6 +629,7 @@
     });
     environment.check_limits();
     environment.check_rests();
+    environment.check_leaving();
     println!("seed {seed}: {served} answers; {}", names.join(", "));
     let mut violations = environment.request_log.violations();
     if served == 0 {
--- a/tests/soak/backend.rs
+++ b/tests/soak/backend.rs
@@ -16,6 +16,8 @@
 /// Time between the events of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(15);
 
+/// Time after an entry passed on that a server leaves, from which the server wants no request of it.
+const LEAVING_TIME: Duration = Duration::from_secs(2);
 /// Time for which a server that rests wants no request from an entry that it refused.
 pub const REST_TIME: Duration = Duration::from_secs(1);
 
@@ -50,6 +52,15 @@
     resting_until: Arc<Mutex<Option<Instant>>>,
     /// Refusals that asked for rest.
     rests: Arc<Mutex<Vec<Arrival>>>,
+    leaving: Arc<Mutex<Leaving>>,
+}
+
+/// Time in which a server says that it leaves.
+#[derive(Debug, Default)]
+struct Leaving {
+    span: Option<(Instant, Option<Instant>)>,
+    /// Requests with an answer that said so, and the ports of their entries.
+    answers: Vec<(String, String)>,
 }
 
 /// Time of an event at a server, with the entry that it concerns.
@@ -89,6 +100,7 @@
             silent_until: Arc::default(),
             resting_until: Arc::default(),
             rests: Arc::default(),
+            leaving: Arc::default(),
         };
         let (handle, request_log) = (backend.clone(), Arc::clone(request_log));
         thread::spawn(move || {
@@ -131,15 +143,65 @@
         self.rests.lock().expect("lock").clone()
     }
 
+    /// Makes the server say in its answers that it leaves.
+    pub fn begin_leaving(&self) {
+        self.leaving.lock().expect("lock").span = Some((Instant::now(), None));
+    }
+
+    /// Ends [`Backend::begin_leaving`], as a new start of the server does.
+    pub fn end_leaving(&self) {
+        if let Some((_, end)) = &mut self.leaving.lock().expect("lock").span {
+            *end = Some(Instant::now());
+        }
+    }
+
+    /// Returns the number of requests that came from an entry although it had passed on that the server leaves more than
+    /// [`LEAVING_TIME`] before.
+    pub fn requests_after_leaving(&self, request_log: &RequestLog) -> usize {
+        let leaving = self.leaving.lock().expect("lock");
+        let Some((_, Some(end))) = leaving.span else {
+            return 0;
+        };
+        // An answer of this server that reached its caller was passed on before.
+        let answers = leaving.answers.iter();
+        let passed_on = answers.filter_map(|(id, entry)| {
+            let (answered_at, seal) = request_log.answer(id)?;
+            (seal == self.seal()).then_some((answered_at, entry))
+        });
+        let passed_on: Vec<_> = passed_on.collect();
+        let arrivals = self.arrivals().into_iter();
+        let late = arrivals.filter(|arrival| {
+            let mut passed_on = passed_on.iter();
+            arrival.at < end
+                && passed_on
+                    .any(|(at, entry)| **entry == arrival.entry && *at + LEAVING_TIME < arrival.at)
+        });
+        late.count()
+    }
+
+    /// Returns the mark of the server's answers.
+    fn seal(&self) -> String {
+        format!("seal-{}", self.address.port())
+    }
+
     /// Returns the requests that arrived.
     pub fn arrivals(&self) -> Vec<Arrival> {
         self.arrivals.lock().expect("lock").clone()
     }
 
-    /// Returns the header that names the limit, or nothing.
-    fn limit_header(&self) -> String {
-        let limit = self.limit;
-        limit.map_or_else(String::new, |rate| format!("Server-Limit: {rate}\r\n"))
+    /// Returns the headers that name the limit and say that the server leaves, or nothing.
+    fn state_headers(&self, request: &Received) -> String {
+        let mut headers = self
+            .limit
+            .map_or_else(String::new, |rate| format!("Server-Limit: {rate}\r\n"));
+        let mut leaving = self.leaving.lock().expect("lock");
+        if matches!(leaving.span, Some((_, None))) {
+            let entry = request.header("x-soak-entry").unwrap_or_default();
+            let answer = (request.id().to_owned(), entry.to_owned());
+            leaving.answers.push(answer);
+            headers += "Server-Leaving: 1\r\n";
+        }
+        headers
     }
 
     fn serve(&self, stream: TcpStream, request_log: &RequestLog) {
@@ -168,7 +230,7 @@
             entry: entry.to_owned(),
         };
         self.arrivals.lock().expect("lock").push(arrival.clone());
-        let limit = self.limit_header();
+        let (state, seal) = (self.state_headers(request), self.seal());
         let id = request.id();
         let path = request.line.split(' ').nth(1).unwrap_or_default();
         let is_resting = self.is_resting();
@@ -180,7 +242,7 @@
                 String::new()
             };
             let refusal = format!(
-                "HTTP/1.1 503 Full\r\n{limit}{rest}X-Tanagerford-Attempt-Id: {id}\r\n\
+                "HTTP/1.1 503 Full\r\n{state}{rest}X-Tanagerford-Attempt-Id: {id}\r\n\
                  X-Tanagerford-Not-Executed: full\r\nContent-Length: 0\r\n\r\n"
             );
             return writer.write_all(refusal.as_bytes()).ok();
@@ -199,8 +261,8 @@
             Mode::CloseWithoutAnswer => return None,
             Mode::ReportFailure => {
                 let failure = format!(
-                    "HTTP/1.1 500 Failure\r\n{limit}X-Tanagerford-Attempt-Id: {id}\r\n\
-                     X-Tanagerford-Response-Seal: seal\r\nContent-Length: 0\r\n\r\n"
+                    "HTTP/1.1 500 Failure\r\n{state}X-Tanagerford-Attempt-Id: {id}\r\n\
+                     X-Tanagerford-Response-Seal: {seal}\r\nContent-Length: 0\r\n\r\n"
                 );
                 return writer.write_all(failure.as_bytes()).ok();
             }
@@ -212,7 +274,7 @@
         }
         let body = format!("answer of {id}");
         let head = format!(
-            "HTTP/1.1 200 OK\r\n{limit}X-Tanagerford-Attempt-Id: {id}\r\nX-Tanagerford-Response-Seal: seal\r\n\
+            "HTTP/1.1 200 OK\r\n{state}X-Tanagerford-Attempt-Id: {id}\r\nX-Tanagerford-Response-Seal: {seal}\r\n\
              Content-Length: {}\r\n\r\n",
             body.len()
         );
@@ -230,9 +292,10 @@
             .header("last-event-id")
             .and_then(|last| last.parse().ok())
             .unwrap_or(0);
-        let head = format!("HTTP/1.1 200 OK\r\n{}", self.limit_header());
+        let head = format!("HTTP/1.1 200 OK\r\n{}", self.state_headers(request));
         let head = STREAM_HEAD
             .replacen("HTTP/1.1 200 OK\r\n", &head, 1)
+            .replace("Seal: seal", &format!("Seal: {}", self.seal()))
             .replace("{id}", id);
         writer.write_all(head.as_bytes()).ok()?;
         for number in after + 1..=EVENTS {
--- a/tests/soak/caller.rs
+++ b/tests/soak/caller.rs
@@ -174,6 +174,9 @@
         }
         return false;
     };
+    if let Some(seal) = answer.header("x-tanagerford-response-seal") {
+        request_log.record_answer(id, seal);
+    }
     let status = answer.line.split(' ').nth(1).unwrap_or_default();
     match status {
         "200" => {
--- a/tests/soak/request_log.rs
+++ b/tests/soak/request_log.rs
@@ -20,6 +20,8 @@
     runs: u32,
     /// Whether the caller was told that the request has not run and never will.
     is_reported_not_run: bool,
+    /// Time at which its caller had the whole answer, and the seal of the answer.
+    answer: Option<(Instant, String)>,
 }
 
 impl RequestLog {
@@ -60,6 +62,19 @@
         }
     }
 
+    /// Records that a caller got a whole answer with this seal.
+    pub fn record_answer(&self, id: &str, seal: &str) {
+        let mut requests = self.requests.lock().expect("lock");
+        let state = requests.entry(id.to_owned()).or_default();
+        state.answer = Some((Instant::now(), seal.to_owned()));
+    }
+
+    /// Returns the time and the seal of the answer that a caller got.
+    pub fn answer(&self, id: &str) -> Option<(Instant, String)> {
+        let requests = self.requests.lock().expect("lock");
+        requests.get(id)?.answer.clone()
+    }
+
     pub fn runs(&self, id: &str) -> u32 {
         let requests = self.requests.lock().expect("lock");
         requests.get(id).map_or(0, |state| state.runs)
