Build the sets of entries once for all records that are read together

Cause: Summaries::set_peer rebuilt the sets of registered and live entries for each record, so the work at a start grew with the square of the entries.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -247,20 +247,32 @@
         }
     }
 
-    /// Sets the address and properties of the entry on the VM `name`, or removes the entry with `None`.
-    pub fn set_peer(&self, name: &str, peer: Option<Peer>) {
+    /// Sets the address and properties of the entries on the named VMs, and removes those with `None`.
+    pub fn set_peers(&self, peers: impl IntoIterator<Item = (String, Option<Peer>)>) {
+        let mut has_changed = false;
+        for (name, peer) in peers {
+            self.set_peer(&name, peer);
+            has_changed = true;
+        }
+        // The sets of entries are built once for all records, since each costs time in proportion to the entries.
+        if has_changed {
+            self.update_limit_entries();
+        }
+    }
+
+    fn set_peer(&self, name: &str, peer: Option<Peer>) {
         let number = xxh3_64(name.as_bytes());
         let mut addresses = lock(&self.addresses);
         match &peer {
             Some(peer) => drop(addresses.insert(number, peer.address)),
             None => drop(addresses.remove(&number)),
         }
+        drop(addresses);
         let peer = peer.map(|peer| exchange::Peer {
             zone: peer.zone,
             capacity: peer.cpu_millicores,
         });
         lock(&self.exchange).set_peer(number, peer);
-        self.update_limit_entries();
     }
 
     fn address(&self, entry: EntryNumber) -> Option<SocketAddr> {
