Let a call wait for the server that turned it away for a short rest

What callers saw: 503 after 0.7 s although the server that had asked for 1 s of rest was back 0.3 s later and the call had 5 s.

Cause: a server that turned a call away counted as tried, so the call could not use it when its rest had ended. Now only the number of sends is bounded by it; the rest itself keeps the call away. A refusal names the limit that kept the call waiting in place of `overloaded`.

Evidence: a_call_that_was_turned_away_waits_for_the_end_of_a_short_rest failed before (503).

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -173,7 +173,10 @@
 /// Attempts of one call so far.
 #[derive(Default)]
 pub(crate) struct Attempts {
-    pub(crate) tried_servers: Vec<ServerId>,
+    /// Servers that the call is not sent to again.
+    tried_servers: Vec<ServerId>,
+    /// Number of times that the call was sent to a server.
+    pub(crate) sends: usize,
     /// Attempts that a server may have run.
     possible_runs: u32,
     /// Version of the servers that the call may be sent to; `None` if any may run it.
@@ -449,7 +452,7 @@
         attempts: &Attempts,
         error: AttemptError,
     ) -> bool {
-        if attempts.tried_servers.len() >= MAX_ATTEMPTS_PER_CALL {
+        if attempts.sends >= MAX_ATTEMPTS_PER_CALL {
             return false;
         }
         match error {
@@ -484,7 +487,9 @@
         let choice = selected.choice;
         // The call may have waited for a permit.
         let remaining = deadline.saturating_duration_since(Instant::now());
-        attempts.tried_servers.push(sent_call.server.id.clone());
+        let server = Arc::clone(&sent_call.server);
+        attempts.tried_servers.push(server.id.clone());
+        attempts.sends += 1;
         self.summaries.on_call_sent(&sent_call.server, &call.demand);
         let time_limit = response_timeout(call, remaining, attempts, self.processor.delay());
         let number = sent_call.number;
@@ -523,7 +528,7 @@
                 server = sent_call.server.id,
                 version = sent_call.server.version,
                 outcome,
-                sends = attempts.tried_servers.len(),
+                sends = attempts.sends,
                 cost_ms = choice.cost_ms,
                 uncached_tokens = choice.uncached_tokens,
                 in_flight = choice.in_flight,
@@ -556,8 +561,11 @@
                 Ok(self.start_response(sent_call, response, first_chunk))
             }
             Err(error) => {
-                if error == AttemptError::Withheld {
-                    // The server is not tried, and may take the call when its rest has ended.
+                attempts.sends -= usize::from(error == AttemptError::Withheld);
+                let has_not_run = matches!(error, AttemptError::Withheld | AttemptError::NotRun);
+                let limits = self.summaries.limits();
+                if has_not_run && !limits.may_send(self.fleet.now(), &server) {
+                    // The server may take the call when its rest has ended.
                     attempts.tried_servers.pop();
                 }
                 attempts.possible_runs += u32::from(error == AttemptError::Broken);
@@ -862,11 +870,10 @@
             let hash = xxhash_rust::xxh3::xxh3_64(call.id.as_bytes());
             Refusal::ServersAtRest(retry_after(back_in, hash))
         }
+        _ if let Some(wait) = attempts.limited => Refusal::ServerLimit(wait),
         // A silent server has refused the call in the meantime, or it would count as a possible run.
         Some(AttemptError::NotRun | AttemptError::TimedOut) => Refusal::Overloaded,
-        _ => attempts
-            .limited
-            .map_or(Refusal::NoServer, Refusal::ServerLimit),
+        _ => Refusal::NoServer,
     }
 }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -142,7 +142,7 @@
             workspace = self.call.workspace_name(),
             server = self.started.sent_call.server.id,
             outcome,
-            sends = self.attempts.tried_servers.len(),
+            sends = self.attempts.sends,
             first_event_ms = self.first_event_after.map(|time| time.as_millis()),
             longest_pause_ms = self.longest_pause.as_millis(),
             last_event = self.events.last_id(),
