--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,43 +1,32 @@
-//! Dispatches a call: chooses a server, sends the call, and decides whether a failed attempt is retried.
+//! Attempts of a call: chooses a server, sends the call, and waits for the answer to begin.
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures_lite::future;
-use http::{Method, Response, StatusCode};
-use tanagerford_core::availability::retry_after;
-use tanagerford_core::dispatch::{
-    CallNumber, CallOutcome, Choice, GATE_POLL_INTERVAL, GateDecision, MAX_ATTEMPTS_PER_CALL,
-    RemainingTime,
-};
-use tanagerford_core::ids::{PoolId, ServerId};
-use tanagerford_core::stream_version::{VersionId, version_id};
+use http::StatusCode;
+use tanagerford_core::dispatch::{CallNumber, CallOutcome};
+use tanagerford_core::ids::ServerId;
+use tanagerford_core::stream_version::VersionId;
 use tanagerford_http::connection_pool::{ExchangeError, PooledResponse};
-use tanagerford_http::{Body, Reply};
-use tanagerford_sync::lock;
-use tokio::time::{sleep, timeout, timeout_at};
+use tokio::time::timeout_at;
 
-use crate::buffered::BufferedResponse;
 use crate::call::{Call, RetryPolicy};
 use crate::codec::{AttemptContext, Codec, ResponseHead};
+use crate::dispatch::Attempts;
 use crate::fleet::{BackendServer, PoolState};
 use crate::gateway::Gateway;
-use crate::in_flight::{Exchange, ExchangeResult, InFlight};
+use crate::in_flight::{Exchange, ExchangeResult};
 use crate::limits::{LimitHeader, SelectError, SelectedServer, ServerRequest};
-use crate::log;
 use crate::peers::Summaries;
 use crate::quarantine::ConnectionEnd;
-use crate::refusal::Refusal;
-use crate::relay::Relay;
 
 /// Timeout for connecting to a server, after which another server is tried.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Minimum remaining time until the deadline with which a call is still sent to a server.
-const MIN_REMAINING: Duration = Duration::from_millis(5);
-/// Largest response that is buffered until it is complete; longer ones are forwarded as they arrive.
-const MAX_BUFFERED_BYTES: usize = 256 * 1024;
+pub(crate) const MIN_REMAINING: Duration = Duration::from_millis(5);
 /// Response timeout of a call that can be retried at another server, as a multiple of its latency objective.
 const RESPONSE_TIMEOUT_FACTOR: u32 = 3;
 /// Expected time to the first chunk of a response of a plain service, without queueing.
@@ -98,7 +87,7 @@
 }
 
 impl StartedResponse {
-    fn is_server_failure(&self) -> bool {
+    pub(crate) fn is_server_failure(&self) -> bool {
         self.response.head.status().is_server_error()
     }
 }
@@ -133,7 +122,7 @@
     }
 
     /// Returns whether a retry after this failure is deducted from the budget.
-    fn uses_retry_budget(self) -> bool {
+    pub(crate) fn uses_retry_budget(self) -> bool {
         !matches!(self, Self::Unreachable | Self::Withheld)
     }
 
@@ -170,167 +159,9 @@
     sent_at: Instant,
 }
 
-/// Attempts of one call so far.
-#[derive(Default)]
-pub(crate) struct Attempts {
-    /// Servers that the call is not sent to again.
-    tried_servers: Vec<ServerId>,
-    /// Number of times that the call was sent to a server.
-    pub(crate) sends: usize,
-    /// Attempts that a server may have run.
-    possible_runs: u32,
-    /// Version of the servers that the call may be sent to; `None` if any may run it.
-    version: Option<VersionId>,
-    /// Time after which the servers' limits have room, if they are the reason why the call was not sent.
-    limited: Option<Duration>,
-    /// Time after which the first server is back from its rest, if rests are the reason why the call was not sent.
-    at_rest: Option<Duration>,
-    /// Exchanges with servers that have not begun to answer.
-    in_flight: InFlight,
-    /// First failure that a server reported. The caller receives it if no other server succeeds.
-    reported_failure: Option<Box<StartedResponse>>,
-}
-
-impl Attempts {
-    /// Allows only servers of this version from now on.
-    pub(crate) fn keep_version(&mut self, version: VersionId) {
-        self.version = Some(version);
-    }
-
-    /// Records the failure of an attempt whose response had started.
-    pub(crate) fn record_possible_run(&mut self) {
-        self.possible_runs += 1;
-    }
-
-    /// Keeps the failure that a server reported, if it is the first one.
-    fn keep_failure(&mut self, started: StartedResponse) {
-        if !started.is_run_counted {
-            self.record_possible_run();
-        }
-        self.reported_failure
-            .get_or_insert_with(|| Box::new(started));
-    }
-
-    /// Ends the exchanges with all other servers, since one answers. They may have run the call.
-    pub(crate) fn abandon_in_flight(&mut self) {
-        let unrecorded = self.in_flight.abandon();
-        self.possible_runs += u32::try_from(unrecorded).unwrap_or(u32::MAX);
-    }
-}
-
 impl<C: Codec> Gateway<C> {
-    /// Sends a call to servers of its pool until one responds or no retry is allowed.
-    pub(crate) async fn dispatch(self: &Arc<Self>, call: Arc<Call>) -> Reply {
-        let hash = xxhash_rust::xxh3::xxh3_64(call.id.as_bytes());
-        let pool = call
-            .route
-            .pick_pool(hash)
-            .and_then(|name| self.fleet.pool(name).map(|pool| (name.clone(), pool)));
-        let Some((pool_name, pool)) = pool else {
-            return self.refuse_call(&call, Refusal::NoServer);
-        };
-        let now = self.fleet.now();
-        self.with_budget(&pool_name, |budget| {
-            budget.on_request(now, &self.settings.budget);
-        });
-        if self.quarantine.refuses(now, &call) {
-            return self.refuse_call(&call, Refusal::Quarantined);
-        }
-        if !self.wait_for_long_prompt_gate(&call, &pool).await {
-            return self.refuse_call(&call, Refusal::Overloaded);
-        }
-        let mut attempts = Attempts::default();
-        if call.resume_after.is_some() {
-            match self.resumed_version(&call, &pool).await {
-                Ok(version) => attempts.version = version,
-                Err(refusal) => return self.refuse_call(&call, refusal),
-            }
-        }
-        let resume_after = call.resume_after;
-        let answer = self.try_servers(&call, &pool, &pool_name, &mut attempts, resume_after, None);
-        match answer.await {
-            Ok(started) => self.deliver(call, pool, attempts, started).await,
-            Err(refusal) => self.refuse_call(&call, refusal),
-        }
-    }
-
-    /// Sends a call to servers of its pool until one begins to answer. `failure` is the failure of an earlier attempt, if
-    /// there was one. When no other server may take the call, a silent one has until the deadline.
-    pub(crate) async fn try_servers(
-        self: &Arc<Self>,
-        call: &Arc<Call>,
-        pool: &Arc<PoolState>,
-        pool_name: &PoolId,
-        attempts: &mut Attempts,
-        resume_after: Option<u64>,
-        failure: Option<AttemptError>,
-    ) -> Result<StartedResponse, Refusal> {
-        let mut last_error = failure;
-        loop {
-            if let Some(part) = self.quarantine.quarantined_part(self.fleet.now(), call) {
-                if attempts.possible_runs > 0 {
-                    break;
-                }
-                return Err(Refusal::QuarantinedPart(part));
-            }
-            if last_error.is_some_and(|error| !self.allow_retry(call, pool_name, attempts, error)) {
-                break;
-            }
-            match self.attempt(call, pool, attempts, resume_after).await {
-                Ok(started) if started.is_server_failure() => {
-                    attempts.keep_failure(started);
-                    last_error = Some(AttemptError::Failed);
-                }
-                Ok(started) => {
-                    attempts.reported_failure = None;
-                    attempts.abandon_in_flight();
-                    return Ok(started);
-                }
-                Err(Some(error)) => last_error = Some(error),
-                Err(None) => {
-                    if last_error.is_some_and(AttemptError::uses_retry_budget) {
-                        self.return_retry(pool_name);
-                    }
-                    break;
-                }
-            }
-        }
-        // A failure that a server reported is not held back, since its caller can retry at once.
-        if attempts.reported_failure.is_none()
-            && let Some(started) = self.await_silent_servers(call, attempts).await
-        {
-            attempts.abandon_in_flight();
-            return Ok(started);
-        }
-        attempts.abandon_in_flight();
-        let failure = attempts.reported_failure.take();
-        failure.map_or_else(
-            || Err(final_refusal(call, attempts, last_error)),
-            |started| Ok(*started),
-        )
-    }
-
-    /// Waits until the deadline for the answer of a server that was silent, which may go on.
-    async fn await_silent_servers(
-        self: &Arc<Self>,
-        call: &Arc<Call>,
-        attempts: &mut Attempts,
-    ) -> Option<StartedResponse> {
-        while !attempts.in_flight.is_empty() {
-            let remaining = call.deadline().saturating_duration_since(Instant::now());
-            let result = timeout(remaining, attempts.in_flight.first_result()).await;
-            let (sent_call, result) = result.ok()?;
-            match self.on_late_result(attempts, sent_call, result) {
-                Some(started) if started.is_server_failure() => attempts.keep_failure(started),
-                Some(started) => return Some(started),
-                None => {}
-            }
-        }
-        None
-    }
-
     /// Records the late result of an attempt that was recorded as silent; returns the response if there is one.
-    fn on_late_result(
+    pub(crate) fn on_late_result(
         self: &Arc<Self>,
         attempts: &mut Attempts,
         sent_call: SentCall,
@@ -368,104 +199,6 @@
         }
     }
 
-    /// Returns the version at which the stream began that the call resumes; `None` if servers of only one version run.
-    async fn resumed_version(
-        &self,
-        call: &Call,
-        pool: &PoolState,
-    ) -> Result<Option<VersionId>, Refusal> {
-        let versions = pool.recent_versions();
-        let limits = self.summaries.limits();
-        let is_served = |version| pool.has_version(version, |server| limits.is_leaving(server));
-        let known = match &call.resumed_attempt {
-            Some(first) => {
-                let lookup = self.summaries.lookup_version(call.workspace_name(), first);
-                Some(lookup.await)
-            }
-            // Callers that do not name the first attempt can be served while there is no other version.
-            None => (versions.len() > 1).then_some(None),
-        };
-        let result = match known {
-            None => Ok(None),
-            Some(None) => Err(Refusal::StreamVersionUnknown),
-            Some(Some(version)) if is_served(version) => Ok(Some(version)),
-            Some(Some(_)) => Err(Refusal::StreamVersionGone),
-        };
-        log::stream_taken_up(call, &versions, result.ok().flatten());
-        result
-    }
-
-    /// Waits until a server can take the call without making other streams late; returns whether one can.
-    ///
-    /// Only long prompts wait. A call that waits longer than a fraction of its latency objective is refused, so that
-    /// its caller can retry when the burst is over.
-    async fn wait_for_long_prompt_gate(&self, call: &Call, pool: &PoolState) -> bool {
-        // Calls without a long prompt are admitted, whichever server is chosen later.
-        if !pool.load_view().is_long(&call.demand) {
-            return true;
-        }
-        loop {
-            let now = self.fleet.now();
-            let choice = self.summaries.limits().preview(now, pool, &call.demand);
-            let Some(choice) = choice else {
-                return true;
-            };
-            match self.decide_long_prompt(call, &choice) {
-                GateDecision::Admit => return true,
-                GateDecision::Wait => {}
-                GateDecision::Refuse => {
-                    tracing::info!(
-                        request = call.id,
-                        route = call.route.name,
-                        workspace = call.workspace_name(),
-                        server = choice.server,
-                        rank = call.priority(),
-                        harmed_streams = choice.late_streams,
-                        first_token_ms = choice.first_token_ms,
-                        ranked_first_token_ms = choice.ranked_first_token_ms,
-                        waiting_tokens = choice.waiting_tokens,
-                        in_flight = choice.in_flight,
-                        "no room for a long prompt"
-                    );
-                    return false;
-                }
-            }
-            sleep(GATE_POLL_INTERVAL).await;
-        }
-    }
-
-    fn decide_long_prompt(&self, call: &Call, choice: &Choice) -> GateDecision {
-        let route = &call.route;
-        let waited = call.arrived.elapsed();
-        let remaining =
-            RemainingTime::after(waited, route.target_latency, route.lower_ranks_latency);
-        let mut gate = lock(&self.long_prompt_gate);
-        gate.decide(self.fleet.now(), choice, call.priority(), remaining)
-    }
-
-    /// Returns whether the call may be sent to another server after `error`, and deducts the retry from the pool's
-    /// budget. A call that could not connect or was withheld is retried without a deduction.
-    pub(crate) fn allow_retry(
-        &self,
-        call: &Call,
-        pool: &PoolId,
-        attempts: &Attempts,
-        error: AttemptError,
-    ) -> bool {
-        if attempts.sends >= MAX_ATTEMPTS_PER_CALL {
-            return false;
-        }
-        match error {
-            AttemptError::Unreachable | AttemptError::Withheld => true,
-            AttemptError::NotRun => self.try_take_retry(pool),
-            AttemptError::Broken | AttemptError::TimedOut | AttemptError::Failed => {
-                call.retry_policy() != RetryPolicy::AtMostOnce
-                    && attempts.possible_runs < call.route.max_attempts
-                    && self.try_take_retry(pool)
-            }
-        }
-    }
-
     /// Sends the call to one server and waits for the first chunk of its response. `Err(None)` means that no server is
     /// left or that the deadline is too close.
     pub(crate) async fn attempt(
@@ -803,78 +536,6 @@
         }
         Ok(())
     }
-
-    /// Returns the response to the caller: a successful stream event by event, any other response buffered.
-    async fn deliver(
-        self: &Arc<Self>,
-        call: Arc<Call>,
-        pool: Arc<PoolState>,
-        mut attempts: Attempts,
-        started: StartedResponse,
-    ) -> Reply {
-        self.metrics.observe_first_chunk(call.arrived.elapsed());
-        let status = started.response.head.status();
-        // The HTTP library drops the body of a response that has none by definition, which looks like a caller that left.
-        let has_body = call.method != Method::HEAD && status != StatusCode::NO_CONTENT;
-        if call.route.is_stream && status.is_success() && has_body {
-            let mut head = clone_head(&started.response.head);
-            self.codec.strip_connection_headers(&mut head);
-            head.headers_mut().remove(http::header::CONTENT_LENGTH);
-            let version = version_id(&started.sent_call.server.version);
-            attempts.keep_version(version);
-            if call.resume_after.is_none() && call.retry_policy() == RetryPolicy::Resumable {
-                self.summaries.record_version(&call, version);
-            }
-            let relay = Relay::new(Arc::clone(self), call, pool, attempts, started);
-            return self.close_if_stopping(head.map(|()| relay.into_body()));
-        }
-        self.deliver_buffered(call, started).await
-    }
-
-    /// Buffers the response until it is complete, so that the caller never receives a truncated response as a complete
-    /// one. A response beyond [`MAX_BUFFERED_BYTES`] is forwarded as it arrives.
-    async fn deliver_buffered(
-        self: &Arc<Self>,
-        call: Arc<Call>,
-        started: StartedResponse,
-    ) -> Reply {
-        let mut head = clone_head(&started.response.head);
-        let mut response = BufferedResponse::new(Arc::clone(self), Arc::clone(&call), started);
-        self.codec.strip_connection_headers(&mut head);
-        let mut body = BytesMut::new();
-        loop {
-            match response.next_chunk().await {
-                Ok(Some(chunk)) => body.extend_from_slice(&chunk),
-                Ok(None) => break,
-                Err(refusal) => {
-                    return self.refuse_call(&call, refusal);
-                }
-            }
-            if body.len() > MAX_BUFFERED_BYTES {
-                return self.close_if_stopping(head.map(|()| response.into_body(body.freeze())));
-            }
-        }
-        head.headers_mut().remove(http::header::CONTENT_LENGTH);
-        self.close_if_stopping(head.map(|()| Body::full(body.freeze())))
-    }
-}
-
-/// Returns the refusal of a call for which no attempt succeeded.
-fn final_refusal(call: &Call, attempts: &Attempts, last_error: Option<AttemptError>) -> Refusal {
-    let is_expired = call.deadline() <= Instant::now() + MIN_REMAINING;
-    match last_error {
-        _ if attempts.possible_runs > 0 && is_expired => Refusal::TimedOut,
-        _ if attempts.possible_runs > 0 => Refusal::ServerFailed,
-        _ if is_expired => Refusal::Expired,
-        _ if let Some(back_in) = attempts.at_rest => {
-            let hash = xxhash_rust::xxh3::xxh3_64(call.id.as_bytes());
-            Refusal::ServersAtRest(retry_after(back_in, hash))
-        }
-        _ if let Some(wait) = attempts.limited => Refusal::ServerLimit(wait),
-        // A silent server has refused the call in the meantime, or it would count as a possible run.
-        Some(AttemptError::NotRun | AttemptError::TimedOut) => Refusal::Overloaded,
-        _ => Refusal::NoServer,
-    }
 }
 
 /// Returns how long to wait for the first chunk of a response. Only a call that can still be retried times out before
@@ -904,10 +565,3 @@
         }
     }
 }
-
-fn clone_head(head: &Response<()>) -> Response<()> {
-    let mut copy = Response::new(());
-    *copy.status_mut() = head.status();
-    *copy.headers_mut() = head.headers().clone();
-    copy
-}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,9 +1,9 @@
 //! Entry that calls backend servers directly, without sidecars.
 //!
 //! A request passes through these modules: [`gateway`] reads it, checks its route and key against the [`table`] and
-//! applies overload control; `attempt` chooses a server from the [`fleet`], sends the [`Call`] and decides about
-//! retries; `in_flight` holds what was sent until a server answers; `relay` and `buffered` return the response to the
-//! caller; `request_end` accounts for the end of each request. Beside this path, [`peers`] exchanges load
+//! applies overload control; `dispatch` serves the [`Call`] and decides about retries; `attempt` chooses a server from the
+//! [`fleet`] and sends the call; `in_flight` holds what was sent until a server answers; `relay` and `buffered` return the
+//! response to the caller; `request_end` accounts for the end of each request. Beside this path, [`peers`] exchanges load
 //! summaries with the other entries, [`copies`] reads newer configurations from them, and [`registry`] tracks the
 //! backend servers.
 //!
@@ -15,6 +15,7 @@
 pub mod call;
 pub mod codec;
 pub mod copies;
+mod dispatch;
 pub mod events;
 pub mod fleet;
 pub mod gateway;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -12,9 +12,10 @@
 use tanagerford_http::Body;
 use tokio::time::{sleep, timeout, timeout_at};
 
-use crate::attempt::{AttemptError, Attempts, SentCall, StartedResponse};
+use crate::attempt::{AttemptError, SentCall, StartedResponse};
 use crate::call::{Call, RetryPolicy};
 use crate::codec::Codec;
+use crate::dispatch::Attempts;
 use crate::events::EventSplitter;
 use crate::fleet::PoolState;
 use crate::gateway::Gateway;
