--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -1,7 +1,7 @@
-//! Limits that backend servers name in their answers, and the permits to call such servers.
+//! Limits, rests and leavings that backend servers name in their answers, and the choice among the servers that are left.
 //!
-//! [`LimitTable`] decides who may call a limited server; this module keeps the calls that wait for a permit and logs the
-//! changes. [`Summaries`](crate::peers::Summaries) sends and receives the messages.
+//! [`LimitTable`] decides who may call a limited server, and [`AvailabilityTable`] which servers want no call now. This module
+//! keeps the calls that wait for a permit or for the end of a rest, and logs the changes. [`Summaries`](crate::peers::Summaries) sends and receives the messages.
 
 use std::borrow::Cow;
 use std::collections::{BTreeSet, HashMap};
