Keep the versions of streams in the store, so that restarted entries know them

Cause: an entry knew of versions that had been in service only from its own memory. After all entries were killed it took the versions that were registered then for all there were; a caller that names no first attempt was sent to another version than the one that began its stream, with status 200.

Change: core::version_history. A version is in a record of the store before streams begin at it, and stays there until no server of it has been registered for a minute or two timeouts of the route. One entry writes each change: two writes a release for the whole fleet. A resumed stream goes on without a keeper's record only if exactly one version comes into question, also when its caller names the first attempt; an entry that has known less than others for 1.5 s does not decide so.

Ruled out: the store's history (20 s, compacted at times, thousands of events for each starting entry); refusing all that began before the start (also refuses in a fleet that has one version).

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -26,3 +26,4 @@
 pub mod subset;
 pub mod suspect;
 pub mod suspect_parts;
+pub mod version_history;
--- /dev/null
+++ b/crates/core/src/version_history.rs
@@ -0,0 +1,263 @@
+//! Software versions at which streams of a pool may have begun that their callers can still resume.
+//!
+//! What an entry observes ends with its process. So the versions are also kept in a record of the key-value service: a
+//! version is added before streams begin at its servers, and removed once no server of it has been registered for as long as
+//! a stream and the tries of its caller can last. After a restart of all entries the record still names every version
+//! that a resumed stream can have begun at.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use crate::exchange::EntryNumber;
+use crate::ids::PoolId;
+
+/// Shortest time for which a version counts as recent after its last server left. It exceeds the longest time for which
+/// callers of short streams try.
+pub const MIN_RETENTION: Duration = Duration::from_mins(1);
+
+/// Software version of a server.
+pub type Version = String;
+
+/// Versions by pool, as the record in the key-value service states them.
+pub type VersionRecord = BTreeMap<PoolId, BTreeSet<Version>>;
+
+/// Origin of the record that a process reads.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RecordOrigin {
+    /// First read of a process while the whole system starts for the first time: no stream began before.
+    FirstStart,
+    /// First read of a process that starts while the system is in service.
+    Restart,
+    /// An entry wrote it.
+    Written,
+    /// The key-value service was restored from a backup, so that the last writes may be missing.
+    Restored,
+}
+
+/// Registered server, as far as its version matters.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RegisteredVersion {
+    /// Pool of the server.
+    pub pool: PoolId,
+    /// Version of the server's software.
+    pub version: Version,
+    /// Whether the server accepts new calls.
+    pub is_ready: bool,
+}
+
+/// Change of the record that has not been written yet.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PendingRecord {
+    /// New content of the record.
+    pub record: VersionRecord,
+    /// Whether a pool has no ready server left until the record is written.
+    pub is_urgent: bool,
+}
+
+/// Returns how many of the `others` are to write a change of the record before `entry`. The order follows from the record's
+/// revision, so that an entry which cannot write does not delay every change.
+#[must_use]
+pub fn writer_rank(entry: EntryNumber, others: &BTreeSet<EntryNumber>, revision: u64) -> usize {
+    let weight =
+        |entry: EntryNumber| xxhash_rust::xxh3::xxh3_64_with_seed(&entry.to_be_bytes(), revision);
+    let earlier = others
+        .iter()
+        .filter(|other| weight(**other) > weight(entry));
+    earlier.count()
+}
+
+/// Versions of one pool.
+#[derive(Debug, Default)]
+struct PoolVersions {
+    /// Versions of servers that are registered or left a short time ago, with the time at which the last server left; `None`
+    /// while one is registered.
+    recent: BTreeMap<Version, Option<Duration>>,
+    /// Versions of servers that accept new calls.
+    ready: BTreeSet<Version>,
+    /// Time for which a version stays recent.
+    retention: Duration,
+    /// Time until which callers may resume streams that began before this process started, at versions it cannot know.
+    unknown_until: Duration,
+}
+
+/// Versions of all pools whose streams can be resumed.
+///
+/// # Examples
+///
+/// ```
+/// use std::collections::BTreeMap;
+/// use std::time::Duration;
+/// use tanagerford_core::version_history::{RecordOrigin, RegisteredVersion, VersionHistory};
+///
+/// let mut history = VersionHistory::default();
+/// let now = Duration::ZERO;
+/// // A process starts after the servers of v1 have left.
+/// let record = BTreeMap::from([("engines".to_owned(), ["v1".to_owned()].into())]);
+/// history.set_record(now, Some(record), RecordOrigin::Restart);
+/// let server = RegisteredVersion { pool: "engines".into(), version: "v2".into(), is_ready: true };
+/// history.observe(now, &BTreeMap::from([("engines".into(), Duration::from_mins(1))]), &[server]);
+/// assert_eq!(history.only_version(now, "engines"), None);
+/// ```
+#[derive(Debug, Default)]
+pub struct VersionHistory {
+    pools: BTreeMap<PoolId, PoolVersions>,
+    /// Content of the record; `None` before the first read, and without a key-value service.
+    record: Option<VersionRecord>,
+    /// Time of the first read of the record by a process that starts while the system is in service.
+    restarted_at: Option<Duration>,
+}
+
+impl VersionHistory {
+    /// Sets the content of the record; `None` if it is missing or unreadable. The versions that it names count as recent,
+    /// since streams may have begun there. A version that another entry removed counts no longer, unless a server of it is
+    /// registered.
+    pub fn set_record(
+        &mut self,
+        now: Duration,
+        record: Option<VersionRecord>,
+        origin: RecordOrigin,
+    ) {
+        if origin == RecordOrigin::Restart {
+            self.restarted_at = Some(now);
+        }
+        let is_removal_known = record.is_some() && origin == RecordOrigin::Written;
+        let record = record.unwrap_or_default();
+        let before = self.record.replace(record.clone()).unwrap_or_default();
+        for (pool, versions) in &record {
+            let state = self.pools.entry(pool.clone()).or_default();
+            // Only an entry that knows the earlier versions of a pool records it.
+            state.unknown_until = Duration::ZERO;
+            for version in versions {
+                state.recent.entry(version.clone()).or_insert(Some(now));
+            }
+        }
+        if is_removal_known {
+            for (pool, state) in &mut self.pools {
+                let names = |record: &VersionRecord, version: &Version| {
+                    record
+                        .get(pool)
+                        .is_some_and(|names| names.contains(version))
+                };
+                state.recent.retain(|version, left_at| {
+                    left_at.is_none() || !names(&before, version) || names(&record, version)
+                });
+            }
+        }
+    }
+
+    /// Takes over the registered servers of the pools whose streams can be resumed. `retentions` names these pools with the
+    /// time for which a version stays recent after its last server left.
+    pub fn observe(
+        &mut self,
+        now: Duration,
+        retentions: &BTreeMap<PoolId, Duration>,
+        servers: &[RegisteredVersion],
+    ) {
+        for state in self.pools.values_mut() {
+            state.ready.clear();
+            for left_at in state.recent.values_mut() {
+                left_at.get_or_insert(now);
+            }
+        }
+        for (pool, retention) in retentions {
+            // The record of a restarted process names the versions of all pools that had any.
+            let unknown_until = self.restarted_at.map_or(now, |at| at + *retention);
+            let state = self
+                .pools
+                .entry(pool.clone())
+                .or_insert_with(|| PoolVersions {
+                    unknown_until,
+                    ..PoolVersions::default()
+                });
+            state.retention = *retention;
+        }
+        for server in servers {
+            let Some(state) = self.pools.get_mut(&server.pool) else {
+                continue;
+            };
+            state.recent.insert(server.version.clone(), None);
+            if server.is_ready {
+                state.ready.insert(server.version.clone());
+            }
+        }
+        self.pools.retain(|pool, state| {
+            let retention = state.retention.max(MIN_RETENTION);
+            state.recent.retain(|_, left_at| {
+                left_at.is_none_or(|left_at| now.saturating_sub(left_at) < retention)
+            });
+            retentions.contains_key(pool) || !state.recent.is_empty()
+        });
+    }
+
+    /// Returns the recent versions of a pool.
+    #[must_use]
+    pub fn recent(&self, pool: &str) -> BTreeSet<Version> {
+        let state = self.pools.get(pool);
+        let versions = state.into_iter().flat_map(|state| state.recent.keys());
+        versions.cloned().collect()
+    }
+
+    /// Returns the version at which every stream of a pool began that can still be resumed; `None` if several come into
+    /// question.
+    #[must_use]
+    pub fn only_version(&self, now: Duration, pool: &str) -> Option<&Version> {
+        let state = self.pools.get(pool)?;
+        let mut versions = state.recent.keys();
+        let version = versions.next()?;
+        (versions.next().is_none() && now >= state.unknown_until).then_some(version)
+    }
+
+    /// Returns whether the servers of a version receive no calls yet because the record does not name it. A pool without a
+    /// ready server of a recorded version uses them all the same.
+    #[must_use]
+    pub fn is_withheld(&self, pool: &str, version: &str) -> bool {
+        let Some(state) = self.pools.get(pool) else {
+            return false;
+        };
+        !self.is_recorded(pool, version)
+            && state
+                .ready
+                .iter()
+                .any(|ready| self.is_recorded(pool, ready))
+    }
+
+    fn is_recorded(&self, pool: &str, version: &str) -> bool {
+        let recorded = self.record.as_ref().and_then(|record| record.get(pool));
+        recorded.is_some_and(|versions| versions.contains(version))
+    }
+
+    /// Returns the change of the record that is due; `None` if it names what it should. A pool whose earlier versions are
+    /// unknown is not recorded, since processes that start later would take its record for complete.
+    #[must_use]
+    pub fn pending(&self, now: Duration) -> Option<PendingRecord> {
+        let recorded = self.record.as_ref()?;
+        let known = self
+            .pools
+            .iter()
+            .filter(|(_, state)| now >= state.unknown_until && !state.recent.is_empty());
+        let versions = |(pool, state): (&PoolId, &PoolVersions)| {
+            (pool.clone(), state.recent.keys().cloned().collect())
+        };
+        let record: VersionRecord = known.map(versions).collect();
+        if *recorded == record {
+            return None;
+        }
+        let is_urgent = self.pools.iter().any(|(pool, state)| {
+            let is_recorded = |version: &Version| self.is_recorded(pool, version);
+            recorded.contains_key(pool)
+                && !state.ready.is_empty()
+                && !state.ready.iter().any(is_recorded)
+        });
+        Some(PendingRecord { record, is_urgent })
+    }
+
+    /// Returns the time at which the next version stops being recent.
+    #[must_use]
+    pub fn next_expiry(&self) -> Option<Duration> {
+        let ends = self.pools.values().flat_map(|state| {
+            let left = state.recent.values().flatten();
+            left.map(|left_at| *left_at + state.retention.max(MIN_RETENTION))
+        });
+        ends.min()
+    }
+}
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -102,8 +102,8 @@
         }
         let mut attempts = Attempts::default();
         if call.resume_after.is_some() {
-            match self.resumed_version(&call, &pool).await {
-                Ok(version) => attempts.version = version,
+            match self.resumed_version(&call, &pool_name, &pool).await {
+                Ok(version) => attempts.keep_version(version),
                 Err(refusal) => return self.refuse_call(&call, refusal),
             }
         }
@@ -190,33 +190,44 @@
         None
     }
 
-    /// Returns the version at which the stream began that the call resumes; `None` if servers of only one version run.
+    /// Returns the version at which the stream began that the call resumes. If only one comes into question, the keepers
+    /// need not be asked.
     async fn resumed_version(
         &self,
         call: &Call,
+        pool_name: &PoolId,
         pool: &PoolState,
-    ) -> Result<Option<VersionId>, Refusal> {
-        let versions = pool.recent_versions();
-        let limits = self.summaries.limits();
-        let is_served = |version| pool.has_version(version, |server| limits.is_leaving(server));
-        let known = match &call.resumed_attempt {
-            Some(first) => {
+    ) -> Result<VersionId, Refusal> {
+        let known = match (self.only_version(pool_name), &call.resumed_attempt) {
+            (Some(version), _) => Some(version),
+            (None, Some(first)) => {
                 let lookup = self.summaries.lookup_version(call.workspace_name(), first);
-                Some(lookup.await)
+                lookup.await
             }
-            // Callers that do not name the first attempt can be served while there is no other version.
-            None => (versions.len() > 1).then_some(None),
+            (None, None) => None,
         };
+        let limits = self.summaries.limits();
+        let is_served = |version| pool.has_version(version, |server| limits.is_leaving(server));
         let result = match known {
-            None => Ok(None),
-            Some(None) => Err(Refusal::StreamVersionUnknown),
-            Some(Some(version)) if is_served(version) => Ok(Some(version)),
-            Some(Some(_)) => Err(Refusal::StreamVersionGone),
+            None => Err(Refusal::StreamVersionUnknown),
+            Some(version) if is_served(version) => Ok(version),
+            Some(_) => Err(Refusal::StreamVersionGone),
         };
-        log::stream_taken_up(call, &versions, result.ok().flatten());
+        log::stream_taken_up(call, &pool.recent_versions(), result.ok());
         result
     }
 
+    /// Returns the version at which all streams of a pool began that can still be resumed; `None` if there are several, or
+    /// if other entries have known for some time of changes in the registry that this one does not know.
+    fn only_version(&self, pool: &PoolId) -> Option<VersionId> {
+        if self.summaries.is_behind() {
+            return None;
+        }
+        let history = self.fleet.version_history();
+        let version = history.only_version(self.fleet.now(), pool)?;
+        Some(version_id(version))
+    }
+
     /// Waits until a server can take the call without making other streams late; returns whether one can.
     ///
     /// Only long prompts wait. A call that waits longer than a fraction of its latency objective is refused, so that
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -9,6 +9,7 @@
 use tanagerford_core::ids::{PoolId, ServerId, ZoneId};
 use tanagerford_core::server_limit::PermitQueue;
 use tanagerford_core::stream_version::{VersionId, version_id};
+use tanagerford_core::version_history::{RegisteredVersion, VersionHistory};
 use tanagerford_sync::{lock, read_lock, write_lock};
 
 use crate::table::RoutingTable;
@@ -36,10 +37,6 @@
     pub version: String,
 }
 
-/// Time for which the version of a server that left counts as recent. It exceeds the longest time for which a stream and its
-/// caller's tries last.
-const VERSION_RETENTION: Duration = Duration::from_mins(1);
-
 /// Servers that accept new calls, by name.
 pub type ServersById = BTreeMap<ServerId, Arc<BackendServer>>;
 
@@ -57,7 +54,7 @@
 #[derive(Debug, Default)]
 struct RegisteredServers {
     servers: Arc<ServersById>,
-    /// Software versions of the servers that are registered or left within [`VERSION_RETENTION`].
+    /// Software versions at which streams may have begun that can still be resumed.
     recent_versions: Arc<BTreeSet<String>>,
 }
 
@@ -68,9 +65,7 @@
     costs: CostSettings,
     started: Instant,
     pools: RwLock<HashMap<PoolId, Arc<PoolState>>>,
-    /// Recent versions of the servers, with the time at which the last server of a version left; `None` while one is
-    /// registered.
-    versions: Mutex<HashMap<PoolId, BTreeMap<String, Option<Duration>>>>,
+    versions: Mutex<VersionHistory>,
 }
 
 impl Fleet {
@@ -103,30 +98,34 @@
         pools.get(name).cloned()
     }
 
-    /// Replaces the servers. Servers that accept no new calls are left out; calls in flight at them continue.
+    /// Locks the versions of the servers' software that matter for streams that are resumed.
+    pub fn version_history(&self) -> MutexGuard<'_, VersionHistory> {
+        lock(&self.versions)
+    }
+
+    /// Replaces the servers. Servers that accept no new calls are left out; calls in flight at them continue. Servers of a
+    /// version that the record of versions does not name yet are left out while the pool has others.
     pub(crate) fn set_servers(
         &self,
         servers: impl Iterator<Item = BackendServer>,
         table: &RoutingTable,
     ) {
         let specs: HashMap<_, _> = table.pools().map(|pool| (&pool.name, pool)).collect();
+        let servers: Vec<_> = servers.collect();
+        let registered = servers.iter().map(|server| RegisteredVersion {
+            pool: server.pool.clone(),
+            version: server.version.clone(),
+            is_ready: server.is_ready,
+        });
+        let registered: Vec<_> = registered.collect();
+        let mut versions = self.version_history();
+        versions.observe(self.now(), &table.version_retentions(), &registered);
         let mut by_pool: HashMap<PoolId, BTreeMap<ServerId, Arc<BackendServer>>> = HashMap::new();
-        let mut versions = lock(&self.versions);
-        let now = self.now();
-        for recent in versions.values_mut() {
-            recent.retain(|_, left_at| {
-                let left_at = *left_at.get_or_insert(now);
-                now.saturating_sub(left_at) < VERSION_RETENTION
-            });
-        }
         for server in servers {
-            let recent = versions.entry(server.pool.clone()).or_default();
-            recent.insert(server.version.clone(), None);
-            if !server.is_ready {
-                continue;
+            if server.is_ready && !versions.is_withheld(&server.pool, &server.version) {
+                let pool = by_pool.entry(server.pool.clone()).or_default();
+                pool.insert(server.id.clone(), Arc::new(server));
             }
-            let pool = by_pool.entry(server.pool.clone()).or_default();
-            pool.insert(server.id.clone(), Arc::new(server));
         }
         let mut pools = write_lock(&self.pools);
         for name in by_pool.keys() {
@@ -135,10 +134,9 @@
                 .or_insert_with(|| Arc::new(PoolState::new(&self.zone, &self.costs)));
         }
         for (name, pool) in &*pools {
-            let recent = versions.get(name).into_iter().flatten();
             let registered = RegisteredServers {
                 servers: Arc::new(by_pool.remove(name).unwrap_or_default()),
-                recent_versions: Arc::new(recent.map(|(version, _)| version.clone()).collect()),
+                recent_versions: Arc::new(versions.recent(name)),
             };
             let spec = specs.get(name);
             let memory_tokens = spec.and_then(|spec| spec.memory_tokens).unwrap_or(0);
@@ -185,7 +183,7 @@
         Arc::clone(&read_lock(&self.registered).servers)
     }
 
-    /// Returns the software versions of the servers that are registered or left a short time ago.
+    /// Returns the software versions at which streams may have begun that can still be resumed.
     pub(crate) fn recent_versions(&self) -> Arc<BTreeSet<String>> {
         Arc::clone(&read_lock(&self.registered).recent_versions)
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -39,6 +39,9 @@
 
 /// Interval at which the live entries are counted.
 const COUNT_INTERVAL: Duration = Duration::from_secs(1);
+/// Time for which an entry may know fewer changes of the store than another one before it counts as behind. It allows for
+/// the delay between two watches and for the check that replaces a silent watch.
+const MAX_LAG: Duration = Duration::from_millis(1_500);
 /// Delay before the next read of the socket after a failed one.
 const RECEIVE_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -71,6 +74,8 @@
     store_position: Mutex<StorePosition>,
     /// Newest position of the store that another entry reported.
     peer_store_position: Mutex<StorePosition>,
+    /// Time since which another entry has known a newer position of the store.
+    behind_since: Mutex<Option<Duration>>,
     /// Wakes the sending task; holds a message while a summary is due earlier than the task expects.
     wake_up: (async_channel::Sender<()>, async_channel::Receiver<()>),
 }
@@ -101,6 +106,7 @@
             version: AtomicU64::new(0),
             store_position: Mutex::default(),
             peer_store_position: Mutex::default(),
+            behind_since: Mutex::default(),
             wake_up,
         }
     }
@@ -134,11 +140,40 @@
     /// Sets the position up to which this entry has read the changes of the store.
     pub fn set_store_position(&self, position: StorePosition) {
         let before = std::mem::replace(&mut *lock(&self.store_position), position);
+        if before != position {
+            *lock(&self.behind_since) = None;
+        }
+        self.update_lag();
         if before != position {
             self.on_load_change();
         }
     }
 
+    /// Returns the number of this entry.
+    #[must_use]
+    pub fn entry(&self) -> EntryNumber {
+        self.stream_versions.entry()
+    }
+
+    /// Returns the other entries that were heard of a short time ago.
+    #[must_use]
+    pub fn live_entries(&self) -> BTreeSet<EntryNumber> {
+        let live = lock(&self.exchange).live_entries(self.now());
+        live.into_iter().collect()
+    }
+
+    /// Returns whether other entries have known for some time of changes of the store that this one does not know.
+    pub(crate) fn is_behind(&self) -> bool {
+        let since = *lock(&self.behind_since);
+        since.is_some_and(|since| self.now().saturating_sub(since) > MAX_LAG)
+    }
+
+    fn update_lag(&self) {
+        let is_behind = self.peer_store_position() > self.store_position();
+        let mut since = lock(&self.behind_since);
+        *since = is_behind.then(|| since.unwrap_or_else(|| self.now()));
+    }
+
     /// Returns the position up to which this entry has read the changes of the store.
     pub(crate) fn store_position(&self) -> StorePosition {
         *lock(&self.store_position)
@@ -394,6 +429,7 @@
             let mut newest = lock(&summaries.peer_store_position);
             *newest = summary.store.max(*newest);
             drop(newest);
+            summaries.update_lag();
             self.apply_summary(&summary);
         }
     }
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -1,11 +1,12 @@
 //! Decoded configuration: routes by host and path, pools, workspaces by API key, and limits for callers.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
 use tanagerford_core::dispatch::lower_ranks_latency;
 use tanagerford_core::ids::{PoolId, WorkspaceId};
+use tanagerford_core::version_history::MIN_RETENTION;
 
 use crate::call::RetryPolicy;
 
@@ -224,6 +225,21 @@
         using_pool.filter_map(|route| route.pause_limit).min()
     }
 
+    /// Returns the pools whose streams can be resumed, each with the time after which no caller resumes a stream any more:
+    /// one timeout for the stream and one for the tries of its caller.
+    pub(crate) fn version_retentions(&self) -> BTreeMap<PoolId, Duration> {
+        let mut retentions = BTreeMap::new();
+        let routes = self.routes.values().flatten();
+        for route in routes.filter(|route| route.retry_policy == RetryPolicy::Resumable) {
+            let needed = route.timeout.saturating_mul(2).max(MIN_RETENTION);
+            for weighted in &route.pools {
+                let retention = retentions.entry(weighted.pool.clone()).or_insert(needed);
+                *retention = needed.max(*retention);
+            }
+        }
+        retentions
+    }
+
     pub(crate) fn pools(&self) -> impl Iterator<Item = &PoolSpec> {
         self.pools.values()
     }
--- a/crates/gateway/src/versions.rs
+++ b/crates/gateway/src/versions.rs
@@ -46,6 +46,10 @@
         }
     }
 
+    pub(crate) fn entry(&self) -> EntryNumber {
+        self.entry
+    }
+
     /// Sets the other registered entries.
     pub(crate) fn set_entries(&self, mut others: BTreeSet<EntryNumber>) {
         others.insert(self.entry);
--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -21,10 +21,10 @@
 use tanagerford_operator::check::FileFindings;
 use tanagerford_platform::READINESS_PATH;
 use tanagerford_platform::codec::PlatformCodec;
+use tanagerford_platform::document;
 use tanagerford_platform::feed::Feed;
 use tanagerford_platform::settings::{self, PlatformSettings, SETTINGS_VARIABLE};
 use tanagerford_platform::store::Store;
-use tanagerford_platform::{document, entries};
 use tokio::runtime::{self, Handle};
 
 use crate::error::Error;
@@ -120,13 +120,7 @@
     let peers = copies.address();
     PeerExchange::start(Arc::clone(&gateway), copies, &runtime)?;
     let store = Store::new(settings.store_address);
-    Feed::new(
-        store,
-        Arc::clone(&gateway),
-        entries::registration(settings, peers),
-        settings.heartbeat_interval,
-    )
-    .start()?;
+    Feed::new(store, Arc::clone(&gateway), settings, peers).start()?;
     tracing::info!(vm = settings.vm, zone = settings.zone, %callers, %readiness, store = %settings.store_address, "entry has started");
     for signal in signals.forever() {
         if signal == SIGTERM {
