Let two entries of each zone read the store for the others

Change: in zones of more than four entries the two live entries with the largest processor shares watch the store and keep a contiguous log of what they read (core::change_log); the others ask them for the changes after their own position, by the same long poll. An entry hands changes on only while it reads the store itself, so that no two wait for each other, and refuses positions that it cannot continue without a gap or that are of another era; then the store is asked as before. An entry whose readers have lost the store reads everything anew, as after a failure of its own watch, so that lapsed records keep their grace period. What other entries know shows in their summaries as before: an entry that is behind at two looks asks the store itself.

--- a/crates/core/src/exchange.rs
+++ b/crates/core/src/exchange.rs
@@ -39,6 +39,10 @@
 /// Largest number of other entries in the same availability zone that receive summaries directly; with more, relays are
 /// cheaper.
 const MAX_DIRECT_RECEIVERS: usize = 2;
+/// Number of entries in an availability zone that read the key-value service for the others.
+const READERS_PER_ZONE: usize = 2;
+/// Largest number of entries in an availability zone that all read the key-value service themselves.
+const MAX_ZONE_WITHOUT_READERS: usize = 4;
 /// Number of entries in an availability zone that alternate as relays.
 const RELAYS_PER_ZONE: usize = 2;
 /// Time after which the relays of a zone alternate.
@@ -243,6 +247,15 @@
     parts: Vec<(ServerNumber, PromptPart)>,
 }
 
+/// Way in which an entry learns of changes of the key-value service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum StoreRole {
+    /// It watches the service and hands changes on to the other entries of its zone.
+    Reader,
+    /// It asks one of these entries for the changes.
+    Follower(Vec<EntryNumber>),
+}
+
 /// Summaries that a relay forwards to the entries of its availability zone, or to some of them.
 #[derive(Debug)]
 struct RelayChannel {
@@ -545,6 +558,57 @@
         live
     }
 
+    /// Returns how this entry learns of changes of the key-value service. In a small zone all entries read it themselves; in a
+    /// larger one, those that were heard of a short time ago with the largest processor shares do.
+    #[must_use]
+    pub fn store_role(&self, now: Duration, own_capacity: u32) -> StoreRole {
+        let mut candidates = self.candidate_readers(now, &self.zone);
+        let own = (Reverse(own_capacity), self.entry);
+        candidates.insert(own);
+        let readers: Vec<_> = candidates.iter().take(READERS_PER_ZONE).collect();
+        if candidates.len() <= MAX_ZONE_WITHOUT_READERS || readers.contains(&&own) {
+            return StoreRole::Reader;
+        }
+        StoreRole::Follower(readers.into_iter().map(|(_, entry)| *entry).collect())
+    }
+
+    /// Returns the number of entries that read the key-value service, including this one if it does.
+    #[must_use]
+    pub fn store_readers(&self, now: Duration) -> usize {
+        let readers = self.zones.keys().map(|zone| {
+            let own = usize::from(*zone == self.zone);
+            let candidates = self.candidate_readers(now, zone).len() + own;
+            if candidates <= MAX_ZONE_WITHOUT_READERS {
+                candidates
+            } else {
+                READERS_PER_ZONE
+            }
+        });
+        readers.sum::<usize>().max(1)
+    }
+
+    /// Returns the other entries of a zone that were heard of a short time ago, or all of them if none was.
+    fn candidate_readers(
+        &self,
+        now: Duration,
+        zone: &str,
+    ) -> BTreeSet<(Reverse<u32>, EntryNumber)> {
+        let registered = || self.zones.get(zone).into_iter().flatten().copied();
+        let live: BTreeSet<_> = registered()
+            .filter(|(_, entry)| self.is_live(now, *entry))
+            .collect();
+        if live.is_empty() {
+            registered().collect()
+        } else {
+            live
+        }
+    }
+
+    fn is_live(&self, now: Duration, entry: EntryNumber) -> bool {
+        let state = self.peer_states.get(&entry);
+        state.is_some_and(|state| now.saturating_sub(state.received_at) < PEER_TIMEOUT)
+    }
+
     /// Returns the other registered entries.
     #[must_use]
     pub fn registered_entries(&self) -> BTreeSet<EntryNumber> {
@@ -595,10 +659,7 @@
                 .flatten()
                 .map(|(_, entry)| *entry)
         };
-        let live = candidates().filter(|entry| {
-            let state = self.peer_states.get(entry);
-            state.is_some_and(|state| now.saturating_sub(state.received_at) < PEER_TIMEOUT)
-        });
+        let live = candidates().filter(|entry| self.is_live(now, *entry));
         let mut relays: Vec<_> = live.take(RELAYS_PER_ZONE).collect();
         if relays.is_empty() {
             relays.extend(candidates().take(RELAYS_PER_ZONE));
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod admission;
 pub mod availability;
 pub mod capacity;
+pub mod change_log;
 pub mod config;
 pub mod dispatch;
 pub mod estimate;
--- /dev/null
+++ b/crates/core/tests/change_log.rs
@@ -0,0 +1,87 @@
+//! Properties of the changes that readers hand on.
+
+use proptest::prelude::*;
+use tanagerford_core::change_log::{Change, ChangeLog, ChangesSince, wire};
+use tanagerford_core::store_position::StorePosition;
+
+/// Event in the life of a log.
+#[derive(Debug, Clone)]
+enum Step {
+    /// Changes follow the end of the log, each with a value of this size.
+    Extend(Vec<usize>),
+    /// The changes up to these many revisions later were not read.
+    Skip(u64),
+    /// Everything was read anew, these many revisions later.
+    Restart(u64),
+    /// Everything was read anew after a restoration of the service, these many revisions earlier.
+    Restore(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        6 => prop::collection::vec(0..600_000_usize, 0..4).prop_map(Step::Extend),
+        1 => (1..5_u64).prop_map(Step::Skip),
+        1 => (0..5_u64).prop_map(Step::Restart),
+        1 => (0..9_u64).prop_map(Step::Restore),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 200, ..ProptestConfig::default() })]
+
+    /// Guards against a follower that misses a change, gets one twice or gets one of another era: from any position the log
+    /// returns all later changes, or says that it cannot.
+    #[test]
+    fn changes_are_complete_or_refused(steps in prop::collection::vec(step(), 1..20)) {
+        let mut log = ChangeLog::default();
+        let mut end = StorePosition::default();
+        // Revisions of all changes of the current era that were made, whether or not the log has seen them.
+        let mut made: Vec<u64> = Vec::new();
+        for step in &steps {
+            match step {
+                Step::Extend(sizes) => {
+                    let after = end;
+                    let changes: Vec<_> = sizes.iter().map(|size| {
+                        end.revision += 1;
+                        made.push(end.revision);
+                        Change { key: "k".to_owned(), value: Some(vec![0; *size]), revision: end.revision }
+                    }).collect();
+                    log.extend(after, end, changes);
+                }
+                Step::Skip(count) => {
+                    made.extend(end.revision + 1..=end.revision + count);
+                    end.revision += count;
+                    log.extend(end, end, []);
+                }
+                Step::Restart(count) => {
+                    made.extend(end.revision + 1..=end.revision + count);
+                    end.revision += count;
+                    log.restart(end);
+                }
+                Step::Restore(count) => {
+                    end = StorePosition { era: end.era + 1, revision: end.revision.saturating_sub(*count) };
+                    made.retain(|revision| *revision <= end.revision);
+                    log.restart(end);
+                }
+            }
+            for revision in 0..end.revision + 2 {
+                let after = StorePosition { revision, ..end };
+                let expected: Vec<u64> = made.iter().copied().filter(|made| *made > revision).collect();
+                match log.since(after) {
+                    ChangesSince::Batch(batch) => {
+                        let got: Vec<u64> = batch.changes.iter().map(|change| change.revision).collect();
+                        prop_assert_eq!(got, expected);
+                        prop_assert_eq!(batch.as_of, end);
+                        prop_assert_eq!(wire::decode(&wire::encode(batch.clone())), Some(batch));
+                    }
+                    ChangesSince::UpToDate => prop_assert!(expected.is_empty()),
+                    ChangesSince::Gap => prop_assert!(revision < end.revision),
+                }
+                if end.era > 0 {
+                    let older = StorePosition { era: end.era - 1, revision };
+                    prop_assert_eq!(log.since(older), ChangesSince::Gap);
+                }
+            }
+        }
+    }
+}
--- a/crates/gateway/src/copies.rs
+++ b/crates/gateway/src/copies.rs
@@ -1,4 +1,4 @@
-//! Copies of the configuration between entries.
+//! Copies of the configuration between entries, and the listener for the requests of other entries.
 //!
 //! The store may reject individual entries while it serves the others and the operators. An entry whose configuration
 //! is older than the one that a peer announces, and that does not receive the newer one from the store in time, reads
@@ -10,15 +10,15 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
-use http::{HeaderValue, Request, StatusCode};
-use http_body_util::Full;
+use bytes::Bytes;
+use http::{Request, StatusCode};
 use hyper::body::Incoming;
 use tanagerford_http::server::{Server, ServerLimits, Service};
 use tanagerford_http::{Body, Reply};
 use tokio::runtime::Handle;
 use tokio::time::{sleep, timeout};
 
+use crate::changes;
 use crate::codec::Codec;
 use crate::gateway::Gateway;
 use crate::table::{ConfigurationSource, RoutingTable, Version};
@@ -48,6 +48,9 @@
 
 impl<C: Codec> Service for CopyService<C> {
     async fn handle(&self, request: Request<Incoming>, _peer: SocketAddr) -> Reply {
+        if request.uri().path() == changes::PATH {
+            return self.0.changes().answer(request.uri()).await;
+        }
         let document = self.0.document();
         let (status, body) = match document {
             Some(document) if request.uri().path() == CONFIGURATION_PATH => {
@@ -125,27 +128,13 @@
     }
 
     async fn fetch(&self, peer: SocketAddr) -> Result<(), String> {
-        let mut request = Request::new(Full::new(Bytes::new()));
-        *request.uri_mut() = http::Uri::from_static(CONFIGURATION_PATH);
-        let host = HeaderValue::from_str(&peer.to_string()).map_err(|error| error.to_string())?;
-        request.headers_mut().insert(http::header::HOST, host);
-        let connection_pool = &self.gateway.connection_pool;
-        let sent = connection_pool
-            .send(peer, request, COPY_TIMEOUT, false, || true)
-            .await;
-        let mut response = sent.map_err(|error| format!("{error:?}"))?;
-        let mut document = BytesMut::new();
-        while let Some(chunk) = response
-            .next_chunk()
-            .await
-            .map_err(|error| error.to_string())?
-        {
-            document.extend_from_slice(&chunk);
-        }
+        let fetched = self
+            .gateway
+            .fetch_from_peer(peer, CONFIGURATION_PATH, COPY_TIMEOUT);
+        let document = fetched.await.map_err(|status| format!("status {status}"))?;
         let table = (self.decode)(&document).ok_or("invalid configuration document")?;
         let source = ConfigurationSource::Peer;
-        self.gateway
-            .set_configuration(table, document.freeze(), source);
+        self.gateway.set_configuration(table, document, source);
         Ok(())
     }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -22,6 +22,7 @@
 use tokio::time::timeout;
 
 use crate::call::Call;
+use crate::changes::ChangeFeed;
 use crate::codec::{CallHead, Codec};
 use crate::fleet::{BackendServer, Fleet};
 use crate::log::{self, RequestInfo};
@@ -51,6 +52,8 @@
     pub initial_entry_count: usize,
     /// Name of the VM, which identifies this entry to the others.
     pub vm: String,
+    /// Processor share of the VM in thousandths of a core.
+    pub cpu_millicores: u32,
 }
 
 /// Entry that calls backend servers directly.
@@ -69,6 +72,7 @@
     /// Configuration in force and the document that it was decoded from.
     configuration: RwLock<Option<(Arc<RoutingTable>, Bytes)>>,
     budgets: Mutex<HashMap<PoolId, RetryBudget>>,
+    changes: ChangeFeed,
     /// Number of live entries, including this one.
     entry_count: AtomicUsize,
     is_stopping: AtomicBool,
@@ -90,6 +94,7 @@
         let processor = ProcessorMonitor::start(&runtime, Arc::clone(&metrics));
         let summaries = Summaries::new(
             &settings.vm,
+            settings.cpu_millicores,
             Arc::clone(&fleet),
             Arc::clone(&processor),
             Arc::clone(&quarantine),
@@ -109,6 +114,7 @@
             long_prompt_gate: Mutex::default(),
             configuration: RwLock::default(),
             budgets: Mutex::default(),
+            changes: ChangeFeed::default(),
             is_stopping: AtomicBool::new(false),
             stop: async_channel::bounded(1),
         })
@@ -235,6 +241,12 @@
         &self.summaries
     }
 
+    /// Returns the changes of the key-value service that this entry hands on to others.
+    #[must_use]
+    pub fn changes(&self) -> &ChangeFeed {
+        &self.changes
+    }
+
     /// Returns the requests that are suspected of crashing servers.
     #[must_use]
     pub fn quarantine(&self) -> &Quarantine {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,8 +4,8 @@
 //! applies overload control; `dispatch` serves the [`Call`] and decides about retries; `attempt` chooses a server from the
 //! [`fleet`] and sends the call; `in_flight` holds what was sent until a server answers; `relay` and `buffered` return the
 //! response to the caller; `request_end` accounts for the end of each request. Beside this path, [`peers`] exchanges load
-//! summaries with the other entries, [`copies`] reads newer configurations from them, and [`registry`] tracks the
-//! backend servers.
+//! summaries with the other entries, [`copies`] reads newer configurations from them, [`changes`] hands on what one of them
+//! read in the key-value service, and [`registry`] tracks the backend servers.
 //!
 //! A [`Codec`] translates between the protocol of callers and servers and the neutral [`Call`]. Nothing else in this
 //! crate depends on the wire format or the platform.
@@ -13,6 +13,7 @@
 mod attempt;
 mod buffered;
 pub mod call;
+pub mod changes;
 pub mod codec;
 pub mod copies;
 mod dispatch;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -15,7 +15,8 @@
 use socket2::Socket;
 use tanagerford_core::dispatch::{Demand, server_number};
 use tanagerford_core::exchange::{
-    self, EntryNumber, Exchange, OutgoingMessage, Summary, SummaryContent, SummaryIntervals, wire,
+    self, EntryNumber, Exchange, OutgoingMessage, StoreRole, Summary, SummaryContent,
+    SummaryIntervals, wire,
 };
 use tanagerford_core::ids::ZoneId;
 use tanagerford_core::server_limit;
@@ -76,14 +77,18 @@
     peer_store_position: Mutex<StorePosition>,
     /// Time since which another entry has known a newer position of the store.
     behind_since: Mutex<Option<Duration>>,
+    /// Processor share of this entry's VM in thousandths of a core.
+    own_millicores: u32,
     /// Wakes the sending task; holds a message while a summary is due earlier than the task expects.
     wake_up: (async_channel::Sender<()>, async_channel::Receiver<()>),
 }
 
 impl Summaries {
-    /// Creates the summaries of the entry on the VM `name`, from which the entry's number is derived.
+    /// Creates the summaries of the entry on the VM `name`, from which the entry's number is derived. `own_millicores` is the
+    /// VM's processor share in thousandths of a core.
     pub(crate) fn new(
         name: &str,
+        own_millicores: u32,
         fleet: Arc<Fleet>,
         processor: Arc<ProcessorMonitor>,
         quarantine: Arc<Quarantine>,
@@ -107,6 +112,7 @@
             store_position: Mutex::default(),
             peer_store_position: Mutex::default(),
             behind_since: Mutex::default(),
+            own_millicores,
             wake_up,
         }
     }
@@ -162,6 +168,22 @@
         live.into_iter().collect()
     }
 
+    /// Returns how this entry learns of changes of the key-value service.
+    pub(crate) fn store_role(&self) -> StoreRole {
+        lock(&self.exchange).store_role(self.now(), self.own_millicores)
+    }
+
+    /// Returns the number of entries that read the key-value service themselves.
+    #[must_use]
+    pub fn store_readers(&self) -> usize {
+        lock(&self.exchange).store_readers(self.now())
+    }
+
+    /// Returns the address at which another entry serves its peers.
+    pub(crate) fn peer_address(&self, entry: EntryNumber) -> Option<SocketAddr> {
+        self.address(entry)
+    }
+
     /// Returns whether other entries have known for some time of changes of the store that this one does not know.
     pub(crate) fn is_behind(&self) -> bool {
         let since = *lock(&self.behind_since);
--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -102,6 +102,7 @@
         budget: settings.retry_budget,
         initial_entry_count: ASSUMED_ENTRIES,
         vm: settings.vm.clone(),
+        cpu_millicores: settings.cpu_millicores,
     };
     let gateway = Gateway::new(PlatformCodec, fleet, gateway_settings, runtime.clone());
     let server = Server::bind(callers, runtime.clone())?;
