Reset connections to servers whose exchange is abandoned

Change: a connection that ends during an exchange is reset (SO_LINGER of 0, no shutdown before), so that the kernel discards what the server has not received. Complete exchanges end in order as before.

--- a/crates/http/src/connection_pool.rs
+++ b/crates/http/src/connection_pool.rs
@@ -2,10 +2,16 @@
 //!
 //! A connection carries one request at a time. It returns to the pool only after its response has been read completely,
 //! so bytes that follow a response are never silently taken for the response to another call.
+//!
+//! A connection that is dropped during an exchange is reset rather than closed in order, so that the kernel discards a
+//! request that has not reached the server yet. After an outage of the server or of the network it would otherwise arrive
+//! and run seconds after its caller has left.
 
 use std::collections::HashMap;
+use std::future::poll_fn;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -13,6 +19,7 @@
 use http::{HeaderMap, Request, Response, header};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body as _, Incoming};
+use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
@@ -62,13 +69,35 @@
 
 #[derive(Debug)]
 struct IdleConnection {
-    sender: SendRequest<Full<Bytes>>,
+    connection: Connection,
     reusable_until: Instant,
 }
 
+/// Open connection. It ends when it is dropped.
+#[derive(Debug)]
+struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    /// Whether a request was written whose response has not been read completely.
+    is_in_exchange: Arc<AtomicBool>,
+}
+
+impl Connection {
+    async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        self.is_in_exchange.store(true, Ordering::Release);
+        self.sender.try_send_request(request).await
+    }
+
+    fn end_exchange(&self) {
+        self.is_in_exchange.store(false, Ordering::Release);
+    }
+}
+
 /// Response whose body has not been read yet.
 ///
-/// The connection returns to the pool when the body has been read completely. Dropping the response earlier closes the
+/// The connection returns to the pool when the body has been read completely. Dropping the response earlier resets the
 /// connection.
 #[derive(Debug)]
 pub struct PooledResponse {
@@ -76,7 +105,7 @@
     pub head: Response<()>,
     body: Incoming,
     ends_with_connection: bool,
-    connection: Option<SendRequest<Full<Bytes>>>,
+    connection: Option<Connection>,
     address: SocketAddr,
     pool: Arc<ConnectionPool>,
 }
@@ -107,24 +136,24 @@
         may_send: impl Fn() -> bool,
     ) -> Result<PooledResponse, ExchangeError> {
         let mut request = request;
-        while can_reuse && let Some(mut sender) = self.take_idle(address) {
+        while can_reuse && let Some(mut connection) = self.take_idle(address) {
             if !may_send() {
                 return Err(ExchangeError::Withheld);
             }
-            match sender.try_send_request(request).await {
-                Ok(response) => return Ok(self.pooled_response(address, sender, response)),
+            match connection.send(request).await {
+                Ok(response) => return Ok(self.pooled_response(address, connection, response)),
                 Err(mut error) => match error.take_message() {
                     Some(unsent) => request = unsent,
                     None => return Err(ExchangeError::Broken(error.into_error())),
                 },
             }
         }
-        let mut sender = self.connect(address, connect_timeout).await?;
+        let mut connection = self.connect(address, connect_timeout).await?;
         if !may_send() {
             return Err(ExchangeError::Withheld);
         }
-        match sender.try_send_request(request).await {
-            Ok(response) => Ok(self.pooled_response(address, sender, response)),
+        match connection.send(request).await {
+            Ok(response) => Ok(self.pooled_response(address, connection, response)),
             Err(mut error) => match error.take_message() {
                 Some(_) => Err(ExchangeError::NotSent),
                 None => Err(ExchangeError::Broken(error.into_error())),
@@ -135,7 +164,7 @@
     fn pooled_response(
         self: &Arc<Self>,
         address: SocketAddr,
-        sender: SendRequest<Full<Bytes>>,
+        connection: Connection,
         response: Response<Incoming>,
     ) -> PooledResponse {
         let (parts, body) = response.into_parts();
@@ -145,25 +174,25 @@
             head: Response::from_parts(parts, ()),
             body,
             ends_with_connection: !has_length && !is_chunked,
-            connection: Some(sender),
+            connection: Some(connection),
             address,
             pool: Arc::clone(self),
         }
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
+    fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
         let mut idle = self.lock();
         let connections = idle.get_mut(&address)?;
         let now = Instant::now();
-        while let Some(connection) = connections.pop() {
-            if connection.reusable_until > now && connection.sender.is_ready() {
-                return Some(connection.sender);
+        while let Some(idle) = connections.pop() {
+            if idle.reusable_until > now && idle.connection.sender.is_ready() {
+                return Some(idle.connection);
             }
         }
         None
     }
 
-    fn put_idle(&self, address: SocketAddr, sender: SendRequest<Full<Bytes>>, headers: &HeaderMap) {
+    fn put_idle(&self, address: SocketAddr, connection: Connection, headers: &HeaderMap) {
         let timeout = idle_timeout(headers).unwrap_or(DEFAULT_IDLE_TIMEOUT);
         let reusable_until = Instant::now() + timeout * REUSE_FRACTION.0 / REUSE_FRACTION.1;
         let mut idle = self.lock();
@@ -172,7 +201,7 @@
             connections.remove(0);
         }
         connections.push(IdleConnection {
-            sender,
+            connection,
             reusable_until,
         });
     }
@@ -185,7 +214,7 @@
         &self,
         address: SocketAddr,
         connect_timeout: Duration,
-    ) -> Result<SendRequest<Full<Bytes>>, ExchangeError> {
+    ) -> Result<Connection, ExchangeError> {
         let connected = timeout(connect_timeout, TcpStream::connect(address)).await;
         let connected = connected.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()));
         let stream = connected.map_err(ExchangeError::Connect)?;
@@ -194,13 +223,28 @@
             .max_buf_size(MAX_HEAD_BYTES)
             .handshake(TokioIo::new(stream))
             .await;
-        let (sender, connection) = handshake.map_err(|_| ExchangeError::NotSent)?;
+        let (sender, mut protocol) = handshake.map_err(|_| ExchangeError::NotSent)?;
+        let is_in_exchange = Arc::new(AtomicBool::new(false));
+        let connection = Connection {
+            sender,
+            is_in_exchange: Arc::clone(&is_in_exchange),
+        };
         self.runtime.spawn(async move {
-            if let Err(error) = connection.await {
+            if let Err(error) = poll_fn(|context| protocol.poll_without_shutdown(context)).await {
                 tracing::debug!(target: LOG_TARGET, %address, %error, "connection to a backend server ended");
             }
+            if is_in_exchange.load(Ordering::Acquire) {
+                reset_when_dropped(protocol.into_parts().io.inner());
+            }
         });
-        Ok(sender)
+        Ok(connection)
+    }
+}
+
+/// Lets the kernel reset the connection and discard what the server has not received, instead of closing it in order.
+fn reset_when_dropped(stream: &TcpStream) {
+    if let Err(error) = SockRef::from(stream).set_linger(Some(Duration::ZERO)) {
+        tracing::debug!(target: LOG_TARGET, %error, "cannot reset a connection");
     }
 }
 
@@ -250,12 +294,13 @@
     }
 
     fn release_connection(&mut self) {
-        let Some(sender) = self.connection.take() else {
+        let Some(connection) = self.connection.take() else {
             return;
         };
-        if !self.ends_with_connection && !sender.is_closed() {
+        connection.end_exchange();
+        if !self.ends_with_connection && !connection.sender.is_closed() {
             self.pool
-                .put_idle(self.address, sender, self.head.headers());
+                .put_idle(self.address, connection, self.head.headers());
         }
     }
 }
