Restart threads that panic, and wait only for servers that a call can use

A resumed stream whose own server had no permit waited for the rest of a server of another version: the wait left out the tried servers only, unlike the choice of a server.

--- a/crates/gateway/src/changes.rs
+++ b/crates/gateway/src/changes.rs
@@ -48,11 +48,14 @@
 }
 
 impl ChangeFeed {
-    /// Sets whether this entry watches the key-value service and its last call there succeeded.
-    pub fn set_reading(&self, is_reading: bool) {
-        if self.is_reading.swap(is_reading, Ordering::AcqRel) != is_reading {
+    /// Sets whether this entry watches the key-value service and its last call there succeeded; returns whether that is a
+    /// change.
+    pub fn set_reading(&self, is_reading: bool) -> bool {
+        let is_change = self.is_reading.swap(is_reading, Ordering::AcqRel) != is_reading;
+        if is_change {
             self.changed.notify_waiters();
         }
+        is_change
     }
 
     /// Empties the log after a read of everything as of `position`.
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -348,7 +348,8 @@
             });
             let left = max_wait.saturating_sub(began.elapsed());
             let now = fleet.now();
-            let availability = self.availability_of(now, pool, request.tried_servers);
+            let excluded = request.excluded_servers(&pool.servers()).into_owned();
+            let availability = self.availability_of(now, pool, &excluded);
             let back_in = availability
                 .back_at
                 .map(|back_at| back_at.saturating_sub(now));
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -22,7 +22,7 @@
 use tanagerford_core::server_limit;
 use tanagerford_core::store_position::StorePosition;
 use tanagerford_core::stream_version::{self, VersionId};
-use tanagerford_sync::lock;
+use tanagerford_sync::{lock, spawn_restarting};
 use tokio::runtime::Handle;
 use tokio::time::{sleep, timeout};
 use xxhash_rust::xxh3::xxh3_64;
@@ -366,9 +366,9 @@
         runtime.spawn(Arc::clone(&exchange).send_loop());
         runtime.spawn(Arc::clone(&exchange).count_live_entries());
         // A blocking thread needs one system call per message; an asynchronous task needs four.
-        let thread = thread::Builder::new().name("summaries".to_owned());
-        thread.spawn(move || exchange.receive_loop(&receiving_socket))?;
-        Ok(())
+        spawn_restarting("summaries", move || {
+            exchange.receive_loop(&receiving_socket);
+        })
     }
 
     /// Sends the messages that were not due yet when the exchange was updated.
