Store the versions of begun streams while servers of several versions run

All entries and with them all keepers had been killed, and with two recent versions every such stream was refused.

An entry that starts reads these records.

--- a/crates/core/src/stream_version.rs
+++ b/crates/core/src/stream_version.rs
@@ -4,6 +4,9 @@
 //! sends its version to a few keepers, which follow from the stream's key and the registered entries. An entry at which a
 //! caller takes up the stream asks the keepers. Without a record the stream does not go on: that a version is unknown is no
 //! permission to assume one.
+//!
+//! Keepers are lost when all entries are killed at once. While servers of several versions run, each entry therefore also
+//! writes the streams that it began to the key-value service, where entries that start read them.
 
 pub mod wire;
 
@@ -20,6 +23,9 @@
 /// Largest number of records, against callers that begin streams without end.
 const MAX_RECORDS: usize = 65_536;
 
+/// Largest number of streams that one entry writes to the key-value service, 130 KB.
+const MAX_BEGUN_STREAMS: usize = 8_192;
+
 /// Hash of a workspace and of the attempt that brought the first event of a stream.
 pub type StreamKey = u64;
 
@@ -79,6 +85,48 @@
     chosen
 }
 
+/// Streams that one entry began a short time ago, for the key-value service.
+#[derive(Debug, Default)]
+pub struct BegunStreams {
+    /// Streams with the time at which they began, oldest first.
+    streams: VecDeque<(Duration, StreamKey, VersionId)>,
+    is_changed: bool,
+}
+
+impl BegunStreams {
+    /// Adds a stream that began.
+    pub fn begin(&mut self, now: Duration, stream: StreamKey, version: VersionId) {
+        while let Some((at, ..)) = self.streams.front() {
+            let is_old = now.saturating_sub(*at) >= RECORD_TTL;
+            if !is_old && self.streams.len() < MAX_BEGUN_STREAMS {
+                break;
+            }
+            self.streams.pop_front();
+        }
+        self.streams.push_back((now, stream, version));
+        self.is_changed = true;
+    }
+
+    /// Returns the streams of the last minute if others began since the last call.
+    pub fn take_changed(&mut self, now: Duration) -> Option<Vec<(StreamKey, VersionId)>> {
+        if !std::mem::take(&mut self.is_changed) {
+            return None;
+        }
+        let recent = self.streams.iter();
+        let recent = recent.filter(|(at, ..)| now.saturating_sub(*at) < RECORD_TTL);
+        Some(
+            recent
+                .map(|(_, stream, version)| (*stream, *version))
+                .collect(),
+        )
+    }
+
+    /// Has the streams returned again, since they were not stored.
+    pub fn set_changed(&mut self) {
+        self.is_changed = true;
+    }
+}
+
 /// Versions of streams that one entry keeps.
 #[derive(Debug, Default)]
 pub struct VersionTable {
--- a/crates/core/src/version_history.rs
+++ b/crates/core/src/version_history.rs
@@ -197,6 +197,12 @@
         versions.cloned().collect()
     }
 
+    /// Returns whether some pool has several recent versions.
+    #[must_use]
+    pub fn has_several(&self) -> bool {
+        self.pools.values().any(|state| state.recent.len() > 1)
+    }
+
     /// Returns the version at which every stream of a pool began that can still be resumed; `None` if several come into
     /// question.
     #[must_use]
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -261,6 +261,29 @@
         self.send_to_keepers(&self.stream_versions.record(now, call, version));
     }
 
+    /// Returns the encoded versions of the streams that this entry began, if others began since the last call.
+    #[must_use]
+    pub fn take_begun_streams(&self) -> Option<Vec<u8>> {
+        let changed = self.stream_versions.begun().take_changed(self.fleet.now());
+        changed.map(stream_version::wire::encode_streams)
+    }
+
+    /// Has the streams that this entry began returned again, since they were not stored.
+    pub fn keep_begun_streams(&self) {
+        self.stream_versions.begun().set_changed();
+    }
+
+    /// Takes over the encoded versions of the streams that an entry began before this process started. `is_own` tells
+    /// whether it ran on this VM. Returns whether they could be decoded.
+    pub fn load_streams(&self, encoded: &[u8], is_own: bool) -> bool {
+        let streams = stream_version::wire::decode_streams(encoded);
+        let is_valid = streams.is_some();
+        let now = self.fleet.now();
+        self.stream_versions
+            .load(now, streams.unwrap_or_default(), is_own);
+        is_valid
+    }
+
     /// Returns the version at which the stream of `first_attempt` began, or `None` if no keeper knows it.
     pub(crate) async fn lookup_version(
         &self,
--- a/crates/gateway/src/versions.rs
+++ b/crates/gateway/src/versions.rs
@@ -1,12 +1,12 @@
 //! Software versions at which the streams of callers began.
 
 use std::collections::BTreeSet;
-use std::sync::Mutex;
+use std::sync::{Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
 use tanagerford_core::exchange::EntryNumber;
 use tanagerford_core::stream_version::{
-    StreamKey, VersionId, VersionMessage, VersionTable, keepers, stream_key,
+    BegunStreams, StreamKey, VersionId, VersionMessage, VersionTable, keepers, stream_key,
 };
 use tanagerford_sync::lock;
 use tokio::sync::Notify;
@@ -24,6 +24,8 @@
 pub(crate) struct StreamVersions {
     entry: EntryNumber,
     table: Mutex<VersionTable>,
+    /// Streams that this entry began, for the key-value service.
+    begun: Mutex<BegunStreams>,
     registered: Mutex<BTreeSet<EntryNumber>>,
     /// Wakes the calls that wait for an answer.
     answered: Notify,
@@ -41,6 +43,7 @@
         Self {
             entry,
             table: Mutex::default(),
+            begun: Mutex::default(),
             registered: Mutex::new(BTreeSet::from([entry])),
             answered: Notify::new(),
         }
@@ -61,9 +64,25 @@
     pub(crate) fn record(&self, now: Duration, call: &Call, version: VersionId) -> KeeperMessage {
         let stream = stream_key(call.workspace_name(), &call.id);
         lock(&self.table).record(now, stream, version);
+        lock(&self.begun).begin(now, stream, version);
         self.to_keepers(stream, Some(version))
     }
 
+    /// Returns the streams that this entry began.
+    pub(crate) fn begun(&self) -> MutexGuard<'_, BegunStreams> {
+        lock(&self.begun)
+    }
+
+    /// Keeps the versions of streams that an entry began before this process started. Those of the same VM are written again.
+    pub(crate) fn load(&self, now: Duration, streams: Vec<(StreamKey, VersionId)>, is_own: bool) {
+        for (stream, version) in streams {
+            lock(&self.table).record(now, stream, version);
+            if is_own {
+                lock(&self.begun).begin(now, stream, version);
+            }
+        }
+    }
+
     /// Returns the version at which the stream of `first_attempt` began. Asks its keepers with `send`; `None` if none of
     /// them answers in time.
     pub(crate) async fn lookup(
