--- a/crates/core/src/stream_version.rs
+++ b/crates/core/src/stream_version.rs
@@ -86,6 +86,18 @@
 }
 
 /// Streams that one entry began a short time ago, for the key-value service.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+/// use tanagerford_core::stream_version::BegunStreams;
+///
+/// let mut begun = BegunStreams::default();
+/// begun.begin(Duration::from_secs(1), 77, 5);
+/// assert_eq!(begun.take_changed(Duration::from_secs(2)), Some(vec![(77, 5)]));
+/// assert_eq!(begun.take_changed(Duration::from_secs(3)), None);
+/// ```
 #[derive(Debug, Default)]
 pub struct BegunStreams {
     /// Streams with the time at which they began, oldest first.
--- a/crates/core/src/version_history.rs
+++ b/crates/core/src/version_history.rs
@@ -56,6 +56,16 @@
 
 /// Returns how many of the `others` are to write a change of the record before `entry`. The order follows from the record's
 /// revision, so that an entry which cannot write does not delay every change.
+///
+/// # Examples
+///
+/// ```
+/// use std::collections::BTreeSet;
+/// use tanagerford_core::version_history::writer_rank;
+///
+/// let ranks = [writer_rank(1, &BTreeSet::from([2]), 40), writer_rank(2, &BTreeSet::from([1]), 40)];
+/// assert!(ranks == [0, 1] || ranks == [1, 0]);
+/// ```
 #[must_use]
 pub fn writer_rank(entry: EntryNumber, others: &BTreeSet<EntryNumber>, revision: u64) -> usize {
     let weight =
--- a/crates/gateway/src/changes.rs
+++ b/crates/gateway/src/changes.rs
@@ -9,7 +9,7 @@
 use http::{HeaderValue, Request, StatusCode, Uri};
 use http_body_util::Full;
 use tanagerford_core::change_log::{Change, ChangeBatch, ChangeLog, ChangesSince, wire};
-use tanagerford_core::exchange::StoreRole;
+use tanagerford_core::exchange::{EntryNumber, StoreRole};
 use tanagerford_core::store_position::StorePosition;
 use tanagerford_http::{Body, Reply};
 use tanagerford_sync::lock;
@@ -38,6 +38,16 @@
 }
 
 /// Changes that this entry knows, for the entries that ask for them.
+///
+/// # Examples
+///
+/// ```
+/// use tanagerford_gateway::changes::ChangeFeed;
+///
+/// let feed = ChangeFeed::default();
+/// assert!(feed.set_reading(true));
+/// assert!(!feed.set_reading(true));
+/// ```
 #[derive(Debug, Default)]
 pub struct ChangeFeed {
     log: Mutex<ChangeLog>,
@@ -151,7 +161,7 @@
     /// Fails if no reader hands on changes; the caller then has to ask the key-value service.
     pub fn read_changes(
         &self,
-        readers: &[u64],
+        readers: &[EntryNumber],
         after: StorePosition,
         wait: Duration,
     ) -> Result<ChangeBatch, ReadersError> {
