Count the cost of a new connection with the other costs of a server

It was added beside ServerState::cost_ms, where the choice of a server reads it; no other caller existed, so the costs are the same. The size in a comment is corrected: 8,192 streams take 64 KB, 130 KB was wrong.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -379,10 +379,7 @@
         }
         let estimates = candidates.iter().map(|state| {
             let snapshot = state.snapshot(now, demand);
-            let mut cost_ms = state.cost_ms(&self.model, &self.zone, now, demand, snapshot);
-            if now >= state.connected_until {
-                cost_ms += self.model.settings.new_connection_ms;
-            }
+            let cost_ms = state.cost_ms(&self.model, &self.zone, now, demand, snapshot);
             (cost_ms, *state, snapshot)
         });
         let estimates: Vec<_> = estimates.collect();
--- a/crates/core/src/dispatch/cost.rs
+++ b/crates/core/src/dispatch/cost.rs
@@ -297,7 +297,13 @@
         };
         let slowness = self.health.slowness(now).max(snapshot.pause_factor);
         let failing_ms = self.health.failure_rate(now) * settings.failing_ms;
-        work_ms * slowness + failing_ms + self.cross_zone_ms(settings, zone, demand)
+        let connecting_ms = if now < self.connected_until {
+            0.0
+        } else {
+            settings.new_connection_ms
+        };
+        let cross_zone_ms = self.cross_zone_ms(settings, zone, demand);
+        work_ms * slowness + failing_ms + cross_zone_ms + connecting_ms
     }
 
     /// Returns the cost on a plain service, which depends on the share of its slots that are taken.
--- a/crates/core/src/stream_version.rs
+++ b/crates/core/src/stream_version.rs
@@ -23,7 +23,7 @@
 /// Largest number of records, against callers that begin streams without end.
 const MAX_RECORDS: usize = 65_536;
 
-/// Largest number of streams that one entry writes to the key-value service, 130 KB.
+/// Largest number of streams that one entry writes to the key-value service, 64 KB.
 const MAX_BEGUN_STREAMS: usize = 8_192;
 
 /// Hash of a workspace and of the attempt that brought the first event of a stream.
