Limit repeats by a rule that adds up over all processes of the fleet

Cause: each process had a part of the constant in its memory, so each start had a part of its own, and the part followed the entries that it heard.

Now a process repeats only while its repeats in every window are at most the ratio times the mean of its requests in the three windows that the limit names. Both sides are sums over processes, so the fleet keeps the limit whichever processes run (docs/decisions.md). Half of the constant is divided by registered entries and flows in with time. A repeat is taken when it is sent, if an earlier send may have arrived.

--- a/crates/emulator/src/simulation.rs
+++ b/crates/emulator/src/simulation.rs
@@ -1035,7 +1035,12 @@
             call.tried_servers.len() < MAX_ATTEMPTS_PER_CALL && (is_not_executed || can_run_again);
         let target = call.target;
         let entry = &mut self.entries[call.entry];
-        if can_retry && entry.budget(target).try_retry(self.now, &limits, entries) {
+        if can_retry
+            && entry
+                .budget(target)
+                .try_retry(self.now, &limits, entries)
+                .is_some()
+        {
             self.result.repeats += 1;
             self.send_call(index);
         } else if is_not_executed && self.calls[index].broken_attempts == 0 {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -121,8 +121,8 @@
         }
     }
 
-    /// Returns whether a retry after this failure is deducted from the budget.
-    pub(crate) fn uses_retry_budget(self) -> bool {
+    /// Returns whether anything of the attempt may have arrived at the server.
+    fn may_have_arrived(self) -> bool {
         !matches!(self, Self::Unreachable | Self::Withheld)
     }
 
@@ -152,6 +152,14 @@
     Answered((SentCall, ExchangeResult)),
 }
 
+/// What ends the wait for an attempt.
+enum Awaited {
+    /// The result of the attempt; `None` if there is none in time.
+    Own(Option<(SentCall, ExchangeResult)>),
+    /// A server that was silent before answers.
+    Other(StartedResponse),
+}
+
 /// Server and time of an attempt.
 struct Target {
     server: Arc<BackendServer>,
@@ -218,6 +226,11 @@
             NextServer::Answered(started) => return Ok(started),
         };
         let choice = selected.choice;
+        let pool_name = &selected.server.pool;
+        let mut repeat = None;
+        if attempts.may_have_arrived {
+            repeat = Some(self.take_retry(pool_name).ok_or(None)?);
+        }
         // The call may have waited for a permit.
         let remaining = deadline.saturating_duration_since(Instant::now());
         let server = Arc::clone(&sent_call.server);
@@ -235,21 +248,9 @@
             Arc::clone(self).send_to_server(Arc::clone(call), target, remaining, resume_after);
         attempts.in_flight.push(Exchange::new(sent_call, exchange));
         let expiry = Instant::now() + time_limit;
-        let newest = loop {
-            let result = timeout_at(expiry.into(), attempts.in_flight.first_result()).await;
-            match result {
-                Ok((sent_call, result)) if sent_call.number == number => {
-                    break Some((sent_call, result));
-                }
-                Ok((sent_call, result)) => match self.on_late_result(attempts, sent_call, result) {
-                    Some(started) if started.is_server_failure() => {
-                        attempts.keep_failure(started);
-                    }
-                    Some(started) => return Ok(started),
-                    None => {}
-                },
-                Err(_) => break None,
-            }
+        let newest = match self.await_result(attempts, number, expiry).await {
+            Awaited::Own(result) => result,
+            Awaited::Other(started) => return Ok(started),
         };
         let log_end = |sent_call: &mut SentCall, outcome: &'static str| {
             self.metrics.on_attempt(outcome);
@@ -262,6 +263,7 @@
                 version = sent_call.server.version,
                 outcome,
                 sends = attempts.sends,
+                is_repeat = repeat.is_some(),
                 cost_ms = choice.cost_ms,
                 uncached_tokens = choice.uncached_tokens,
                 in_flight = choice.in_flight,
@@ -277,6 +279,11 @@
             );
             sent_call.is_end_logged = true;
         };
+        let is_unsent = matches!(&newest, Some((_, Err(error))) if !error.may_have_arrived());
+        match repeat {
+            Some(taken) if is_unsent => self.return_retry(pool_name, taken),
+            _ => attempts.may_have_arrived |= !is_unsent,
+        }
         let Some((mut sent_call, result)) = newest else {
             // The exchange stays in flight, since the server may go on.
             if let Some(sent_call) = attempts.in_flight.newest() {
@@ -307,6 +314,31 @@
         }
     }
 
+    /// Waits until `expiry` for the result of the attempt `number`, or for the answer of a server that was silent before.
+    async fn await_result(
+        self: &Arc<Self>,
+        attempts: &mut Attempts,
+        number: CallNumber,
+        expiry: Instant,
+    ) -> Awaited {
+        loop {
+            let result = timeout_at(expiry.into(), attempts.in_flight.first_result()).await;
+            match result {
+                Ok((sent_call, result)) if sent_call.number == number => {
+                    return Awaited::Own(Some((sent_call, result)));
+                }
+                Ok((sent_call, result)) => match self.on_late_result(attempts, sent_call, result) {
+                    Some(started) if started.is_server_failure() => {
+                        attempts.keep_failure(started);
+                    }
+                    Some(started) => return Awaited::Other(started),
+                    None => {}
+                },
+                Err(_) => return Awaited::Own(None),
+            }
+        }
+    }
+
     /// Records the result of an exchange in the health of its server; returns the name of the outcome.
     fn record_outcome(
         self: &Arc<Self>,
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -40,6 +40,8 @@
     pub(crate) sends: usize,
     /// Attempts that a server may have run.
     pub(crate) possible_runs: u32,
+    /// Whether the call may have arrived at a server, so that a further send is a repeat.
+    pub(crate) may_have_arrived: bool,
     /// Version of the servers that the call may be sent to; `None` if any may run it.
     pub(crate) version: Option<VersionId>,
     /// Time after which the servers' limits have room, if they are the reason why the call was not sent.
@@ -148,12 +150,7 @@
                     return Ok(started);
                 }
                 Err(Some(error)) => last_error = Some(error),
-                Err(None) => {
-                    if last_error.is_some_and(AttemptError::uses_retry_budget) {
-                        self.return_retry(pool_name);
-                    }
-                    break;
-                }
+                Err(None) => break,
             }
         }
         // A failure that a server reported is not held back, since its caller can retry at once.
@@ -277,8 +274,8 @@
         gate.decide(self.fleet.now(), choice, call.priority(), remaining)
     }
 
-    /// Returns whether the call may be sent to another server after `error`, and deducts the retry from the pool's
-    /// budget. A call that could not connect or was withheld is retried without a deduction.
+    /// Returns whether the call may be sent to another server after `error`. A call that has reached no server yet needs no
+    /// budget.
     fn allow_retry(
         &self,
         call: &Call,
@@ -289,15 +286,14 @@
         if attempts.sends >= MAX_ATTEMPTS_PER_CALL {
             return false;
         }
-        match error {
-            AttemptError::Unreachable | AttemptError::Withheld => true,
-            AttemptError::NotRun => self.try_take_retry(pool),
+        let is_repeatable = match error {
+            AttemptError::Unreachable | AttemptError::Withheld | AttemptError::NotRun => true,
             AttemptError::Broken | AttemptError::TimedOut | AttemptError::Failed => {
                 call.retry_policy() != RetryPolicy::AtMostOnce
                     && attempts.possible_runs < call.route.max_attempts
-                    && self.try_take_retry(pool)
             }
-        }
+        };
+        is_repeatable && (!attempts.may_have_arrived || self.may_retry(pool))
     }
 
     /// Returns the response to the caller: a successful stream event by event, any other response buffered.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -12,7 +12,7 @@
 use futures_lite::{FutureExt, future};
 use http::{HeaderValue, Request, StatusCode, header};
 use hyper::body::{Body as _, Incoming};
-use tanagerford_core::dispatch::{BudgetLimits, LongPromptGate, RetryBudget};
+use tanagerford_core::dispatch::{BudgetLimits, LongPromptGate, RetryBudget, TakenRetry};
 use tanagerford_core::ids::PoolId;
 use tanagerford_http::connection_pool::ConnectionPool;
 use tanagerford_http::server::{ServerLimits, Service, UnreadBody};
@@ -26,7 +26,7 @@
 use crate::codec::{CallHead, Codec};
 use crate::fleet::{BackendServer, Fleet};
 use crate::log::{self, RequestInfo};
-use crate::metrics::Metrics;
+use crate::metrics::{Metrics, RepeatDecision};
 use crate::peers::Summaries;
 use crate::processor::ProcessorMonitor;
 use crate::quarantine::Quarantine;
@@ -48,7 +48,7 @@
 pub struct GatewaySettings {
     /// Limits of retries, shared by all entries.
     pub budget: BudgetLimits,
-    /// Assumed number of entries that share the retry budget, until the live entries are counted.
+    /// Assumed number of entries, until the live entries are counted.
     pub initial_entry_count: usize,
     /// Name of the VM, which identifies this entry to the others.
     pub vm: String,
@@ -189,12 +189,12 @@
         self.summaries.limits().retain_registered(&self.fleet);
     }
 
-    /// Sets the number of entries that share the retry budget; 0 counts as 1.
+    /// Sets the number of live entries, including this one; 0 counts as 1.
     pub fn set_entry_count(&self, entries: usize) {
         self.entry_count.store(entries.max(1), Ordering::Relaxed);
     }
 
-    /// Returns the number of entries that share the retry budget, including this one.
+    /// Returns the number of live entries, including this one.
     #[must_use]
     pub fn entry_count(&self) -> usize {
         self.entry_count.load(Ordering::Relaxed)
@@ -276,18 +276,36 @@
         apply(budgets.entry(pool.clone()).or_default())
     }
 
-    /// Deducts a retry from the budget of a pool; returns `false` if the budget is exhausted.
-    pub(crate) fn try_take_retry(&self, pool: &PoolId) -> bool {
+    /// Returns whether the budget of a pool allows a repeat now.
+    pub(crate) fn may_retry(&self, pool: &PoolId) -> bool {
         let now = self.fleet.now();
-        let entries = self.entry_count.load(Ordering::Relaxed);
-        self.with_budget(pool, |budget| {
-            budget.try_retry(now, &self.settings.budget, entries)
-        })
+        let (limits, registered) = (&self.settings.budget, self.summaries.registered_count());
+        let is_allowed = self.with_budget(pool, |budget| budget.may_retry(now, limits, registered));
+        if !is_allowed {
+            self.metrics.on_repeat(RepeatDecision::Denied);
+        }
+        is_allowed
     }
 
-    /// Returns a retry to the budget of a pool, since no server was left to send it to.
-    pub(crate) fn return_retry(&self, pool: &PoolId) {
-        self.with_budget(pool, RetryBudget::return_retry);
+    /// Deducts a repeat that is about to be sent from the budget of a pool; returns `None` if the budget is exhausted.
+    pub(crate) fn take_retry(&self, pool: &PoolId) -> Option<TakenRetry> {
+        let now = self.fleet.now();
+        let (limits, registered) = (&self.settings.budget, self.summaries.registered_count());
+        let taken = self.with_budget(pool, |budget| budget.try_retry(now, limits, registered));
+        self.metrics.on_repeat(if taken.is_some() {
+            RepeatDecision::Sent
+        } else {
+            RepeatDecision::Denied
+        });
+        taken
+    }
+
+    /// Returns a repeat that did not reach a server to the budget of a pool.
+    pub(crate) fn return_retry(&self, pool: &PoolId, taken: TakenRetry) {
+        self.with_budget(pool, |budget| {
+            budget.return_retry(taken, &self.settings.budget);
+        });
+        self.metrics.on_repeat(RepeatDecision::Returned);
     }
 
     /// Returns the estimated arrival time of a request that is read now. The request may have waited for the processor,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -56,6 +56,33 @@
     version: String,
 }
 
+#[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct DecisionLabels {
+    decision: &'static str,
+}
+
+/// Decision about sending a call once more that may have arrived at a server.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum RepeatDecision {
+    /// The repeat was deducted from the budget.
+    Sent,
+    /// The budget is exhausted.
+    Denied,
+    /// The repeat did not reach a server and was returned to the budget.
+    Returned,
+}
+
+impl RepeatDecision {
+    /// Returns the name of the decision in metrics.
+    fn name(self) -> &'static str {
+        match self {
+            Self::Sent => "sent",
+            Self::Denied => "denied",
+            Self::Returned => "returned",
+        }
+    }
+}
+
 /// Counts a stream among those of its version until it is dropped.
 #[derive(Debug)]
 pub(crate) struct StreamGuard(Gauge);
@@ -66,6 +93,36 @@
     }
 }
 
+/// What backend servers have asked for.
+#[derive(Debug)]
+struct ServerMetrics {
+    limits: Family<ServerLabels, Gauge<f64, AtomicU64>>,
+    at_rest: Gauge<u64, AtomicU64>,
+    leaving: Gauge<u64, AtomicU64>,
+}
+
+impl ServerMetrics {
+    fn register(registry: &mut Registry) -> Self {
+        Self {
+            limits: register(
+                registry,
+                "server_limit",
+                "requests per second that a backend server takes from all entries together",
+            ),
+            at_rest: register(
+                registry,
+                "servers_at_rest",
+                "backend servers that asked this entry for a rest which has not ended",
+            ),
+            leaving: register(
+                registry,
+                "servers_leaving",
+                "backend servers that told this entry that they leave",
+            ),
+        }
+    }
+}
+
 #[derive(Debug)]
 pub(crate) struct Metrics {
     registry: Registry,
@@ -74,6 +131,7 @@
     requests_ended: Family<EndLabels, Counter>,
     refusals: Family<ReasonLabels, Counter>,
     attempts: Family<ReasonLabels, Counter>,
+    repeats: Family<DecisionLabels, Counter>,
     admissions: Family<AdmissionLabels, Counter>,
     first_chunk: Arc<Histogram>,
     processor_delay: Arc<Histogram>,
@@ -81,9 +139,7 @@
     configurations: Family<SourceLabels, Counter>,
     version: Gauge<u64, AtomicU64>,
     quarantined_parts: Gauge<u64, AtomicU64>,
-    server_limits: Family<ServerLabels, Gauge<f64, AtomicU64>>,
-    servers_at_rest: Gauge<u64, AtomicU64>,
-    servers_leaving: Gauge<u64, AtomicU64>,
+    servers: ServerMetrics,
     streams: Family<VersionLabels, Gauge>,
 }
 
@@ -100,17 +156,22 @@
             "attempts",
             "calls to backend servers, by their end",
         );
-        let first_chunk = Histogram::new(LATENCY_BUCKETS_S);
-        registry.register(
+        let repeats = register(
+            &mut registry,
+            "repeats",
+            "decisions of the retry budget about calls that may have arrived at a server before",
+        );
+        let first_chunk = register_histogram(
+            &mut registry,
             "first_part_seconds",
             "time from a request's head to the first part of its answer",
-            first_chunk.clone(),
+            &LATENCY_BUCKETS_S,
         );
-        let processor_delay = Histogram::new(DELAY_BUCKETS_S);
-        registry.register(
+        let processor_delay = register_histogram(
+            &mut registry,
             "processor_delay_seconds",
             "time for which what was due waited for the processor",
-            processor_delay.clone(),
+            &DELAY_BUCKETS_S,
         );
         let admissions = register(
             &mut registry,
@@ -137,21 +198,7 @@
             "quarantined_parts",
             "prompt parts whose requests are refused because they crash backend servers",
         );
-        let server_limits = register(
-            &mut registry,
-            "server_limit",
-            "requests per second that a backend server takes from all entries together",
-        );
-        let servers_at_rest = register(
-            &mut registry,
-            "servers_at_rest",
-            "backend servers that asked this entry for a rest which has not ended",
-        );
-        let servers_leaving = register(
-            &mut registry,
-            "servers_leaving",
-            "backend servers that told this entry that they leave",
-        );
+        let servers = ServerMetrics::register(&mut registry);
         let requests_read = register(
             &mut registry,
             "requests_read",
@@ -169,9 +216,7 @@
         );
         Self {
             streams,
-            server_limits,
-            servers_at_rest,
-            servers_leaving,
+            servers,
             quarantined_parts,
             deadline_overruns,
             configurations,
@@ -182,13 +227,26 @@
             requests_ended,
             refusals,
             attempts,
+            repeats,
             admissions,
-            first_chunk: Arc::new(first_chunk),
-            processor_delay: Arc::new(processor_delay),
+            first_chunk,
+            processor_delay,
         }
     }
 }
 
+/// Registers a histogram with these upper bounds of its buckets.
+fn register_histogram(
+    registry: &mut Registry,
+    name: &str,
+    help: &str,
+    buckets: &[f64],
+) -> Arc<Histogram> {
+    let histogram = Histogram::new(buckets.iter().copied());
+    registry.register(name, help, histogram.clone());
+    Arc::new(histogram)
+}
+
 /// Registers a metric that begins at zero.
 fn register<M: Metric + Clone + Default>(registry: &mut Registry, name: &str, help: &str) -> M {
     let metric = M::default();
@@ -221,6 +279,13 @@
         self.refusals.get_or_create(&ReasonLabels { reason }).inc();
     }
 
+    pub(crate) fn on_repeat(&self, decision: RepeatDecision) {
+        let decision = decision.name();
+        self.repeats
+            .get_or_create(&DecisionLabels { decision })
+            .inc();
+    }
+
     pub(crate) fn on_attempt(&self, reason: &'static str) {
         self.attempts.get_or_create(&ReasonLabels { reason }).inc();
     }
@@ -263,18 +328,18 @@
 
     /// Replaces the limits of the servers that have one.
     pub(crate) fn set_server_limits(&self, limits: Vec<(ServerId, RequestRate)>) {
-        self.server_limits.clear();
+        self.servers.limits.clear();
         for (server, rate) in limits {
             let labels = ServerLabels { server };
-            self.server_limits.get_or_create(&labels).set(rate);
+            self.servers.limits.get_or_create(&labels).set(rate);
         }
     }
 
     /// Sets the numbers of servers at rest and of those that leave.
     pub(crate) fn set_unavailable_servers(&self, (at_rest, leaving): (usize, usize)) {
         let count = |number| u64::try_from(number).unwrap_or(u64::MAX);
-        self.servers_at_rest.set(count(at_rest));
-        self.servers_leaving.set(count(leaving));
+        self.servers.at_rest.set(count(at_rest));
+        self.servers.leaving.set(count(leaving));
     }
 
     pub(crate) fn observe_processor_delay(&self, delay: Duration) {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -7,7 +7,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::{SocketAddr, UdpSocket};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, OnceLock};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -79,6 +79,9 @@
     behind_since: Mutex<Option<Duration>>,
     /// Processor share of this entry's VM in thousandths of a core.
     own_millicores: u32,
+    /// Largest number of entries, including this one, that the key-value service has named as registered; 0 before it was
+    /// read.
+    registered_count: AtomicUsize,
     /// Wakes the sending task; holds a message while a summary is due earlier than the task expects.
     wake_up: (async_channel::Sender<()>, async_channel::Receiver<()>),
 }
@@ -113,6 +116,7 @@
             peer_store_position: Mutex::default(),
             behind_since: Mutex::default(),
             own_millicores,
+            registered_count: AtomicUsize::new(0),
             wake_up,
         }
     }
@@ -338,6 +342,17 @@
         if has_changed {
             self.update_limit_entries();
         }
+        if has_changed || self.registered_count() == 0 {
+            let registered = lock(&self.exchange).registered_entries().len() + 1;
+            self.registered_count
+                .fetch_max(registered, Ordering::Relaxed);
+        }
+    }
+
+    /// Returns the largest number of entries, including this one, that were registered since the start, whether they are heard
+    /// or not; 0 before the key-value service was read.
+    pub(crate) fn registered_count(&self) -> usize {
+        self.registered_count.load(Ordering::Relaxed)
     }
 
     fn set_peer(&self, name: &str, peer: Option<Peer>) {
