Count the wait in front of an entry's link among the time of its calls

Requests waited in front of it, which the entry did not know: it counted the limit from when it read the request, less the delay of its processor (50 ms while handshakes took 130 ms at least, with all servers). Handshakes above 250 ms counted as unreachable servers, so a call tried up to four of them, and more.

Now the fastest handshake of the last 500 ms, with two servers or more, is the delay of the link. It is part of the time of arrival, and of the timeouts of connections and answers, as the processor's delay is. Ruled out: the queue of new connections (found empty up to 75 ms before, request waited 646 ms), older time limits.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -14,6 +14,7 @@
 mod cost;
 mod decay;
 mod health;
+mod link_delay;
 mod long_prompt_gate;
 mod overload;
 mod pause;
@@ -33,6 +34,7 @@
 pub use cache::PartCache;
 pub use cost::CostSettings;
 pub use health::{CallOutcome, Health};
+pub use link_delay::LinkDelay;
 pub use long_prompt_gate::{
     GATE_POLL_INTERVAL, GateDecision, LongPromptGate, LongPromptGateSettings, OVERLOAD_RETRY_AFTER,
     RemainingTime, lower_ranks_latency,
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -69,9 +69,9 @@
 
 impl SentCall {
     /// Returns the ratio of the actual to the expected time to the first chunk; ratios below 1.5 count as 1. The delay
-    /// of this entry's own processor is subtracted from the actual time, since the server is not responsible for it.
-    fn slowness(&self, processor_delay: Duration) -> f64 {
-        let latency = self.sent_at.elapsed().saturating_sub(processor_delay);
+    /// of this entry's own processor and link is subtracted from the actual time, since the server is not responsible for it.
+    fn slowness(&self, own_delay: Duration) -> f64 {
+        let latency = self.sent_at.elapsed().saturating_sub(own_delay);
         let ratio = latency.as_secs_f64() / self.expected_latency.as_secs_f64();
         if ratio < 1.5 { 1.0 } else { ratio }
     }
@@ -237,7 +237,7 @@
         attempts.tried_servers.push(server.id.clone());
         attempts.sends += 1;
         self.summaries.on_call_sent(&sent_call.server, &call.demand);
-        let time_limit = response_timeout(call, remaining, attempts, self.processor.delay());
+        let time_limit = response_timeout(call, remaining, attempts, self.own_delay());
         let number = sent_call.number;
         let target = Target {
             server: Arc::clone(&sent_call.server),
@@ -274,6 +274,7 @@
                 held_ms = selected.held.as_millis(),
                 remaining_ms = remaining.as_millis(),
                 processor_delay_ms = self.processor.delay().as_millis(),
+                link_delay_ms = self.link_delay().as_millis(),
                 after_ms = sent_call.sent_at.elapsed().as_millis(),
                 "attempt"
             );
@@ -350,7 +351,7 @@
                 Some(CallOutcome::Failed)
             }
             Ok(_) => Some(CallOutcome::Answered {
-                slowness: sent_call.slowness(self.processor.delay()),
+                slowness: sent_call.slowness(self.own_delay()),
             }),
             Err(error) => error.outcome(),
         };
@@ -499,9 +500,15 @@
             resume_after,
         };
         let request = self.codec.request(&call, context);
-        let connect_timeout = CONNECT_TIMEOUT.min(remaining);
+        // The server is not responsible for the delay of this entry's own processor and link.
+        let connect_timeout = (CONNECT_TIMEOUT + self.own_delay()).min(remaining);
         let server = &target.server;
-        let may_send = || self.summaries.limits().may_send(self.fleet.now(), server);
+        let may_send = |connect_time| {
+            if let Some(took) = connect_time {
+                self.on_connected(&server.id, took);
+            }
+            self.summaries.limits().may_send(self.fleet.now(), server)
+        };
         let sending =
             self.connection_pool
                 .send(server.address, request, connect_timeout, true, may_send);
@@ -571,17 +578,17 @@
 }
 
 /// Returns how long to wait for the first chunk of a response. Only a call that can still be retried times out before
-/// its deadline. The delay of this entry's own processor is added, since the server is not responsible for it.
+/// its deadline. The delay of this entry's own processor and link is added, since the server is not responsible for it.
 fn response_timeout(
     call: &Call,
     remaining: Duration,
     attempts: &Attempts,
-    processor_delay: Duration,
+    own_delay: Duration,
 ) -> Duration {
     let can_retry = call.retry_policy() != RetryPolicy::AtMostOnce
         && attempts.possible_runs + 1 < call.route.max_attempts;
     if can_retry {
-        remaining.min(call.route.target_latency * RESPONSE_TIMEOUT_FACTOR + processor_delay)
+        remaining.min(call.route.target_latency * RESPONSE_TIMEOUT_FACTOR + own_delay)
     } else {
         remaining
     }
--- a/crates/gateway/src/changes.rs
+++ b/crates/gateway/src/changes.rs
@@ -221,7 +221,7 @@
         let host = HeaderValue::from_str(&peer.to_string()).map_err(|error| broken(&error))?;
         request.headers_mut().insert(http::header::HOST, host);
         let pool = &self.connection_pool;
-        let sent = pool.send(peer, request, connect_timeout, true, || true);
+        let sent = pool.send(peer, request, connect_timeout, true, |_| true);
         let mut response = sent.await.map_err(|error| broken(&error))?;
         let status = response.head.status();
         let mut body = BytesMut::new();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -12,8 +12,10 @@
 use futures_lite::{FutureExt, future};
 use http::{HeaderValue, Request, StatusCode, header};
 use hyper::body::{Body as _, Incoming};
-use tanagerford_core::dispatch::{BudgetLimits, LongPromptGate, RetryBudget, TakenRetry};
-use tanagerford_core::ids::PoolId;
+use tanagerford_core::dispatch::{
+    BudgetLimits, LinkDelay, LongPromptGate, RetryBudget, TakenRetry, server_number,
+};
+use tanagerford_core::ids::{PoolId, ServerId};
 use tanagerford_http::connection_pool::ConnectionPool;
 use tanagerford_http::server::{ServerLimits, Service, UnreadBody};
 use tanagerford_http::{Reply, read_body};
@@ -69,6 +71,7 @@
     pub(crate) runtime: Handle,
     pub(crate) next_call_number: AtomicU64,
     pub(crate) long_prompt_gate: Mutex<LongPromptGate>,
+    link_delay: Mutex<LinkDelay>,
     /// Configuration in force and the document that it was decoded from.
     configuration: RwLock<Option<(Arc<RoutingTable>, Bytes)>>,
     budgets: Mutex<HashMap<PoolId, RetryBudget>>,
@@ -112,6 +115,7 @@
             runtime,
             next_call_number: AtomicU64::new(0),
             long_prompt_gate: Mutex::default(),
+            link_delay: Mutex::default(),
             configuration: RwLock::default(),
             budgets: Mutex::default(),
             changes: ChangeFeed::default(),
@@ -308,11 +312,28 @@
         self.metrics.on_repeat(RepeatDecision::Returned);
     }
 
-    /// Returns the estimated arrival time of a request that is read now. The request may have waited for the processor,
-    /// and the caller's timeout includes that wait.
+    /// Records that establishing a connection to a server took so long.
+    pub fn on_connected(&self, server: &ServerId, took: Duration) {
+        // The time in which this entry did not run is not the link's.
+        let took = took.saturating_sub(self.processor.delay());
+        lock(&self.link_delay).on_connected(self.fleet.now(), server_number(server), took);
+    }
+
+    /// Returns how long what arrives now may have waited in front of this entry's link.
+    pub(crate) fn link_delay(&self) -> Duration {
+        lock(&self.link_delay).get(self.fleet.now())
+    }
+
+    /// Returns how long what is read now may have waited for this entry: in front of its link and for its processor.
+    pub(crate) fn own_delay(&self) -> Duration {
+        self.processor.delay() + self.link_delay()
+    }
+
+    /// Returns the estimated time at which the caller sent a request that is read now. The caller's timeout and that of the
+    /// route include the time for which the request waited for this entry.
     fn estimated_arrival(&self) -> Instant {
         let now = Instant::now();
-        now.checked_sub(self.processor.delay()).unwrap_or(now)
+        now.checked_sub(self.own_delay()).unwrap_or(now)
     }
 
     /// Reads a request completely and handles it. A panic meanwhile ends with a refusal.
@@ -465,7 +486,7 @@
         let overrun = Instant::now().saturating_duration_since(call.deadline());
         if overrun >= DEADLINE_OVERRUN_THRESHOLD {
             self.metrics.on_deadline_overrun();
-            log::deadline_overrun(call, overrun, self.processor.delay());
+            log::deadline_overrun(call, overrun, self.processor.delay(), self.link_delay());
         }
     }
 
@@ -482,7 +503,13 @@
 
     fn refuse(&self, info: RequestInfo<'_>, refusal: Refusal) -> Reply {
         self.metrics.on_refusal(refusal);
-        log::refused(info, refusal, self.version(), self.processor.delay());
+        log::refused(
+            info,
+            refusal,
+            self.version(),
+            self.processor.delay(),
+            self.link_delay(),
+        );
         let id = Some(info.request).filter(|id| !id.is_empty());
         self.close_if_stopping(self.codec.refuse(id, refusal))
     }
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -104,6 +104,7 @@
     refusal: Refusal,
     configuration: Option<Version>,
     processor_delay: Duration,
+    link_delay: Duration,
 ) {
     tracing::info!(
         request = info.request,
@@ -116,6 +117,7 @@
         not_run = refusal.is_not_run(),
         configuration,
         processor_delay_ms = processor_delay.as_millis(),
+        link_delay_ms = link_delay.as_millis(),
         after_ms = info.arrived.elapsed().as_millis(),
         "refused"
     );
@@ -142,7 +144,12 @@
 }
 
 /// Logs a final response that came after the call's deadline.
-pub(crate) fn deadline_overrun(call: &Call, overrun: Duration, processor_delay: Duration) {
+pub(crate) fn deadline_overrun(
+    call: &Call,
+    overrun: Duration,
+    processor_delay: Duration,
+    link_delay: Duration,
+) {
     tracing::warn!(
         request = call.id,
         route = call.route.name,
@@ -153,6 +160,7 @@
             .as_millis(),
         past_limit_ms = overrun.as_millis(),
         processor_delay_ms = processor_delay.as_millis(),
+        link_delay_ms = link_delay.as_millis(),
         "ended past the time limit"
     );
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -193,8 +193,8 @@
             .deadline()
             .saturating_duration_since(Instant::now());
         let can_resume = self.call.retry_policy() == RetryPolicy::Resumable;
-        // The delay of this entry's own processor is added, since the server is not responsible for it.
-        let idle_timeout = RESUME_IDLE_TIMEOUT + self.gateway.processor.delay();
+        // The delay of this entry's own processor and link is added, since the server is not responsible for it.
+        let idle_timeout = RESUME_IDLE_TIMEOUT + self.gateway.own_delay();
         let (wait, error) = if can_resume && idle_timeout < remaining {
             (idle_timeout, RelayError::IdleTimeout)
         } else {
--- a/crates/http/src/connection_pool.rs
+++ b/crates/http/src/connection_pool.rs
@@ -122,7 +122,7 @@
     ///
     /// With `can_reuse` an idle connection may be used. This is safe even for a request that must not be repeated,
     /// because connections are reused only well within the server's idle timeout. `may_send` is asked immediately before the
-    /// request is written, since establishing a connection takes time.
+    /// request is written, since establishing a connection takes time; it gets that time, or `None` for an idle connection.
     ///
     /// # Errors
     ///
@@ -133,11 +133,11 @@
         request: Request<Full<Bytes>>,
         connect_timeout: Duration,
         can_reuse: bool,
-        may_send: impl Fn() -> bool,
+        may_send: impl Fn(Option<Duration>) -> bool,
     ) -> Result<PooledResponse, ExchangeError> {
         let mut request = request;
         while can_reuse && let Some(mut connection) = self.take_idle(address) {
-            if !may_send() {
+            if !may_send(None) {
                 return Err(ExchangeError::Withheld);
             }
             match connection.send(request).await {
@@ -148,8 +148,9 @@
                 },
             }
         }
+        let began = Instant::now();
         let mut connection = self.connect(address, connect_timeout).await?;
-        if !may_send() {
+        if !may_send(Some(began.elapsed())) {
             return Err(ExchangeError::Withheld);
         }
         match connection.send(request).await {
