--- a/crates/core/src/exchange.rs
+++ b/crates/core/src/exchange.rs
@@ -101,6 +101,8 @@
     pub version: u64,
     /// Position up to which the sender has received all changes of the key-value service.
     pub store: StorePosition,
+    /// Time since the sender last knew that `store` is the newest position; `None` if it never knew.
+    pub store_age: Option<Duration>,
     /// Whether `loads` is complete. If so, servers that are not in `loads` have no load, otherwise their load is
     /// unchanged.
     pub is_full: bool,
@@ -140,6 +142,8 @@
     pub version: u64,
     /// Position up to which this entry has received all changes of the key-value service.
     pub store: StorePosition,
+    /// Time since this entry last knew that `store` is the newest position; `None` if it never knew.
+    pub store_age: Option<Duration>,
     /// Load of this entry by server.
     pub loads: Vec<(ServerNumber, EntryLoad)>,
     /// Requests suspected of crashing servers, as encoded by [`suspect::wire`](crate::suspect::wire); may be empty.
@@ -490,6 +494,7 @@
             sequence: self.sequence,
             version: content.version,
             store: content.store,
+            store_age: content.store_age,
             is_full: update.is_full,
             loads: update.loads,
             parts: update.parts,
--- a/crates/core/src/exchange/wire.rs
+++ b/crates/core/src/exchange/wire.rs
@@ -1,5 +1,7 @@
 //! Wire format of the messages between entries.
 
+use std::time::Duration;
+
 use prost::Message as _;
 
 use super::{Message, Summary};
@@ -45,6 +47,8 @@
     suspect_parts: Vec<u8>,
     #[prost(bytes = "vec", tag = "13")]
     limits: Vec<u8>,
+    #[prost(uint32, optional, tag = "14")]
+    store_age_ms: Option<u32>,
 }
 
 #[derive(Clone, PartialEq, Eq, prost::Message)]
@@ -97,6 +101,9 @@
             is_full: summary.is_full,
             era: summary.store.era,
             is_busy: summary.is_busy,
+            store_age_ms: summary
+                .store_age
+                .map(|age| u32::try_from(age.as_millis()).unwrap_or(u32::MAX)),
         }
     }
 }
@@ -134,6 +141,9 @@
             limits: wire.limits,
             is_full: wire.is_full,
             is_busy: wire.is_busy,
+            store_age: wire
+                .store_age_ms
+                .map(|age_ms| Duration::from_millis(age_ms.into())),
         }
     }
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -73,6 +73,8 @@
     version: AtomicU64,
     /// Position up to which this entry has read the changes of the store.
     store_position: Mutex<StorePosition>,
+    /// Time at which this entry last knew that its position is the newest one; `None` before the first read.
+    store_confirmed_at: Mutex<Option<Duration>>,
     /// Newest position of the store that another entry reported.
     peer_store_position: Mutex<StorePosition>,
     /// Time since which another entry has known a newer position of the store.
@@ -113,6 +115,7 @@
             stream_versions: StreamVersions::new(number),
             version: AtomicU64::new(0),
             store_position: Mutex::default(),
+            store_confirmed_at: Mutex::default(),
             peer_store_position: Mutex::default(),
             behind_since: Mutex::default(),
             own_millicores,
@@ -205,6 +208,31 @@
         *lock(&self.store_position)
     }
 
+    /// Records that all changes of the store up to `age` ago are known here, and tells the other entries.
+    pub fn confirm_store_position(&self, age: Duration) {
+        if self.raise_store_confirmation(age) {
+            self.on_load_change();
+        }
+    }
+
+    /// Returns the time since this entry last knew that no change of the store was missing here; `None` before the first read.
+    #[must_use]
+    pub fn store_age(&self) -> Option<Duration> {
+        let confirmed_at = *lock(&self.store_confirmed_at);
+        confirmed_at.map(|at| self.now().saturating_sub(at))
+    }
+
+    /// Returns whether the confirmation is newer than the known one.
+    fn raise_store_confirmation(&self, age: Duration) -> bool {
+        let confirmed_at = self.now().checked_sub(age);
+        let mut known = lock(&self.store_confirmed_at);
+        let is_newer = confirmed_at > *known;
+        if is_newer {
+            *known = confirmed_at;
+        }
+        is_newer
+    }
+
     /// Returns the newest position of the store that another entry reported.
     #[must_use]
     pub fn peer_store_position(&self) -> StorePosition {
@@ -324,6 +352,7 @@
         SummaryContent {
             version: self.version.load(Ordering::Acquire),
             store: *lock(&self.store_position),
+            store_age: self.store_age(),
             loads,
             suspects: self.quarantine.summary(self.fleet.now()),
             suspect_parts: self.quarantine.part_summary(self.fleet.now()),
@@ -490,6 +519,13 @@
             *newest = summary.store.max(*newest);
             drop(newest);
             summaries.update_lag();
+            // What the sender knew to be complete is complete here, too, unless it knows more.
+            if let Some(age) = summary
+                .store_age
+                .filter(|_| summary.store <= summaries.store_position())
+            {
+                summaries.raise_store_confirmation(age);
+            }
             self.apply_summary(&summary);
         }
     }
