Do not take a refusal without its call's ID, or an error, for an answer

Operators reported callers that were told 'not run' because a server wrote an earlier refusal again on a kept connection, and streams that went on with the error of the next server.

- A refusal (421 or not executed) that names no call counted for whichever call was under way.
It now counts as a broken exchange: the call may have run.
- A resumed stream accepted any success: 204, another media type, or an answer without events, which then looked complete, and text such as the head of an error as an event.
It goes on only with 200 of the same media type, with events that consist of fields and comments, and ends only after at least one event of the server that took over.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -559,6 +559,15 @@
             let limits = self.summaries.limits();
             limits.on_server_state(&target.server, head.availability, requested_at, now);
         }
+        if (head.is_wrong_server || head.is_not_run) && head.id.is_none() {
+            tracing::warn!(
+                request = call.id,
+                server = target.server.id,
+                status = status.as_u16(),
+                "refusal does not name its call"
+            );
+            return Err(AttemptError::Broken);
+        }
         if head.is_wrong_server {
             target.pool.load_view().on_outcome(
                 self.fleet.now(),
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -10,6 +10,8 @@
 pub enum EventError {
     /// An incomplete event exceeds 256 KiB.
     TooLong,
+    /// A line of the event is neither a comment nor a field, as in the text of an error.
+    Malformed,
     /// At least one event is missing: the number of an event does not follow its predecessor's.
     Gap {
         /// Number of the last event before the gap.
@@ -65,8 +67,8 @@
     ///
     /// # Errors
     ///
-    /// Returns an [`EventError`] when an event is missing or too long. Events before a gap in the same bytes are returned
-    /// first; the next call returns the error.
+    /// Returns an [`EventError`] when an event is missing, malformed or too long. Events before it in the same bytes are
+    /// returned first; the next call returns the error.
     ///
     /// # Examples
     ///
@@ -101,6 +103,9 @@
 
     /// Compares the number of an event with that of the last one.
     fn accept(&self, event: &[u8]) -> Result<Accepted, EventError> {
+        if !event.split(|byte| *byte == b'\n').all(is_event_line) {
+            return Err(EventError::Malformed);
+        }
         let Some(found) = event_id(event) else {
             return Ok(Accepted::New {
                 last_id: self.last_id,
@@ -127,6 +132,16 @@
     ends.min()
 }
 
+/// Returns whether a line is empty, a comment, or a field with a name of lower-case letters and dashes.
+fn is_event_line(line: &[u8]) -> bool {
+    let line = line.strip_suffix(b"\r").unwrap_or(line);
+    let Some(colon) = line.iter().position(|byte| *byte == b':') else {
+        return line.is_empty();
+    };
+    let mut name = line[..colon].iter();
+    name.all(|byte| byte.is_ascii_lowercase() || *byte == b'-')
+}
+
 fn event_id(event: &[u8]) -> Option<u64> {
     let mut lines = event.split(|byte| *byte == b'\n');
     let line = lines.find_map(|line| line.strip_prefix(b"id:"))?;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use futures_lite::{future, stream};
+use http::{StatusCode, header};
 use tanagerford_core::dispatch::CallOutcome;
 use tanagerford_http::Body;
 use tokio::time::{sleep, timeout, timeout_at};
@@ -38,6 +39,10 @@
     /// Counts the stream among those of its version.
     _guard: StreamGuard,
     events: EventSplitter,
+    /// Media type of the stream's first server.
+    media_type: String,
+    /// Whether the stream was taken over by a server that has sent no event yet.
+    awaits_first_event: bool,
     sent_bytes: usize,
     /// Time from the request's head to the first event.
     first_event_after: Option<Duration>,
@@ -83,6 +88,8 @@
     ) -> Self {
         Self {
             events: EventSplitter::after(call.resume_after),
+            media_type: media_type(&started),
+            awaits_first_event: false,
             _guard: gateway
                 .metrics
                 .count_stream(&started.sent_call.server.version),
@@ -174,15 +181,22 @@
             None => self.read_chunk().await?,
         };
         match chunk {
-            Some(chunk) => self.events.push(&chunk).map(Some).map_err(|error| {
-                tracing::warn!(
-                    request = self.call.id,
-                    ?error,
-                    "invalid event stream from a server"
-                );
-                RelayError::Broken
-            }),
+            Some(chunk) => {
+                let events = self.events.push(&chunk).map_err(|error| {
+                    tracing::warn!(
+                        request = self.call.id,
+                        server = self.started.sent_call.server.id,
+                        ?error,
+                        "invalid event stream from a server"
+                    );
+                    RelayError::Broken
+                })?;
+                self.awaits_first_event &= events.is_empty();
+                Ok(Some(events))
+            }
             None if self.events.has_partial() => Err(RelayError::Broken),
+            // The server that took over may know nothing of the stream. The caller can resume it and see for itself.
+            None if self.awaits_first_event => Err(RelayError::Broken),
             None => Ok(None),
         }
     }
@@ -233,13 +247,14 @@
         let (gateway, call, pool) = (&self.gateway, &self.call, &self.pool);
         let (sent_call, response) = (&self.started.sent_call, &mut self.started.response);
         let (pool_name, attempts) = (&sent_call.server.pool, &mut self.attempts);
+        let media_type = &self.media_type;
         let own_has_failed = AtomicBool::new(false);
         let mut taking_over = pin!(async {
             loop {
                 let failure = Some(AttemptError::TimedOut);
                 let answer = gateway.try_servers(call, pool, pool_name, attempts, after, failure);
                 match answer.await {
-                    Ok(started) if started.response.head.status().is_success() => {
+                    Ok(started) if can_go_on_with(&started, media_type) => {
                         return Some(Box::new(started));
                     }
                     _ if own_has_failed.load(Ordering::Relaxed) => return None,
@@ -290,7 +305,7 @@
             Some(AttemptError::Broken),
         );
         match answer.await {
-            Ok(started) if started.response.head.status().is_success() => {
+            Ok(started) if can_go_on_with(&started, &self.media_type) => {
                 self.switch_to(started);
                 Ok(())
             }
@@ -310,10 +325,24 @@
     /// Goes on with the stream at another server after the last complete event.
     fn switch_to(&mut self, started: StartedResponse) {
         self.events.drop_partial();
+        self.awaits_first_event = true;
         self.started = started;
     }
 }
 
+/// Returns the media type of a response without parameters, in lower case; empty if it names none.
+fn media_type(started: &StartedResponse) -> String {
+    let value = started.response.head.headers().get(header::CONTENT_TYPE);
+    let text = value.and_then(|value| value.to_str().ok()).unwrap_or("");
+    let (essence, _) = text.split_once(';').unwrap_or((text, ""));
+    essence.trim().to_ascii_lowercase()
+}
+
+/// Returns whether a response can go on with a stream of this media type.
+fn can_go_on_with(started: &StartedResponse, stream_type: &str) -> bool {
+    started.response.head.status() == StatusCode::OK && media_type(started) == stream_type
+}
+
 /// Records the failure or silence of a stream's server in its health, and checks whether a failed server has crashed.
 fn record_failure<C: Codec>(gateway: &Arc<Gateway<C>>, sent_call: &SentCall, outcome: CallOutcome) {
     let mut load_view = sent_call.pool.load_view();
