--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -267,6 +267,8 @@
         self.metrics.set_server_limits(limits);
         let unavailable = self.summaries.limits().unavailable_counts(self.fleet.now());
         self.metrics.set_unavailable_servers(unavailable);
+        let store_age = self.summaries.store_age();
+        self.metrics.set_delays(self.link_delay(), store_age);
         self.metrics.text()
     }
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -123,6 +123,30 @@
     }
 }
 
+/// Delays of what the entry learns.
+#[derive(Debug)]
+struct DelayMetrics {
+    link_delay: Gauge<f64, AtomicU64>,
+    store_age: Gauge<f64, AtomicU64>,
+}
+
+impl DelayMetrics {
+    fn register(registry: &mut Registry) -> Self {
+        Self {
+            link_delay: register(
+                registry,
+                "link_delay_seconds",
+                "time for which what arrives may have waited in front of the link",
+            ),
+            store_age: register(
+                registry,
+                "store_age_seconds",
+                "time since the entry last knew that no change of the key-value service is missing; -1 if it never knew",
+            ),
+        }
+    }
+}
+
 #[derive(Debug)]
 pub(crate) struct Metrics {
     registry: Registry,
@@ -140,6 +164,7 @@
     version: Gauge<u64, AtomicU64>,
     quarantined_parts: Gauge<u64, AtomicU64>,
     servers: ServerMetrics,
+    delays: DelayMetrics,
     streams: Family<VersionLabels, Gauge>,
 }
 
@@ -199,6 +224,7 @@
             "prompt parts whose requests are refused because they crash backend servers",
         );
         let servers = ServerMetrics::register(&mut registry);
+        let delays = DelayMetrics::register(&mut registry);
         let requests_read = register(
             &mut registry,
             "requests_read",
@@ -217,6 +243,7 @@
         Self {
             streams,
             servers,
+            delays,
             quarantined_parts,
             deadline_overruns,
             configurations,
@@ -279,6 +306,12 @@
         self.refusals.get_or_create(&ReasonLabels { reason }).inc();
     }
 
+    pub(crate) fn set_delays(&self, link_delay: Duration, store_age: Option<Duration>) {
+        self.delays.link_delay.set(link_delay.as_secs_f64());
+        let store_age_s = store_age.map_or(-1.0, |age| age.as_secs_f64());
+        self.delays.store_age.set(store_age_s);
+    }
+
     pub(crate) fn on_repeat(&self, decision: RepeatDecision) {
         let decision = decision.name();
         self.repeats
