--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -221,7 +221,7 @@
         if remaining < MIN_REMAINING {
             return Err(None);
         }
-        let (sent_call, selected) = match self.next_server(call, pool, attempts).await? {
+        let (mut sent_call, selected) = match self.next_server(call, pool, attempts).await? {
             NextServer::Selected(sent_call, selected) => (sent_call, selected),
             NextServer::Answered(started) => return Ok(started),
         };
@@ -229,7 +229,12 @@
         let pool_name = &selected.server.pool;
         let mut repeat = None;
         if attempts.may_have_arrived {
-            repeat = Some(self.take_retry(pool_name).ok_or(None)?);
+            repeat = self.take_retry(pool_name);
+            if repeat.is_none() {
+                // Nothing was sent, so there is no end to log.
+                sent_call.is_end_logged = true;
+                return Err(None);
+            }
         }
         // The call may have waited for a permit.
         let remaining = deadline.saturating_duration_since(Instant::now());
