Let the first process of a VM repeat its first requests

Cause: the part of the constant was empty at every start, which it must be only where an earlier process of the VM may have used it.

The store tells: if it holds no record of this VM at the first read, there was none, and the bucket is full.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -30,7 +30,7 @@
 use cost::EngineModel;
 
 pub use admission_queue::WaiterNumber;
-pub use budget::{BudgetLimits, MAX_ATTEMPTS_PER_CALL, RetryBudget, TakenRetry};
+pub use budget::{BudgetLimits, EntryShare, MAX_ATTEMPTS_PER_CALL, RetryBudget, TakenRetry};
 pub use cache::PartCache;
 pub use cost::CostSettings;
 pub use health::{CallOutcome, Health};
--- a/crates/core/src/dispatch/budget.rs
+++ b/crates/core/src/dispatch/budget.rs
@@ -56,6 +56,15 @@
     }
 }
 
+/// What an entry knows of the entries that share the constant.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct EntryShare {
+    /// Number of registered entries, including this one; 0 before this one is registered.
+    pub registered: usize,
+    /// Whether no process ran on this VM before, so that nothing of its part is used.
+    pub is_first_process: bool,
+}
+
 /// What a repeat was taken from.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum TakenRetry {
@@ -65,22 +74,35 @@
     Extra,
 }
 
-/// Part of the constant that a process may use, as a bucket that is empty at the start and fills with time.
+/// Part of the constant that a process may use, as a bucket that fills with time.
 ///
-/// A full bucket and what flows in during a window are together the part of one entry. Processes of one VM do not
-/// overlap, so they use no more than that together, however often they start.
+/// A full bucket and what flows in during a window are together the part of one entry. The bucket of the first process of
+/// a VM is full at the start, that of a later one empty. Processes of one VM do not overlap, so they use no more than one
+/// part together, however often they start.
 #[derive(Debug, Default)]
 struct ExtraBucket {
     tokens: f64,
     filled_at: Option<Duration>,
+    /// Whether the part of this process was known before.
+    is_open: bool,
 }
 
 impl ExtraBucket {
-    /// Adds what has flowed in up to `now`. `part` is the number of repeats per window.
-    fn fill(&mut self, now: Duration, part: f64, window: Duration) {
+    /// Adds what has flowed in up to `now`.
+    fn fill(&mut self, now: Duration, share: EntryShare, limits: &BudgetLimits) {
+        let part = limits.extra_per_entry(share.registered);
+        let window = limits.window;
         // A bucket below one repeat would never allow any.
         let capacity = (part / 2.0).max(part.min(1.0));
         let rate_per_s = (part - capacity) / window.as_secs_f64();
+        if share.registered > 0 && !self.is_open {
+            self.is_open = true;
+            self.tokens = if share.is_first_process {
+                capacity
+            } else {
+                0.0
+            };
+        }
         let since = *self.filled_at.get_or_insert(now);
         let elapsed_s = now.saturating_sub(since).as_secs_f64();
         self.filled_at = Some(now.max(since));
@@ -115,16 +137,15 @@
     /// Records the first attempt of a request.
     pub fn on_request(&mut self, now: Duration, limits: &BudgetLimits) {
         self.advance(now, limits);
+        self.extra.filled_at.get_or_insert(now);
         if let Some(slot) = self.slots.back_mut() {
             slot.requests += 1;
         }
     }
 
-    /// Returns whether a repeat may be sent now. `registered` is the number of registered entries, including this one; 0 if it
-    /// is not known.
-    pub fn may_retry(&mut self, now: Duration, limits: &BudgetLimits, registered: usize) -> bool {
-        let part = limits.extra_per_entry(registered);
-        self.extra.fill(now, part, limits.window);
+    /// Returns whether a repeat may be sent now.
+    pub fn may_retry(&mut self, now: Duration, limits: &BudgetLimits, share: EntryShare) -> bool {
+        self.extra.fill(now, share, limits);
         self.has_earned(now, limits) || self.extra.tokens >= 1.0
     }
 
@@ -162,20 +183,20 @@
     }
 
     /// Takes one repeat from the budget; returns `None` if it must not be sent. Call this when the repeat is sent, not when it
-    /// is considered: the limit counts the repeats that arrive in a window. For `registered` see [`RetryBudget::may_retry`].
+    /// is considered: the limit counts the repeats that arrive in a window.
     ///
     /// # Examples
     ///
     /// ```
     /// use std::time::Duration;
-    /// use tanagerford_core::dispatch::{BudgetLimits, RetryBudget};
+    /// use tanagerford_core::dispatch::{BudgetLimits, EntryShare, RetryBudget};
     ///
     /// let limits = BudgetLimits { ratio: 0.2, extra: 10.0, window: Duration::from_secs(10) };
     /// let mut budget = RetryBudget::default();
     /// let request_at = |number: u64| Duration::from_millis(10 * number);
     /// (0..3_000).for_each(|number| budget.on_request(request_at(number), &limits));
     /// let now = Duration::from_secs(30);
-    /// let granted = (0..300).filter_map(|_| budget.try_retry(now, &limits, 0)).count();
+    /// let granted = (0..300).filter_map(|_| budget.try_retry(now, &limits, EntryShare::default())).count();
     /// // Half of the limit of 200 at once, the rest as the window moves on.
     /// assert!((95..=100).contains(&granted), "{granted}");
     /// ```
@@ -183,9 +204,9 @@
         &mut self,
         now: Duration,
         limits: &BudgetLimits,
-        registered: usize,
+        share: EntryShare,
     ) -> Option<TakenRetry> {
-        if !self.may_retry(now, limits, registered) {
+        if !self.may_retry(now, limits, share) {
             return None;
         }
         if !self.has_earned(now, limits) {
--- a/crates/core/tests/dispatch_budget.rs
+++ b/crates/core/tests/dispatch_budget.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use proptest::prelude::*;
-use tanagerford_core::dispatch::{BudgetLimits, RetryBudget, TakenRetry};
+use tanagerford_core::dispatch::{BudgetLimits, EntryShare, RetryBudget, TakenRetry};
 
 const LIMITS: BudgetLimits = BudgetLimits {
     ratio: 0.2,
@@ -55,12 +55,17 @@
     }
 }
 
-/// Runs a process that asks for four repeats after each of its requests from `failing_from` on. It knows of `registered`
-/// entries.
+/// Share of a process that is not registered yet.
+const NO_SHARE: EntryShare = EntryShare {
+    registered: 0,
+    is_first_process: true,
+};
+
+/// Runs a process that asks for four repeats after each of its requests from `failing_from` on.
 fn run_process(
     requests: impl IntoIterator<Item = Duration>,
     failing_from: Duration,
-    registered: usize,
+    share: EntryShare,
     record: &mut Record,
 ) {
     let mut budget = RetryBudget::default();
@@ -69,7 +74,7 @@
         record.requests.push(at);
         let asks = if at < failing_from { 0 } else { 4 };
         for _ in 0..asks {
-            if budget.try_retry(at, &LIMITS, registered).is_some() {
+            if budget.try_retry(at, &LIMITS, share).is_some() {
                 record.repeats.push(at);
             }
         }
@@ -89,7 +94,7 @@
         run_process(
             ticks.map(|tick| ms(tick * 10)),
             Duration::ZERO,
-            0,
+            NO_SHARE,
             &mut record,
         );
     }
@@ -105,8 +110,12 @@
     let mut record = Record::default();
     for entry in 0..8_u64 {
         for (start, end) in [(0, 70), (72, 100), (102, 200)] {
+            let share = EntryShare {
+                registered: 8,
+                is_first_process: start == 0,
+            };
             let requests = (start * 100 + entry..end * 100).step_by(40).map(ms);
-            run_process(requests, ms(4_000), 8, &mut record);
+            run_process(requests, ms(4_000), share, &mut record);
         }
     }
     record.sort();
@@ -122,7 +131,7 @@
     run_process(
         (0..6_000).map(|tick| ms(tick * 10)),
         Duration::ZERO,
-        0,
+        NO_SHARE,
         &mut record,
     );
     let sent = Record::count(&record.repeats, ms(40_000), ms(50_000));
@@ -138,14 +147,14 @@
     }
     let now = ms(10_000);
     let taken: Vec<_> = (0..1_000)
-        .map_while(|_| budget.try_retry(now, &LIMITS, 0))
+        .map_while(|_| budget.try_retry(now, &LIMITS, NO_SHARE))
         .collect();
     assert!(taken.len() > 90, "{}", taken.len());
     budget.return_retry(taken[0], &LIMITS);
     budget.return_retry(TakenRetry::Earned(ms(20)), &LIMITS);
-    assert!(budget.may_retry(now, &LIMITS, 0));
-    assert!(budget.try_retry(now, &LIMITS, 0).is_some());
-    assert_eq!(budget.try_retry(now, &LIMITS, 0), None);
+    assert!(budget.may_retry(now, &LIMITS, NO_SHARE));
+    assert!(budget.try_retry(now, &LIMITS, NO_SHARE).is_some());
+    assert_eq!(budget.try_retry(now, &LIMITS, NO_SHARE), None);
 }
 
 /// Guards against a clock value that is older than the last one: the entry's threads read it before they take the lock.
@@ -154,7 +163,7 @@
     let mut budget = RetryBudget::default();
     budget.on_request(ms(30_000), &LIMITS);
     budget.on_request(ms(29_000), &LIMITS);
-    assert_eq!(budget.try_retry(ms(3), &LIMITS, 0), None);
+    assert_eq!(budget.try_retry(ms(3), &LIMITS, NO_SHARE), None);
 }
 
 /// Guards against entries with few requests that never repeat one, and against those that repeat before they know how many
@@ -162,10 +171,14 @@
 #[test]
 fn an_entry_with_few_requests_uses_its_part_of_the_constant() {
     let repeats = |registered| {
+        let share = EntryShare {
+            registered,
+            is_first_process: false,
+        };
         let mut budget = RetryBudget::default();
         let ask = |second: u64| {
             budget.on_request(ms(second * 1_000), &LIMITS);
-            budget.try_retry(ms(second * 1_000), &LIMITS, registered)
+            budget.try_retry(ms(second * 1_000), &LIMITS, share)
         };
         (0..600).step_by(6).filter_map(ask).count()
     };
@@ -174,6 +187,21 @@
     assert!(used > 80, "{used} of 100 repeats");
 }
 
+/// Guards against first requests that are refused although the fleet has used nothing of its limit, and against an entry that
+/// restarts and has that part again.
+#[test]
+fn only_the_first_process_of_a_vm_may_repeat_its_first_requests() {
+    for (is_first_process, expected) in [(true, 3), (false, 0)] {
+        let share = EntryShare {
+            registered: 9,
+            is_first_process,
+        };
+        let mut budget = RetryBudget::default();
+        let repeats = (0..20).filter_map(|at| budget.try_retry(ms(at), &LIMITS, share));
+        assert_eq!(repeats.count(), expected);
+    }
+}
+
 /// Life of one process: the pause before it, its length, and the bursts of its requests, each with its offset, size and
 /// interval.
 type Life = (u64, u64, Vec<(u64, u64, u64)>);
@@ -201,7 +229,11 @@
         for (lives, known_percent) in vms {
             let registered = (count * known_percent).div_ceil(100);
             let mut end = 0;
-            for (pause, length, bursts) in lives {
+            for (life, (pause, length, bursts)) in lives.into_iter().enumerate() {
+                let share = EntryShare {
+                    registered,
+                    is_first_process: life == 0,
+                };
                 let start = end + pause;
                 end = start + length;
                 let requests = bursts.iter().flat_map(|(offset, size, interval)| {
@@ -209,7 +241,7 @@
                 });
                 let mut requests: Vec<_> = requests.filter(|at| *at < end).map(ms).collect();
                 requests.sort_unstable();
-                run_process(requests, Duration::ZERO, registered, &mut record);
+                run_process(requests, Duration::ZERO, share, &mut record);
             }
         }
         record.sort();
--- a/crates/emulator/src/simulation.rs
+++ b/crates/emulator/src/simulation.rs
@@ -9,7 +9,7 @@
 use rand_pcg::Pcg64;
 use tanagerford_core::availability::{self, PoolAvailability, TrialCall};
 use tanagerford_core::dispatch::{
-    Arrival, ArrivingCall, BUSY_RETRY_AFTER, BudgetLimits, CallNumber, CallOutcome,
+    Arrival, ArrivingCall, BUSY_RETRY_AFTER, BudgetLimits, CallNumber, CallOutcome, EntryShare,
     GATE_POLL_INTERVAL, GateDecision, MAX_ATTEMPTS_PER_CALL, OVERLOAD_RETRY_AFTER, PROBE_INTERVAL,
     Rank, RemainingTime, ReportedLoad, ServerSpec, WaiterNumber, lower_ranks_latency,
     server_number,
@@ -1026,7 +1026,11 @@
     /// Retries a call at another server after a refusal or a broken connection if budget and class allow it; otherwise
     /// ends the caller's try.
     fn retry(&mut self, index: CallIndex, is_not_executed: bool) {
-        let entries = self.entries.len();
+        // The entries of a load start for the first time.
+        let share = EntryShare {
+            registered: self.entries.len(),
+            is_first_process: true,
+        };
         let limits = self.retry_limits;
         let call = &self.calls[index];
         let class = &self.load.classes[call.job.class];
@@ -1038,7 +1042,7 @@
         if can_retry
             && entry
                 .budget(target)
-                .try_retry(self.now, &limits, entries)
+                .try_retry(self.now, &limits, share)
                 .is_some()
         {
             self.result.repeats += 1;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -285,8 +285,8 @@
     /// Returns whether the budget of a pool allows a repeat now.
     pub(crate) fn may_retry(&self, pool: &PoolId) -> bool {
         let now = self.fleet.now();
-        let (limits, registered) = (&self.settings.budget, self.summaries.registered_count());
-        let is_allowed = self.with_budget(pool, |budget| budget.may_retry(now, limits, registered));
+        let (limits, share) = (&self.settings.budget, self.summaries.entry_share());
+        let is_allowed = self.with_budget(pool, |budget| budget.may_retry(now, limits, share));
         if !is_allowed {
             self.metrics.on_repeat(RepeatDecision::Denied);
         }
@@ -296,8 +296,8 @@
     /// Deducts a repeat that is about to be sent from the budget of a pool; returns `None` if the budget is exhausted.
     pub(crate) fn take_retry(&self, pool: &PoolId) -> Option<TakenRetry> {
         let now = self.fleet.now();
-        let (limits, registered) = (&self.settings.budget, self.summaries.registered_count());
-        let taken = self.with_budget(pool, |budget| budget.try_retry(now, limits, registered));
+        let (limits, share) = (&self.settings.budget, self.summaries.entry_share());
+        let taken = self.with_budget(pool, |budget| budget.try_retry(now, limits, share));
         self.metrics.on_repeat(if taken.is_some() {
             RepeatDecision::Sent
         } else {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -13,7 +13,7 @@
 use std::time::{Duration, Instant};
 
 use socket2::Socket;
-use tanagerford_core::dispatch::{Demand, server_number};
+use tanagerford_core::dispatch::{Demand, EntryShare, server_number};
 use tanagerford_core::exchange::{
     self, EntryNumber, Exchange, OutgoingMessage, StoreRole, Summary, SummaryContent,
     SummaryIntervals, wire,
@@ -81,9 +81,10 @@
     behind_since: Mutex<Option<Duration>>,
     /// Processor share of this entry's VM in thousandths of a core.
     own_millicores: u32,
-    /// Largest number of entries, including this one, that the key-value service has named as registered; 0 before it was
-    /// read.
+    /// Largest number of entries, including this one, that the key-value service has named as registered.
     registered_count: AtomicUsize,
+    /// Whether this process is the first one of its VM; unset before it is registered.
+    is_first_process: OnceLock<bool>,
     /// Wakes the sending task; holds a message while a summary is due earlier than the task expects.
     wake_up: (async_channel::Sender<()>, async_channel::Receiver<()>),
 }
@@ -119,7 +120,8 @@
             peer_store_position: Mutex::default(),
             behind_since: Mutex::default(),
             own_millicores,
-            registered_count: AtomicUsize::new(0),
+            registered_count: AtomicUsize::new(1),
+            is_first_process: OnceLock::new(),
             wake_up,
         }
     }
@@ -371,17 +373,28 @@
         if has_changed {
             self.update_limit_entries();
         }
-        if has_changed || self.registered_count() == 0 {
+        if has_changed {
             let registered = lock(&self.exchange).registered_entries().len() + 1;
             self.registered_count
                 .fetch_max(registered, Ordering::Relaxed);
         }
     }
 
-    /// Returns the largest number of entries, including this one, that were registered since the start, whether they are heard
-    /// or not; 0 before the key-value service was read.
-    pub(crate) fn registered_count(&self) -> usize {
-        self.registered_count.load(Ordering::Relaxed)
+    /// Records that this entry is registered, and whether no process of its VM was registered before.
+    pub fn set_registered(&self, is_first_process: bool) {
+        self.is_first_process.get_or_init(|| is_first_process);
+    }
+
+    /// Returns what this entry knows of the entries that share the retry budget: the largest number that were registered since
+    /// the start, whether they are heard or not.
+    pub(crate) fn entry_share(&self) -> EntryShare {
+        let Some(is_first_process) = self.is_first_process.get() else {
+            return EntryShare::default();
+        };
+        EntryShare {
+            registered: self.registered_count.load(Ordering::Relaxed),
+            is_first_process: *is_first_process,
+        }
     }
 
     fn set_peer(&self, name: &str, peer: Option<Peer>) {
