Derive the values of a routing table in one pass over its routes

Callers saw late and refused requests of all kinds for seconds after 1,400 routes were added. An entry compared each route with all others for the longest latency objective of its pools, looked up a route by a scan of all routes of a host, and scanned all routes again for each change of the registry. Class of fault: work on each change, or each call, that grows with the document. Freeing the old table happened under the lock that every call takes.

Now one pass collects the maxima by pool and rank, and a lookup costs the number of different prefix lengths.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -174,8 +174,10 @@
             "configuration in force"
         );
         let version = table.version;
-        *current = Some((Arc::new(table), document));
+        let replaced = current.replace((Arc::new(table), document));
         drop(current);
+        // Calls need the lock; freeing thousands of routes takes milliseconds.
+        drop(replaced);
         self.metrics.on_configuration(source.name(), version);
         self.summaries.set_version(version);
         true
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tanagerford_core::dispatch::lower_ranks_latency;
+use tanagerford_core::dispatch::{Rank, lower_ranks_latency};
 use tanagerford_core::ids::{PoolId, WorkspaceId};
 use tanagerford_core::version_history::MIN_RETENTION;
 
@@ -135,9 +135,88 @@
     pub version: Version,
     /// Limits for all callers, independent of route and workspace.
     pub limits: CallerLimits,
-    routes: HashMap<String, Vec<Arc<Route>>>,
+    routes: HashMap<String, HostRoutes>,
     pools: HashMap<PoolId, PoolSpec>,
     workspaces: Option<HashMap<String, Arc<Workspace>>>,
+    summary: RouteSummary,
+}
+
+/// Routes of one host by path prefix.
+#[derive(Debug, Default)]
+struct HostRoutes {
+    by_prefix: HashMap<String, Arc<Route>>,
+    /// Lengths of the prefixes in bytes.
+    prefix_lengths: BTreeSet<usize>,
+}
+
+impl HostRoutes {
+    /// Adds a route. Of several routes with the same prefix, the first one counts.
+    fn add(&mut self, route: Arc<Route>) {
+        self.prefix_lengths.insert(route.path_prefix.len());
+        self.by_prefix
+            .entry(route.path_prefix.clone())
+            .or_insert(route);
+    }
+
+    /// Returns the route with the longest prefix of the path. The cost depends on the number of different lengths only.
+    fn find(&self, path: &str) -> Option<&Arc<Route>> {
+        let lengths = self.prefix_lengths.range(..=path.len()).rev();
+        let mut prefixes = lengths.filter_map(|length| path.get(..*length));
+        prefixes.find_map(|prefix| self.by_prefix.get(prefix))
+    }
+}
+
+/// Values that depend on all routes. They are collected once for each table, since reading all routes again takes milliseconds
+/// at thousands of routes.
+#[derive(Debug, Default)]
+struct RouteSummary {
+    count: usize,
+    ranks: BTreeSet<Rank>,
+    /// Longest latency objective of the streams of a pool, by rank.
+    stream_latencies: HashMap<PoolId, BTreeMap<Rank, Duration>>,
+    /// Shortest pause limit of the routes that use a pool.
+    pause_limits: HashMap<PoolId, Duration>,
+    /// Longest timeout of the routes that may resume streams of a pool.
+    resumable_timeouts: BTreeMap<PoolId, Duration>,
+}
+
+impl RouteSummary {
+    fn add(&mut self, route: &Route) {
+        self.count += 1;
+        self.ranks.insert(route.priority);
+        for WeightedPool { pool, .. } in &route.pools {
+            if route.is_stream {
+                let by_rank = entry_of(&mut self.stream_latencies, pool);
+                let longest = by_rank.entry(route.priority).or_default();
+                *longest = route.target_latency.max(*longest);
+            }
+            if let Some(limit) = route.pause_limit {
+                let shortest = self.pause_limits.entry(pool.clone()).or_insert(limit);
+                *shortest = limit.min(*shortest);
+            }
+            if route.retry_policy == RetryPolicy::Resumable {
+                let longest = self.resumable_timeouts.entry(pool.clone()).or_default();
+                *longest = route.timeout.max(*longest);
+            }
+        }
+    }
+
+    /// Returns the longest latency objective of `route` and of the streams that share a pool with it and have the same or a
+    /// lower rank.
+    fn lower_ranks_latency(&self, route: &Route) -> Duration {
+        let pools = route.pools.iter();
+        let by_rank = pools.filter_map(|weighted| self.stream_latencies.get(&weighted.pool));
+        let streams = by_rank.flatten().map(|(rank, latency)| (*rank, *latency));
+        lower_ranks_latency((route.priority, route.target_latency), streams)
+    }
+}
+
+/// Returns the value of a pool, a new one if it has none. Clones the name only for a new one.
+fn entry_of<'a, T: Default>(values: &'a mut HashMap<PoolId, T>, pool: &PoolId) -> &'a mut T {
+    if !values.contains_key(pool) {
+        values.insert(pool.clone(), T::default());
+    }
+    values.get_mut(pool).expect("a value")
 }
 
 impl RoutingTable {
@@ -150,22 +229,17 @@
         workspaces: Option<HashMap<String, Arc<Workspace>>>,
         limits: CallerLimits,
     ) -> Self {
-        let mut by_host: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
         let routes: Vec<Route> = routes.into_iter().collect();
-        let largest_rank = routes.iter().map(|route| route.priority).max();
+        let mut summary = RouteSummary::default();
+        routes.iter().for_each(|route| summary.add(route));
+        let largest_rank = summary.ranks.last();
         let rank_count = largest_rank.map_or(1, |rank| rank.saturating_add(1));
-        let lower_ranks_latencies: Vec<_> = routes
-            .iter()
-            .map(|route| longest_lower_ranks_latency(route, &routes))
-            .collect();
-        for (mut route, latency) in routes.into_iter().zip(lower_ranks_latencies) {
+        let mut by_host: HashMap<String, HostRoutes> = HashMap::new();
+        for mut route in routes {
             route.rank_count = rank_count;
-            route.lower_ranks_latency = latency;
+            route.lower_ranks_latency = summary.lower_ranks_latency(&route);
             let host = by_host.entry(route.host.clone()).or_default();
-            host.push(Arc::new(route));
-        }
-        for host in by_host.values_mut() {
-            host.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
+            host.add(Arc::new(route));
         }
         Self {
             version,
@@ -176,6 +250,7 @@
                 .map(|pool| (pool.name.clone(), pool))
                 .collect(),
             workspaces,
+            summary,
         }
     }
 
@@ -184,10 +259,7 @@
     #[must_use]
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let name = host.split_once(':').map_or(host, |(name, _)| name);
-        let routes = self.routes.get(&name.to_ascii_lowercase())?;
-        routes
-            .iter()
-            .find(|route| path.starts_with(&route.path_prefix))
+        self.routes.get(&name.to_ascii_lowercase())?.find(path)
     }
 
     /// Returns whether requests to routes that are not public need an API key.
@@ -202,42 +274,29 @@
     }
 
     pub(crate) fn route_count(&self) -> usize {
-        self.routes.values().map(Vec::len).sum()
+        self.summary.count
     }
 
     /// Returns the ranks of the workspaces that have one, and the ranks of the routes.
     pub(crate) fn used_ranks(&self) -> (BTreeSet<u8>, BTreeSet<u8>) {
         let workspaces = self.workspaces.iter().flat_map(HashMap::values);
-        let routes = self.routes.values().flatten();
-        (
-            workspaces
-                .filter_map(|workspace| workspace.priority)
-                .collect(),
-            routes.map(|route| route.priority).collect(),
-        )
+        let workspace_ranks = workspaces.filter_map(|workspace| workspace.priority);
+        (workspace_ranks.collect(), self.summary.ranks.clone())
     }
 
     /// Returns the shortest pause limit of the routes that use a pool.
     pub(crate) fn pause_limit(&self, pool: &str) -> Option<Duration> {
-        let routes = self.routes.values().flatten();
-        let using_pool =
-            routes.filter(|route| route.pools.iter().any(|weighted| weighted.pool == pool));
-        using_pool.filter_map(|route| route.pause_limit).min()
+        self.summary.pause_limits.get(pool).copied()
     }
 
     /// Returns the pools whose streams can be resumed, each with the time after which no caller resumes a stream any more:
     /// one timeout for the stream and one for the tries of its caller.
     pub(crate) fn version_retentions(&self) -> BTreeMap<PoolId, Duration> {
-        let mut retentions = BTreeMap::new();
-        let routes = self.routes.values().flatten();
-        for route in routes.filter(|route| route.retry_policy == RetryPolicy::Resumable) {
-            let needed = route.timeout.saturating_mul(2).max(MIN_RETENTION);
-            for weighted in &route.pools {
-                let retention = retentions.entry(weighted.pool.clone()).or_insert(needed);
-                *retention = needed.max(*retention);
-            }
-        }
-        retentions
+        let timeouts = self.summary.resumable_timeouts.iter();
+        let retention = |timeout: &Duration| timeout.saturating_mul(2).max(MIN_RETENTION);
+        timeouts
+            .map(|(pool, timeout)| (pool.clone(), retention(timeout)))
+            .collect()
     }
 
     pub(crate) fn pools(&self) -> impl Iterator<Item = &PoolSpec> {
@@ -245,18 +304,6 @@
     }
 }
 
-/// Returns the longest latency objective of `route` and of the streams that share a pool with it and have the same or a
-/// lower rank.
-fn longest_lower_ranks_latency(route: &Route, routes: &[Route]) -> Duration {
-    let shares_pool = |other: &&Route| {
-        let mut pools = other.pools.iter();
-        pools.any(|pool| route.pools.iter().any(|own| own.pool == pool.pool))
-    };
-    let rank = |route: &Route| (route.priority, route.target_latency);
-    let streams = routes.iter().filter(|other| other.is_stream);
-    lower_ranks_latency(rank(route), streams.filter(shares_pool).map(rank))
-}
-
 impl Route {
     /// Returns one of the route's pools, chosen by weight; the same one for the same `hash`. Returns `None` if all
     /// weights are 0.
