Hand on what changed in a configuration, or the document compressed

Callers saw all kinds of requests late for seconds after a change of the configuration. Each of 36 entries received every version whole, some twice, also for a change of one weight: 27 to 34 MB in a second for 4,249 routes, as much as the links of 10 Mbit/s of small entries carry. Class of fault: a change costs what the document costs.

The asking entry names the hash of its own; it gets the differences since then, or the whole document compressed, and checks the hash of the result. What cannot be unpacked is counted, logged and read whole. Large values that a later change replaces are left out of an answer. Entries of an earlier release name no base and get plain values. Packing, unpacking and decoding a copy run beside the calls, not among them.

--- a/crates/core/src/change_log.rs
+++ b/crates/core/src/change_log.rs
@@ -6,14 +6,19 @@
 
 pub mod wire;
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 
+use bytes::Bytes;
+
+use crate::document::{PackedDocument, UnpackError};
 use crate::store_position::StorePosition;
 
 /// Largest number of changes that are kept.
 const MAX_CHANGES: usize = 4_096;
 /// Largest size of the changes that are kept, in bytes. A configuration has up to a megabyte.
 const MAX_BYTES: usize = 4 * 1024 * 1024;
+/// Size from which a value is sent as a packed document, in bytes.
+const MIN_PACKED_BYTES: usize = 1_024;
 
 /// Change of one key.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -21,7 +26,7 @@
     /// Key that was written or removed.
     pub key: String,
     /// New value; `None` if the key was removed.
-    pub value: Option<Vec<u8>>,
+    pub value: Option<Bytes>,
     /// Revision of the change.
     pub revision: u64,
 }
@@ -35,6 +40,131 @@
     pub changes: Vec<Change>,
 }
 
+/// New value of a key as it is sent to another entry.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum SentValue {
+    /// The value itself.
+    Plain(Bytes),
+    /// Large value, as what changed or compressed.
+    Packed(PackedDocument),
+}
+
+/// Change of one key as it is sent to another entry.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SentChange {
+    /// Key that was written or removed.
+    pub key: String,
+    /// New value; `None` if the key was removed.
+    pub value: Option<SentValue>,
+    /// Revision of the change.
+    pub revision: u64,
+}
+
+/// Changes after a position as they are sent to another entry.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SentBatch {
+    /// Position up to which the changes are complete.
+    pub as_of: StorePosition,
+    /// Changes in the order of their revisions.
+    pub changes: Vec<SentChange>,
+}
+
+impl ChangeBatch {
+    /// Leaves out large values that a later change of the batch replaces. The receiver needs only the last one, and a batch always
+    /// reaches to the newest change.
+    pub fn skip_replaced(&mut self) {
+        let last: BTreeMap<_, _> = self
+            .changes
+            .iter()
+            .map(|change| (change.key.clone(), change.revision))
+            .collect();
+        self.changes
+            .retain(|change| !change.is_large() || last[&change.key] == change.revision);
+    }
+
+    /// Returns the changes as they are sent; `pack` packs a large value.
+    #[must_use]
+    pub fn pack(self, pack: impl Fn(Bytes) -> PackedDocument) -> SentBatch {
+        let changes = self.changes.into_iter().map(|change| {
+            let is_large = change.is_large();
+            let value = change.value.map(|value| {
+                if is_large {
+                    SentValue::Packed(pack(value))
+                } else {
+                    SentValue::Plain(value)
+                }
+            });
+            SentChange {
+                key: change.key,
+                value,
+                revision: change.revision,
+            }
+        });
+        SentBatch {
+            as_of: self.as_of,
+            changes: changes.collect(),
+        }
+    }
+
+    /// Returns the changes as they are sent to an entry that does not know packed values.
+    #[must_use]
+    pub fn into_plain(self) -> SentBatch {
+        let changes = self.changes.into_iter().map(|change| SentChange {
+            key: change.key,
+            value: change.value.map(SentValue::Plain),
+            revision: change.revision,
+        });
+        SentBatch {
+            as_of: self.as_of,
+            changes: changes.collect(),
+        }
+    }
+
+    /// Returns whether a change has a value that is sent packed.
+    #[must_use]
+    pub fn has_large(&self) -> bool {
+        self.changes.iter().any(Change::is_large)
+    }
+}
+
+impl SentBatch {
+    /// Returns the packed values.
+    pub fn packed(&self) -> impl Iterator<Item = &PackedDocument> {
+        let values = self
+            .changes
+            .iter()
+            .filter_map(|change| change.value.as_ref());
+        values.filter_map(|value| match value {
+            SentValue::Packed(packed) => Some(packed),
+            SentValue::Plain(_) => None,
+        })
+    }
+
+    /// Returns the changes with the values that were sent. `base` is the document that the receiver has.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a packed value cannot be unpacked.
+    pub fn unpack(self, base: Option<&[u8]>) -> Result<ChangeBatch, UnpackError> {
+        let changes = self.changes.into_iter().map(|change| {
+            let value = match change.value {
+                None => None,
+                Some(SentValue::Plain(value)) => Some(value),
+                Some(SentValue::Packed(packed)) => Some(packed.unpack(base)?.into()),
+            };
+            Ok(Change {
+                key: change.key,
+                value,
+                revision: change.revision,
+            })
+        });
+        Ok(ChangeBatch {
+            as_of: self.as_of,
+            changes: changes.collect::<Result<_, _>>()?,
+        })
+    }
+}
+
 /// Answer of a log about the changes after a position.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ChangesSince {
@@ -127,7 +257,12 @@
 }
 
 impl Change {
+    fn is_large(&self) -> bool {
+        let value = self.value.as_ref();
+        value.is_some_and(|value| value.len() >= MIN_PACKED_BYTES)
+    }
+
     fn size(&self) -> usize {
-        self.key.len() + self.value.as_ref().map_or(0, Vec::len)
+        self.key.len() + self.value.as_ref().map_or(0, Bytes::len)
     }
 }
--- a/crates/core/src/change_log/wire.rs
+++ b/crates/core/src/change_log/wire.rs
@@ -1,8 +1,10 @@
 //! Wire format of the changes that readers hand on.
 
+use bytes::Bytes;
 use prost::Message;
 
-use super::{Change, ChangeBatch};
+use super::{SentBatch, SentChange, SentValue};
+use crate::document::wire::WirePacked;
 use crate::store_position::StorePosition;
 
 #[derive(Clone, PartialEq, Message)]
@@ -19,10 +21,13 @@
 struct WireChange {
     #[prost(string, tag = "1")]
     key: String,
-    #[prost(bytes = "vec", optional, tag = "2")]
-    value: Option<Vec<u8>>,
+    #[prost(bytes = "bytes", optional, tag = "2")]
+    value: Option<Bytes>,
     #[prost(uint64, tag = "3")]
     revision: u64,
+    /// Large value; excludes `value`.
+    #[prost(message, optional, tag = "4")]
+    packed: Option<WirePacked>,
 }
 
 /// Encodes changes.
@@ -30,19 +35,27 @@
 /// # Examples
 ///
 /// ```
-/// use tanagerford_core::change_log::{ChangeBatch, wire};
+/// use tanagerford_core::change_log::{SentBatch, wire};
 /// use tanagerford_core::store_position::StorePosition;
 ///
-/// let batch = ChangeBatch { as_of: StorePosition { era: 0, revision: 7 }, changes: Vec::new() };
+/// let batch = SentBatch { as_of: StorePosition { era: 0, revision: 7 }, changes: Vec::new() };
 /// assert_eq!(wire::decode(&wire::encode(batch.clone())), Some(batch));
 /// assert_eq!(wire::decode(b"\xff"), None);
 /// ```
 #[must_use]
-pub fn encode(batch: ChangeBatch) -> Vec<u8> {
-    let changes = batch.changes.into_iter().map(|change| WireChange {
-        key: change.key,
-        value: change.value,
-        revision: change.revision,
+pub fn encode(batch: SentBatch) -> Vec<u8> {
+    let changes = batch.changes.into_iter().map(|change| {
+        let (value, packed) = match change.value {
+            None => (None, None),
+            Some(SentValue::Plain(value)) => (Some(value), None),
+            Some(SentValue::Packed(packed)) => (None, Some(packed.into())),
+        };
+        WireChange {
+            key: change.key,
+            value,
+            revision: change.revision,
+            packed,
+        }
     });
     WireBatch {
         era: batch.as_of.era,
@@ -54,18 +67,24 @@
 
 /// Decodes changes; `None` if the message is malformed.
 #[must_use]
-pub fn decode(message: &[u8]) -> Option<ChangeBatch> {
+pub fn decode(message: &[u8]) -> Option<SentBatch> {
     let batch = WireBatch::decode(message).ok()?;
-    let changes = batch.changes.into_iter().map(|change| Change {
-        key: change.key,
-        value: change.value,
-        revision: change.revision,
+    let changes = batch.changes.into_iter().map(|change| {
+        let value = match change.packed {
+            Some(packed) => Some(SentValue::Packed(packed.into_packed()?)),
+            None => change.value.map(SentValue::Plain),
+        };
+        Some(SentChange {
+            key: change.key,
+            value,
+            revision: change.revision,
+        })
     });
-    Some(ChangeBatch {
+    Some(SentBatch {
         as_of: StorePosition {
             era: batch.era,
             revision: batch.revision,
         },
-        changes: changes.collect(),
+        changes: changes.collect::<Option<_>>()?,
     })
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod change_log;
 pub mod config;
 pub mod dispatch;
+pub mod document;
 pub mod estimate;
 pub mod exchange;
 pub mod generation;
--- a/crates/core/tests/change_log.rs
+++ b/crates/core/tests/change_log.rs
@@ -44,7 +44,7 @@
                     let changes: Vec<_> = sizes.iter().map(|size| {
                         end.revision += 1;
                         made.push(end.revision);
-                        Change { key: "k".to_owned(), value: Some(vec![0; *size]), revision: end.revision }
+                        Change { key: "k".to_owned(), value: Some(vec![0; *size].into()), revision: end.revision }
                     }).collect();
                     log.extend(after, end, changes);
                 }
@@ -72,7 +72,9 @@
                         let got: Vec<u64> = batch.changes.iter().map(|change| change.revision).collect();
                         prop_assert_eq!(got, expected);
                         prop_assert_eq!(batch.as_of, end);
-                        prop_assert_eq!(wire::decode(&wire::encode(batch.clone())), Some(batch));
+                        let sent = batch.clone().into_plain();
+                        let received = wire::decode(&wire::encode(sent)).unwrap();
+                        prop_assert_eq!(received.unpack(None), Ok(batch));
                     }
                     ChangesSince::UpToDate => prop_assert!(expected.is_empty()),
                     ChangesSince::Gap => prop_assert!(revision < end.revision),
--- a/crates/gateway/src/changes.rs
+++ b/crates/gateway/src/changes.rs
@@ -1,23 +1,26 @@
 //! Changes of the key-value service that entries hand on to the others of their zone.
 
 use std::net::SocketAddr;
-use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use http::{HeaderValue, Request, StatusCode, Uri};
 use http_body_util::Full;
 use tanagerford_core::change_log::{Change, ChangeBatch, ChangeLog, ChangesSince, wire};
+use tanagerford_core::document::{DocumentHash, PackedDocument, StoredDocument};
 use tanagerford_core::exchange::{EntryNumber, StoreRole};
 use tanagerford_core::store_position::StorePosition;
 use tanagerford_http::{Body, Reply};
 use tanagerford_sync::lock;
 use tokio::sync::Notify;
+use tokio::task::spawn_blocking;
 use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::codec::Codec;
 use crate::gateway::Gateway;
+use crate::log;
 
 /// Path at which a reader hands on changes.
 pub(crate) const PATH: &str = "/changes";
@@ -25,6 +28,8 @@
 const MAX_WAIT: Duration = Duration::from_secs(4);
 /// Time after the end of that wait at which the asking entry gives the reader up.
 const ANSWER_SLACK: Duration = Duration::from_millis(500);
+/// Largest answer that is read from another entry, in bytes.
+const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
 /// Timeout of a connection to a reader.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -113,21 +118,70 @@
         }
     }
 
-    /// Answers an entry that asks for changes.
-    pub(crate) async fn answer(&self, uri: &Uri) -> Reply {
-        let result = match parse_query(uri.query().unwrap_or_default()) {
+    /// Answers an entry that asks for changes. `stored` is the configuration in force, which is likely to be among them.
+    pub(crate) async fn answer(
+        &self,
+        uri: &Uri,
+        stored: impl FnOnce() -> Option<Arc<StoredDocument>>,
+    ) -> Reply {
+        let query = uri.query().unwrap_or_default();
+        let result = match parse_query(query) {
             Some((after, wait)) => self.wait_for_changes(after, wait).await,
             None => Err(StatusCode::BAD_REQUEST),
         };
-        match result {
-            Ok(batch) => Reply::new(Body::full(Bytes::from(wire::encode(batch)))),
-            Err(status) => {
-                let mut reply = Reply::new(Body::full(Bytes::new()));
-                *reply.status_mut() = status;
-                reply
-            }
-        }
+        let encoded = match (result, parse_base(query)) {
+            (Ok(batch), Some(base)) => encode_packed(batch, base, stored()).await,
+            (Ok(batch), None) => Ok(wire::encode(batch.into_plain())),
+            (Err(status), _) => Err(status),
+        };
+        reply(encoded.map(Bytes::from))
+    }
+}
+
+/// Encodes changes for an entry that has the document with the hash `base`.
+async fn encode_packed(
+    mut batch: ChangeBatch,
+    base: DocumentHash,
+    stored: Option<Arc<StoredDocument>>,
+) -> Result<Vec<u8>, StatusCode> {
+    if !batch.has_large() {
+        return Ok(wire::encode(batch.into_plain()));
     }
+    batch.skip_replaced();
+    let pack = move |value: Bytes| match &stored {
+        Some(stored) if *stored.document() == value => pack_for(stored, base),
+        _ => StoredDocument::new(value).whole(),
+    };
+    // Packing takes time in proportion to the document, so it runs beside the calls.
+    let encoding = spawn_blocking(move || wire::encode(batch.pack(pack)));
+    encoding
+        .await
+        .map_err(|_| StatusCode::INTERNAL_SERVER_ERROR)
+}
+
+/// Packs a document for an entry that has the one with the hash `base`.
+pub(crate) fn pack_for(stored: &StoredDocument, base: DocumentHash) -> PackedDocument {
+    let changes = stored.changes_since(base);
+    changes.unwrap_or_else(|| stored.whole())
+}
+
+/// Returns a reply with a body, or an empty one with the status of a refusal.
+pub(crate) fn reply(result: Result<Bytes, StatusCode>) -> Reply {
+    let (status, body) = match result {
+        Ok(body) => (StatusCode::OK, body),
+        Err(status) => (status, Bytes::new()),
+    };
+    let mut reply = Reply::new(Body::full(body));
+    *reply.status_mut() = status;
+    reply
+}
+
+/// Parses the hash of the document that the asking entry has; 0 stands for none. Entries that do not know packed documents
+/// name none.
+pub(crate) fn parse_base(query: &str) -> Option<DocumentHash> {
+    let mut fields = query.split('&');
+    let value = fields.find_map(|field| field.strip_prefix("base="))?;
+    DocumentHash::from_str_radix(value, 16).ok()
 }
 
 /// Parses the position and the wait of a request for changes.
@@ -198,11 +252,25 @@
     ) -> Result<ChangeBatch, StatusCode> {
         let StorePosition { era, revision } = after;
         let wait_ms = wait.as_millis();
-        let path = format!("{PATH}?era={era}&revision={revision}&wait_ms={wait_ms}");
-        let body = self.fetch_from_peer(reader, &path, CONNECT_TIMEOUT).await?;
-        wire::decode(&body)
-            .filter(|batch| batch.as_of.era == era)
-            .ok_or(StatusCode::BAD_GATEWAY)
+        let known = self.stored_document();
+        // An answer that cannot be unpacked is followed by a request for the whole document.
+        for known in [known, None] {
+            let base = known.as_ref().map_or(0, |known| known.hash());
+            let path =
+                format!("{PATH}?era={era}&revision={revision}&wait_ms={wait_ms}&base={base:x}");
+            let body = self.fetch_from_peer(reader, &path, CONNECT_TIMEOUT).await?;
+            let batch = wire::decode(&body).filter(|batch| batch.as_of.era == era);
+            let batch = batch.ok_or(StatusCode::BAD_GATEWAY)?;
+            for packed in batch.packed() {
+                self.metrics.on_document(packed);
+            }
+            let base = known.as_ref().map(|known| &known.document()[..]);
+            match batch.unpack(base) {
+                Ok(batch) => return Ok(batch),
+                Err(error) => log::unpack_failed(reader, error),
+            }
+        }
+        Err(StatusCode::BAD_GATEWAY)
     }
 
     /// Reads what another entry serves at a path. Returns the status if it refuses, and 502 if it does not answer.
@@ -231,6 +299,9 @@
             .map_err(|error| broken(&error))?
         {
             body.extend_from_slice(&chunk);
+            if body.len() > MAX_ANSWER_BYTES {
+                return Err(broken(&"the answer is too long"));
+            }
         }
         if status.is_success() {
             Ok(body.freeze())
--- a/crates/gateway/src/copies.rs
+++ b/crates/gateway/src/copies.rs
@@ -8,19 +8,22 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::{Request, StatusCode};
 use hyper::body::Incoming;
+use tanagerford_core::document::wire;
+use tanagerford_http::Reply;
 use tanagerford_http::server::{Server, ServerLimits, Service};
-use tanagerford_http::{Body, Reply};
 use tokio::runtime::Handle;
+use tokio::task::spawn_blocking;
 use tokio::time::{sleep, timeout};
 
-use crate::changes;
+use crate::changes::{self, pack_for};
 use crate::codec::Codec;
 use crate::gateway::Gateway;
+use crate::log;
 use crate::table::{ConfigurationSource, RoutingTable, Version};
 
 /// Time for which an entry waits for the store before it reads a newer configuration from a peer.
@@ -30,6 +33,8 @@
 /// Size limit of the head of a peer's request, in bytes.
 const MAX_HEADER_BYTES: usize = 8 * 1024;
 const CONFIGURATION_PATH: &str = "/configuration";
+/// Path of the packed configuration, which entries of an earlier release do not serve.
+const PACKED_PATH: &str = "/configuration/packed";
 
 /// Decodes a configuration document; returns `None` when it is invalid.
 pub type DecodeConfiguration = fn(&[u8]) -> Option<RoutingTable>;
@@ -48,19 +53,26 @@
 
 impl<C: Codec> Service for CopyService<C> {
     async fn handle(&self, request: Request<Incoming>, _peer: SocketAddr) -> Reply {
-        if request.uri().path() == changes::PATH {
-            return self.0.changes().answer(request.uri()).await;
+        let uri = request.uri();
+        if uri.path() == changes::PATH {
+            let gateway = Arc::clone(&self.0);
+            let stored = move || gateway.stored_document();
+            return self.0.changes().answer(uri, stored).await;
         }
-        let document = self.0.document();
-        let (status, body) = match document {
-            Some(document) if request.uri().path() == CONFIGURATION_PATH => {
-                (StatusCode::OK, document)
+        let base = changes::parse_base(uri.query().unwrap_or_default());
+        let result = match (self.0.stored_document(), uri.path(), base) {
+            (Some(stored), CONFIGURATION_PATH, _) => Ok(stored.document().clone()),
+            (Some(stored), PACKED_PATH, Some(base)) => {
+                // Compressing takes time in proportion to the document, so it runs beside the calls.
+                let packing = spawn_blocking(move || wire::encode(pack_for(&stored, base)));
+                let packed = packing.await;
+                packed
+                    .map(Bytes::from)
+                    .map_err(|_| StatusCode::INTERNAL_SERVER_ERROR)
             }
-            _ => (StatusCode::NOT_FOUND, Bytes::new()),
+            _ => Err(StatusCode::NOT_FOUND),
         };
-        let mut reply = Reply::new(Body::full(body));
-        *reply.status_mut() = status;
-        reply
+        changes::reply(result)
     }
 
     fn limits(&self) -> ServerLimits {
@@ -127,12 +139,48 @@
         self.is_copying.store(false, Ordering::Release);
     }
 
-    async fn fetch(&self, peer: SocketAddr) -> Result<(), String> {
-        let fetched = self
-            .gateway
-            .fetch_from_peer(peer, CONFIGURATION_PATH, COPY_TIMEOUT);
-        let document = fetched.await.map_err(|status| format!("status {status}"))?;
+    async fn fetch(self: &Arc<Self>, peer: SocketAddr) -> Result<(), String> {
+        let known = self.gateway.stored_document();
+        let base = known.as_ref().map_or(0, |known| known.hash());
+        let path = format!("{PACKED_PATH}?base={base:x}");
+        let fetched = self.gateway.fetch_from_peer(peer, &path, COPY_TIMEOUT);
+        let packed = match fetched.await {
+            Ok(message) => {
+                let packed = wire::decode(&message).ok_or("malformed document")?;
+                self.gateway.metrics.on_document(&packed);
+                Some(packed)
+            }
+            Err(StatusCode::NOT_FOUND) => None,
+            Err(status) => return Err(format!("status {status}")),
+        };
+        let copies = Arc::clone(self);
+        let unpack = move || {
+            let base = known.as_ref().map(|known| &known.document()[..]);
+            packed.map(|packed| packed.unpack(base))
+        };
+        let unpacked = spawn_blocking(unpack).await;
+        let document = match unpacked.map_err(|error| error.to_string())? {
+            Some(Ok(document)) => document.into(),
+            failed => {
+                if let Some(Err(error)) = failed {
+                    log::unpack_failed(peer, error);
+                }
+                let fetched = self
+                    .gateway
+                    .fetch_from_peer(peer, CONFIGURATION_PATH, COPY_TIMEOUT);
+                fetched.await.map_err(|status| format!("status {status}"))?
+            }
+        };
+        let taking_up = spawn_blocking(move || copies.take_up(document));
+        taking_up.await.map_err(|error| error.to_string())?
+    }
+
+    /// Puts a document in force. Blocks for a time in proportion to its length.
+    fn take_up(&self, document: Bytes) -> Result<(), String> {
+        let began = Instant::now();
         let table = (self.decode)(&document).ok_or("invalid configuration document")?;
+        let gateway = &self.gateway;
+        gateway.on_decoded(table.version, document.len(), began.elapsed());
         let source = ConfigurationSource::Peer;
         self.gateway.set_configuration(table, document, source);
         Ok(())
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -15,6 +15,7 @@
 use tanagerford_core::dispatch::{
     BudgetLimits, LinkDelay, LongPromptGate, RetryBudget, TakenRetry, server_number,
 };
+use tanagerford_core::document::StoredDocument;
 use tanagerford_core::ids::{PoolId, ServerId};
 use tanagerford_http::connection_pool::ConnectionPool;
 use tanagerford_http::server::{ServerLimits, Service, UnreadBody};
@@ -73,7 +74,7 @@
     pub(crate) long_prompt_gate: Mutex<LongPromptGate>,
     link_delay: Mutex<LinkDelay>,
     /// Configuration in force and the document that it was decoded from.
-    configuration: RwLock<Option<(Arc<RoutingTable>, Bytes)>>,
+    configuration: RwLock<Option<(Arc<RoutingTable>, Arc<StoredDocument>)>>,
     budgets: Mutex<HashMap<PoolId, RetryBudget>>,
     changes: ChangeFeed,
     /// Number of live entries, including this one.
@@ -132,9 +133,11 @@
     }
 
     /// Returns the document that the configuration in force was decoded from.
-    pub(crate) fn document(&self) -> Option<Bytes> {
+    pub(crate) fn stored_document(&self) -> Option<Arc<StoredDocument>> {
         let configuration = read_lock(&self.configuration);
-        configuration.as_ref().map(|(_, document)| document.clone())
+        configuration
+            .as_ref()
+            .map(|(_, document)| Arc::clone(document))
     }
 
     /// Puts a configuration in force unless its version is the same as or older than the current one; returns whether
@@ -146,6 +149,13 @@
         source: ConfigurationSource,
     ) -> bool {
         let position = self.summaries.store_position();
+        let document = match (self.stored_document(), source) {
+            // Other entries ask those that read the key-value service for what changed.
+            (Some(previous), source) if source != ConfigurationSource::Peer => {
+                previous.next(document)
+            }
+            _ => StoredDocument::new(document),
+        };
         let mut current = write_lock(&self.configuration);
         let old = current.as_ref().map(|(table, _)| table.version);
         if let Some(version) = old.filter(|version| *version >= table.version) {
@@ -169,12 +179,13 @@
             era = position.era,
             revision = position.revision,
             routes = table.route_count(),
+            bytes = document.document().len(),
             ?workspace_ranks,
             ?route_ranks,
             "configuration in force"
         );
         let version = table.version;
-        let replaced = current.replace((Arc::new(table), document));
+        let replaced = current.replace((Arc::new(table), Arc::new(document)));
         drop(current);
         // Calls need the lock; freeing thousands of routes takes milliseconds.
         drop(replaced);
@@ -183,6 +194,13 @@
         true
     }
 
+    /// Counts and logs the time in which a configuration was decoded.
+    pub fn on_decoded(&self, version: Version, bytes: usize, took: Duration) {
+        self.metrics.on_decoded(took);
+        let decode_us = took.as_micros();
+        tracing::info!(version, bytes, decode_us, "configuration decoded");
+    }
+
     /// Returns the version of the configuration in force, or `None` before the first one.
     #[must_use]
     pub fn version(&self) -> Option<Version> {
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -6,9 +6,11 @@
 //! records the fields of the lines about requests.
 
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use tanagerford_core::dispatch::{Rank, ShedReason};
+use tanagerford_core::document::UnpackError;
 use tanagerford_core::stream_version::{VersionId, version_id};
 
 use crate::call::Call;
@@ -203,3 +205,8 @@
         "request panicked"
     );
 }
+
+/// Logs that a document which another entry handed on cannot be unpacked; it is then read whole.
+pub(crate) fn unpack_failed(peer: SocketAddr, error: UnpackError) {
+    tracing::warn!(%peer, ?error, "cannot unpack a document; reading it whole");
+}
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -12,6 +12,7 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::{Metric, Registry};
 use tanagerford_core::dispatch::Rank;
+use tanagerford_core::document::PackedDocument;
 use tanagerford_core::ids::ServerId;
 use tanagerford_core::server_limit::RequestRate;
 
@@ -40,6 +41,11 @@
     source: &'static str,
 }
 
+#[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct PackingLabels {
+    packing: &'static str,
+}
+
 #[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct AdmissionLabels {
     rank: u32,
@@ -147,6 +153,36 @@
     }
 }
 
+/// Documents that other entries handed on.
+#[derive(Debug)]
+struct DocumentMetrics {
+    received: Family<PackingLabels, Counter>,
+    received_bytes: Family<PackingLabels, Counter>,
+    decode_seconds: Counter<f64, AtomicU64>,
+}
+
+impl DocumentMetrics {
+    fn register(registry: &mut Registry) -> Self {
+        Self {
+            received: register(
+                registry,
+                "documents_received",
+                "documents that other entries handed on, by their packing",
+            ),
+            received_bytes: register(
+                registry,
+                "documents_received_bytes",
+                "bytes of the documents that other entries handed on, by their packing",
+            ),
+            decode_seconds: register(
+                registry,
+                "configuration_decode_seconds",
+                "time in which configurations were decoded",
+            ),
+        }
+    }
+}
+
 #[derive(Debug)]
 pub(crate) struct Metrics {
     registry: Registry,
@@ -165,6 +201,7 @@
     quarantined_parts: Gauge<u64, AtomicU64>,
     servers: ServerMetrics,
     delays: DelayMetrics,
+    documents: DocumentMetrics,
     streams: Family<VersionLabels, Gauge>,
 }
 
@@ -225,6 +262,7 @@
         );
         let servers = ServerMetrics::register(&mut registry);
         let delays = DelayMetrics::register(&mut registry);
+        let documents = DocumentMetrics::register(&mut registry);
         let requests_read = register(
             &mut registry,
             "requests_read",
@@ -244,6 +282,7 @@
             streams,
             servers,
             delays,
+            documents,
             quarantined_parts,
             deadline_overruns,
             configurations,
@@ -346,6 +385,22 @@
         self.version.set(version);
     }
 
+    pub(crate) fn on_document(&self, document: &PackedDocument) {
+        let labels = PackingLabels {
+            packing: document.kind(),
+        };
+        let size = u64::try_from(document.size()).unwrap_or(u64::MAX);
+        self.documents.received.get_or_create(&labels).inc();
+        self.documents
+            .received_bytes
+            .get_or_create(&labels)
+            .inc_by(size);
+    }
+
+    pub(crate) fn on_decoded(&self, took: Duration) {
+        self.documents.decode_seconds.inc_by(took.as_secs_f64());
+    }
+
     pub(crate) fn set_quarantined_parts(&self, count: usize) {
         let count = u64::try_from(count).unwrap_or(u64::MAX);
         self.quarantined_parts.set(count);
