Refuse requests that are read late in a stop and could outlast it

Here idle and new connections are closed 2.5 s after SIGTERM, but a request whose body ends after that was passed on to a server: the test's order, read 2.6 s after SIGTERM with a limit of 60 s, ran (200, expected 503). At the end of the stop it would have got 502 while its server ran it.

From then on a call is taken only if its time limit ends 0.25 s before the process, and refused as not run (503, too_late_in_stop) otherwise. Calls of the first 2.5 s are taken as before: their callers cannot know of the stop.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::panic::AssertUnwindSafe;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, RwLock};
+use std::sync::{Arc, Mutex, OnceLock, RwLock};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -80,6 +80,8 @@
     /// Number of live entries, including this one.
     entry_count: AtomicUsize,
     is_stopping: AtomicBool,
+    /// Time by which calls must end that are read from now on; unset before a stop.
+    last_call_end: OnceLock<Instant>,
     /// Closed when the calls that no server has answered must end, since the process is about to.
     stop: (async_channel::Sender<()>, async_channel::Receiver<()>),
 }
@@ -121,6 +123,7 @@
             budgets: Mutex::default(),
             changes: ChangeFeed::default(),
             is_stopping: AtomicBool::new(false),
+            last_call_end: OnceLock::new(),
             stop: async_channel::bounded(1),
         })
     }
@@ -242,6 +245,11 @@
         self.is_stopping.store(true, Ordering::Release);
     }
 
+    /// Refuses calls from now on whose time limit is after `end`, since a server might run them without an answer to the caller.
+    pub fn refuse_calls_beyond(&self, end: Instant) {
+        self.last_call_end.get_or_init(|| end);
+    }
+
     /// Refuses the calls that no server has answered yet, and those that arrive later.
     pub fn end_calls(&self) {
         self.stop.0.close();
@@ -482,6 +490,10 @@
             admission: None,
         };
         call.demand.rank = call.priority();
+        let last_end = self.last_call_end.get();
+        if last_end.is_some_and(|end| call.deadline() > *end) {
+            return self.refuse_call(&call, Refusal::TooLateInStop);
+        }
         let admission = self.processor.admit(&call).await;
         self.metrics
             .on_admission(call.shedding_rank(), admission.is_ok());
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -51,6 +51,8 @@
     InternalError,
     /// The entry stops before a server has answered; a server may have run the request.
     Stopping,
+    /// The entry stops before the time limit of the request, which came too late to end before.
+    TooLateInStop,
 }
 
 impl Refusal {
@@ -78,6 +80,7 @@
             Self::TimedOut => "timed_out",
             Self::InternalError => "internal_error",
             Self::Stopping => "stopping",
+            Self::TooLateInStop => "too_late_in_stop",
         }
     }
 
--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -167,11 +167,10 @@
     tracing::info!(open_connections = stop.open_connections(), "stop has begun");
     let deadline = began + grace * STOP_DEADLINE_SHARE.0 / STOP_DEADLINE_SHARE.1;
     thread::sleep(READINESS_PROPAGATION_TIME);
+    let last_refusal = deadline.checked_sub(LAST_REFUSAL_TIME).unwrap_or(began);
+    gateway.refuse_calls_beyond(last_refusal);
     stop.begin_shutdown();
-    wait_until_closed(
-        stop,
-        deadline.checked_sub(LAST_REFUSAL_TIME).unwrap_or(began),
-    );
+    wait_until_closed(stop, last_refusal);
     gateway.end_calls();
     wait_until_closed(stop, deadline);
     // These requests end with the process and have no line of their own.
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -16,6 +16,8 @@
 use workdir::{Workdir, platform_settings};
 
 const STARTED: &str = "entry has started";
+/// Time in which a process has read the part of a request that was sent.
+const PARTIAL_REQUEST_TIME: Duration = Duration::from_millis(200);
 
 fn registration(pool: &str, worker: &Worker) -> String {
     let address = worker.address;
@@ -133,6 +135,55 @@
     assert_eq!(line["requests_in_flight"], 1, "{line}");
 }
 
+/// Guards against an order that is read late in a stop, passed on, and cut at its end.
+#[test]
+fn a_request_that_cannot_end_before_the_stop_is_refused_as_not_run() {
+    let store = StoreStandin::start();
+    let engine = Worker::start([Action::Hang]);
+    let plain = Worker::start([answer("done")]);
+    let workdir = Workdir::new("gateway_late_in_stop");
+    workdir.write(
+        "settings.toml",
+        platform_settings("front-1", "zone-a", store.address, 100),
+    );
+    let arguments = ["gateway", "--settings", "settings.toml"];
+    let mut process = Process::start(&workdir, &arguments, STARTED);
+    let callers = process.address(STARTED, "callers");
+    let readiness = process.address(STARTED, "readiness");
+    let configuration = CONFIGURATION.replace("\"timeoutMs\": 5000", "\"timeoutMs\": 60000");
+    store.put("op/config", &configuration);
+    store.put("servers/e-1", &registration("engines", &engine));
+    store.put("servers/p-1", &registration("plain", &plain));
+    wait_until(|| status(readiness, "/tanagerford/ready").as_deref() == Some("200"));
+    let begin = |id: &str, remaining_ms: &str| {
+        let text = request("POST /orders/1", id, "Content-Length: 4\r\n");
+        let text = text.replace("Remaining: 8000", &format!("Remaining: {remaining_ms}"));
+        let mut stream = TcpStream::connect(callers).expect("connect");
+        write!(stream, "{text}ab").expect("send");
+        stream
+    };
+    let (late, short) = (begin("id-late", "60000"), begin("id-short", "5500"));
+    thread::sleep(PARTIAL_REQUEST_TIME);
+    process.terminate();
+    let begin_probe = || call(callers, &request("GET /nowhere/1", "id-probe", ""));
+    wait_until(|| begin_probe().is_none());
+    let end = |mut stream: TcpStream| {
+        stream.write_all(b"cd").expect("send");
+        read_message(&mut BufReader::new(stream)).expect("an answer")
+    };
+    let refused = end(late);
+    assert_eq!(refused.line, "HTTP/1.1 503 Service Unavailable");
+    assert_eq!(refused.body, br#"{"error":"too_late_in_stop"}"#);
+    assert_eq!(end(short).body, b"done");
+    let ids: Vec<_> = plain
+        .received()
+        .iter()
+        .map(|got| got.id().to_owned())
+        .collect();
+    assert_eq!(ids, ["id-short"]);
+    assert!(process.wait().success());
+}
+
 /// Guards against a request without an answer beside a reload by signal and a new configuration.
 #[test]
 fn every_request_is_answered_beside_reloads_and_configurations() {
