Decode only the routes of a configuration that are new

Routes whose text is as before are now taken over from the table in force; what depends on all routes is derived anew.

--- a/crates/core/src/change_log.rs
+++ b/crates/core/src/change_log.rs
@@ -70,16 +70,18 @@
 }
 
 impl ChangeBatch {
-    /// Leaves out large values that a later change of the batch replaces. The receiver needs only the last one, and a batch always
-    /// reaches to the newest change.
-    pub fn skip_replaced(&mut self) {
+    /// Leaves out large values that a later change of the batch replaces, except for `in_force`: a later value can be invalid.
+    pub fn skip_replaced(&mut self, in_force: Option<&Bytes>) {
         let last: BTreeMap<_, _> = self
             .changes
             .iter()
             .map(|change| (change.key.clone(), change.revision))
             .collect();
-        self.changes
-            .retain(|change| !change.is_large() || last[&change.key] == change.revision);
+        self.changes.retain(|change| {
+            let is_last = last[&change.key] == change.revision;
+            let is_in_force = change.value.is_some() && change.value.as_ref() == in_force;
+            is_last || is_in_force || !change.is_large()
+        });
     }
 
     /// Returns the changes as they are sent; `pack` packs a large value.
--- a/crates/gateway/src/changes.rs
+++ b/crates/gateway/src/changes.rs
@@ -147,7 +147,7 @@
     if !batch.has_large() {
         return Ok(wire::encode(batch.into_plain()));
     }
-    batch.skip_replaced();
+    batch.skip_replaced(stored.as_ref().map(|stored| stored.document()));
     let pack = move |value: Bytes| match &stored {
         Some(stored) if *stored.document() == value => pack_for(stored, base),
         _ => StoredDocument::new(value).whole(),
--- a/crates/gateway/src/copies.rs
+++ b/crates/gateway/src/copies.rs
@@ -36,8 +36,8 @@
 /// Path of the packed configuration, which entries of an earlier release do not serve.
 const PACKED_PATH: &str = "/configuration/packed";
 
-/// Decodes a configuration document; returns `None` when it is invalid.
-pub type DecodeConfiguration = fn(&[u8]) -> Option<RoutingTable>;
+/// Decodes a configuration document that may share parts with the table in force; returns `None` when it is invalid.
+pub type DecodeConfiguration = fn(&[u8], Option<&RoutingTable>) -> Option<RoutingTable>;
 
 /// Serves the configuration to peers and reads newer configurations from them.
 pub struct ConfigurationCopies<C> {
@@ -178,7 +178,9 @@
     /// Puts a document in force. Blocks for a time in proportion to its length.
     fn take_up(&self, document: Bytes) -> Result<(), String> {
         let began = Instant::now();
-        let table = (self.decode)(&document).ok_or("invalid configuration document")?;
+        let known = self.gateway.table();
+        let decoded = (self.decode)(&document, known.as_deref());
+        let table = decoded.ok_or("invalid configuration document")?;
         let gateway = &self.gateway;
         gateway.on_decoded(table.version, document.len(), began.elapsed());
         let source = ConfigurationSource::Peer;
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -139,8 +139,13 @@
     pools: HashMap<PoolId, PoolSpec>,
     workspaces: Option<HashMap<String, Arc<Workspace>>>,
     summary: RouteSummary,
+    /// Routes by the hash of the text that they were decoded from.
+    sources: HashMap<SourceHash, Arc<Route>>,
 }
 
+/// Hash of the text of a route in a document.
+pub type SourceHash = u128;
+
 /// Routes of one host by path prefix.
 #[derive(Debug, Default)]
 struct HostRoutes {
@@ -175,9 +180,9 @@
     /// Longest latency objective of the streams of a pool, by rank.
     stream_latencies: HashMap<PoolId, BTreeMap<Rank, Duration>>,
     /// Shortest pause limit of the routes that use a pool.
-    pause_limits: HashMap<PoolId, Duration>,
+    pause_limits: HashMap<PoolId, Option<Duration>>,
     /// Longest timeout of the routes that may resume streams of a pool.
-    resumable_timeouts: BTreeMap<PoolId, Duration>,
+    resumable_timeouts: HashMap<PoolId, Duration>,
 }
 
 impl RouteSummary {
@@ -191,11 +196,11 @@
                 *longest = route.target_latency.max(*longest);
             }
             if let Some(limit) = route.pause_limit {
-                let shortest = self.pause_limits.entry(pool.clone()).or_insert(limit);
-                *shortest = limit.min(*shortest);
+                let shortest = entry_of(&mut self.pause_limits, pool);
+                *shortest = shortest.map_or(Some(limit), |shortest| Some(limit.min(shortest)));
             }
             if route.retry_policy == RetryPolicy::Resumable {
-                let longest = self.resumable_timeouts.entry(pool.clone()).or_default();
+                let longest = entry_of(&mut self.resumable_timeouts, pool);
                 *longest = route.timeout.max(*longest);
             }
         }
@@ -211,12 +216,12 @@
     }
 }
 
-/// Returns the value of a pool, a new one if it has none. Clones the name only for a new one.
-fn entry_of<'a, T: Default>(values: &'a mut HashMap<PoolId, T>, pool: &PoolId) -> &'a mut T {
-    if !values.contains_key(pool) {
-        values.insert(pool.clone(), T::default());
+/// Returns the value of a name, a new one if it has none. Clones the name only for a new one.
+fn entry_of<'a, T: Default>(values: &'a mut HashMap<String, T>, name: &str) -> &'a mut T {
+    if !values.contains_key(name) {
+        values.insert(name.to_owned(), T::default());
     }
-    values.get_mut(pool).expect("a value")
+    values.get_mut(name).expect("a value")
 }
 
 impl RoutingTable {
@@ -229,17 +234,40 @@
         workspaces: Option<HashMap<String, Arc<Workspace>>>,
         limits: CallerLimits,
     ) -> Self {
-        let routes: Vec<Route> = routes.into_iter().collect();
+        let routes = routes.into_iter().map(|route| (None, Arc::new(route)));
+        Self::with_sources(version, routes, pools, workspaces, limits)
+    }
+
+    /// Creates a table of routes that may belong to an earlier table as well, each with the hash of its text. The next table can
+    /// take over those whose text has not changed, see [`RoutingTable::decoded_route`].
+    #[must_use]
+    pub fn with_sources(
+        version: Version,
+        routes: impl IntoIterator<Item = (Option<SourceHash>, Arc<Route>)>,
+        pools: impl IntoIterator<Item = PoolSpec>,
+        workspaces: Option<HashMap<String, Arc<Workspace>>>,
+        limits: CallerLimits,
+    ) -> Self {
+        let routes: Vec<_> = routes.into_iter().collect();
         let mut summary = RouteSummary::default();
-        routes.iter().for_each(|route| summary.add(route));
+        for (_, route) in &routes {
+            summary.add(route);
+        }
         let largest_rank = summary.ranks.last();
         let rank_count = largest_rank.map_or(1, |rank| rank.saturating_add(1));
         let mut by_host: HashMap<String, HostRoutes> = HashMap::new();
-        for mut route in routes {
-            route.rank_count = rank_count;
-            route.lower_ranks_latency = summary.lower_ranks_latency(&route);
-            let host = by_host.entry(route.host.clone()).or_default();
-            host.add(Arc::new(route));
+        let mut sources = HashMap::with_capacity(routes.len());
+        for (source, mut route) in routes {
+            let latency = summary.lower_ranks_latency(&route);
+            if (route.rank_count, route.lower_ranks_latency) != (rank_count, latency) {
+                let route = Arc::make_mut(&mut route);
+                route.rank_count = rank_count;
+                route.lower_ranks_latency = latency;
+            }
+            if let Some(source) = source {
+                sources.insert(source, Arc::clone(&route));
+            }
+            entry_of(&mut by_host, &route.host).add(Arc::clone(&route));
         }
         Self {
             version,
@@ -251,9 +279,16 @@
                 .collect(),
             workspaces,
             summary,
+            sources,
         }
     }
 
+    /// Returns the route that was decoded from a text with this hash.
+    #[must_use]
+    pub fn decoded_route(&self, source: SourceHash) -> Option<&Arc<Route>> {
+        self.sources.get(&source)
+    }
+
     /// Returns the route of the host with the longest prefix that matches the path. A port in `host` is ignored, and
     /// the comparison of hosts ignores case.
     #[must_use]
@@ -286,7 +321,7 @@
 
     /// Returns the shortest pause limit of the routes that use a pool.
     pub(crate) fn pause_limit(&self, pool: &str) -> Option<Duration> {
-        self.summary.pause_limits.get(pool).copied()
+        self.summary.pause_limits.get(pool).copied().flatten()
     }
 
     /// Returns the pools whose streams can be resumed, each with the time after which no caller resumes a stream any more:
