--- a/crates/engine/tests/stream_end.rs
+++ b/crates/engine/tests/stream_end.rs
@@ -122,3 +122,18 @@
         ended.recv_timeout(TIMEOUT).expect("the connection ends");
     }
 }
+
+/// Guards against a head that breaks off and is taken for the start of a stream.
+#[test]
+fn a_head_that_breaks_off_fails_the_call() {
+    let head =
+        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for cut in 0..head.len() {
+        let (address, _ended) = start_engine(head[..cut].to_owned(), "");
+        let error = generate(address).err();
+        assert!(
+            matches!(error, Some(EngineError::Lost)),
+            "cut after {cut} bytes: {error:?}"
+        );
+    }
+}
