--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -39,6 +39,19 @@
     read_message(&mut BufReader::new(stream))
 }
 
+/// Starts a process that follows a store; returns it with the addresses for callers and for readiness.
+fn start_entry(workdir: &Workdir, store: &StoreStandin) -> (Process, SocketAddr, SocketAddr) {
+    workdir.write(
+        "settings.toml",
+        platform_settings("front-1", "zone-a", store.address, 100),
+    );
+    let arguments = ["gateway", "--settings", "settings.toml"];
+    let process = Process::start(workdir, &arguments, STARTED);
+    let callers = process.address(STARTED, "callers");
+    let readiness = process.address(STARTED, "readiness");
+    (process, callers, readiness)
+}
+
 /// Guards against a process that is ready before it has a configuration and servers, that SIGHUP ends, or that cuts a
 /// stream after SIGTERM.
 #[test]
@@ -54,14 +67,7 @@
         Worker::start([answer("done")]),
     );
     let workdir = Workdir::new("gateway_serves");
-    workdir.write(
-        "settings.toml",
-        platform_settings("front-1", "zone-a", store.address, 100),
-    );
-    let arguments = ["gateway", "--settings", "settings.toml"];
-    let mut process = Process::start(&workdir, &arguments, STARTED);
-    let callers = process.address(STARTED, "callers");
-    let readiness = process.address(STARTED, "readiness");
+    let (mut process, callers, readiness) = start_entry(&workdir, &store);
     assert_eq!(
         status(readiness, "/tanagerford/ready").as_deref(),
         Some("503")
@@ -102,14 +108,7 @@
     let engine = Worker::start([Action::WriteAndHang(begun)]);
     let plain = Worker::start([Action::Hang]);
     let workdir = Workdir::new("gateway_in_flight");
-    workdir.write(
-        "settings.toml",
-        platform_settings("front-1", "zone-a", store.address, 100),
-    );
-    let arguments = ["gateway", "--settings", "settings.toml"];
-    let mut process = Process::start(&workdir, &arguments, STARTED);
-    let callers = process.address(STARTED, "callers");
-    let readiness = process.address(STARTED, "readiness");
+    let (mut process, callers, readiness) = start_entry(&workdir, &store);
     // Longer than the time for a stop.
     let configuration = CONFIGURATION.replace("\"timeoutMs\": 5000", "\"timeoutMs\": 60000");
     store.put("op/config", &configuration);
@@ -142,14 +141,7 @@
     let engine = Worker::start([Action::Hang]);
     let plain = Worker::start([answer("done")]);
     let workdir = Workdir::new("gateway_late_in_stop");
-    workdir.write(
-        "settings.toml",
-        platform_settings("front-1", "zone-a", store.address, 100),
-    );
-    let arguments = ["gateway", "--settings", "settings.toml"];
-    let mut process = Process::start(&workdir, &arguments, STARTED);
-    let callers = process.address(STARTED, "callers");
-    let readiness = process.address(STARTED, "readiness");
+    let (mut process, callers, readiness) = start_entry(&workdir, &store);
     let configuration = CONFIGURATION.replace("\"timeoutMs\": 5000", "\"timeoutMs\": 60000");
     store.put("op/config", &configuration);
     store.put("servers/e-1", &registration("engines", &engine));
