--- a/crates/core/src/change_log.rs
+++ b/crates/core/src/change_log.rs
@@ -7,6 +7,7 @@
 pub mod wire;
 
 use std::collections::{BTreeMap, VecDeque};
+use std::convert::Infallible;
 
 use bytes::Bytes;
 
@@ -22,22 +23,22 @@
 
 /// Change of one key.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Change {
+pub struct Change<V = Bytes> {
     /// Key that was written or removed.
     pub key: String,
     /// New value; `None` if the key was removed.
-    pub value: Option<Bytes>,
+    pub value: Option<V>,
     /// Revision of the change.
     pub revision: u64,
 }
 
 /// Changes after a position.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct ChangeBatch {
+pub struct ChangeBatch<V = Bytes> {
     /// Position up to which the changes are complete.
     pub as_of: StorePosition,
     /// Changes in the order of their revisions.
-    pub changes: Vec<Change>,
+    pub changes: Vec<Change<V>>,
 }
 
 /// New value of a key as it is sent to another entry.
@@ -49,24 +50,29 @@
     Packed(PackedDocument),
 }
 
-/// Change of one key as it is sent to another entry.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct SentChange {
-    /// Key that was written or removed.
-    pub key: String,
-    /// New value; `None` if the key was removed.
-    pub value: Option<SentValue>,
-    /// Revision of the change.
-    pub revision: u64,
-}
+/// Changes as they are sent to another entry.
+pub type SentBatch = ChangeBatch<SentValue>;
 
-/// Changes after a position as they are sent to another entry.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct SentBatch {
-    /// Position up to which the changes are complete.
-    pub as_of: StorePosition,
-    /// Changes in the order of their revisions.
-    pub changes: Vec<SentChange>,
+impl<V> ChangeBatch<V> {
+    /// Converts the values.
+    fn try_map<W, E>(self, convert: impl Fn(V) -> Result<W, E>) -> Result<ChangeBatch<W>, E> {
+        let changes = self.changes.into_iter().map(|change| {
+            Ok(Change {
+                key: change.key,
+                value: change.value.map(&convert).transpose()?,
+                revision: change.revision,
+            })
+        });
+        Ok(ChangeBatch {
+            as_of: self.as_of,
+            changes: changes.collect::<Result<_, _>>()?,
+        })
+    }
+
+    fn map<W>(self, convert: impl Fn(V) -> W) -> ChangeBatch<W> {
+        let converted = self.try_map(|value| Ok::<_, Infallible>(convert(value)));
+        converted.unwrap_or_else(|never| match never {})
+    }
 }
 
 impl ChangeBatch {
@@ -80,52 +86,36 @@
         self.changes.retain(|change| {
             let is_last = last[&change.key] == change.revision;
             let is_in_force = change.value.is_some() && change.value.as_ref() == in_force;
-            is_last || is_in_force || !change.is_large()
+            is_last || is_in_force || !change.value.as_ref().is_some_and(is_large)
         });
     }
 
     /// Returns the changes as they are sent; `pack` packs a large value.
     #[must_use]
     pub fn pack(self, pack: impl Fn(Bytes) -> PackedDocument) -> SentBatch {
-        let changes = self.changes.into_iter().map(|change| {
-            let is_large = change.is_large();
-            let value = change.value.map(|value| {
-                if is_large {
-                    SentValue::Packed(pack(value))
-                } else {
-                    SentValue::Plain(value)
-                }
-            });
-            SentChange {
-                key: change.key,
-                value,
-                revision: change.revision,
+        self.map(|value| {
+            if is_large(&value) {
+                SentValue::Packed(pack(value))
+            } else {
+                SentValue::Plain(value)
             }
-        });
-        SentBatch {
-            as_of: self.as_of,
-            changes: changes.collect(),
-        }
+        })
     }
 
     /// Returns the changes as they are sent to an entry that does not know packed values.
     #[must_use]
     pub fn into_plain(self) -> SentBatch {
-        let changes = self.changes.into_iter().map(|change| SentChange {
-            key: change.key,
-            value: change.value.map(SentValue::Plain),
-            revision: change.revision,
-        });
-        SentBatch {
-            as_of: self.as_of,
-            changes: changes.collect(),
-        }
+        self.map(SentValue::Plain)
     }
 
     /// Returns whether a change has a value that is sent packed.
     #[must_use]
     pub fn has_large(&self) -> bool {
-        self.changes.iter().any(Change::is_large)
+        let mut values = self
+            .changes
+            .iter()
+            .filter_map(|change| change.value.as_ref());
+        values.any(is_large)
     }
 }
 
@@ -148,25 +138,17 @@
     ///
     /// Fails if a packed value cannot be unpacked.
     pub fn unpack(self, base: Option<&[u8]>) -> Result<ChangeBatch, UnpackError> {
-        let changes = self.changes.into_iter().map(|change| {
-            let value = match change.value {
-                None => None,
-                Some(SentValue::Plain(value)) => Some(value),
-                Some(SentValue::Packed(packed)) => Some(packed.unpack(base)?.into()),
-            };
-            Ok(Change {
-                key: change.key,
-                value,
-                revision: change.revision,
-            })
-        });
-        Ok(ChangeBatch {
-            as_of: self.as_of,
-            changes: changes.collect::<Result<_, _>>()?,
+        self.try_map(|value| match value {
+            SentValue::Plain(value) => Ok(value),
+            SentValue::Packed(packed) => packed.unpack(base).map(Bytes::from),
         })
     }
 }
 
+fn is_large(value: &Bytes) -> bool {
+    value.len() >= MIN_PACKED_BYTES
+}
+
 /// Answer of a log about the changes after a position.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ChangesSince {
@@ -259,11 +241,6 @@
 }
 
 impl Change {
-    fn is_large(&self) -> bool {
-        let value = self.value.as_ref();
-        value.is_some_and(|value| value.len() >= MIN_PACKED_BYTES)
-    }
-
     fn size(&self) -> usize {
         self.key.len() + self.value.as_ref().map_or(0, Bytes::len)
     }
--- a/crates/core/src/change_log/wire.rs
+++ b/crates/core/src/change_log/wire.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use prost::Message;
 
-use super::{SentBatch, SentChange, SentValue};
+use super::{Change, SentBatch, SentValue};
 use crate::document::wire::WirePacked;
 use crate::store_position::StorePosition;
 
@@ -74,7 +74,7 @@
             Some(packed) => Some(SentValue::Packed(packed.into_packed()?)),
             None => change.value.map(SentValue::Plain),
         };
-        Some(SentChange {
+        Some(Change {
             key: change.key,
             value,
             revision: change.revision,
--- a/crates/core/tests/change_log.rs
+++ b/crates/core/tests/change_log.rs
@@ -1,7 +1,8 @@
 //! Properties of the changes that readers hand on.
 
+use bytes::Bytes;
 use proptest::prelude::*;
-use tanagerford_core::change_log::{Change, ChangeLog, ChangesSince, wire};
+use tanagerford_core::change_log::{Change, ChangeBatch, ChangeLog, ChangesSince, wire};
 use tanagerford_core::store_position::StorePosition;
 
 /// Event in the life of a log.
@@ -87,3 +88,36 @@
         }
     }
 }
+
+/// Guards against small changes, or the value in force, that are left out with the large values that later ones replace.
+#[test]
+fn only_large_values_that_are_replaced_are_left_out() {
+    let large = |byte: u8| Bytes::from(vec![byte; 2_000]);
+    let change = |revision, key: &str, value: Option<Bytes>| Change {
+        key: key.to_owned(),
+        value,
+        revision,
+    };
+    let changes = vec![
+        change(1, "a", Some(large(1))),
+        change(2, "b", Some("ready".into())),
+        change(3, "a", Some(large(3))),
+        change(4, "b", Some("leaving".into())),
+        change(5, "b", None),
+        change(6, "a", Some(large(6))),
+        change(7, "c", Some(large(7))),
+        change(8, "c", None),
+    ];
+    let as_of = StorePosition {
+        era: 0,
+        revision: 8,
+    };
+    let kept = |in_force: Option<&Bytes>| -> Vec<u64> {
+        let changes = changes.clone();
+        let mut batch = ChangeBatch { as_of, changes };
+        batch.skip_replaced(in_force);
+        batch.changes.iter().map(|change| change.revision).collect()
+    };
+    assert_eq!(kept(None), [2, 4, 5, 6, 8]);
+    assert_eq!(kept(Some(&large(3))), [2, 3, 4, 5, 6, 8]);
+}
