--- a/crates/core/src/document.rs
+++ b/crates/core/src/document.rs
@@ -25,7 +25,7 @@
 
 /// Largest document that is taken from another entry, in bytes. The key-value service holds documents of up to a megabyte.
 pub const MAX_DOCUMENT_BYTES: usize = 16 * 1024 * 1024;
-/// Largest number of recent versions to which the differences are kept.
+/// Largest number of earlier versions from which the differences are kept.
 const MAX_STEPS: usize = 16;
 /// Largest size of the compressed differences that are kept, in bytes.
 const MAX_STEP_BYTES: usize = 512 * 1024;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -152,9 +152,12 @@
         source: ConfigurationSource,
     ) -> bool {
         let position = self.summaries.store_position();
-        let document = match (self.stored_document(), source) {
+        let known = read_lock(&self.configuration).clone();
+        let document = match known {
             // Other entries ask those that read the key-value service for what changed.
-            (Some(previous), source) if source != ConfigurationSource::Peer => {
+            Some((known, previous))
+                if source != ConfigurationSource::Peer && known.version < table.version =>
+            {
                 previous.next(document)
             }
             _ => StoredDocument::new(document),
