--- a/review/standins/kit.rs
+++ b/review/standins/kit.rs
@@ -41,6 +41,10 @@
     pub fn count(&self, start: &str) -> usize {
         self.lines.lock().unwrap().iter().filter(|(_, line)| line.starts_with(start)).count()
     }
+    /// Returns the lines with this text and their times.
+    pub fn lines_with(&self, text: &str) -> Vec<(u64, String)> {
+        self.lines.lock().unwrap().iter().filter(|(_, line)| line.contains(text)).cloned().collect()
+    }
     pub fn save(&self) {
         let folder = std::env::var("CASE_DIR").unwrap_or_else(|_| ".".to_owned());
         let mut lines = self.lines.lock().unwrap().clone();
@@ -446,6 +450,7 @@
     /// Free slots; further requests wait in the queue.
     free: Arc<(Mutex<u32>, Condvar)>,
     beats: Arc<Mutex<bool>>,
+    left: Arc<Mutex<bool>>,
     last_beat: Arc<Mutex<Instant>>,
     record: Record,
 }
@@ -473,6 +478,7 @@
             runs: Arc::default(),
             free: Arc::new((Mutex::new(slots), Condvar::new())),
             beats: Arc::new(Mutex::new(true)),
+            left: Arc::default(),
             last_beat: Arc::new(Mutex::new(Instant::now())),
             record: record.clone(),
         };
@@ -488,7 +494,8 @@
 
     /// Starts a worker in a process of its own; `kill` ends it as a crash does.
     pub fn spawn(record: &Record, id: &str, service: &str, slots: u32, pace: Pace) -> Option<(Self, Child)> {
-        let numbers = [pace.first_ms, pace.pause_ms, pace.events].map(|number| number.to_string());
+        let numbers = [pace.first_ms, pace.pause_ms, pace.events, u64::from(pace.is_unframed)];
+        let numbers = numbers.map(|number| number.to_string());
         let mut child = Command::new(std::env::current_exe().ok()?)
             .args(["worker", id, service])
             .args(numbers)
@@ -514,15 +521,20 @@
             runs: Arc::default(),
             free: Arc::default(),
             beats: Arc::new(Mutex::new(true)),
+            left: Arc::default(),
             last_beat: Arc::new(Mutex::new(Instant::now())),
             record: record.clone(),
         };
         Some((worker, child))
     }
 
-    /// The worker writes its entry no more, as after a crash.
-    pub fn stop_beats(&self) {
-        *self.beats.lock().unwrap() = false;
+    /// Stops the writes of the worker's entry, as after a crash, or lets them go on.
+    pub fn set_beating(&self, is_beating: bool) {
+        *self.beats.lock().unwrap() = is_beating;
+    }
+
+    fn has_left(&self) -> bool {
+        *self.left.lock().unwrap()
     }
 
     pub fn entry(&self, sequence: u64) -> String {
@@ -540,9 +552,12 @@
             for sequence in 2.. {
                 thread::sleep(Duration::from_millis(1200));
                 let beats = worker.beats.lock().unwrap();
-                if !*beats {
+                if worker.has_left() {
                     return;
                 }
+                if !*beats {
+                    continue;
+                }
                 store.put(&format!("servers/{}", worker.id), &worker.entry(sequence));
                 *worker.last_beat.lock().unwrap() = Instant::now();
             }
@@ -560,7 +575,9 @@
 
     /// The worker leaves without reporting `draining`: its entry is removed. Returns the time of the confirmation.
     pub fn leave(&self, store: &Store) -> u64 {
-        *self.beats.lock().unwrap() = false;
+        // Waits for a write that is under way.
+        let _beats = self.beats.lock().unwrap();
+        *self.left.lock().unwrap() = true;
         store.remove(&format!("servers/{}", self.id))
     }
 
@@ -810,6 +827,21 @@
 
 /// Sends a request on a new connection and reads its answer.
 pub fn call(entry: SocketAddr, record: &Record, method: &str, path: &str, id: &str, remaining_ms: u64, more: &str) -> Answer {
+    call_with_patience(entry, record, method, path, id, remaining_ms, remaining_ms + 500, more)
+}
+
+/// Sends a request like [`call`], and leaves when nothing has come for `patience_ms`.
+#[allow(clippy::too_many_arguments)]
+pub fn call_with_patience(
+    entry: SocketAddr,
+    record: &Record,
+    method: &str,
+    path: &str,
+    id: &str,
+    remaining_ms: u64,
+    patience_ms: u64,
+    more: &str,
+) -> Answer {
     let failed = |body: &str| Answer { status: 0, is_complete: false, body: body.to_owned() };
     record.add(format!("consumer: sends {id} {method} {path}"));
     let Ok(mut stream) = TcpStream::connect(entry) else {
@@ -817,7 +849,7 @@
         return failed("no connection");
     };
     let _ = stream.set_nodelay(true);
-    let _ = stream.set_read_timeout(Some(Duration::from_millis(remaining_ms + 500)));
+    let _ = stream.set_read_timeout(Some(Duration::from_millis(patience_ms)));
     let length = if method == "POST" { "Content-Length: 0\r\n" } else { "" };
     let text = format!(
         "{method} {path} HTTP/1.1\r\nHost: shop.example\r\nX-Tanagerford-Attempt-Id: {id}\r\n\
@@ -828,7 +860,8 @@
     }
     let mut reader = BufReader::new(stream);
     let Some(head) = read_head(&mut reader) else {
-        record.add(format!("consumer: {id} gets no answer"));
+        drop(reader);
+        record.add(format!("consumer: {id} gets no answer and leaves"));
         return failed("no answer");
     };
     let mut body = Vec::new();
@@ -856,6 +889,8 @@
     r#"{"version":7,"routes":[
       {"name":"r-note","host":"shop.example","pathPrefix":"/note/","type":"streaming","timeoutMs":12000,"targetLatencyMs":300,"priority":0,
        "service":"lm-prepress","maxAttempts":2,"public":false,"sticky":true,"canResume":true,"gapTargetMs":200},
+      {"name":"r-check","host":"shop.example","pathPrefix":"/check/","type":"streaming","timeoutMs":4000,"targetLatencyMs":500,"priority":1,
+       "service":"lm-prepress","maxAttempts":1,"public":false,"sticky":true,"canResume":false,"gapTargetMs":300},
       {"name":"r-burn","host":"shop.example","pathPrefix":"/burn/","type":"non_idempotent","timeoutMs":1000,"targetLatencyMs":100,"priority":2,
        "service":"plate-app","maxAttempts":1,"public":false,"sticky":false,"canResume":false}],
      "services":[
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -3,11 +3,11 @@
 
 mod kit;
 
-use std::process::exit;
+use std::process::{Command, exit};
 use std::thread;
 use std::time::Duration;
 
-use kit::{Entry, Pace, Record, Store, Worker, call, configuration, is_trouble};
+use kit::{Entry, Pace, Record, Store, Worker, call, call_with_patience, configuration, is_trouble};
 
 /// Bound `drainMs` in the settings of the entries.
 const DRAIN_MS: u64 = 2_000;
@@ -20,6 +20,7 @@
         "drain" => drain(&record),
         "route" => route(&record),
         "order" => order(&record),
+        "gone" => gone(&record),
         "worker" => worker(record),
         _ => None,
     };
@@ -219,12 +220,12 @@
     Some(is_broken)
 }
 
-/// Runs a worker whose streams have no length, in a process of its own, until it is killed.
+/// Runs a worker in a process of its own until it is killed.
 fn worker(mut record: Record) -> ! {
     let arguments: Vec<String> = std::env::args().collect();
     let number = |index: usize| arguments[index].parse().expect("a number");
     record.is_echoed = true;
-    let pace = Pace { first_ms: number(4), pause_ms: number(5), events: number(6), is_unframed: true };
+    let pace = Pace { first_ms: number(4), pause_ms: number(5), events: number(6), is_unframed: number(7) == 1 };
     let worker = Worker::start(&record, &arguments[2], &arguments[3], 64, pace);
     println!("{}", worker.address);
     pause(110_000);
@@ -236,7 +237,7 @@
     const EVENTS: u64 = 20;
     let store = Store::start(record, 1);
     store.put("op/config", configuration());
-    let pace = Pace { first_ms: 100, pause_ms: 100, events: EVENTS, is_unframed: false };
+    let pace = Pace { first_ms: 100, pause_ms: 100, events: EVENTS, is_unframed: true };
     let spawned = (1..=7).map(|n| Worker::spawn(record, &format!("i-lm{n}"), "lm-prepress", 64, pace));
     let (mut workers, mut processes): (Vec<_>, Vec<_>) = spawned.collect::<Option<Vec<_>>>()?.into_iter().unzip();
     let plain = Pace { first_ms: 15, pause_ms: 0, events: 0, is_unframed: false };
@@ -264,7 +265,7 @@
     if is_trouble() {
         let streams = |worker: &Worker| record.count(&format!("{} (lm-prepress): begins", worker.id));
         let busiest = (0..processes.len()).max_by_key(|index| streams(&workers[*index]))?;
-        workers[busiest].stop_beats();
+        workers[busiest].set_beating(false);
         record.add(format!("trouble: the worker {} crashes (SIGKILL)", workers[busiest].id));
         processes[busiest].kill().ok()?;
         processes[busiest].wait().ok()?;
@@ -286,3 +287,80 @@
     drop(entry);
     Some(is_broken)
 }
+
+/// A worker goes dark and comes back; do requests reach it whose consumers have left long ago?
+fn gone(record: &Record) -> Option<bool> {
+    /// Time without an event after which consumers abandon a stream of the route.
+    const PATIENCE_MS: u64 = 2_000;
+    const DARK_MS: u64 = 4_500;
+    const LIMIT_MS: u64 = 500;
+    /// "More than a few" requests break the rule.
+    const FEW: usize = 5;
+
+    let store = Store::start(record, 1);
+    store.put("op/config", configuration());
+    let pace = Pace { first_ms: 100, pause_ms: 100, events: 9, is_unframed: false };
+    let spawned = (1..=7).map(|n| Worker::spawn(record, &format!("i-lm{n}"), "lm-prepress", 64, pace));
+    let (mut workers, mut processes): (Vec<_>, Vec<_>) = spawned.collect::<Option<Vec<_>>>()?.into_iter().unzip();
+    let plain = Pace { first_ms: 15, pause_ms: 0, events: 0, is_unframed: false };
+    workers.push(Worker::start(record, "i-app1", "plate-app", 6, plain));
+    for worker in &workers {
+        worker.beat(&store);
+    }
+    let entry = Entry::start(record, 1, store.addresses[0])?;
+    pause(3_500);
+    let address = entry.callers;
+    let log = record.clone();
+    let callers = thread::spawn(move || {
+        let mut callers = Vec::new();
+        for number in 0..140 {
+            let record = log.clone();
+            callers.push(thread::spawn(move || {
+                let more = "X-Tanagerford-Model: m\r\nX-Tanagerford-Token-Counts: 9190,54\r\n\
+                            X-Tanagerford-Prompt-Prefix: 3a:2520,4b:3780,";
+                let more = format!("{more}{:x}:2890\r\n", 0x7000 + number);
+                let id = format!("check-{number}");
+                let path = format!("/check/{number}");
+                let answer = call_with_patience(address, &record, "POST", &path, &id, 4_000, PATIENCE_MS, &more);
+                (id, record.now_ms(), answer.status)
+            }));
+            // The sheet has 30.3 of these a second.
+            pause(33);
+        }
+        callers
+    });
+    pause(1_200);
+    if is_trouble() {
+        let streams = |worker: &Worker| record.count(&format!("{} (lm-prepress): begins", worker.id));
+        let busiest = (0..processes.len()).max_by_key(|index| streams(&workers[*index]))?;
+        let process = processes[busiest].id().to_string();
+        record.add(format!("trouble: the worker {} goes dark", workers[busiest].id));
+        Command::new("kill").args(["-STOP", &process]).status().ok()?;
+        workers[busiest].set_beating(false);
+        pause(DARK_MS);
+        Command::new("kill").args(["-CONT", &process]).status().ok()?;
+        workers[busiest].set_beating(true);
+        record.add(format!("trouble: the worker {} is back", workers[busiest].id));
+    }
+    let mut ends = Vec::new();
+    for caller in callers.join().ok()? {
+        ends.push(caller.join().ok()?);
+    }
+    pause(1_500);
+    let mut late = 0;
+    for (id, left_ms, _) in ends.iter().filter(|(_, _, status)| *status == 0) {
+        for (at, line) in record.lines_with(&format!("begins to work on {id} ")) {
+            if at > left_ms + LIMIT_MS {
+                late += 1;
+                record.add(format!("GONE: {line}, {} ms after its consumer left", at - left_ms));
+            }
+        }
+    }
+    record.add(format!("requests that reached a worker over {LIMIT_MS} ms after their consumer had left: {late}"));
+    for process in &mut processes {
+        let _ = process.kill();
+        let _ = process.wait();
+    }
+    drop(entry);
+    Some(late > FEW)
+}
