--- a/review/standins/kit.rs
+++ b/review/standins/kit.rs
@@ -23,7 +23,11 @@
 
 impl Record {
     pub fn new() -> Self {
-        Self { is_echoed: false, start: Instant::now(), lines: Arc::default() }
+        Self {
+            is_echoed: false,
+            start: Instant::now(),
+            lines: Arc::default(),
+        }
     }
     pub fn now_ms(&self) -> u64 {
         u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX)
@@ -39,17 +43,31 @@
     }
     /// Returns the number of lines that begin so.
     pub fn count(&self, start: &str) -> usize {
-        self.lines.lock().unwrap().iter().filter(|(_, line)| line.starts_with(start)).count()
+        self.lines
+            .lock()
+            .unwrap()
+            .iter()
+            .filter(|(_, line)| line.starts_with(start))
+            .count()
     }
     /// Returns the lines with this text and their times.
     pub fn lines_with(&self, text: &str) -> Vec<(u64, String)> {
-        self.lines.lock().unwrap().iter().filter(|(_, line)| line.contains(text)).cloned().collect()
+        self.lines
+            .lock()
+            .unwrap()
+            .iter()
+            .filter(|(_, line)| line.contains(text))
+            .cloned()
+            .collect()
     }
     pub fn save(&self) {
         let folder = std::env::var("CASE_DIR").unwrap_or_else(|_| ".".to_owned());
         let mut lines = self.lines.lock().unwrap().clone();
         lines.sort_by_key(|(at, _)| *at);
-        let text: String = lines.iter().map(|(at, line)| format!("{:>8.3} s  {line}\n", *at as f64 / 1000.0)).collect();
+        let text: String = lines
+            .iter()
+            .map(|(at, line)| format!("{:>8.3} s  {line}\n", *at as f64 / 1000.0))
+            .collect();
         let _ = fs::write(PathBuf::from(folder).join("record.txt"), text);
     }
 }
@@ -91,7 +109,9 @@
                         }
                         ',' => *at += 1,
                         _ => {
-                            let Json::Text(name) = Self::value(text, at)? else { return None };
+                            let Json::Text(name) = Self::value(text, at)? else {
+                                return None;
+                            };
                             Self::space(text, at);
                             if *text.get(*at)? != ':' {
                                 return None;
@@ -166,13 +186,25 @@
         &Json::Null
     }
     pub fn list(&self) -> &[Json] {
-        if let Json::List(list) = self { list } else { &[] }
+        if let Json::List(list) = self {
+            list
+        } else {
+            &[]
+        }
     }
     pub fn text(&self) -> &str {
-        if let Json::Text(text) = self { text } else { "" }
+        if let Json::Text(text) = self {
+            text
+        } else {
+            ""
+        }
     }
     pub fn number(&self) -> u64 {
-        if let Json::Number(number) = self { *number as u64 } else { 0 }
+        if let Json::Number(number) = self {
+            *number as u64
+        } else {
+            0
+        }
     }
 }
 
@@ -181,7 +213,9 @@
 pub fn encode64(data: &[u8]) -> String {
     let mut out = String::new();
     for part in data.chunks(3) {
-        let bits = part.iter().enumerate().fold(0u32, |bits, (i, byte)| bits | u32::from(*byte) << (16 - 8 * i));
+        let bits = part.iter().enumerate().fold(0u32, |bits, (i, byte)| {
+            bits | u32::from(*byte) << (16 - 8 * i)
+        });
         for i in 0..4 {
             if i <= part.len() {
                 out.push(BASE64[(bits >> (18 - 6 * i) & 63) as usize] as char);
@@ -204,13 +238,22 @@
 
 impl Message {
     pub fn header(&self, name: &str) -> Option<&str> {
-        self.headers.iter().find(|(known, _)| known == name).map(|(_, value)| value.as_str())
+        self.headers
+            .iter()
+            .find(|(known, _)| known == name)
+            .map(|(_, value)| value.as_str())
     }
     pub fn id(&self) -> String {
-        self.header("x-tanagerford-attempt-id").unwrap_or("").to_owned()
+        self.header("x-tanagerford-attempt-id")
+            .unwrap_or("")
+            .to_owned()
     }
     pub fn status(&self) -> u16 {
-        self.line.split(' ').nth(1).and_then(|text| text.parse().ok()).unwrap_or(0)
+        self.line
+            .split(' ')
+            .nth(1)
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(0)
     }
 }
 
@@ -230,20 +273,33 @@
 
 pub fn read_head(reader: &mut impl BufRead) -> Option<Message> {
     let mut message = Message::default();
-    reader.read_line(&mut message.line).ok().filter(|length| *length > 0)?;
+    reader
+        .read_line(&mut message.line)
+        .ok()
+        .filter(|length| *length > 0)?;
     message.line = message.line.trim_end().to_owned();
     loop {
         let mut line = String::new();
-        reader.read_line(&mut line).ok().filter(|length| *length > 0)?;
-        let Some((name, value)) = line.trim_end().split_once(':') else { return Some(message) };
-        message.headers.push((name.to_ascii_lowercase(), value.trim().to_owned()));
+        reader
+            .read_line(&mut line)
+            .ok()
+            .filter(|length| *length > 0)?;
+        let Some((name, value)) = line.trim_end().split_once(':') else {
+            return Some(message);
+        };
+        message
+            .headers
+            .push((name.to_ascii_lowercase(), value.trim().to_owned()));
     }
 }
 
 /// Reads a chunk; `Some(None)` is the end of the body, `None` an early end of the connection.
 pub fn read_chunk(reader: &mut impl BufRead) -> Option<Option<Vec<u8>>> {
     let mut line = String::new();
-    reader.read_line(&mut line).ok().filter(|length| *length > 0)?;
+    reader
+        .read_line(&mut line)
+        .ok()
+        .filter(|length| *length > 0)?;
     let length = usize::from_str_radix(line.trim_end(), 16).ok()?;
     let mut data = vec![0; length + 2];
     reader.read_exact(&mut data).ok()?;
@@ -273,9 +329,18 @@
 
 impl Store {
     pub fn start(record: &Record, listeners: usize) -> Self {
-        let bound: Vec<_> = (0..listeners).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
-        let addresses = bound.iter().map(|listener| listener.local_addr().unwrap()).collect();
-        let store = Self { addresses, state: Arc::default(), record: record.clone() };
+        let bound: Vec<_> = (0..listeners)
+            .map(|_| TcpListener::bind("127.0.0.1:0").unwrap())
+            .collect();
+        let addresses = bound
+            .iter()
+            .map(|listener| listener.local_addr().unwrap())
+            .collect();
+        let store = Self {
+            addresses,
+            state: Arc::default(),
+            record: record.clone(),
+        };
         store.state.0.lock().unwrap().revision = 100;
         for (number, listener) in bound.into_iter().enumerate() {
             let store = store.clone();
@@ -290,13 +355,19 @@
     }
 
     pub fn put(&self, key: &str, value: &str) {
-        self.state.0.lock().unwrap().change(key, Some(encode64(value.as_bytes())));
+        self.state
+            .0
+            .lock()
+            .unwrap()
+            .change(key, Some(encode64(value.as_bytes())));
         self.state.1.notify_all();
     }
 
     pub fn remove(&self, key: &str) -> u64 {
         self.state.0.lock().unwrap().change(key, None);
-        let at = self.record.add(format!("store: {key} is removed and the removal confirmed"));
+        let at = self
+            .record
+            .add(format!("store: {key} is removed and the removal confirmed"));
         self.state.1.notify_all();
         at
     }
@@ -319,8 +390,13 @@
         while let Some(request) = read_message(&mut reader) {
             // An answer takes 4 ms, as the sheets say.
             thread::sleep(Duration::from_millis(4));
-            let Some((status, body)) = self.answer(number, &request) else { return };
-            let head = format!("HTTP/1.1 {status} S\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n", body.len());
+            let Some((status, body)) = self.answer(number, &request) else {
+                return;
+            };
+            let head = format!(
+                "HTTP/1.1 {status} S\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+                body.len()
+            );
             if writer.write_all((head + &body).as_bytes()).is_err() {
                 return;
             }
@@ -333,28 +409,49 @@
         let query: BTreeMap<String, String> = query
             .split('&')
             .filter_map(|pair| pair.split_once('='))
-            .map(|(name, value)| (name.to_owned(), value.replace("%2F", "/").replace("%2f", "/")))
+            .map(|(name, value)| {
+                (
+                    name.to_owned(),
+                    value.replace("%2F", "/").replace("%2f", "/"),
+                )
+            })
             .collect();
         let prefix = query.get("pathPrefix").cloned().unwrap_or_default();
         let after = query.get("after").cloned().unwrap_or_default();
         let mut state = self.state.0.lock().unwrap();
         match path {
             "/tanagerford/kv-range" => {
-                let items = state.items.iter().filter(|(key, _)| key.starts_with(&prefix) && **key > after);
+                let items = state
+                    .items
+                    .iter()
+                    .filter(|(key, _)| key.starts_with(&prefix) && **key > after);
                 let items: Vec<String> = items
                     .map(|(key, (revision, value))| {
                         format!(r#"{{"key":"{key}","value":"{value}","modRevision":{revision},"created":{revision},"lease":0}}"#)
                     })
                     .collect();
-                Some((200, format!(r#"{{"items":[{}],"truncated":false,"asOf":{}}}"#, items.join(","), state.revision)))
+                Some((
+                    200,
+                    format!(
+                        r#"{{"items":[{}],"truncated":false,"asOf":{}}}"#,
+                        items.join(","),
+                        state.revision
+                    ),
+                ))
             }
             "/tanagerford/kv-watch" => {
                 let after: u64 = after.parse().unwrap_or(0);
-                let wait: u64 = query.get("waitMs").and_then(|text| text.parse().ok()).unwrap_or(0);
+                let wait: u64 = query
+                    .get("waitMs")
+                    .and_then(|text| text.parse().ok())
+                    .unwrap_or(0);
                 let end = Instant::now() + Duration::from_millis(wait);
                 let mut is_waiting = false;
                 let is_cut = loop {
-                    let has_events = state.history.iter().any(|(revision, key, _)| *revision > after && key.starts_with(&prefix));
+                    let has_events = state
+                        .history
+                        .iter()
+                        .any(|(revision, key, _)| *revision > after && key.starts_with(&prefix));
                     let left = end.saturating_duration_since(Instant::now());
                     if has_events || left.is_zero() {
                         break false;
@@ -365,7 +462,11 @@
                         *state.waiting.entry(number).or_default() += 1;
                         self.state.1.notify_all();
                     }
-                    if let Some(cuts) = state.cuts.get_mut(&number).filter(|cuts| is_waiting && **cuts > 0) {
+                    if let Some(cuts) = state
+                        .cuts
+                        .get_mut(&number)
+                        .filter(|cuts| is_waiting && **cuts > 0)
+                    {
                         *cuts -= 1;
                         break true;
                     }
@@ -375,29 +476,48 @@
                     *state.waiting.entry(number).or_default() -= 1;
                 }
                 if is_cut {
-                    self.record.add(format!("store: the waiting watch of entry {} is cut", number + 1));
+                    self.record.add(format!(
+                        "store: the waiting watch of entry {} is cut",
+                        number + 1
+                    ));
                     return None;
                 }
-                let events = state.history.iter().filter(|(revision, key, _)| *revision > after && key.starts_with(&prefix));
+                let events = state
+                    .history
+                    .iter()
+                    .filter(|(revision, key, _)| *revision > after && key.starts_with(&prefix));
                 let events: Vec<String> = events
                     .map(|(revision, key, value)| match value {
                         Some(value) => format!(r#"{{"key":"{key}","value":"{value}","modRevision":{revision},"created":{revision},"lease":0}}"#),
                         None => format!(r#"{{"key":"{key}","modRevision":{revision},"removed":true}}"#),
                     })
                     .collect();
-                Some((200, format!(r#"{{"events":[{}],"asOf":{}}}"#, events.join(","), state.revision)))
+                Some((
+                    200,
+                    format!(
+                        r#"{{"events":[{}],"asOf":{}}}"#,
+                        events.join(","),
+                        state.revision
+                    ),
+                ))
             }
             "/tanagerford/kv-txn" => {
                 let body = Json::parse(&String::from_utf8_lossy(&request.body))?;
                 let is_expected = body.get("expect").list().iter().all(|row| {
-                    let current = state.items.get(row.get("key").text()).map_or(0, |(revision, _)| *revision);
+                    let current = state
+                        .items
+                        .get(row.get("key").text())
+                        .map_or(0, |(revision, _)| *revision);
                     row.get("modRevision").number() == current
                 });
                 if !is_expected {
                     return Some((412, r#"{"items":[]}"#.to_owned()));
                 }
                 for put in body.get("puts").list() {
-                    state.change(put.get("key").text(), Some(put.get("value").text().to_owned()));
+                    state.change(
+                        put.get("key").text(),
+                        Some(put.get("value").text().to_owned()),
+                    );
                 }
                 for key in body.get("remove").list() {
                     state.change(key.text(), None);
@@ -415,7 +535,10 @@
     fn change(&mut self, key: &str, value: Option<String>) {
         self.revision += 1;
         match &value {
-            Some(value) => drop(self.items.insert(key.to_owned(), (self.revision, value.clone()))),
+            Some(value) => drop(
+                self.items
+                    .insert(key.to_owned(), (self.revision, value.clone())),
+            ),
             None => drop(self.items.remove(key)),
         }
         self.history.push((self.revision, key.to_owned(), value));
@@ -467,7 +590,10 @@
 impl Worker {
     pub fn start(record: &Record, id: &str, service: &str, slots: u32, pace: Pace) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis();
+        let born = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap()
+            .as_millis();
         let worker = Self {
             id: id.to_owned(),
             service: service.to_owned(),
@@ -493,8 +619,19 @@
     }
 
     /// Starts a worker in a process of its own; `kill` ends it as a crash does.
-    pub fn spawn(record: &Record, id: &str, service: &str, slots: u32, pace: Pace) -> Option<(Self, Child)> {
-        let numbers = [pace.first_ms, pace.pause_ms, pace.events, u64::from(pace.is_unframed)];
+    pub fn spawn(
+        record: &Record,
+        id: &str,
+        service: &str,
+        slots: u32,
+        pace: Pace,
+    ) -> Option<(Self, Child)> {
+        let numbers = [
+            pace.first_ms,
+            pace.pause_ms,
+            pace.events,
+            u64::from(pace.is_unframed),
+        ];
         let numbers = numbers.map(|number| number.to_string());
         let mut child = Command::new(std::env::current_exe().ok()?)
             .args(["worker", id, service])
@@ -504,18 +641,27 @@
             .spawn()
             .ok()?;
         let folder = std::env::var("CASE_TMP").unwrap_or_else(|_| ".".to_owned());
-        fs::write(PathBuf::from(&folder).join(format!("worker-{id}.pid")), child.id().to_string()).ok()?;
+        fs::write(
+            PathBuf::from(&folder).join(format!("worker-{id}.pid")),
+            child.id().to_string(),
+        )
+        .ok()?;
         let mut lines = BufReader::new(child.stdout.take()?).lines();
         let address = lines.next()?.ok()?.parse().ok()?;
         let log = record.clone();
-        thread::spawn(move || lines.map_while(Result::ok).for_each(|line| {
-            log.add(line);
-        }));
+        thread::spawn(move || {
+            lines.map_while(Result::ok).for_each(|line| {
+                log.add(line);
+            })
+        });
         let worker = Self {
             id: id.to_owned(),
             service: service.to_owned(),
             address,
-            born: SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis(),
+            born: SystemTime::now()
+                .duration_since(UNIX_EPOCH)
+                .unwrap()
+                .as_millis(),
             slots,
             pace: Arc::new(Mutex::new(pace)),
             runs: Arc::default(),
@@ -588,8 +734,12 @@
         while let Some(request) = read_message(&mut reader) {
             let id = request.id();
             let path = request.line.split(' ').nth(1).unwrap_or("").to_owned();
-            if request.header("x-tanagerford-expect-instance").is_some_and(|expected| expected != self.id) {
-                self.record.add(format!("{}: {id} expects another instance, 421", self.id));
+            if request
+                .header("x-tanagerford-expect-instance")
+                .is_some_and(|expected| expected != self.id)
+            {
+                self.record
+                    .add(format!("{}: {id} expects another instance, 421", self.id));
                 let answer = format!(
                     "HTTP/1.1 421 Misdirected Request\r\nX-Tanagerford-Attempt-Id: {id}\r\nX-Tanagerford-Not-Executed: 1\r\n\
                      X-Tanagerford-Instance-Id: {}\r\nContent-Length: 0\r\n\r\n",
@@ -606,12 +756,26 @@
             }
             *free -= 1;
             drop(free);
-            let after_event = request.header("last-event-id").and_then(|text| text.parse().ok());
+            let after_event = request
+                .header("last-event-id")
+                .and_then(|text| text.parse().ok());
             let began_ms = self.record.add(match after_event {
-                Some(after) => format!("{} ({}): begins to work on {id} {path}, going on after event {after}", self.id, self.service),
-                None => format!("{} ({}): begins to work on {id} {path}", self.id, self.service),
+                Some(after) => format!(
+                    "{} ({}): begins to work on {id} {path}, going on after event {after}",
+                    self.id, self.service
+                ),
+                None => format!(
+                    "{} ({}): begins to work on {id} {path}",
+                    self.id, self.service
+                ),
             });
-            let run = Run { id: id.clone(), path, began_ms, ended_ms: None, after_event };
+            let run = Run {
+                id: id.clone(),
+                path,
+                began_ms,
+                ended_ms: None,
+                after_event,
+            };
             let index = {
                 let mut runs = self.runs.lock().unwrap();
                 runs.push(run);
@@ -620,7 +784,11 @@
             let is_complete = self.run(&mut writer, &id, after_event).is_some();
             *self.free.0.lock().unwrap() += 1;
             self.free.1.notify_one();
-            let how = if is_complete { "has answered" } else { "stops work, since its connection was closed, on" };
+            let how = if is_complete {
+                "has answered"
+            } else {
+                "stops work, since its connection was closed, on"
+            };
             let ended_ms = self.record.add(format!("{}: {how} {id}", self.id));
             self.runs.lock().unwrap()[index].ended_ms = Some(ended_ms);
             if !is_complete {
@@ -632,14 +800,20 @@
     /// Works on a request; `None` if the caller has closed the connection meanwhile.
     fn run(&self, writer: &mut TcpStream, id: &str, after: Option<u64>) -> Option<()> {
         let pace = *self.pace.lock().unwrap();
-        let head = format!("HTTP/1.1 200 OK\r\nX-Tanagerford-Attempt-Id: {id}\r\nX-Tanagerford-Response-Seal: seal-{id}\r\n");
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nX-Tanagerford-Attempt-Id: {id}\r\nX-Tanagerford-Response-Seal: seal-{id}\r\n"
+        );
         work(writer, pace.first_ms)?;
         if pace.pause_ms == 0 {
             let body = format!("done {id}");
             let answer = format!("{head}Content-Length: {}\r\n\r\n{body}", body.len());
             return writer.write_all(answer.as_bytes()).ok();
         }
-        let framing = if pace.is_unframed { "Connection: close" } else { "Transfer-Encoding: chunked" };
+        let framing = if pace.is_unframed {
+            "Connection: close"
+        } else {
+            "Transfer-Encoding: chunked"
+        };
         let head = format!("{head}Content-Type: text/event-stream\r\n{framing}\r\n\r\n");
         writer.write_all(head.as_bytes()).ok()?;
         let first = after.unwrap_or(0) + 1;
@@ -650,9 +824,14 @@
                 work(writer, pause_ms)?;
             }
             let event = format!("id: {number}\ndata: {id} {number}\n\n");
-            let bytes = if pace.is_unframed { event } else { format!("{:x}\r\n{event}\r\n", event.len()) };
+            let bytes = if pace.is_unframed {
+                event
+            } else {
+                format!("{:x}\r\n{event}\r\n", event.len())
+            };
             writer.write_all(bytes.as_bytes()).ok()?;
-            self.record.add(format!("{}: sends event {number} of {id}", self.id));
+            self.record
+                .add(format!("{}: sends event {number} of {id}", self.id));
         }
         if pace.is_unframed {
             return writer.shutdown(std::net::Shutdown::Write).ok();
@@ -669,7 +848,9 @@
         if left.is_zero() {
             break true;
         }
-        stream.set_read_timeout(Some(left.max(Duration::from_millis(1)))).ok()?;
+        stream
+            .set_read_timeout(Some(left.max(Duration::from_millis(1))))
+            .ok()?;
         match stream.peek(&mut [0; 1]) {
             Ok(0) => break false,
             Ok(_) => thread::sleep(Duration::from_millis(1)),
@@ -697,7 +878,11 @@
 }
 
 fn free_port() -> u16 {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().port()
+    TcpListener::bind("127.0.0.1:0")
+        .unwrap()
+        .local_addr()
+        .unwrap()
+        .port()
 }
 
 fn free_internal_port() -> u16 {
@@ -710,7 +895,13 @@
 }
 
 /// Settings of a small deployment with the bounds of zpw-tanager.
-fn settings(number: usize, store: SocketAddr, callers: u16, readiness: u16, internal: u16) -> String {
+fn settings(
+    number: usize,
+    store: SocketAddr,
+    callers: u16,
+    readiness: u16,
+    internal: u16,
+) -> String {
     format!(
         r#"node = "front-zone-a-{number}"
 role = "entry"
@@ -792,7 +983,11 @@
             .spawn()
             .ok()?;
         // The script ends the process by this id if this program is killed.
-        fs::write(PathBuf::from(&folder).join(format!("entry-{number}.pid")), child.id().to_string()).ok()?;
+        fs::write(
+            PathBuf::from(&folder).join(format!("entry-{number}.pid")),
+            child.id().to_string(),
+        )
+        .ok()?;
         let entry = Self {
             child,
             callers: ([127, 0, 0, 1], callers).into(),
@@ -809,10 +1004,15 @@
     }
 
     fn is_ready(&self) -> bool {
-        let Ok(mut stream) = TcpStream::connect(self.readiness) else { return false };
+        let Ok(mut stream) = TcpStream::connect(self.readiness) else {
+            return false;
+        };
         let _ = stream.set_read_timeout(Some(Duration::from_secs(1)));
-        let sent = stream.write_all(b"GET /tanagerford/ready HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n");
-        sent.is_ok() && read_head(&mut BufReader::new(stream)).is_some_and(|head| head.status() == 200)
+        let sent = stream.write_all(
+            b"GET /tanagerford/ready HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n",
+        );
+        sent.is_ok()
+            && read_head(&mut BufReader::new(stream)).is_some_and(|head| head.status() == 200)
     }
 }
 
@@ -826,8 +1026,25 @@
 }
 
 /// Sends a request on a new connection and reads its answer.
-pub fn call(entry: SocketAddr, record: &Record, method: &str, path: &str, id: &str, remaining_ms: u64, more: &str) -> Answer {
-    call_with_patience(entry, record, method, path, id, remaining_ms, remaining_ms + 500, more)
+pub fn call(
+    entry: SocketAddr,
+    record: &Record,
+    method: &str,
+    path: &str,
+    id: &str,
+    remaining_ms: u64,
+    more: &str,
+) -> Answer {
+    call_with_patience(
+        entry,
+        record,
+        method,
+        path,
+        id,
+        remaining_ms,
+        remaining_ms + 500,
+        more,
+    )
 }
 
 /// Sends a request like [`call`], and leaves when nothing has come for `patience_ms`.
@@ -842,7 +1059,11 @@
     patience_ms: u64,
     more: &str,
 ) -> Answer {
-    let failed = |body: &str| Answer { status: 0, is_complete: false, body: body.to_owned() };
+    let failed = |body: &str| Answer {
+        status: 0,
+        is_complete: false,
+        body: body.to_owned(),
+    };
     record.add(format!("consumer: sends {id} {method} {path}"));
     let Ok(mut stream) = TcpStream::connect(entry) else {
         record.add(format!("consumer: {id} cannot connect"));
@@ -850,7 +1071,11 @@
     };
     let _ = stream.set_nodelay(true);
     let _ = stream.set_read_timeout(Some(Duration::from_millis(patience_ms)));
-    let length = if method == "POST" { "Content-Length: 0\r\n" } else { "" };
+    let length = if method == "POST" {
+        "Content-Length: 0\r\n"
+    } else {
+        ""
+    };
     let text = format!(
         "{method} {path} HTTP/1.1\r\nHost: shop.example\r\nX-Tanagerford-Attempt-Id: {id}\r\n\
          X-Tanagerford-Deadline-Remaining: {remaining_ms}\r\nX-Api-Key: key-a\r\n{more}{length}\r\n"
@@ -874,12 +1099,23 @@
             }
         }
     } else {
-        let length = head.header("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
+        let length = head
+            .header("content-length")
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(0);
         body = vec![0; length];
         reader.read_exact(&mut body).is_ok()
     };
-    let answer = Answer { status: head.status(), is_complete, body: String::from_utf8_lossy(&body).into_owned() };
-    let end = if answer.is_complete { "complete" } else { "cut" };
+    let answer = Answer {
+        status: head.status(),
+        is_complete,
+        body: String::from_utf8_lossy(&body).into_owned(),
+    };
+    let end = if answer.is_complete {
+        "complete"
+    } else {
+        "cut"
+    };
     record.add(format!("consumer: {id} gets {} ({end})", answer.status));
     answer
 }
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -7,7 +7,9 @@
 use std::thread;
 use std::time::Duration;
 
-use kit::{Entry, Pace, Record, Store, Worker, call, call_with_patience, configuration, is_trouble};
+use kit::{
+    Entry, Pace, Record, Store, Worker, call, call_with_patience, configuration, is_trouble,
+};
 
 /// Bound `drainMs` in the settings of the entries.
 const DRAIN_MS: u64 = 2_000;
@@ -51,9 +53,27 @@
 
     let store = Store::start(record, 1);
     store.put("op/config", configuration());
-    let pace = Pace { first_ms: FIRST_MS, pause_ms: PAUSE_MS, events: 20, is_unframed: false };
-    let workers: Vec<_> = (1..=8).map(|n| Worker::start(record, &format!("i-lm{n}"), "lm-prepress", 64, pace)).collect();
-    let plain = Worker::start(record, "i-app1", "plate-app", 6, Pace { first_ms: 15, pause_ms: 0, events: 0, is_unframed: false });
+    let pace = Pace {
+        first_ms: FIRST_MS,
+        pause_ms: PAUSE_MS,
+        events: 20,
+        is_unframed: false,
+    };
+    let workers: Vec<_> = (1..=8)
+        .map(|n| Worker::start(record, &format!("i-lm{n}"), "lm-prepress", 64, pace))
+        .collect();
+    let plain = Worker::start(
+        record,
+        "i-app1",
+        "plate-app",
+        6,
+        Pace {
+            first_ms: 15,
+            pause_ms: 0,
+            events: 0,
+            is_unframed: false,
+        },
+    );
     for worker in workers.iter().chain([&plain]) {
         worker.beat(&store);
     }
@@ -68,15 +88,32 @@
                         X-Tanagerford-Prompt-Prefix: 1a:119,2b:79,";
             let more = format!("{more}{:x}:628\r\n", 0x9000 + number);
             let path = format!("/note/{number}");
-            call(callers_address, &record, "POST", &path, &format!("note-{number}"), 12_000, &more)
+            call(
+                callers_address,
+                &record,
+                "POST",
+                &path,
+                &format!("note-{number}"),
+                12_000,
+                &more,
+            )
         }));
         pause(60);
     }
     pause(900);
-    let busiest = workers.iter().max_by_key(|worker| worker.runs.lock().unwrap().len())?;
+    let busiest = workers
+        .iter()
+        .max_by_key(|worker| worker.runs.lock().unwrap().len())?;
     if is_trouble() {
-        let slow = Pace { pause_ms: (PAUSE_MS as f64 * SLOW_FACTOR) as u64, first_ms: (FIRST_MS as f64 * SLOW_FACTOR) as u64, ..pace };
-        record.add(format!("trouble: {} works {SLOW_FACTOR} times as long", busiest.id));
+        let slow = Pace {
+            pause_ms: (PAUSE_MS as f64 * SLOW_FACTOR) as u64,
+            first_ms: (FIRST_MS as f64 * SLOW_FACTOR) as u64,
+            ..pace
+        };
+        record.add(format!(
+            "trouble: {} works {SLOW_FACTOR} times as long",
+            busiest.id
+        ));
         *busiest.pace.lock().unwrap() = slow;
         pause(SLOW_TIME_MS);
         record.add(format!("trouble: {} works as usual again", busiest.id));
@@ -85,7 +122,10 @@
     for caller in callers {
         let answer = caller.join().ok()?;
         if answer.status != 200 {
-            record.add(format!("note: a stream got {}: {}", answer.status, answer.body));
+            record.add(format!(
+                "note: a stream got {}: {}",
+                answer.status, answer.body
+            ));
         }
     }
     pause(500);
@@ -93,9 +133,22 @@
     let mut count = 0;
     let now = record.now_ms();
     for other in &workers {
-        for next in other.runs.lock().unwrap().clone().iter().filter(|run| run.after_event.is_some()) {
+        for next in other
+            .runs
+            .lock()
+            .unwrap()
+            .clone()
+            .iter()
+            .filter(|run| run.after_event.is_some())
+        {
             for before in workers.iter().filter(|worker| worker.id != other.id) {
-                for run in before.runs.lock().unwrap().iter().filter(|run| run.id == next.id && run.began_ms < next.began_ms) {
+                for run in before
+                    .runs
+                    .lock()
+                    .unwrap()
+                    .iter()
+                    .filter(|run| run.id == next.id && run.began_ms < next.began_ms)
+                {
                     let both = run.ended_ms.unwrap_or(now).saturating_sub(next.began_ms);
                     let next_ms = next.ended_ms.unwrap_or(now).saturating_sub(next.began_ms);
                     let both = both.min(next_ms);
@@ -120,13 +173,34 @@
 fn drain(record: &Record) -> Option<bool> {
     let store = Store::start(record, 2);
     store.put("op/config", configuration());
-    let pace = Pace { first_ms: 15, pause_ms: 0, events: 0, is_unframed: false };
-    let workers: Vec<_> = (1..=4).map(|n| Worker::start(record, &format!("i-app{n}"), "plate-app", 6, pace)).collect();
-    let engine = Worker::start(record, "i-lm1", "lm-prepress", 64, Pace { first_ms: 60, pause_ms: 60, events: 5, is_unframed: false });
+    let pace = Pace {
+        first_ms: 15,
+        pause_ms: 0,
+        events: 0,
+        is_unframed: false,
+    };
+    let workers: Vec<_> = (1..=4)
+        .map(|n| Worker::start(record, &format!("i-app{n}"), "plate-app", 6, pace))
+        .collect();
+    let engine = Worker::start(
+        record,
+        "i-lm1",
+        "lm-prepress",
+        64,
+        Pace {
+            first_ms: 60,
+            pause_ms: 60,
+            events: 5,
+            is_unframed: false,
+        },
+    );
     for worker in workers.iter().chain([&engine]) {
         worker.beat(&store);
     }
-    let entries = [Entry::start(record, 1, store.addresses[0])?, Entry::start(record, 2, store.addresses[1])?];
+    let entries = [
+        Entry::start(record, 1, store.addresses[0])?,
+        Entry::start(record, 2, store.addresses[1])?,
+    ];
     pause(4_000);
     let callers: Vec<_> = (0..2)
         .flat_map(|entry| (0..10).map(move |caller| (entry, caller)))
@@ -137,7 +211,15 @@
                 let mut bad = 0;
                 for number in 0..120 {
                     let id = format!("burn-{}-{caller}-{number}", entry + 1);
-                    let answer = call(address, &record, "POST", &format!("/burn/{id}"), &id, 1_000, "");
+                    let answer = call(
+                        address,
+                        &record,
+                        "POST",
+                        &format!("/burn/{id}"),
+                        &id,
+                        1_000,
+                        "",
+                    );
                     bad += usize::from(answer.status != 200);
                     pause(25 + caller);
                 }
@@ -157,14 +239,22 @@
         bad += caller.join().ok()?;
     }
     let runs = leaving.runs.lock().unwrap();
-    let late: Vec<_> = runs.iter().filter(|run| run.began_ms > left_ms + DRAIN_MS).collect();
+    let late: Vec<_> = runs
+        .iter()
+        .filter(|run| run.began_ms > left_ms + DRAIN_MS)
+        .collect();
     for run in &late {
         record.add(format!(
             "DRAIN: {} reaches {} {} ms after the removal of its entry was confirmed",
-            run.id, leaving.id, run.began_ms - left_ms
+            run.id,
+            leaving.id,
+            run.began_ms - left_ms
         ));
     }
-    record.add(format!("requests later than {DRAIN_MS} ms: {}; requests without success: {bad}", late.len()));
+    record.add(format!(
+        "requests later than {DRAIN_MS} ms: {}; requests without success: {bad}",
+        late.len()
+    ));
     let is_broken = !late.is_empty();
     drop(entries);
     Some(is_broken)
@@ -174,9 +264,27 @@
 fn route(record: &Record) -> Option<bool> {
     let store = Store::start(record, 1);
     store.put("op/config", configuration());
-    let pace = Pace { first_ms: 15, pause_ms: 0, events: 0, is_unframed: false };
-    let workers: Vec<_> = (1..=2).map(|n| Worker::start(record, &format!("i-app{n}"), "plate-app", 6, pace)).collect();
-    let engine = Worker::start(record, "i-0f3a91c2", "lm-prepress", 64, Pace { first_ms: 60, pause_ms: 60, events: 5, is_unframed: false });
+    let pace = Pace {
+        first_ms: 15,
+        pause_ms: 0,
+        events: 0,
+        is_unframed: false,
+    };
+    let workers: Vec<_> = (1..=2)
+        .map(|n| Worker::start(record, &format!("i-app{n}"), "plate-app", 6, pace))
+        .collect();
+    let engine = Worker::start(
+        record,
+        "i-0f3a91c2",
+        "lm-prepress",
+        64,
+        Pace {
+            first_ms: 60,
+            pause_ms: 60,
+            events: 5,
+            is_unframed: false,
+        },
+    );
     for worker in workers.iter().chain([&engine]) {
         worker.beat(&store);
         pause(200);
@@ -190,7 +298,15 @@
             thread::spawn(move || {
                 for number in 0..150 {
                     let id = format!("burn-{caller}-{number}");
-                    call(address, &record, "POST", &format!("/burn/{id}"), &id, 1_000, "");
+                    call(
+                        address,
+                        &record,
+                        "POST",
+                        &format!("/burn/{id}"),
+                        &id,
+                        1_000,
+                        "",
+                    );
                     pause(5 + caller % 5);
                 }
             })
@@ -203,18 +319,30 @@
             engine.address
         );
         engine.wait_after_beat(50);
-        record.add(format!("trouble: another writer writes servers/{}: {text}", engine.id));
+        record.add(format!(
+            "trouble: another writer writes servers/{}: {text}",
+            engine.id
+        ));
         store.put(&format!("servers/{}", engine.id), &text);
     }
     for caller in callers {
         caller.join().ok()?;
     }
     let runs = engine.runs.lock().unwrap();
-    let foreign: Vec<_> = runs.iter().filter(|run| run.path.starts_with("/burn/")).collect();
+    let foreign: Vec<_> = runs
+        .iter()
+        .filter(|run| run.path.starts_with("/burn/"))
+        .collect();
     for run in &foreign {
-        record.add(format!("ROUTE: {} is run by {} of the service {}", run.id, engine.id, engine.service));
+        record.add(format!(
+            "ROUTE: {} is run by {} of the service {}",
+            run.id, engine.id, engine.service
+        ));
     }
-    record.add(format!("orders of plate-app that lm-prepress ran: {}", foreign.len()));
+    record.add(format!(
+        "orders of plate-app that lm-prepress ran: {}",
+        foreign.len()
+    ));
     let is_broken = !foreign.is_empty();
     drop(entry);
     Some(is_broken)
@@ -225,7 +353,12 @@
     let arguments: Vec<String> = std::env::args().collect();
     let number = |index: usize| arguments[index].parse().expect("a number");
     record.is_echoed = true;
-    let pace = Pace { first_ms: number(4), pause_ms: number(5), events: number(6), is_unframed: number(7) == 1 };
+    let pace = Pace {
+        first_ms: number(4),
+        pause_ms: number(5),
+        events: number(6),
+        is_unframed: number(7) == 1,
+    };
     let worker = Worker::start(&record, &arguments[2], &arguments[3], 64, pace);
     println!("{}", worker.address);
     pause(110_000);
@@ -237,10 +370,22 @@
     const EVENTS: u64 = 20;
     let store = Store::start(record, 1);
     store.put("op/config", configuration());
-    let pace = Pace { first_ms: 100, pause_ms: 100, events: EVENTS, is_unframed: true };
-    let spawned = (1..=7).map(|n| Worker::spawn(record, &format!("i-lm{n}"), "lm-prepress", 64, pace));
-    let (mut workers, mut processes): (Vec<_>, Vec<_>) = spawned.collect::<Option<Vec<_>>>()?.into_iter().unzip();
-    let plain = Pace { first_ms: 15, pause_ms: 0, events: 0, is_unframed: false };
+    let pace = Pace {
+        first_ms: 100,
+        pause_ms: 100,
+        events: EVENTS,
+        is_unframed: true,
+    };
+    let spawned =
+        (1..=7).map(|n| Worker::spawn(record, &format!("i-lm{n}"), "lm-prepress", 64, pace));
+    let (mut workers, mut processes): (Vec<_>, Vec<_>) =
+        spawned.collect::<Option<Vec<_>>>()?.into_iter().unzip();
+    let plain = Pace {
+        first_ms: 15,
+        pause_ms: 0,
+        events: 0,
+        is_unframed: false,
+    };
     workers.push(Worker::start(record, "i-app1", "plate-app", 6, plain));
     for worker in &workers {
         worker.beat(&store);
@@ -256,28 +401,47 @@
                             X-Tanagerford-Prompt-Prefix: 1a:119,2b:79,";
                 let more = format!("{more}{:x}:628\r\n", 0x9000 + number);
                 let id = format!("note-{number}");
-                let answer = call(address, &record, "POST", &format!("/note/{number}"), &id, 12_000, &more);
+                let answer = call(
+                    address,
+                    &record,
+                    "POST",
+                    &format!("/note/{number}"),
+                    &id,
+                    12_000,
+                    &more,
+                );
                 (id, answer)
             })
         })
         .collect();
     pause(600);
     if is_trouble() {
-        let streams = |worker: &Worker| record.count(&format!("{} (lm-prepress): begins", worker.id));
+        let streams =
+            |worker: &Worker| record.count(&format!("{} (lm-prepress): begins", worker.id));
         let busiest = (0..processes.len()).max_by_key(|index| streams(&workers[*index]))?;
         workers[busiest].set_beating(false);
-        record.add(format!("trouble: the worker {} crashes (SIGKILL)", workers[busiest].id));
+        record.add(format!(
+            "trouble: the worker {} crashes (SIGKILL)",
+            workers[busiest].id
+        ));
         processes[busiest].kill().ok()?;
         processes[busiest].wait().ok()?;
     }
     let mut is_broken = false;
     for caller in callers {
         let (id, answer) = caller.join().ok()?;
-        let numbers: Vec<u64> = answer.body.lines().filter_map(|line| line.strip_prefix("id: ")?.parse().ok()).collect();
+        let numbers: Vec<u64> = answer
+            .body
+            .lines()
+            .filter_map(|line| line.strip_prefix("id: ")?.parse().ok())
+            .collect();
         let is_whole = numbers.iter().copied().eq(1..=EVENTS);
         if answer.status == 200 && answer.is_complete && !is_whole {
             is_broken = true;
-            record.add(format!("ORDER: the stream {id} ends as complete after event {:?} of {EVENTS}", numbers.last()));
+            record.add(format!(
+                "ORDER: the stream {id} ends as complete after event {:?} of {EVENTS}",
+                numbers.last()
+            ));
         }
     }
     for process in &mut processes {
@@ -299,10 +463,22 @@
 
     let store = Store::start(record, 1);
     store.put("op/config", configuration());
-    let pace = Pace { first_ms: 100, pause_ms: 100, events: 9, is_unframed: false };
-    let spawned = (1..=7).map(|n| Worker::spawn(record, &format!("i-lm{n}"), "lm-prepress", 64, pace));
-    let (mut workers, mut processes): (Vec<_>, Vec<_>) = spawned.collect::<Option<Vec<_>>>()?.into_iter().unzip();
-    let plain = Pace { first_ms: 15, pause_ms: 0, events: 0, is_unframed: false };
+    let pace = Pace {
+        first_ms: 100,
+        pause_ms: 100,
+        events: 9,
+        is_unframed: false,
+    };
+    let spawned =
+        (1..=7).map(|n| Worker::spawn(record, &format!("i-lm{n}"), "lm-prepress", 64, pace));
+    let (mut workers, mut processes): (Vec<_>, Vec<_>) =
+        spawned.collect::<Option<Vec<_>>>()?.into_iter().unzip();
+    let plain = Pace {
+        first_ms: 15,
+        pause_ms: 0,
+        events: 0,
+        is_unframed: false,
+    };
     workers.push(Worker::start(record, "i-app1", "plate-app", 6, plain));
     for worker in &workers {
         worker.beat(&store);
@@ -321,7 +497,16 @@
                 let more = format!("{more}{:x}:2890\r\n", 0x7000 + number);
                 let id = format!("check-{number}");
                 let path = format!("/check/{number}");
-                let answer = call_with_patience(address, &record, "POST", &path, &id, 4_000, PATIENCE_MS, &more);
+                let answer = call_with_patience(
+                    address,
+                    &record,
+                    "POST",
+                    &path,
+                    &id,
+                    4_000,
+                    PATIENCE_MS,
+                    &more,
+                );
                 (id, record.now_ms(), answer.status)
             }));
             // The sheet has 30.3 of these a second.
@@ -331,16 +516,29 @@
     });
     pause(1_200);
     if is_trouble() {
-        let streams = |worker: &Worker| record.count(&format!("{} (lm-prepress): begins", worker.id));
+        let streams =
+            |worker: &Worker| record.count(&format!("{} (lm-prepress): begins", worker.id));
         let busiest = (0..processes.len()).max_by_key(|index| streams(&workers[*index]))?;
         let process = processes[busiest].id().to_string();
-        record.add(format!("trouble: the worker {} goes dark", workers[busiest].id));
-        Command::new("kill").args(["-STOP", &process]).status().ok()?;
+        record.add(format!(
+            "trouble: the worker {} goes dark",
+            workers[busiest].id
+        ));
+        Command::new("kill")
+            .args(["-STOP", &process])
+            .status()
+            .ok()?;
         workers[busiest].set_beating(false);
         pause(DARK_MS);
-        Command::new("kill").args(["-CONT", &process]).status().ok()?;
+        Command::new("kill")
+            .args(["-CONT", &process])
+            .status()
+            .ok()?;
         workers[busiest].set_beating(true);
-        record.add(format!("trouble: the worker {} is back", workers[busiest].id));
+        record.add(format!(
+            "trouble: the worker {} is back",
+            workers[busiest].id
+        ));
     }
     let mut ends = Vec::new();
     for caller in callers.join().ok()? {
@@ -352,11 +550,16 @@
         for (at, line) in record.lines_with(&format!("begins to work on {id} ")) {
             if at > left_ms + LIMIT_MS {
                 late += 1;
-                record.add(format!("GONE: {line}, {} ms after its consumer left", at - left_ms));
+                record.add(format!(
+                    "GONE: {line}, {} ms after its consumer left",
+                    at - left_ms
+                ));
             }
         }
     }
-    record.add(format!("requests that reached a worker over {LIMIT_MS} ms after their consumer had left: {late}"));
+    record.add(format!(
+        "requests that reached a worker over {LIMIT_MS} ms after their consumer had left: {late}"
+    ));
     for process in &mut processes {
         let _ = process.kill();
         let _ = process.wait();
