--- a/review/standins/kit.rs
+++ b/review/standins/kit.rs
@@ -560,6 +560,26 @@
     pub is_unframed: bool,
 }
 
+/// Process of a worker. It is killed on drop, and it ends by itself when this program is gone, since its input ends then.
+pub struct WorkerProcess(Child);
+
+impl WorkerProcess {
+    pub fn id(&self) -> u32 {
+        self.0.id()
+    }
+
+    pub fn kill(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+impl Drop for WorkerProcess {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
 #[derive(Clone)]
 pub struct Worker {
     pub id: String,
@@ -625,7 +645,7 @@
         service: &str,
         slots: u32,
         pace: Pace,
-    ) -> Option<(Self, Child)> {
+    ) -> Option<(Self, WorkerProcess)> {
         let numbers = [
             pace.first_ms,
             pace.pause_ms,
@@ -633,20 +653,22 @@
             u64::from(pace.is_unframed),
         ];
         let numbers = numbers.map(|number| number.to_string());
-        let mut child = Command::new(std::env::current_exe().ok()?)
-            .args(["worker", id, service])
-            .args(numbers)
-            .stdin(Stdio::null())
-            .stdout(Stdio::piped())
-            .spawn()
-            .ok()?;
+        let mut process = WorkerProcess(
+            Command::new(std::env::current_exe().ok()?)
+                .args(["worker", id, service])
+                .args(numbers)
+                .stdin(Stdio::piped())
+                .stdout(Stdio::piped())
+                .spawn()
+                .ok()?,
+        );
         let folder = std::env::var("CASE_TMP").unwrap_or_else(|_| ".".to_owned());
         fs::write(
             PathBuf::from(&folder).join(format!("worker-{id}.pid")),
-            child.id().to_string(),
+            process.0.id().to_string(),
         )
         .ok()?;
-        let mut lines = BufReader::new(child.stdout.take()?).lines();
+        let mut lines = BufReader::new(process.0.stdout.take()?).lines();
         let address = lines.next()?.ok()?.parse().ok()?;
         let log = record.clone();
         thread::spawn(move || {
@@ -671,7 +693,7 @@
             last_beat: Arc::new(Mutex::new(Instant::now())),
             record: record.clone(),
         };
-        Some((worker, child))
+        Some((worker, process))
     }
 
     /// Stops the writes of the worker's entry, as after a crash, or lets them go on.
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -361,7 +361,8 @@
     };
     let worker = Worker::start(&record, &arguments[2], &arguments[3], 64, pace);
     println!("{}", worker.address);
-    pause(110_000);
+    // The input ends when the program that started this process ends.
+    let _ = std::io::stdin().read_line(&mut String::new());
     exit(0);
 }
 
@@ -424,8 +425,7 @@
             "trouble: the worker {} crashes (SIGKILL)",
             workers[busiest].id
         ));
-        processes[busiest].kill().ok()?;
-        processes[busiest].wait().ok()?;
+        processes[busiest].kill();
     }
     let mut is_broken = false;
     for caller in callers {
@@ -444,10 +444,7 @@
             ));
         }
     }
-    for process in &mut processes {
-        let _ = process.kill();
-        let _ = process.wait();
-    }
+    drop(processes);
     drop(entry);
     Some(is_broken)
 }
@@ -471,7 +468,7 @@
     };
     let spawned =
         (1..=7).map(|n| Worker::spawn(record, &format!("i-lm{n}"), "lm-prepress", 64, pace));
-    let (mut workers, mut processes): (Vec<_>, Vec<_>) =
+    let (mut workers, processes): (Vec<_>, Vec<_>) =
         spawned.collect::<Option<Vec<_>>>()?.into_iter().unzip();
     let plain = Pace {
         first_ms: 15,
@@ -560,10 +557,7 @@
     record.add(format!(
         "requests that reached a worker over {LIMIT_MS} ms after their consumer had left: {late}"
     ));
-    for process in &mut processes {
-        let _ = process.kill();
-        let _ = process.wait();
-    }
+    drop(processes);
     drop(entry);
     Some(late > FEW)
 }
