Log what a read of the whole store lacks, and when such servers are dropped

Between a removal and the last call to its server the log had no line, so a late read, a grace period and a late effect of the removal looked alike.

--- a/crates/gateway/src/registry.rs
+++ b/crates/gateway/src/registry.rs
@@ -83,6 +83,15 @@
         }
         let old = std::mem::replace(&mut self.servers, present);
         for (id, server) in old {
+            if self.servers.contains_key(&id) {
+                continue;
+            }
+            tracing::info!(
+                server = id,
+                ?reason,
+                grace_ms = RETURN_GRACE_PERIOD.as_millis(),
+                "read of the store lacks the server; kept for a grace period"
+            );
             let until = now + RETURN_GRACE_PERIOD;
             self.missing.entry(id).or_insert((server, until));
         }
@@ -114,6 +123,10 @@
         let gone = self.missing.extract_if(.., |_, (_, until)| is_over(until));
         let gone: Vec<_> = gone.map(|(_, (server, _))| server).collect();
         for server in &gone {
+            tracing::info!(
+                server = server.id,
+                "server did not register again within its grace period"
+            );
             self.record_departure(now, server, !server.is_ready);
         }
         let alive = self
