Do not believe a restored record that a later read lacks

If the record expired between two reads of the whole store, the removal was never seen: the entry used a server that had left, from then on and without end, until another change of its record.

Each read now replaces the unconfirmed records, too.

--- a/crates/gateway/src/registry.rs
+++ b/crates/gateway/src/registry.rs
@@ -99,6 +99,7 @@
         reason: ReloadReason,
     ) {
         let mut present = BTreeMap::new();
+        self.unconfirmed.clear();
         for server in servers {
             let id = server.id.clone();
             if reason == ReloadReason::StoreRestored && self.has_left(&server) {
@@ -135,8 +136,6 @@
             self.missing.entry(id).or_insert((server, until));
         }
         self.missing.retain(|id, _| !self.servers.contains_key(id));
-        self.unconfirmed
-            .retain(|id, _| !self.servers.contains_key(id));
     }
 
     /// Adds or updates one record.
--- a/crates/gateway/tests/registry.rs
+++ b/crates/gateway/tests/registry.rs
@@ -120,6 +120,34 @@
     assert_eq!(ready_ids(&view), ["expired", "stays"]);
 }
 
+/// Returns a view after a restoration of the store that brought back the record of a server which had left, and the time at
+/// which the record is believed.
+fn restored_with_departed(now: Instant) -> (RegistryView, Instant) {
+    let mut view = RegistryView::new(HEARTBEAT_INTERVAL);
+    view.set(now, server("gone", true));
+    view.remove(now, "gone");
+    let backup = [server("gone", true)];
+    view.replace(now, backup.into_iter(), ReloadReason::StoreRestored);
+    let believed_at = view.next_expiry().unwrap();
+    (view, believed_at)
+}
+
+/// Guards against calls to a departed server whose restored record has expired between two reads of the whole store.
+#[test]
+fn a_restored_record_that_a_later_read_lacks_is_not_believed() {
+    let now = Instant::now();
+    for reason in [
+        ReloadReason::ChangesMissed,
+        ReloadReason::StoreReturned,
+        ReloadReason::StoreRestored,
+    ] {
+        let (mut view, believed_at) = restored_with_departed(now);
+        view.replace(now, [].into_iter(), reason);
+        view.expire(believed_at);
+        assert!(ready_ids(&view).is_empty(), "{reason:?}");
+    }
+}
+
 /// Time after an outage of the store within which live servers have registered again.
 const RETURN_MS: u64 = 2_000;
 /// Time without a disturbance after which the store counts as stable.
