Keep a restored record unconfirmed when everything is read again

A record that a restoration of the store brought back for a server which had left is believed only after 4.4 s, the time in which it expires if nobody renews it. Any other read of the whole store in that time, as after a cut watch, put it in use at once: calls went to a server that had left.

The record now stays unconfirmed until its time is over; a record of a later start of the server is believed at once, as before. a_restored_record_stays_unconfirmed_when_everything_is_read_again failed before at ChangesMissed and passes now for 2 reasons of a read.

--- a/crates/gateway/src/registry.rs
+++ b/crates/gateway/src/registry.rs
@@ -99,7 +99,7 @@
         reason: ReloadReason,
     ) {
         let mut present = BTreeMap::new();
-        self.unconfirmed.clear();
+        let mut unconfirmed = std::mem::take(&mut self.unconfirmed);
         for server in servers {
             let id = server.id.clone();
             if reason == ReloadReason::StoreRestored && self.has_left(&server) {
@@ -109,6 +109,11 @@
                 );
                 let until = now + self.heartbeat_interval * MISSED_HEARTBEATS + REMOVAL_SLACK;
                 self.unconfirmed.insert(id, (server, until));
+            } else if let Some((_, until)) = unconfirmed
+                .remove(&id)
+                .filter(|(known, _)| known.started_unix_ms == server.started_unix_ms)
+            {
+                self.unconfirmed.insert(id, (server, until));
             } else {
                 present.insert(id, self.with_departure(now, server));
             }
--- a/crates/gateway/tests/registry.rs
+++ b/crates/gateway/tests/registry.rs
@@ -148,6 +148,22 @@
     }
 }
 
+/// Guards against calls to a departed server because everything is read again, for example after a cut watch, before its
+/// restored record would have expired.
+#[test]
+fn a_restored_record_stays_unconfirmed_when_everything_is_read_again() {
+    let now = Instant::now();
+    for reason in [ReloadReason::ChangesMissed, ReloadReason::StoreReturned] {
+        let (mut view, believed_at) = restored_with_departed(now);
+        let later = now + HEARTBEAT_INTERVAL;
+        view.replace(later, [server("gone", true)].into_iter(), reason);
+        assert!(ready_ids(&view).is_empty(), "{reason:?}");
+        assert!(!view.expire(later));
+        assert!(view.expire(believed_at), "{reason:?}");
+        assert_eq!(ready_ids(&view), ["gone"]);
+    }
+}
+
 /// Time after an outage of the store within which live servers have registered again.
 const RETURN_MS: u64 = 2_000;
 /// Time without a disturbance after which the store counts as stable.
