Bound what an entry and a sidecar keep of an answer that is not read

Report of an operator: a faulty server sent bytes without end, the process that had called it kept them all and ran out of memory, and the calls of others ended with it. On the path with sidecars it could happen here. The sidecar read answers as fast as their server wrote and queued them on the link, up to 16,384 frames of 16 KiB, beyond which it closed the link with all calls on it. The entry queued up to 8,192 chunks a call for a caller that did not read, and events of a model have up to 1 MiB each. A call that may be repeated was read on after its caller had left.

Now a call has a window of 1 MiB, each chunk counted as 256 bytes at least: a sidecar sends no more until the entry has passed chunks on, and reads its server no further. An order is read to its end when its caller leaves, as before, but the rest is not sent. A submission of an older entry names no window and has no limit; older processes ignore the new message.

--- a/crates/link/src/message.rs
+++ b/crates/link/src/message.rs
@@ -7,7 +7,7 @@
     pub generation: u64,
     #[prost(
         oneof = "frame::Body",
-        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16"
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17"
     )]
     pub body: ::core::option::Option<frame::Body>,
 }
@@ -45,6 +45,8 @@
         Leaving(super::Leaving),
         #[prost(message, tag = "16")]
         Ping(super::Ping),
+        #[prost(message, tag = "17")]
+        Consumed(super::Consumed),
     }
 }
 /// First frame that each side sends.
@@ -132,6 +134,10 @@
     /// Entry's record of crashes that this request may have caused.
     #[prost(bytes = "vec", tag = "24")]
     pub suspicion: ::prost::alloc::vec::Vec<u8>,
+    /// Bytes of the body that the sidecar may send before the entry reports them as consumed, each chunk counted as at least
+    /// 256 bytes; 0 for no limit.
+    #[prost(uint64, tag = "25")]
+    pub window_bytes: u64,
 }
 /// Claim of an order by one sidecar process.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -148,6 +154,15 @@
     #[prost(uint64, tag = "1")]
     pub attempt_id: u64,
 }
+/// The entry has passed on further bytes of the body, or needs no more of them.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Consumed {
+    #[prost(uint64, tag = "1")]
+    pub attempt_id: u64,
+    /// Number of bytes since the previous message, counted as for the window; the largest number if the entry needs no more.
+    #[prost(uint64, tag = "2")]
+    pub bytes: u64,
+}
 /// The attempt was submitted to the backend server.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Accepted {
--- a/crates/node/src/attempts.rs
+++ b/crates/node/src/attempts.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use tanagerford_core::ids::AttemptId;
 use tanagerford_link::message::{self, frame};
-use tanagerford_link::{Link, LinkError};
+use tanagerford_link::{Link, LinkError, window_bytes};
 use tanagerford_sync::lock;
 
 /// Number of shards of the table, each with its own lock, to keep contention between the attempts low.
@@ -16,6 +16,10 @@
 /// Limit of the events that are queued for a slow caller. Beyond it, the attempt fails and the transfer is aborted.
 const MAX_QUEUED_EVENTS: usize = 8 * 1024;
 
+/// Bytes of a body that a sidecar sends before they are consumed. A stream of some thousand tokens does not wait for a slow
+/// caller.
+const WINDOW_BYTES: u64 = 1024 * 1024;
+
 /// Event of an attempt or of a query about an order.
 #[derive(Debug)]
 pub enum Event {
@@ -66,6 +70,8 @@
     table: Arc<Attempts>,
     has_ended: bool,
     cancel_on_drop: bool,
+    /// Bytes of the body that were consumed and not yet reported to the sidecar.
+    unreported_bytes: u64,
 }
 
 impl Default for Attempts {
@@ -94,6 +100,7 @@
         let body = |attempt_id| {
             frame::Body::Submit(message::Submit {
                 attempt_id,
+                window_bytes: WINDOW_BYTES,
                 ..submit
             })
         };
@@ -147,6 +154,7 @@
             table: Arc::clone(self),
             has_ended: false,
             cancel_on_drop,
+            unreported_bytes: 0,
         };
         if link.is_lost() {
             // If the link was lost before the slot was inserted, `on_link_lost` did not see the slot.
@@ -311,9 +319,25 @@
             self.has_ended = true;
             self.table.remove(self.id);
         }
+        if let Event::Chunk { data, .. } = &event {
+            self.unreported_bytes += window_bytes(data);
+            if self.unreported_bytes >= WINDOW_BYTES / 2 {
+                let bytes = std::mem::take(&mut self.unreported_bytes);
+                self.report_consumed(bytes);
+            }
+        }
         event
     }
 
+    fn report_consumed(&self, bytes: u64) {
+        let consumed = message::Consumed {
+            attempt_id: self.id,
+            bytes,
+        };
+        // The reader of the link handles its loss.
+        let _ = self.link.send(frame::Body::Consumed(consumed));
+    }
+
     /// Cancels the attempt unless it has ended. Frames that arrive later are dropped.
     fn cancel(&mut self) {
         if self.has_ended {
@@ -332,8 +356,10 @@
     fn drop(&mut self) {
         if self.cancel_on_drop {
             self.cancel();
-        } else {
+        } else if !self.has_ended {
             self.table.remove(self.id);
+            // The sidecar reads the rest of an order's answer, whose chunks are dropped here.
+            self.report_consumed(u64::MAX);
         }
     }
 }
--- a/crates/node/src/sidecar/service.rs
+++ b/crates/node/src/sidecar/service.rs
@@ -273,7 +273,7 @@
     let order = work.order_key().zip(backend.orders.as_deref());
     match backend.client.call(&service_call(work)) {
         Ok(response) => {
-            let relayed = relay(backend, run, response);
+            let relayed = relay(backend, work, run, response);
             if let Some((key, orders)) = order {
                 match relayed {
                     Ok(stored) => orders.finish(&key, stored),
@@ -325,9 +325,10 @@
 
 /// Relays a response to the entry and returns it, or `None` if it is too long to be stored.
 ///
-/// Errors of sending to a lost link are ignored, because the response of an order must be read to its end and stored.
+/// The response of an order is read to its end and stored, also when it cannot be sent to the entry. Other calls end then.
 fn relay(
     backend: &ServiceBackend,
+    work: &Work,
     run: &Run<'_>,
     response: Response,
 ) -> Result<Option<StoredResponse>, TruncatedResponse> {
@@ -346,7 +347,9 @@
                 if let Some(body) = &mut body {
                     body.extend_from_slice(data);
                 }
-                let _ = run.send_chunk(data.to_vec(), 0);
+                if run.send_chunk(data.to_vec(), 0).is_err() && work.is_repeatable() {
+                    return Err(TruncatedResponse);
+                }
             }
             Err(error) => {
                 let _ = run.finish(Outcome::Failed, &error.to_string(), Some(backend.load()));
--- a/crates/node/src/sidecar/state.rs
+++ b/crates/node/src/sidecar/state.rs
@@ -118,6 +118,14 @@
         lock(self.shard(id)).get(&id).cloned()
     }
 
+    /// Returns the work of an attempt that was submitted on a link.
+    fn find(&self, link: &Link, attempt_id: AttemptId) -> Option<Arc<Work>> {
+        let is_attempt =
+            |work: &Arc<Work>| work.submit.attempt_id == attempt_id && work.link.is_same_link(link);
+        let mut shards = self.work_by_id.iter();
+        shards.find_map(|shard| lock(shard).values().find(|work| is_attempt(work)).cloned())
+    }
+
     pub(super) fn remove(&self, id: AttemptId) -> Option<Arc<Work>> {
         lock(self.shard(id)).remove(&id)
     }
@@ -231,6 +239,11 @@
             Some(frame::Body::Cancel(cancel)) => self.0.cancel(|work| {
                 work.submit.attempt_id == cancel.attempt_id && work.link.is_same_link(link)
             }),
+            Some(frame::Body::Consumed(consumed)) => {
+                if let Some(work) = self.0.find(link, consumed.attempt_id) {
+                    work.on_consumed(consumed.bytes);
+                }
+            }
             Some(frame::Body::OrderQuery(query)) => self.respond_to_query(link, &query),
             _ => {}
         }
--- a/crates/node/src/sidecar/work.rs
+++ b/crates/node/src/sidecar/work.rs
@@ -1,15 +1,18 @@
 //! Work of a sidecar: one attempt of a call, from its submission to its end.
 
-use std::sync::Mutex;
+use std::sync::{Condvar, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use tanagerford_core::ids::AttemptId;
 use tanagerford_core::order::OrderKey;
 use tanagerford_engine::CancelHandle;
-use tanagerford_link::Link;
 use tanagerford_link::message::{self, Outcome, Submit, frame};
+use tanagerford_link::{Link, window_bytes};
 use tanagerford_sync::lock;
 
+/// Interval at which a run that waits for the entry checks the link and the deadline.
+const WINDOW_POLL_INTERVAL: Duration = Duration::from_millis(100);
+
 /// One attempt of a call. It has several runs if it is preempted and resumed.
 pub(crate) struct Work {
     /// Number of the work, unique in this sidecar; attempt ids are unique only within their link.
@@ -18,6 +21,8 @@
     pub(crate) submit: Submit,
     pub(crate) received_at: Instant,
     progress: Mutex<Progress>,
+    /// Signalled when the entry has consumed a part of the body, and when the current run is interrupted.
+    window_changed: Condvar,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -40,6 +45,10 @@
     run: u64,
     chunks: u64,
     tokens: u32,
+    /// Bytes of the body that the entry has not reported as consumed.
+    unconsumed_bytes: u64,
+    /// Whether the entry needs no more of the body.
+    is_discarded: bool,
     is_head_sent: bool,
     may_have_reached_backend: bool,
     stage: Stage,
@@ -66,6 +75,7 @@
             submit,
             received_at: Instant::now(),
             progress: Mutex::default(),
+            window_changed: Condvar::new(),
         }
     }
 
@@ -126,6 +136,7 @@
             }
             progress.cancel.take()
         };
+        self.window_changed.notify_all();
         if let Some(cancel) = cancel {
             cancel.cancel();
         }
@@ -139,6 +150,25 @@
         progress.tokens
     }
 
+    /// Records that the entry has passed on `bytes` of the body; `u64::MAX` if it needs no more of it.
+    pub(crate) fn on_consumed(&self, bytes: u64) {
+        let mut progress = lock(&self.progress);
+        progress.unconsumed_bytes = progress.unconsumed_bytes.saturating_sub(bytes);
+        progress.is_discarded |= bytes == u64::MAX;
+        drop(progress);
+        self.window_changed.notify_all();
+    }
+
+    /// Returns whether the entry has to consume a part of the body before more of it is sent.
+    fn is_window_full(&self, progress: &Progress) -> bool {
+        let window_bytes = self.submit.window_bytes;
+        window_bytes > 0
+            && progress.unconsumed_bytes >= window_bytes
+            && !progress.is_discarded
+            && !self.link.is_lost()
+            && !self.remaining_time().is_zero()
+    }
+
     /// Refuses the work. Work that may have reached the backend server ends as preempted instead, because a refusal
     /// states that nothing ran.
     pub(crate) fn refuse(&self, refusal: message::Refused) {
@@ -220,9 +250,15 @@
         })
     }
 
-    /// Sends a chunk of the body that contains `tokens` tokens.
+    /// Sends a chunk of the body that contains `tokens` tokens. Blocks while the caller reads too slowly, so that the answer of a
+    /// fast server does not fill the memory.
     pub(crate) fn send_chunk(&self, data: Vec<u8>, tokens: u32) -> Result<(), Superseded> {
+        self.wait_for_window();
         self.send_if_current(|progress| {
+            if progress.is_discarded {
+                return;
+            }
+            progress.unconsumed_bytes += window_bytes(&data);
             self.work.send(frame::Body::Chunk(message::Chunk {
                 attempt_id: self.work.submit.attempt_id,
                 sequence: progress.chunks,
@@ -234,6 +270,17 @@
         })
     }
 
+    fn wait_for_window(&self) {
+        let work = self.work;
+        let mut progress = lock(&work.progress);
+        while self.is_current(&progress) && work.is_window_full(&progress) {
+            let waited = work
+                .window_changed
+                .wait_timeout(progress, WINDOW_POLL_INTERVAL);
+            progress = waited.unwrap_or_else(PoisonError::into_inner).0;
+        }
+    }
+
     /// Sets the record of suspected crashes that is sent with the outcome.
     pub(crate) fn set_suspicion(&self, suspicion: Vec<u8>) {
         lock(&self.work.progress).suspicion = suspicion;
@@ -270,10 +317,14 @@
     /// Calls `send` if this is still the current run.
     fn send_if_current(&self, send: impl FnOnce(&mut Progress)) -> Result<(), Superseded> {
         let mut progress = lock(&self.work.progress);
-        if progress.run != self.number || progress.stage == Stage::Ended {
+        if !self.is_current(&progress) {
             return Err(Superseded);
         }
         send(&mut progress);
         Ok(())
     }
+
+    fn is_current(&self, progress: &Progress) -> bool {
+        progress.run == self.number && progress.stage != Stage::Ended
+    }
 }
