Report usage by one entry for all

The platform asks for the usage of each window, reported by one entry at a time; no process did so. Entries now count the calls that servers began and send the counts to the holder of the duty and its successors.

--- a/crates/core/src/exchange.rs
+++ b/crates/core/src/exchange.rs
@@ -614,6 +614,18 @@
         state.is_some_and(|state| now.saturating_sub(state.received_at) < PEER_TIMEOUT)
     }
 
+    /// Returns this entry and the others that were heard of a short time ago, those with the largest processor shares first.
+    #[must_use]
+    pub fn entries_by_capacity(&self, now: Duration, own_capacity: u32) -> Vec<EntryNumber> {
+        let others = self.zones.values().flatten().copied();
+        let mut entries: Vec<_> = others
+            .filter(|(_, entry)| self.is_live(now, *entry))
+            .collect();
+        entries.push((Reverse(own_capacity), self.entry));
+        entries.sort_unstable();
+        entries.into_iter().map(|(_, entry)| entry).collect()
+    }
+
     /// Returns the other registered entries.
     #[must_use]
     pub fn registered_entries(&self) -> BTreeSet<EntryNumber> {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod config;
 pub mod dispatch;
 pub mod document;
+pub mod duty;
 pub mod estimate;
 pub mod exchange;
 pub mod generation;
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -360,6 +360,7 @@
             }),
             Err(error) => error.outcome(),
         };
+        self.on_attempt_result(&sent_call.call, result);
         if let Some(outcome) = outcome {
             let mut load_view = sent_call.pool.load_view();
             load_view.on_outcome(self.fleet.now(), &sent_call.server.id, outcome);
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -1,6 +1,7 @@
 //! A caller's request, independent of the protocol that carried it.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -58,6 +59,8 @@
     pub(crate) record: Arc<RequestRecord>,
     /// Counts the call among the entry's admitted calls until it is dropped.
     pub(crate) admission: Option<AdmissionGuard>,
+    /// Whether a server is known to have begun to work on the call, so that it is counted once.
+    pub(crate) is_begun: AtomicBool,
 }
 
 impl Call {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -27,6 +27,7 @@
 use crate::call::Call;
 use crate::changes::ChangeFeed;
 use crate::codec::{CallHead, Codec};
+use crate::duty::{DutySettings, UsageDuty};
 use crate::fleet::{BackendServer, Fleet};
 use crate::log::{self, RequestInfo};
 use crate::metrics::{Metrics, RepeatDecision};
@@ -57,6 +58,8 @@
     pub vm: String,
     /// Processor share of the VM in thousandths of a core.
     pub cpu_millicores: u32,
+    /// Report of usage that one entry makes for all; `None` if there is none.
+    pub duty: Option<DutySettings>,
 }
 
 /// Entry that calls backend servers directly.
@@ -72,6 +75,7 @@
     pub(crate) runtime: Handle,
     pub(crate) next_call_number: AtomicU64,
     pub(crate) long_prompt_gate: Mutex<LongPromptGate>,
+    pub(crate) duty: Option<UsageDuty>,
     link_delay: Mutex<LinkDelay>,
     /// Configuration in force and the document that it was decoded from.
     configuration: RwLock<Option<(Arc<RoutingTable>, Arc<StoredDocument>)>>,
@@ -105,7 +109,9 @@
             Arc::clone(&processor),
             Arc::clone(&quarantine),
         );
+        let duty = settings.duty.map(|duty| UsageDuty::new(&settings.vm, duty));
         Arc::new(Self {
+            duty,
             codec,
             connection_pool: ConnectionPool::new(runtime.clone()),
             fleet,
@@ -491,6 +497,7 @@
             caller_deadline: record.caller_deadline,
             record,
             admission: None,
+            is_begun: AtomicBool::new(false),
         };
         call.demand.rank = call.priority();
         let last_end = self.last_call_end.get();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,7 +5,8 @@
 //! [`fleet`] and sends the call; `in_flight` holds what was sent until a server answers; `relay` and `buffered` return the
 //! response to the caller; `request_end` accounts for the end of each request. Beside this path, [`peers`] exchanges load
 //! summaries with the other entries, [`copies`] reads newer configurations from them, [`changes`] hands on what one of them
-//! read in the key-value service, and [`registry`] tracks the backend servers.
+//! read in the key-value service, and [`registry`] tracks the backend servers. [`duty`] counts the calls that servers began and, at
+//! one entry, reports them for all.
 //!
 //! A [`Codec`] translates between the protocol of callers and servers and the neutral [`Call`]. Nothing else in this
 //! crate depends on the wire format or the platform.
@@ -17,6 +18,7 @@
 pub mod codec;
 pub mod copies;
 mod dispatch;
+pub mod duty;
 pub mod events;
 pub mod fleet;
 pub mod gateway;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -153,6 +153,30 @@
     }
 }
 
+/// Duties that one entry performs for all.
+#[derive(Debug)]
+struct DutyMetrics {
+    events: Family<ReasonLabels, Counter>,
+    number: Gauge<u64, AtomicU64>,
+}
+
+impl DutyMetrics {
+    fn register(registry: &mut Registry) -> Self {
+        Self {
+            events: register(
+                registry,
+                "duty_events",
+                "steps of the usage report that one entry makes for all, by kind",
+            ),
+            number: register(
+                registry,
+                "duty_fencing_number",
+                "fencing number under which this entry reports usage; 0 if another one does",
+            ),
+        }
+    }
+}
+
 /// Documents that other entries handed on.
 #[derive(Debug)]
 struct DocumentMetrics {
@@ -202,6 +226,7 @@
     servers: ServerMetrics,
     delays: DelayMetrics,
     documents: DocumentMetrics,
+    duty: DutyMetrics,
     streams: Family<VersionLabels, Gauge>,
 }
 
@@ -263,6 +288,7 @@
         let servers = ServerMetrics::register(&mut registry);
         let delays = DelayMetrics::register(&mut registry);
         let documents = DocumentMetrics::register(&mut registry);
+        let duty = DutyMetrics::register(&mut registry);
         let requests_read = register(
             &mut registry,
             "requests_read",
@@ -283,6 +309,7 @@
             servers,
             delays,
             documents,
+            duty,
             quarantined_parts,
             deadline_overruns,
             configurations,
@@ -430,6 +457,16 @@
         self.servers.leaving.set(count(leaving));
     }
 
+    pub(crate) fn on_duty_event(&self, reason: &'static str) {
+        let labels = ReasonLabels { reason };
+        self.duty.events.get_or_create(&labels).inc();
+    }
+
+    /// Sets the fencing number under which this entry holds a duty; 0 if it does not.
+    pub(crate) fn set_duty_number(&self, number: u64) {
+        self.duty.number.set(number);
+    }
+
     pub(crate) fn observe_processor_delay(&self, delay: Duration) {
         self.processor_delay.observe(delay.as_secs_f64());
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -14,6 +14,7 @@
 
 use socket2::Socket;
 use tanagerford_core::dispatch::{Demand, EntryShare, server_number};
+use tanagerford_core::duty;
 use tanagerford_core::exchange::{
     self, EntryNumber, Exchange, OutgoingMessage, StoreRole, Summary, SummaryContent,
     SummaryIntervals, wire,
@@ -278,7 +279,17 @@
         }
     }
 
-    fn send(&self, receiver: EntryNumber, datagram: &[u8]) {
+    /// Returns this entry and the other live ones, those with the largest processor shares first.
+    pub(crate) fn entries_by_capacity(&self) -> Vec<EntryNumber> {
+        lock(&self.exchange).entries_by_capacity(self.now(), self.own_millicores)
+    }
+
+    /// Returns whether this entry is registered, so that others can reach it.
+    pub(crate) fn is_registered(&self) -> bool {
+        self.is_first_process.get().is_some()
+    }
+
+    pub(crate) fn send(&self, receiver: EntryNumber, datagram: &[u8]) {
         let (Some(socket), Some(address)) = (self.socket.get(), self.address(receiver)) else {
             return;
         };
@@ -484,6 +495,9 @@
     }
 
     fn on_datagram(&self, datagram: &[u8], sender: SocketAddr) {
+        if duty::wire::is_duty_message(datagram) {
+            return self.gateway.on_duty_datagram(datagram);
+        }
         if stream_version::wire::is_version_message(datagram) {
             return self.on_version_message(datagram, sender);
         }
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -308,6 +308,11 @@
         self.workspaces.as_ref()?.get(key)
     }
 
+    /// Returns the workspaces, once for each of their keys.
+    pub(crate) fn workspaces(&self) -> impl Iterator<Item = &Arc<Workspace>> {
+        self.workspaces.iter().flat_map(HashMap::values)
+    }
+
     pub(crate) fn route_count(&self) -> usize {
         self.summary.count
     }
--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -13,6 +13,7 @@
 use tanagerford_core::dispatch::CostSettings;
 use tanagerford_gateway::Gateway;
 use tanagerford_gateway::copies::ConfigurationCopies;
+use tanagerford_gateway::duty;
 use tanagerford_gateway::fleet::Fleet;
 use tanagerford_gateway::gateway::{CallerService, GatewaySettings};
 use tanagerford_gateway::peers::PeerExchange;
@@ -20,6 +21,7 @@
 use tanagerford_http::{Body, Reply};
 use tanagerford_operator::check::FileFindings;
 use tanagerford_platform::READINESS_PATH;
+use tanagerford_platform::cloud::PlatformDuty;
 use tanagerford_platform::codec::PlatformCodec;
 use tanagerford_platform::document;
 use tanagerford_platform::feed::Feed;
@@ -103,6 +105,7 @@
         initial_entry_count: ASSUMED_ENTRIES,
         vm: settings.vm.clone(),
         cpu_millicores: settings.cpu_millicores,
+        duty: settings.usage_report.as_ref().map(|report| report.duty),
     };
     let gateway = Gateway::new(PlatformCodec, fleet, gateway_settings, runtime.clone());
     let server = Server::bind(callers, runtime.clone())?;
@@ -120,6 +123,9 @@
     )?;
     let peers = copies.address();
     PeerExchange::start(Arc::clone(&gateway), copies, &runtime)?;
+    if let Some(backend) = PlatformDuty::new(settings) {
+        duty::start(Arc::clone(&gateway), backend)?;
+    }
     let store = Store::new(settings.store_address);
     Feed::new(store, Arc::clone(&gateway), settings, peers).start()?;
     tracing::info!(vm = settings.vm, zone = settings.zone, %callers, %readiness, store = %settings.store_address, "entry has started");
