--- a/crates/core/src/duty/holding.rs
+++ b/crates/core/src/duty/holding.rs
@@ -217,7 +217,7 @@
 
     /// Records that another entry is known to have held the duty `age` ago.
     pub fn on_holder_heard(&mut self, now: Duration, number: FencingNumber, age: Duration) {
-        if number < self.highest || number > MAX_NUMBER {
+        if number < self.highest || number >= MAX_NUMBER {
             return;
         }
         self.highest = number;
--- a/crates/core/src/duty/record.rs
+++ b/crates/core/src/duty/record.rs
@@ -30,7 +30,7 @@
     known
         .into_iter()
         .fold(floor, FencingNumber::max)
-        .min(MAX_NUMBER)
+        .min(MAX_NUMBER - 1)
         + 1
 }
 
@@ -74,6 +74,6 @@
     #[must_use]
     pub fn decode(value: &[u8]) -> Option<Self> {
         let record: Self = serde_json::from_slice(value).ok()?;
-        (record.number <= MAX_NUMBER).then_some(record)
+        (record.number < MAX_NUMBER).then_some(record)
     }
 }
--- a/crates/core/src/duty/true_time.rs
+++ b/crates/core/src/duty/true_time.rs
@@ -16,6 +16,9 @@
 const MIN_PEERS: usize = 2;
 /// Time after which a jump is followed if too few other entries are heard, since it may correct a wrong clock.
 const LONE_JUMP_DELAY: Duration = Duration::from_mins(2);
+/// Time for which the highest offset of an entry is kept. A message that waited for a processor or a link implies an offset that is
+/// too low, never one that is too high.
+const OFFSET_TTL: Duration = Duration::from_secs(3);
 /// Most entries whose estimates are kept.
 const MAX_PEERS: usize = 1_024;
 
@@ -51,7 +54,7 @@
         let is_jump = (clock - offset).abs() > MAX_STEP_MS;
         self.jumped_at = is_jump.then(|| self.jumped_at.unwrap_or(now));
         let mut estimate = if is_jump { offset } else { clock };
-        match self.peer_median(now) {
+        match self.median(now, estimate) {
             Some(median) if (estimate - median).abs() > MAX_DIFFERENCE_MS => {
                 let is_clock_right = (clock - median).abs() <= MAX_DIFFERENCE_MS;
                 estimate = if is_clock_right { clock } else { median };
@@ -73,7 +76,22 @@
             return;
         }
         let offset = time_ms.saturating_sub(millis(now));
-        self.peers.insert(peer, (now, offset));
+        let known = self.peers.entry(peer).or_insert((now, offset));
+        if offset >= known.1 || now.saturating_sub(known.0) >= OFFSET_TTL {
+            *known = (now, offset);
+        }
+    }
+
+    /// Returns whether the estimates of two other entries agree with the own one.
+    #[must_use]
+    pub fn is_confirmed(&self, now: Duration) -> bool {
+        let Some(own) = self.offset_ms else {
+            return false;
+        };
+        let peers = self.peers.values();
+        let recent = peers.filter(|(at, _)| now.saturating_sub(*at) < PEER_TTL);
+        let agreeing = recent.filter(|(_, offset)| (offset - own).abs() <= MAX_DIFFERENCE_MS);
+        agreeing.count() >= MIN_PEERS
     }
 
     /// Returns the estimate of true time as time since the Unix epoch; `None` before the first observation.
@@ -85,15 +103,21 @@
         ))
     }
 
-    fn peer_median(&mut self, now: Duration) -> Option<i64> {
+    /// Returns the median of the own estimate and those of other entries; `None` if too few of them are heard. The own one counts,
+    /// so that a single other entry cannot outvote it.
+    fn median(&mut self, now: Duration, own: i64) -> Option<i64> {
         self.peers
             .retain(|_, (at, _)| now.saturating_sub(*at) < PEER_TTL);
         let mut offsets: Vec<_> = self.peers.values().map(|(_, offset)| *offset).collect();
         if offsets.len() < MIN_PEERS {
             return None;
         }
+        offsets.push(own);
         offsets.sort_unstable();
-        Some(offsets[offsets.len() / 2])
+        // Of an even number of values, the one that is closer to the own estimate.
+        let (low, high) = (offsets[(offsets.len() - 1) / 2], offsets[offsets.len() / 2]);
+        let is_low_closer = (low - own).abs() <= (high - own).abs();
+        Some(if is_low_closer { low } else { high })
     }
 }
 
--- a/crates/core/src/duty/usage.rs
+++ b/crates/core/src/duty/usage.rs
@@ -82,6 +82,12 @@
         ignored
     }
 
+    /// Returns whether a window is too far ahead of the own one to take over its counts.
+    #[must_use]
+    pub fn is_ahead(current: WindowId, window: WindowId) -> bool {
+        window > current.saturating_add(MAX_AHEAD)
+    }
+
     /// Returns the sums of a window by workspace.
     #[must_use]
     pub fn sums(&self, window: WindowId) -> HashMap<WorkspaceHash, u64> {
@@ -100,7 +106,7 @@
 }
 
 fn is_kept(current: WindowId, window: WindowId) -> bool {
-    window <= current.saturating_add(MAX_AHEAD) && window + KEPT_WINDOWS > current
+    !UsageBook::is_ahead(current, window) && window.saturating_add(KEPT_WINDOWS) > current
 }
 
 /// Counts of this process, and which of them other entries know.
@@ -205,7 +211,8 @@
             .entry(receiver)
             .or_insert(Acknowledged { boot, sequence: 0 });
         if known.boot == boot {
-            known.sequence = known.sequence.max(sequence);
+            // A lower number than before shows that the receiver has lost its state; repeated counts are harmless.
+            known.sequence = sequence;
         } else {
             *known = Acknowledged { boot, sequence };
         }
--- a/crates/gateway/src/duty.rs
+++ b/crates/gateway/src/duty.rs
@@ -32,6 +32,11 @@
 const ANSWER_INTERVAL: Duration = Duration::from_millis(900);
 /// Time for which an entry that is known to hold the duty counts as holder without further news.
 const NEWS_TTL: Duration = Duration::from_secs(10);
+/// Largest fencing number of another entry that is believed: up to it, all JSON parsers read numbers exactly.
+const MAX_HEARD_NUMBER: FencingNumber = (1 << 53) - 3;
+/// Number of counts from which a message is assumed to hold only a part of what its sender has. It is answered at once, so
+/// that the next part follows.
+const FULL_PART_ITEMS: usize = 64;
 /// Most entries whose messages are tracked.
 const MAX_SENDERS: usize = 2_048;
 
@@ -206,7 +211,7 @@
 
     fn on_holder_news(&self, now: Duration, news: HolderNews) {
         // The own holding is known better here; news of it are older.
-        if news.holder == self.entry {
+        if news.holder == self.entry || news.number > MAX_HEARD_NUMBER {
             return;
         }
         let age = Duration::from_millis(news.age_ms);
@@ -273,7 +278,14 @@
             *sender = new;
         }
         let mut has_gap = false;
+        let mut is_full = false;
         if let Some(counts) = &message.counts {
+            // Counts of a window that is far ahead are not acknowledged: either clock may be corrected, and they are sent again.
+            let mut windows = counts.items.iter().map(|item| item.window);
+            if windows.any(|window| UsageBook::is_ahead(current, window)) {
+                return None;
+            }
+            is_full = counts.items.len() >= FULL_PART_ITEMS;
             let source = (message.sender, message.boot);
             self.book
                 .merge(current, source, counts.items.iter().copied());
@@ -284,7 +296,7 @@
         }
         let answered_at = sender.answered_at;
         let is_due = answered_at.is_none_or(|at| now.saturating_sub(at) >= ANSWER_INTERVAL);
-        if !is_due && !has_gap {
+        if !is_due && !has_gap && !is_full {
             return None;
         }
         sender.answered_at = Some(now);
@@ -325,6 +337,14 @@
             self.metrics.on_duty_event("unreadable_message");
             return;
         };
+        let is_registered = |entry| self.summaries.peer_address(entry).is_some();
+        let has_known_holder = message
+            .holder
+            .is_none_or(|news| news.holder == duty.entry || is_registered(news.holder));
+        if !is_registered(message.sender) || !has_known_holder {
+            self.metrics.on_duty_event("message_of_unknown_entry");
+            return;
+        }
         if let Some(answer) = duty.receive(boot_time(), &message) {
             self.summaries.send(message.sender, &wire::encode(&answer));
         }
--- a/crates/gateway/src/duty/runner.rs
+++ b/crates/gateway/src/duty/runner.rs
@@ -111,7 +111,7 @@
         }
         let position = entries.iter().position(|entry| *entry == duty.entry);
         let rank = u32::try_from(position.unwrap_or_default()).unwrap_or(u32::MAX);
-        self.step_holding(duty, rank);
+        self.step_holding(duty, rank, entries.len());
         self.log_events(duty);
         let now = boot_time();
         let holder = lock(&duty.holding).holder(now);
@@ -129,7 +129,7 @@
         self.announce(duty, now, &entries);
         self.decide(duty, now, since, interval);
         // What was decided is written before it is sent.
-        self.step_holding(duty, rank);
+        self.step_holding(duty, rank, entries.len());
         self.send_report(duty, since);
         self.log_events(duty);
         ACTIVE_INTERVAL
@@ -152,16 +152,14 @@
         }
         lock(&duty.sender).retain_receivers(&receivers);
         let max_bytes = usize::try_from((BYTES_PER_S * interval).as_secs()).unwrap_or(usize::MAX);
-        for (index, receiver) in receivers.iter().enumerate() {
+        for receiver in &receivers {
             let counts = duty.counts_for(*receiver, max_bytes.min(MAX_COUNTS_BYTES));
-            // A message without counts still brings news of the holder and of true time.
-            if counts.is_some() || index == 0 {
-                let message = DutyMessage {
-                    counts,
-                    ..duty.message(now)
-                };
-                self.send(*receiver, &message);
-            }
+            // A message without counts still brings news of the holder, and its answer confirms true time.
+            let message = DutyMessage {
+                counts,
+                ..duty.message(now)
+            };
+            self.send(*receiver, &message);
         }
     }
 
@@ -172,12 +170,14 @@
     }
 
     /// Makes the calls to the key-value service that are due.
-    fn step_holding(&self, duty: &UsageDuty, rank: u32) {
+    fn step_holding(&self, duty: &UsageDuty, rank: u32, live_entries: usize) {
         for _ in 0..MAX_CALLS_PER_ROUND {
             let sent_at = boot_time();
             let is_holder = lock(&duty.holding).holder(sent_at).is_some();
             let summaries = self.gateway.summaries();
-            let may_take_over = self.gateway.is_ready() && summaries.is_registered();
+            // A holder whose time is wrong would decide windows that have not ended.
+            let has_time = live_entries < 3 || lock(&duty.time).is_confirmed(sent_at);
+            let may_take_over = self.gateway.is_ready() && summaries.is_registered() && has_time;
             if !is_holder && !may_take_over {
                 return;
             }
@@ -265,7 +265,12 @@
             return;
         };
         let oldest = windows.at(time.saturating_sub(windows.late_after + windows.length));
-        let mut candidates = oldest.max(last + 1)..current;
+        if last > current {
+            tracing::warn!(last, current, "the last decided window is in the future");
+            self.gateway.metrics.on_duty_event("window_ahead");
+            return;
+        }
+        let mut candidates = oldest.max(last.saturating_add(1))..current;
         let not_late = candidates.find(|window| !windows.is_late(*window, time));
         let Some(window) = not_late else {
             return;
@@ -281,7 +286,13 @@
             window,
             counts: self.counts(duty, current, window),
         };
-        let (workspaces, calls) = (report.counts.len(), report.counts.values().sum::<u64>());
+        let (workspaces, calls) = (
+            report.counts.len(),
+            report
+                .counts
+                .values()
+                .fold(0, |sum: u64, count| sum.saturating_add(*count)),
+        );
         if lock(&duty.holding).decide(now, report) {
             tracing::info!(
                 window,
@@ -309,10 +320,11 @@
             }
         }
         let sums = {
-            let sender = lock(&duty.sender);
+            // Calls need the lock of the sender, so it is not held while the sums are computed.
+            let own: Vec<_> = lock(&duty.sender).items().collect();
             let mut received = lock(&duty.received);
             let source = (duty.entry, duty.boot);
-            received.book.merge(current, source, sender.items());
+            received.book.merge(current, source, own);
             received.book.sums(window)
         };
         let named = sums.into_iter().filter_map(|(hash, count)| {
