Choose servers by the speed and the slots that they report

Servers that share their machines report a fourth figure, the time that work takes now in percent of the usual. It was dropped, as was the number of slots, so calls went to servers that were slow at the moment.

A header that is unreadable or absurd is ignored as a whole and counted; the sum of its figures could overflow before. Pools that report neither are not affected.

The effect of the pace on a deployment is not measured yet.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -17,6 +17,7 @@
 mod link_delay;
 mod long_prompt_gate;
 mod overload;
+mod pace;
 mod pause;
 mod prefill;
 mod processor_delay;
@@ -42,6 +43,7 @@
 pub use overload::{
     Arrival, ArrivingCall, BUSY_RETRY_AFTER, OverloadGate, OverloadSettings, Settlement, ShedReason,
 };
+pub use pace::{PacePercent, ServerPace, is_valid_pace};
 pub use pause::{PauseComponents, PauseModel, ServerPause};
 pub use prefill::PrefillModel;
 pub use processor_delay::{PROBE_INTERVAL, ProcessorDelay};
@@ -91,12 +93,40 @@
 }
 
 /// Load that a server reported in a response.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct ReportedLoad {
     /// Requests that the server is running.
     pub running: u32,
     /// Requests in the server's queue.
     pub waiting: u32,
+    /// Requests that the server runs concurrently now, if it reports them.
+    pub slots: Option<u32>,
+    /// How long work takes on the server now, if it reports that.
+    pub pace_percent: Option<PacePercent>,
+}
+
+/// Largest number of requests or slots that a server can report.
+const MAX_REPORTED_REQUESTS: u32 = 1_000_000;
+
+impl ReportedLoad {
+    /// Returns whether a server that works can have this load.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use tanagerford_core::dispatch::ReportedLoad;
+    ///
+    /// let load = ReportedLoad { running: 3, waiting: 0, slots: Some(8), pace_percent: Some(130) };
+    /// assert!(load.is_plausible());
+    /// assert!(!ReportedLoad { slots: Some(0), ..load }.is_plausible());
+    /// ```
+    #[must_use]
+    pub fn is_plausible(&self) -> bool {
+        let counts = [self.running, self.waiting, self.slots.unwrap_or(1)];
+        counts.iter().all(|count| *count <= MAX_REPORTED_REQUESTS)
+            && self.slots != Some(0)
+            && self.pace_percent.is_none_or(is_valid_pace)
+    }
 }
 
 /// Selected server and the estimates behind the selection.
@@ -216,6 +246,7 @@
     reported: Option<(Duration, ReportedLoad)>,
     health: Health,
     pause: ServerPause,
+    pace: ServerPace,
     /// Time until which a connection to the server is likely to be open.
     connected_until: Duration,
 }
@@ -389,7 +420,7 @@
             let allowed = estimates.iter();
             let allowed = allowed.filter(|(_, state, _)| is_allowed(&state.spec.id));
             let (cost_ms, state, snapshot) = allowed.min_by(|a, b| a.0.total_cmp(&b.0))?;
-            let slowness = state.health.slowness(now);
+            let slowness = state.slowness(now);
             Some(Choice {
                 server: state.spec.id.clone(),
                 cost_ms: *cost_ms,
@@ -436,7 +467,7 @@
                 let first_token_ms =
                     now.saturating_sub(in_flight_call.sent_at).as_secs_f64() * 1_000.0;
                 // The shared model must not learn the slowness of a single server.
-                let normalized_ms = first_token_ms / state.health.slowness(now);
+                let normalized_ms = first_token_ms / state.slowness(now);
                 self.model.on_first_token(now, tokens, normalized_ms);
             }
         }
@@ -577,10 +608,13 @@
         }
     }
 
-    /// Records the load that a server reported in a response. It is used for 1 s, and only where it exceeds the known
-    /// load.
+    /// Records the load that a server reported in a response. The requests count for 1 s, and only where they exceed the
+    /// known load; slots and pace lose weight with their age.
     pub fn on_load(&mut self, now: Duration, server: &str, load: ReportedLoad) {
         if let Some(state) = self.state(server) {
+            if let Some(percent) = load.pace_percent {
+                state.pace.observe(now, percent);
+            }
             state.reported = Some((now, load));
         }
     }
@@ -601,6 +635,7 @@
             reported: None,
             health: Health::default(),
             pause: ServerPause::default(),
+            pace: ServerPace::default(),
             connected_until: Duration::ZERO,
         }
     }
--- a/crates/core/tests/dispatch.rs
+++ b/crates/core/tests/dispatch.rs
@@ -370,6 +370,7 @@
     let report = ReportedLoad {
         running: 90,
         waiting: 20,
+        ..ReportedLoad::default()
     };
     pool.on_load(NOW, "near", report);
     assert_eq!(
--- a/crates/emulator/src/engine.rs
+++ b/crates/emulator/src/engine.rs
@@ -187,6 +187,7 @@
         ReportedLoad {
             running: count(&self.running),
             waiting: count(&self.waiting),
+            ..ReportedLoad::default()
         }
     }
 
--- a/crates/emulator/src/service.rs
+++ b/crates/emulator/src/service.rs
@@ -57,6 +57,7 @@
         ReportedLoad {
             running: count(self.running.len()),
             waiting: count(self.waiting.len()),
+            ..ReportedLoad::default()
         }
     }
 }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -546,11 +546,13 @@
             );
             return Err(AttemptError::Broken);
         }
-        if let Some(load) = head.load {
-            target
-                .pool
-                .load_view()
-                .on_load(self.fleet.now(), &target.server.id, load);
+        match head.load {
+            Some(Ok(load)) => {
+                let mut load_view = target.pool.load_view();
+                load_view.on_load(self.fleet.now(), &target.server.id, load);
+            }
+            Some(Err(_)) => self.metrics.on_invalid_load(),
+            None => {}
         }
         if !head.is_wrong_server && (head.is_authentic || head.limit != LimitHeader::Absent) {
             let now = self.fleet.now();
--- a/crates/gateway/src/codec.rs
+++ b/crates/gateway/src/codec.rs
@@ -47,6 +47,10 @@
     pub resume_after: Option<u64>,
 }
 
+/// Report of a load that is unreadable or that no server can have. It is ignored as a whole and counted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct InvalidLoad;
+
 /// Content of the head of a server's response.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ResponseHead {
@@ -58,8 +62,8 @@
     pub is_wrong_server: bool,
     /// Whether the response proves that a server of the platform sent it.
     pub is_authentic: bool,
-    /// Load that the server reports.
-    pub load: Option<ReportedLoad>,
+    /// Load that the server reports, if it does.
+    pub load: Option<Result<ReportedLoad, InvalidLoad>>,
     /// Limit that the server names for its requests.
     pub limit: LimitHeader,
     /// What the server says about further calls of this entry.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -105,6 +105,7 @@
     limits: Family<ServerLabels, Gauge<f64, AtomicU64>>,
     at_rest: Gauge<u64, AtomicU64>,
     leaving: Gauge<u64, AtomicU64>,
+    invalid_loads: Counter,
 }
 
 impl ServerMetrics {
@@ -125,6 +126,11 @@
                 "servers_leaving",
                 "backend servers that told this entry that they leave",
             ),
+            invalid_loads: register(
+                registry,
+                "invalid_load_reports",
+                "answers of backend servers whose report of their load was ignored, since it was unreadable or absurd",
+            ),
         }
     }
 }
@@ -345,6 +351,10 @@
         self.refusals.get_or_create(&ReasonLabels { reason }).inc();
     }
 
+    pub(crate) fn on_invalid_load(&self) {
+        self.servers.invalid_loads.inc();
+    }
+
     pub(crate) fn set_delays(&self, link_delay: Duration, store_age: Option<Duration>) {
         self.delays.link_delay.set(link_delay.as_secs_f64());
         let store_age_s = store_age.map_or(-1.0, |age| age.as_secs_f64());
