--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -17,7 +17,6 @@
 mod link_delay;
 mod long_prompt_gate;
 mod overload;
-mod pace;
 mod pause;
 mod prefill;
 mod processor_delay;
@@ -43,7 +42,6 @@
 pub use overload::{
     Arrival, ArrivingCall, BUSY_RETRY_AFTER, OverloadGate, OverloadSettings, Settlement, ShedReason,
 };
-pub use pace::{PacePercent, ServerPace, is_valid_pace};
 pub use pause::{PauseComponents, PauseModel, ServerPause};
 pub use prefill::PrefillModel;
 pub use processor_delay::{PROBE_INTERVAL, ProcessorDelay};
@@ -101,10 +99,12 @@
     pub waiting: u32,
     /// Requests that the server runs concurrently now, if it reports them.
     pub slots: Option<u32>,
-    /// How long work takes on the server now, if it reports that.
-    pub pace_percent: Option<PacePercent>,
+    /// How long work takes on the server now in percent of the usual time, if it reports that.
+    pub pace_percent: Option<u32>,
 }
 
+/// Range of the pace that a server can report. One that takes a tenth or ten times of its usual time is at its bounds.
+const VALID_PACE_PERCENT: std::ops::RangeInclusive<u32> = 10..=1_000;
 /// Largest number of requests or slots that a server can report.
 const MAX_REPORTED_REQUESTS: u32 = 1_000_000;
 
@@ -125,7 +125,9 @@
         let counts = [self.running, self.waiting, self.slots.unwrap_or(1)];
         counts.iter().all(|count| *count <= MAX_REPORTED_REQUESTS)
             && self.slots != Some(0)
-            && self.pace_percent.is_none_or(is_valid_pace)
+            && self
+                .pace_percent
+                .is_none_or(|pace| VALID_PACE_PERCENT.contains(&pace))
     }
 }
 
@@ -246,7 +248,6 @@
     reported: Option<(Duration, ReportedLoad)>,
     health: Health,
     pause: ServerPause,
-    pace: ServerPace,
     /// Time until which a connection to the server is likely to be open.
     connected_until: Duration,
 }
@@ -420,7 +421,7 @@
             let allowed = estimates.iter();
             let allowed = allowed.filter(|(_, state, _)| is_allowed(&state.spec.id));
             let (cost_ms, state, snapshot) = allowed.min_by(|a, b| a.0.total_cmp(&b.0))?;
-            let slowness = state.slowness(now);
+            let slowness = state.health.slowness(now);
             Some(Choice {
                 server: state.spec.id.clone(),
                 cost_ms: *cost_ms,
@@ -467,7 +468,7 @@
                 let first_token_ms =
                     now.saturating_sub(in_flight_call.sent_at).as_secs_f64() * 1_000.0;
                 // The shared model must not learn the slowness of a single server.
-                let normalized_ms = first_token_ms / state.slowness(now);
+                let normalized_ms = first_token_ms / state.health.slowness(now);
                 self.model.on_first_token(now, tokens, normalized_ms);
             }
         }
@@ -608,13 +609,10 @@
         }
     }
 
-    /// Records the load that a server reported in a response. The requests count for 1 s, and only where they exceed the
-    /// known load; slots and pace lose weight with their age.
+    /// Records the load that a server reported in a response. It is used for 1 s, and only where it exceeds the known
+    /// load. Slots and pace have no effect.
     pub fn on_load(&mut self, now: Duration, server: &str, load: ReportedLoad) {
         if let Some(state) = self.state(server) {
-            if let Some(percent) = load.pace_percent {
-                state.pace.observe(now, percent);
-            }
             state.reported = Some((now, load));
         }
     }
@@ -635,7 +633,6 @@
             reported: None,
             health: Health::default(),
             pause: ServerPause::default(),
-            pace: ServerPace::default(),
             connected_until: Duration::ZERO,
         }
     }
--- a/crates/core/src/dispatch/cost.rs
+++ b/crates/core/src/dispatch/cost.rs
@@ -192,16 +192,6 @@
     duration.as_secs_f64() * 1_000.0
 }
 
-/// Combines the observed slowness of a server with its reported pace. Both show the same delay, so the larger one counts; a
-/// pace below 1 reduces the slowness.
-fn with_pace(slowness: f64, pace: f64) -> f64 {
-    if pace > 1.0 {
-        slowness.max(pace)
-    } else {
-        slowness * pace
-    }
-}
-
 /// Load of a server as seen by a new call.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct LoadSnapshot {
@@ -301,19 +291,11 @@
     ) -> f64 {
         let settings = &model.settings;
         let work_ms = if demand.prompt_tokens == 0 {
-            self.plain_service_ms(now, snapshot)
+            self.plain_service_ms(snapshot)
         } else {
             self.engine_ms(model, now, demand, snapshot)
         };
-        let pace = self.pace.factor(now);
-        let slowness = with_pace(self.health.slowness(now).max(snapshot.pause_factor), pace);
-        let unloaded_ms = if demand.prompt_tokens == 0 {
-            FULL_SERVICE_MS
-        } else {
-            snapshot.first_token_ms(model, demand)
-        };
-        // The time of the call itself is equal on all servers at their usual speed, so only the difference counts.
-        let pace_ms = unloaded_ms * (pace - 1.0);
+        let slowness = self.health.slowness(now).max(snapshot.pause_factor);
         let failing_ms = self.health.failure_rate(now) * settings.failing_ms;
         let connecting_ms = if now < self.connected_until {
             0.0
@@ -321,31 +303,12 @@
             settings.new_connection_ms
         };
         let cross_zone_ms = self.cross_zone_ms(settings, zone, demand);
-        let cost_ms = work_ms * slowness + failing_ms + cross_zone_ms + connecting_ms;
-        cost_ms + pace_ms
-    }
-
-    /// Returns the factor by which the server is slower than its pool, as observed by this entry and as reported.
-    pub(super) fn slowness(&self, now: Duration) -> f64 {
-        with_pace(self.health.slowness(now), self.pace.factor(now))
-    }
-
-    /// Returns the slots of the server: the reported number with the weight that its age leaves, otherwise the registered one.
-    fn slots(&self, now: Duration) -> f64 {
-        let registered = f64::from(self.spec.slots.max(1));
-        let Some((at, slots)) = self
-            .reported
-            .and_then(|(at, reported)| Some((at, reported.slots?)))
-        else {
-            return registered;
-        };
-        let weight = decay::remaining_weight(now, at, REPORT_TTL);
-        registered + (f64::from(slots.max(1)) - registered) * weight
+        work_ms * slowness + failing_ms + cross_zone_ms + connecting_ms
     }
 
     /// Returns the cost on a plain service, which depends on the share of its slots that are taken.
-    fn plain_service_ms(&self, now: Duration, snapshot: LoadSnapshot) -> f64 {
-        let slots = self.slots(now);
+    fn plain_service_ms(&self, snapshot: LoadSnapshot) -> f64 {
+        let slots = f64::from(self.spec.slots.max(1));
         let taken = f64::from(snapshot.running) / slots;
         taken * FULL_SERVICE_MS + (taken - 1.0).max(0.0) * EXCESS_REQUEST_MS
     }
@@ -370,7 +333,7 @@
         let tokens_per_ms = prefill.tokens_per_ms();
         let prefill_ms = f64::from(uncached_tokens) / tokens_per_ms;
         let backlog_ms = f64::from(tokens_ahead) / tokens_per_ms;
-        let excess_requests = (f64::from(running) + 1.0 - self.slots(now)).max(0.0);
+        let excess_requests = f64::from((running + 1).saturating_sub(self.spec.slots));
         let own_ms = backlog_ms
             + prefill_ms * (1.0 + settings.read_again_factor)
             + f64::from(running) * settings.running_request_ms
