--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -91,12 +91,44 @@
 }
 
 /// Load that a server reported in a response.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct ReportedLoad {
     /// Requests that the server is running.
     pub running: u32,
     /// Requests in the server's queue.
     pub waiting: u32,
+    /// Requests that the server runs concurrently now, if it reports them.
+    pub slots: Option<u32>,
+    /// How long work takes on the server now in percent of the usual time, if it reports that.
+    pub pace_percent: Option<u32>,
+}
+
+/// Range of the pace that a server can report. One that takes a tenth or ten times of its usual time is at its bounds.
+const VALID_PACE_PERCENT: std::ops::RangeInclusive<u32> = 10..=1_000;
+/// Largest number of requests or slots that a server can report.
+const MAX_REPORTED_REQUESTS: u32 = 1_000_000;
+
+impl ReportedLoad {
+    /// Returns whether a server that works can have this load.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use tanagerford_core::dispatch::ReportedLoad;
+    ///
+    /// let load = ReportedLoad { running: 3, waiting: 0, slots: Some(8), pace_percent: Some(130) };
+    /// assert!(load.is_plausible());
+    /// assert!(!ReportedLoad { slots: Some(0), ..load }.is_plausible());
+    /// ```
+    #[must_use]
+    pub fn is_plausible(&self) -> bool {
+        let counts = [self.running, self.waiting, self.slots.unwrap_or(1)];
+        counts.iter().all(|count| *count <= MAX_REPORTED_REQUESTS)
+            && self.slots != Some(0)
+            && self
+                .pace_percent
+                .is_none_or(|pace| VALID_PACE_PERCENT.contains(&pace))
+    }
 }
 
 /// Selected server and the estimates behind the selection.
@@ -578,7 +610,7 @@
     }
 
     /// Records the load that a server reported in a response. It is used for 1 s, and only where it exceeds the known
-    /// load.
+    /// load. Slots and pace have no effect.
     pub fn on_load(&mut self, now: Duration, server: &str, load: ReportedLoad) {
         if let Some(state) = self.state(server) {
             state.reported = Some((now, load));
--- a/crates/core/src/dispatch/cost.rs
+++ b/crates/core/src/dispatch/cost.rs
@@ -262,9 +262,9 @@
     pub(super) fn snapshot(&self, now: Duration, demand: &Demand) -> LoadSnapshot {
         let load = self.load();
         let running = match self.reported {
-            Some((at, reported)) if now.saturating_sub(at) < REPORT_TTL => {
-                load.in_flight.max(reported.running + reported.waiting)
-            }
+            Some((at, reported)) if now.saturating_sub(at) < REPORT_TTL => load
+                .in_flight
+                .max(reported.running.saturating_add(reported.waiting)),
             _ => load.in_flight,
         };
         LoadSnapshot {
