Fetch prompt parts from the engines that hold them

Engines processed shared prompt parts again although another engine held them, which took their time from waiting calls. Pools whose configuration names no kvTokenBytes and linkMbps decide as before.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -13,6 +13,7 @@
 mod cache;
 mod cost;
 mod decay;
+mod fetch;
 mod health;
 mod link_delay;
 mod long_prompt_gate;
@@ -28,11 +29,13 @@
 use crate::ids::{ServerId, ZoneId};
 
 use cost::EngineModel;
+use fetch::{ServerTransfers, Sources};
 
 pub use admission_queue::WaiterNumber;
 pub use budget::{BudgetLimits, EntryShare, MAX_ATTEMPTS_PER_CALL, RetryBudget, TakenRetry};
 pub use cache::PartCache;
 pub use cost::CostSettings;
+pub use fetch::TransferLink;
 pub use health::{CallOutcome, Health};
 pub use link_delay::LinkDelay;
 pub use long_prompt_gate::{
@@ -106,8 +109,10 @@
     pub server: ServerId,
     /// Estimated cost in milliseconds.
     pub cost_ms: f64,
-    /// Prompt tokens that are not in the server's cache.
+    /// Prompt tokens that the server processes: those that are neither in its cache nor fetched.
     pub uncached_tokens: u32,
+    /// Copy of prompt parts from another server; `None` if the server fetches nothing.
+    pub fetch: Option<PlannedFetch>,
     /// Requests in flight at the server, including those that other entries or the server itself reported.
     pub in_flight: u32,
     /// Prompt tokens that the server processes before those of this call.
@@ -126,6 +131,17 @@
     pub candidates: usize,
 }
 
+/// Copy of prompt parts from the cache of another server before a call is processed.
+#[derive(Debug, Clone, PartialEq)]
+pub struct PlannedFetch {
+    /// Server that holds the parts.
+    pub source: ServerId,
+    /// Tokens that are copied.
+    pub tokens: u32,
+    /// Estimated time until the copy is complete, including earlier transfers, in milliseconds.
+    pub transfer_ms: f64,
+}
+
 /// Number of a call, unique within this entry.
 pub type CallNumber = u64;
 
@@ -196,6 +212,15 @@
     sent_at: Duration,
     /// Prompt tokens to process before the first token, including those of the call itself.
     tokens_before: u32,
+    fetch: Option<PendingFetch>,
+}
+
+/// Fetch of a call that waits for its first token.
+#[derive(Debug, Clone, Copy)]
+struct PendingFetch {
+    source: ServerNumber,
+    tokens: u32,
+    transfer_ms: f64,
 }
 
 #[derive(Debug)]
@@ -216,6 +241,7 @@
     reported: Option<(Duration, ReportedLoad)>,
     health: Health,
     pause: ServerPause,
+    transfers: ServerTransfers,
     /// Time until which a connection to the server is likely to be open.
     connected_until: Duration,
 }
@@ -341,6 +367,11 @@
         self.model.settings.pause_limit_ms = pause_limit.as_secs_f64() * 1_000.0;
     }
 
+    /// Sets the means by which the pool's engines copy cached parts from each other; `None` if they do not.
+    pub fn set_transfer_link(&mut self, link: Option<TransferLink>) {
+        self.model.transfer_tokens_per_ms = link.and_then(TransferLink::tokens_per_ms);
+    }
+
     /// Returns whether a prompt is long enough to delay the streams of its server noticeably.
     #[must_use]
     pub fn is_long(&self, demand: &Demand) -> bool {
@@ -370,17 +401,34 @@
     ) -> (Option<Choice>, Option<Choice>) {
         self.expire_peers(now);
         let usable = || {
-            let servers = self.servers.iter();
-            servers.filter(|state| !exclude.contains(&state.spec.id))
+            let servers = self.servers.iter().enumerate();
+            servers.filter(|(_, state)| !exclude.contains(&state.spec.id))
         };
-        let healthy = usable().filter(|state| !state.health.is_ejected(now));
+        let healthy = usable().filter(|(_, state)| !state.health.is_ejected(now));
         let mut candidates: Vec<_> = healthy.collect();
         // If most servers are ejected, the cause is more likely this entry or the network than the servers.
         if candidates.len() * 2 < usable().count() {
             candidates = usable().collect();
         }
-        let estimates = candidates.iter().map(|state| {
-            let snapshot = state.snapshot(now, demand);
+        let sources = self.model.transfer_tokens_per_ms.map(|tokens_per_ms| {
+            let servers = candidates.iter().copied();
+            Sources::find(tokens_per_ms, now, demand, servers)
+        });
+        let prefill_tokens_per_ms = self.model.prefill_tokens_per_ms();
+        let estimates = candidates.iter().map(|(index, state)| {
+            let mut snapshot = state.snapshot(now, demand);
+            let uncached_tokens = snapshot.uncached_tokens;
+            let fetch = sources.as_ref().and_then(|sources| {
+                let destination = (*index, *state);
+                sources.best_fetch(
+                    now,
+                    destination,
+                    demand,
+                    uncached_tokens,
+                    prefill_tokens_per_ms,
+                )
+            });
+            snapshot.set_fetch(fetch);
             let cost_ms = state.cost_ms(&self.model, &self.zone, now, demand, snapshot);
             (cost_ms, *state, snapshot)
         });
@@ -394,6 +442,11 @@
                 server: state.spec.id.clone(),
                 cost_ms: *cost_ms,
                 uncached_tokens: snapshot.uncached_tokens,
+                fetch: snapshot.fetch.map(|fetch| PlannedFetch {
+                    source: self.servers[fetch.source].spec.id.clone(),
+                    tokens: fetch.tokens,
+                    transfer_ms: fetch.transfer_ms,
+                }),
                 in_flight: snapshot.running,
                 waiting_tokens: snapshot.tokens_ahead,
                 first_token_ms: snapshot.first_token_ms(&self.model, demand) * slowness,
@@ -415,8 +468,39 @@
 
     /// Records that a call was sent to a server.
     pub fn on_start(&mut self, now: Duration, server: &str, call: CallNumber, demand: &Demand) {
+        self.start(now, server, call, demand, None);
+    }
+
+    /// Records that a call was sent to the chosen server, which fetches parts of the prompt if the choice says so.
+    pub fn on_start_choice(
+        &mut self,
+        now: Duration,
+        choice: &Choice,
+        call: CallNumber,
+        demand: &Demand,
+    ) {
+        let fetch = choice.fetch.as_ref().and_then(|fetch| {
+            let source = self.state(&fetch.source)?;
+            source.transfers.begin(now, fetch.transfer_ms);
+            Some(PendingFetch {
+                source: source.number,
+                tokens: fetch.tokens,
+                transfer_ms: fetch.transfer_ms,
+            })
+        });
+        self.start(now, &choice.server, call, demand, fetch);
+    }
+
+    fn start(
+        &mut self,
+        now: Duration,
+        server: &str,
+        call: CallNumber,
+        demand: &Demand,
+        fetch: Option<PendingFetch>,
+    ) {
         if let Some(index) = self.by_id.get(server) {
-            self.servers[*index].start(&self.model, now, call, demand);
+            self.servers[*index].start(&self.model, now, call, demand, fetch);
         }
     }
 
@@ -432,16 +516,31 @@
             };
             state.own_load = state.own_load.subtract(waited);
             let tokens = in_flight_call.tokens_before;
+            let fetch = in_flight_call.fetch.take();
             if tokens > 0 {
                 let first_token_ms =
                     now.saturating_sub(in_flight_call.sent_at).as_secs_f64() * 1_000.0;
+                let transfer_ms = fetch.map_or(0.0, |fetch| fetch.transfer_ms);
                 // The shared model must not learn the slowness of a single server.
                 let normalized_ms = first_token_ms / state.health.slowness(now);
-                self.model.on_first_token(now, tokens, normalized_ms);
+                let processing_ms = (normalized_ms - transfer_ms).max(0.0);
+                if let Some(fetch) = fetch {
+                    self.on_fetched(now, fetch, tokens, processing_ms);
+                }
+                self.model.on_first_token(now, tokens, processing_ms);
             }
         }
     }
 
+    /// Judges by the time to the first token whether the source of a fetch had the parts.
+    fn on_fetched(&mut self, now: Duration, fetch: PendingFetch, tokens: u32, processing_ms: f64) {
+        let had_effect = self.model.had_effect(fetch.tokens, tokens, processing_ms);
+        if let Some(index) = self.by_number.get(&fetch.source) {
+            let transfers = &mut self.servers[*index].transfers;
+            transfers.record_effect(now, had_effect);
+        }
+    }
+
     /// Records the pause between two events of a stream.
     pub fn on_pause(&mut self, now: Duration, server: &str, pause: Duration) {
         let index = self.by_id.get(server).copied();
@@ -545,7 +644,9 @@
     pub(crate) fn on_peer_part(&mut self, now: Duration, server: ServerNumber, part: PromptPart) {
         let index = self.by_number.get(&server).copied();
         if let Some(state) = index.and_then(|index| self.servers.get_mut(index)) {
-            state.cache.insert(now, &[part]);
+            let waiting = state.load().waiting.total();
+            let held_at = self.model.held_at(now, waiting.saturating_add(part.tokens));
+            state.cache.insert_processed(now, held_at, &[part]);
         }
     }
 
@@ -601,6 +702,7 @@
             reported: None,
             health: Health::default(),
             pause: ServerPause::default(),
+            transfers: ServerTransfers::default(),
             connected_until: Duration::ZERO,
         }
     }
--- a/crates/core/src/dispatch/cache.rs
+++ b/crates/core/src/dispatch/cache.rs
@@ -20,6 +20,8 @@
 struct CachedPart {
     tokens: u32,
     last_use: Duration,
+    /// Time from which the server is assumed to have processed the part, so that others can copy it.
+    held_at: Duration,
 }
 
 impl PartCache {
@@ -55,12 +57,35 @@
         prompt_tokens.saturating_sub(cached_tokens)
     }
 
+    /// Returns the number of prompt tokens that the server has processed, from the first part on, so that others can copy
+    /// them.
+    pub(super) fn held_tokens(&self, now: Duration, parts: &[PromptPart]) -> u32 {
+        let is_held = |part: &&PromptPart| {
+            let cached = self.parts.get(&part.id);
+            cached.is_some_and(|cached| cached.held_at <= now)
+        };
+        let held = parts.iter().take_while(is_held);
+        held.fold(0, |tokens, part| tokens.saturating_add(part.tokens))
+    }
+
     /// Records that the server processes a prompt.
     pub fn insert(&mut self, now: Duration, parts: &[PromptPart]) {
+        self.insert_processed(now, now, parts);
+    }
+
+    /// Records that the server processes a prompt and has processed it at `held_at`.
+    pub(super) fn insert_processed(
+        &mut self,
+        now: Duration,
+        held_at: Duration,
+        parts: &[PromptPart],
+    ) {
         for part in parts {
+            let known = self.parts.get(&part.id);
             let cached = CachedPart {
                 tokens: part.tokens,
                 last_use: now,
+                held_at: known.map_or(held_at, |known| known.held_at.min(held_at)),
             };
             self.cached_tokens += u64::from(part.tokens);
             if let Some(old) = self.parts.insert(part.id, cached) {
--- a/crates/core/src/dispatch/cost.rs
+++ b/crates/core/src/dispatch/cost.rs
@@ -4,9 +4,10 @@
 
 use serde::Deserialize;
 
+use super::fetch::Fetch;
 use super::{
-    CallNumber, Demand, EntryLoad, InFlightCall, PauseComponents, PauseModel, PrefillModel,
-    ServerPause, ServerState, WaitingTokens, decay,
+    CallNumber, Demand, EntryLoad, InFlightCall, PauseComponents, PauseModel, PendingFetch,
+    PrefillModel, ServerPause, ServerState, WaitingTokens, decay,
 };
 
 /// Half-life of the recent prefill work.
@@ -25,6 +26,10 @@
 /// Cost of a stream whose own pauses exceed the plan by a whole pause limit, in milliseconds.
 const SLOW_STREAM_MS: f64 = 600.0;
 
+/// Multiple of the estimated time to the first token after which the parts of a prompt are assumed to be in the cache of its
+/// server. A fetch that comes too early copies nothing.
+const HELD_AFTER_FACTOR: f64 = 1.5;
+
 /// Divisor of the waiting prompt tokens of lower ranks that are processed before a call of a higher rank.
 const LOWER_RANKS_DIVISOR: u32 = 4;
 
@@ -129,6 +134,8 @@
     pub(super) settings: CostSettings,
     prefill: PrefillModel,
     pause: PauseModel,
+    /// Rate at which engines copy cached parts from each other; `None` if they do not.
+    pub(super) transfer_tokens_per_ms: Option<f64>,
 }
 
 impl EngineModel {
@@ -139,9 +146,27 @@
             settings,
             prefill,
             pause: PauseModel::default(),
+            transfer_tokens_per_ms: None,
         }
     }
 
+    pub(super) fn prefill_tokens_per_ms(&self) -> f64 {
+        self.prefill.tokens_per_ms()
+    }
+
+    /// Returns the time from which a server is assumed to have processed a prompt behind `tokens` prompt tokens.
+    pub(super) fn held_at(&self, now: Duration, tokens: u32) -> Duration {
+        let first_token_ms = self.prefill.first_token_ms(tokens);
+        now + Duration::from_secs_f64(first_token_ms * HELD_AFTER_FACTOR / 1_000.0)
+    }
+
+    /// Returns whether a fetch of `fetched_tokens` saved their processing, by the time that the server needed for them and
+    /// `tokens` others.
+    pub(super) fn had_effect(&self, fetched_tokens: u32, tokens: u32, processing_ms: f64) -> bool {
+        let limit = tokens.saturating_add(fetched_tokens / 2);
+        processing_ms <= self.prefill.first_token_ms(limit)
+    }
+
     /// Updates the prefill model with the time to the first token of a call behind `tokens` prompt tokens.
     pub(super) fn on_first_token(&mut self, now: Duration, tokens: u32, first_token_ms: f64) {
         if self.settings.learns {
@@ -199,8 +224,10 @@
     pub(super) load: EntryLoad,
     /// Requests in flight at the server: the known ones, or the number that the server recently reported if larger.
     pub(super) running: u32,
-    /// Prompt tokens of the call that are not in the server's cache.
+    /// Prompt tokens of the call that are neither in the server's cache nor fetched.
     pub(super) uncached_tokens: u32,
+    /// Copy of parts from another server before the prompt is processed.
+    pub(super) fetch: Option<Fetch>,
     /// Prompt tokens that the server processes before those of the call.
     pub(super) tokens_ahead: u32,
     /// Factor by which the pauses of the server are longer than those of its pool.
@@ -208,6 +235,17 @@
 }
 
 impl LoadSnapshot {
+    /// Lets the server fetch the first parts that it lacks.
+    pub(super) fn set_fetch(&mut self, fetch: Option<Fetch>) {
+        let tokens = fetch.map_or(0, |fetch| fetch.tokens);
+        self.uncached_tokens = self.uncached_tokens.saturating_sub(tokens);
+        self.fetch = fetch;
+    }
+
+    fn transfer_ms(&self) -> f64 {
+        self.fetch.map_or(0.0, |fetch| fetch.transfer_ms)
+    }
+
     /// Returns the waiting prompt tokens including those of the call.
     fn waiting_tokens(&self) -> u32 {
         self.load
@@ -238,7 +276,7 @@
         if demand.prompt_tokens == 0 {
             return 0.0;
         }
-        model.prefill.first_token_ms(self.tokens_before())
+        model.prefill.first_token_ms(self.tokens_before()) + self.transfer_ms()
     }
 
     /// Returns the estimated time to the first token without the prompts of lower ranks.
@@ -247,9 +285,8 @@
             return 0.0;
         }
         let ahead = self.load.waiting.up_to(demand.rank);
-        model
-            .prefill
-            .first_token_ms(ahead.saturating_add(self.uncached_tokens))
+        let tokens = ahead.saturating_add(self.uncached_tokens);
+        model.prefill.first_token_ms(tokens) + self.transfer_ms()
     }
 
     /// Returns the prompt tokens that are processed before the call's first token.
@@ -271,6 +308,7 @@
             load,
             running,
             uncached_tokens: self.uncached_tokens(demand),
+            fetch: None,
             tokens_ahead: tokens_ahead(load.waiting, demand),
             pause_factor: self.pause.factor(now),
         }
@@ -334,8 +372,13 @@
         let prefill_ms = f64::from(uncached_tokens) / tokens_per_ms;
         let backlog_ms = f64::from(tokens_ahead) / tokens_per_ms;
         let excess_requests = f64::from((running + 1).saturating_sub(self.spec.slots));
+        // A copy occupies the links of two servers and is weighted like the processing that it replaces.
+        let fetch_ms = snapshot.fetch.map_or(0.0, |fetch| {
+            fetch.transfer_ms + fetch.copy_ms * settings.read_again_factor
+        });
         let own_ms = backlog_ms
             + prefill_ms * (1.0 + settings.read_again_factor)
+            + fetch_ms
             + f64::from(running) * settings.running_request_ms
             + excess_requests * EXCESS_REQUEST_MS;
         let excess = snapshot.pause_excess(model);
@@ -376,12 +419,15 @@
         now: Duration,
         call: CallNumber,
         demand: &Demand,
+        fetch: Option<PendingFetch>,
     ) {
         let EngineModel {
             settings, prefill, ..
         } = model;
         let is_long = settings.is_long(demand);
-        let snapshot = self.snapshot(now, demand);
+        let mut snapshot = self.snapshot(now, demand);
+        let fetched_tokens = fetch.map_or(0, |fetch| fetch.tokens);
+        snapshot.uncached_tokens = snapshot.uncached_tokens.saturating_sub(fetched_tokens);
         let uncached_tokens = snapshot.uncached_tokens;
         let load = EntryLoad {
             in_flight: 1,
@@ -393,6 +439,7 @@
             load,
             sent_at: now,
             tokens_before: snapshot.tokens_before(),
+            fetch,
         };
         self.calls.insert(call, in_flight_call);
         if is_long {
@@ -400,6 +447,10 @@
             self.recent_prefill_ms = self.recent_prefill(now) + prefill_ms;
             self.recent_prefill_at = now;
         }
-        self.cache.insert(now, &demand.parts);
+        if let Some(fetch) = fetch {
+            self.transfers.begin(now, fetch.transfer_ms);
+        }
+        let held_at = model.held_at(now, snapshot.tokens_before());
+        self.cache.insert_processed(now, held_at, &demand.parts);
     }
 }
--- a/crates/emulator/src/engine.rs
+++ b/crates/emulator/src/engine.rs
@@ -149,6 +149,45 @@
         true
     }
 
+    /// Returns the prompt tokens that the prefix cache holds, from the first part on.
+    pub(crate) fn cached_tokens(&self, parts: &[PromptPart]) -> u32 {
+        let is_ready = |part: &&PromptPart| {
+            let cached_part = self.parts.get(&part.id);
+            cached_part.is_some_and(|cached_part| cached_part.is_ready)
+        };
+        parts
+            .iter()
+            .take_while(is_ready)
+            .map(|part| part.tokens)
+            .sum()
+    }
+
+    /// Adds parts that were copied from another engine to the prefix cache, as far as memory can be freed. Returns the tokens
+    /// that were added.
+    pub(crate) fn add_copied_parts(&mut self, parts: &[PromptPart]) -> u32 {
+        let mut added = 0;
+        for part in parts {
+            if self.parts.contains_key(&part.id) {
+                continue;
+            }
+            let tokens = u64::from(part.tokens);
+            if !self.can_free_memory(tokens) || !self.evict(tokens) {
+                break;
+            }
+            self.clock += 1;
+            self.part_tokens += tokens;
+            let copied = CachedPart {
+                tokens,
+                users: 0,
+                last_use: self.clock,
+                is_ready: true,
+            };
+            self.parts.insert(part.id, copied);
+            added += part.tokens;
+        }
+        added
+    }
+
     /// Inserts a sequence behind those of the same urgency.
     fn enqueue(&mut self, sequence: Sequence) {
         let urgency = sequence.request.urgency;
--- a/crates/emulator/src/entry.rs
+++ b/crates/emulator/src/entry.rs
@@ -6,7 +6,7 @@
 use tanagerford_core::availability::{AvailabilityTable, PoolAvailability};
 use tanagerford_core::dispatch::{
     Choice, Demand, GateDecision, LongPromptGate, OverloadGate, Pool, RemainingTime, RetryBudget,
-    ServerSpec, WaiterNumber,
+    ServerSpec, TransferLink, WaiterNumber,
 };
 use tanagerford_core::exchange::{
     EntryNumber, Exchange, Message, OutgoingMessage, Peer, SummaryContent,
@@ -67,6 +67,15 @@
     format!("zone-{zone}")
 }
 
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "casts from f64 saturate"
+)]
+fn whole_number(value: f64) -> u64 {
+    value.round() as u64
+}
+
 /// Returns the specifications of all servers of a kind, spread evenly over the availability zones.
 pub(crate) fn server_specs(load: &Load, target: Target) -> Vec<ServerSpec> {
     let (prefix, per_zone, slots, memory_tokens) = match target {
@@ -92,6 +101,11 @@
         let zone = index % load.zones;
         let mut engines = Pool::new(zone_name(zone), policy.costs.clone());
         engines.set_servers(&server_specs(load, Target::Engines));
+        let transfers = load.transfers.filter(|_| policy.fetches);
+        engines.set_transfer_link(transfers.map(|transfers| TransferLink {
+            bytes_per_token: whole_number(transfers.kv_token_bytes),
+            bits_per_ms: whole_number(transfers.link_mbps * 1_000.0),
+        }));
         if let Some(pool) = &load.engines {
             let streams = load
                 .classes
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -10,6 +10,7 @@
 mod arrivals;
 mod engine;
 mod entry;
+mod links;
 pub mod load;
 pub mod plot;
 mod processor;
--- a/crates/emulator/src/load.rs
+++ b/crates/emulator/src/load.rs
@@ -28,6 +28,9 @@
     pub network: Network,
     /// Model engines; required if a class has a `stream`.
     pub engines: Option<EnginePool>,
+    /// Transfers of cached prompt parts between the engines; if absent, engines do not copy parts.
+    #[serde(default)]
+    pub transfers: Option<Transfers>,
     /// Servers of a plain service; required if a class has no `stream`.
     pub services: Option<ServicePool>,
     /// Processors of the entries; if absent, the work of entries takes no time.
@@ -90,6 +93,18 @@
     pub time_factors: Vec<f64>,
 }
 
+/// Transfers of cached prompt parts between engines. Each engine carries them out one after another.
+#[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Transfers {
+    /// Bytes of cache memory for each token; above 0.
+    pub kv_token_bytes: f64,
+    /// Rate of a transfer in megabits per second; above 0. Transfers between availability zones take twice as long.
+    pub link_mbps: f64,
+    /// Fixed time of a transfer, in milliseconds.
+    pub setup_ms: f64,
+}
+
 /// Servers of a plain service.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -313,12 +328,19 @@
     /// Limits for the admission of long prompts.
     #[serde(default)]
     pub gate: LongPromptGateSettings,
+    /// Whether entries let engines fetch prompt parts from each other, if the load has `transfers`.
+    #[serde(default = "fetches_by_default")]
+    pub fetches: bool,
     /// Load shedding of an entry that is short of processor time; `null` turns it off, and an absent key means the
     /// defaults.
     #[serde(default = "overload_by_default")]
     pub overload: Option<OverloadSettings>,
 }
 
+fn fetches_by_default() -> bool {
+    true
+}
+
 #[expect(clippy::unnecessary_wraps, reason = "default of an optional field")]
 fn overload_by_default() -> Option<OverloadSettings> {
     Some(OverloadSettings::default())
@@ -485,6 +507,18 @@
         }
         findings
     }
+
+    fn check_transfers(&self, findings: &mut Findings) {
+        if let Some(transfers) = &self.transfers
+            && (transfers.kv_token_bytes <= 0.0 || transfers.link_mbps <= 0.0)
+        {
+            findings.add_at(
+                "/transfers",
+                "a size of a token and a rate above 0",
+                format!("{transfers:?}"),
+            );
+        }
+    }
 }
 
 /// Decodes and checks a load file.
@@ -511,7 +545,8 @@
         );
         findings
     })?;
-    let findings = load.check();
+    let mut findings = load.check();
+    load.check_transfers(&mut findings);
     if findings.is_empty() {
         Ok(load)
     } else {
--- a/crates/emulator/src/report.rs
+++ b/crates/emulator/src/report.rs
@@ -103,6 +103,8 @@
     pub seconds: Vec<Value>,
     /// Prompt tokens that engines prefilled, including repeated work.
     pub prefilled_tokens: u64,
+    /// Prompt tokens that engines copied from each other.
+    pub fetched_tokens: u64,
     /// Prompt tokens of the requests with at least one event, each counted once.
     pub prompt_tokens: u64,
     /// Preemptions by engines.
@@ -207,6 +209,7 @@
             classes: vec![ClassCounts::default(); load.classes.len()],
             seconds: seconds.map(|_| Value::default()).collect(),
             prefilled_tokens: 0,
+            fetched_tokens: 0,
             prompt_tokens: 0,
             preempted: 0,
             sends: 0,
--- a/crates/emulator/src/simulation.rs
+++ b/crates/emulator/src/simulation.rs
@@ -11,7 +11,7 @@
 use tanagerford_core::dispatch::{
     Arrival, ArrivingCall, BUSY_RETRY_AFTER, BudgetLimits, CallNumber, CallOutcome, EntryShare,
     GATE_POLL_INTERVAL, GateDecision, MAX_ATTEMPTS_PER_CALL, OVERLOAD_RETRY_AFTER, PROBE_INTERVAL,
-    Rank, RemainingTime, ReportedLoad, ServerSpec, WaiterNumber, lower_ranks_latency,
+    PromptPart, Rank, RemainingTime, ReportedLoad, ServerSpec, WaiterNumber, lower_ranks_latency,
     server_number,
 };
 use tanagerford_core::exchange::{EntryNumber, Message};
@@ -23,6 +23,7 @@
 use crate::arrivals::{Job, arrivals};
 use crate::engine::{Engine, EngineRequest, StepOutput};
 use crate::entry::{Entry, Target, entry_number, limit_key, server_specs, zone_name};
+use crate::links::Links;
 use crate::load::{Class, DisturbanceKind, Load, Placement, Policy};
 use crate::processor::{Processor, WorkKind};
 use crate::report::{LimitedEngine, Outcome, RestingEngine, RunResult};
@@ -49,6 +50,8 @@
     RequestArrives(CallIndex),
     /// A waiting long prompt asks for admission again.
     PollGate(CallIndex),
+    /// An engine has copied the first parts of a prompt, or found none at the other engine.
+    FetchEnds(CallIndex, CallNumber, Vec<PromptPart>),
     /// A call arrives at its server.
     CallArrives(CallIndex, CallNumber),
     /// A step of an engine ends. The second number is the engine's crash count at the start of the step; it identifies
@@ -145,6 +148,8 @@
     broken_attempts: u32,
     /// Attempt in flight with the position of its server.
     attempt: Option<(CallNumber, usize)>,
+    /// Position of the engine from which the server of the attempt fetches prompt parts.
+    fetch_from: Option<usize>,
     events: u32,
     first_event: Option<Duration>,
     last_event: Duration,
@@ -185,6 +190,7 @@
     /// Positions of the entries by their numbers in messages.
     entry_positions: BTreeMap<EntryNumber, usize>,
     engines: Vec<Engine>,
+    links: Links,
     engine_crash_counts: Vec<u64>,
     services: Vec<PlainServer>,
     engine_specs: Vec<ServerSpec>,
@@ -260,6 +266,7 @@
                 .map(|index| Entry::new(load, policy, index))
                 .collect(),
             engine_crash_counts: vec![0; engines.len()],
+            links: Links::new(load.transfers, engines.len()),
             engines,
             services: services.collect(),
             engine_specs,
@@ -311,6 +318,7 @@
             tried_servers: Vec::new(),
             broken_attempts: 0,
             attempt: None,
+            fetch_from: None,
             events: 0,
             first_event: None,
             last_event: Duration::ZERO,
@@ -419,6 +427,7 @@
             Event::PollGate(index) => self.try_admit(index),
             Event::PollPermits(index) => self.poll_permits(index),
             Event::CallArrives(index, attempt) => self.on_call_arrival(index, attempt),
+            Event::FetchEnds(index, attempt, parts) => self.on_fetched(index, attempt, &parts),
             Event::StepEnds(engine, crash_count) => self.on_step_end(engine, crash_count),
             Event::ServiceEnds(server, index, attempt) => {
                 self.on_service_end(server, index, attempt);
@@ -571,7 +580,10 @@
         let demand = &call.job.demand;
         entry
             .pool(call.target)
-            .on_start(now, &choice.server, attempt, demand);
+            .on_start_choice(now, &choice, attempt, demand);
+        let source = choice.fetch.as_ref().map(|fetch| &fetch.source);
+        call.fetch_from =
+            source.and_then(|source| specs.iter().position(|spec| spec.id == *source));
         let number = server_number(&choice.server);
         entry.exchange.on_sent(now, number, &demand.parts);
         call.tried_servers.push(choice.server);
@@ -680,6 +692,70 @@
         if call.target == Target::Services {
             return self.submit_to_service(index, attempt, server);
         }
+        if let Some(position) = self.limited_engines.get(&server) {
+            let limited = &mut self.result.limited_engines[*position];
+            limited.arrivals.push(self.now);
+        }
+        let rest = self.rest_for(server, self.calls[index].entry);
+        if rest.is_none()
+            && !self.is_down(server)
+            && let Some((source, parts)) = self.fetchable_parts(index, server)
+        {
+            let tokens = parts.iter().map(|part| part.tokens).sum();
+            let zones = [source, server].map(|engine| &self.engine_specs[engine].zone);
+            let is_cross_zone = zones[0] != zones[1];
+            let pair = (source, server);
+            let end = self.links.transfer(self.now, pair, tokens, is_cross_zone);
+            return self.schedule(end, Event::FetchEnds(index, attempt, parts));
+        }
+        self.submit_to_engine(index, attempt, server, rest);
+    }
+
+    /// Returns the engine that a call's server copies parts from, and the parts that it has beyond those of the server. The
+    /// call no longer waits for a fetch afterwards.
+    fn fetchable_parts(
+        &mut self,
+        index: CallIndex,
+        server: usize,
+    ) -> Option<(usize, Vec<PromptPart>)> {
+        let source = self.calls[index].fetch_from.take()?;
+        let parts = &self.calls[index].job.demand.parts;
+        let cached_tokens = self.engines[server].cached_tokens(parts);
+        let held_tokens = self.engines[source].cached_tokens(parts);
+        if self.is_down(source) || held_tokens <= cached_tokens {
+            return None;
+        }
+        let mut end = 0;
+        let missing = parts.iter().filter(|part| {
+            end += part.tokens;
+            end > cached_tokens && end <= held_tokens
+        });
+        Some((source, missing.copied().collect()))
+    }
+
+    fn on_fetched(&mut self, index: CallIndex, attempt: CallNumber, parts: &[PromptPart]) {
+        let Some((current, server)) = self.calls[index].attempt else {
+            return;
+        };
+        if current != attempt || self.calls[index].is_over {
+            return;
+        }
+        if !self.is_down(server) {
+            let added = self.engines[server].add_copied_parts(parts);
+            self.result.fetched_tokens += u64::from(added);
+        }
+        self.submit_to_engine(index, attempt, server, None);
+    }
+
+    /// Submits a call to an engine, which refuses it if it has asked for a rest or has no room.
+    fn submit_to_engine(
+        &mut self,
+        index: CallIndex,
+        attempt: CallNumber,
+        server: usize,
+        rest: Option<Duration>,
+    ) {
+        let call = &self.calls[index];
         let class = &self.load.classes[call.job.class];
         let event_tokens = self
             .load
@@ -694,11 +770,6 @@
             output_tokens: call.job.output_tokens,
             resumed_tokens: call.events * event_tokens,
         };
-        if let Some(position) = self.limited_engines.get(&server) {
-            let limited = &mut self.result.limited_engines[*position];
-            limited.arrivals.push(self.now);
-        }
-        let rest = self.rest_for(server, self.calls[index].entry);
         let is_down = self.is_down(server);
         if !is_down && rest.is_none() && self.engines[server].submit(request) {
             self.start_step(server);
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,5 +1,6 @@
 //! Attempts of a call: chooses a server, sends the call, and waits for the answer to begin.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
@@ -165,6 +166,19 @@
     server: Arc<BackendServer>,
     pool: Arc<PoolState>,
     sent_at: Instant,
+    /// Server from which parts of the prompt are fetched.
+    fetch_from: Option<SocketAddr>,
+}
+
+impl Target {
+    fn new(sent_call: &SentCall, pool: &Arc<PoolState>, fetch_from: Option<SocketAddr>) -> Self {
+        Self {
+            server: Arc::clone(&sent_call.server),
+            pool: Arc::clone(pool),
+            sent_at: sent_call.sent_at,
+            fetch_from,
+        }
+    }
 }
 
 impl<C: Codec> Gateway<C> {
@@ -244,11 +258,7 @@
         self.summaries.on_call_sent(&sent_call.server, &call.demand);
         let time_limit = response_timeout(call, remaining, attempts, self.own_delay());
         let number = sent_call.number;
-        let target = Target {
-            server: Arc::clone(&sent_call.server),
-            pool: Arc::clone(pool),
-            sent_at: sent_call.sent_at,
-        };
+        let target = Target::new(&sent_call, pool, selected.fetch_from);
         let exchange =
             Arc::clone(self).send_to_server(Arc::clone(call), target, remaining, resume_after);
         attempts.in_flight.push(Exchange::new(sent_call, exchange));
@@ -271,6 +281,8 @@
                 is_repeat = repeat.is_some(),
                 cost_ms = choice.cost_ms,
                 uncached_tokens = choice.uncached_tokens,
+                fetched_tokens = choice.fetch.as_ref().map(|fetch| fetch.tokens),
+                fetch_from = choice.fetch.as_ref().map(|fetch| &*fetch.source),
                 in_flight = choice.in_flight,
                 waiting_tokens = choice.waiting_tokens,
                 first_token_ms = choice.first_token_ms,
@@ -503,6 +515,7 @@
             server: &target.server,
             remaining,
             resume_after,
+            fetch_from: target.fetch_from,
         };
         let request = self.codec.request(&call, context);
         // The server is not responsible for the delay of this entry's own processor and link.
--- a/crates/gateway/src/codec.rs
+++ b/crates/gateway/src/codec.rs
@@ -1,6 +1,7 @@
 //! Interface of a protocol adapter, which translates callers' requests and the requests and responses of backend
 //! servers.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -45,6 +46,8 @@
     pub remaining: Duration,
     /// Number of the last event that the caller has received; `None` starts from the beginning.
     pub resume_after: Option<u64>,
+    /// Address of a server from whose cache the chosen server copies parts of the prompt that it lacks.
+    pub fetch_from: Option<SocketAddr>,
 }
 
 /// Content of the head of a server's response.
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -143,6 +143,7 @@
             let memory_tokens = spec.and_then(|spec| spec.memory_tokens).unwrap_or(0);
             let mut load_view = pool.load_view();
             load_view.set_servers(&server_specs(&registered.servers, memory_tokens));
+            load_view.set_transfer_link(spec.and_then(|spec| spec.transfer_link));
             let event_tokens = spec.and_then(|spec| spec.event_tokens);
             if let Some((event_tokens, limit)) = event_tokens.zip(table.pause_limit(name)) {
                 load_view.set_stream_limits(event_tokens, limit);
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -5,6 +5,7 @@
 
 use std::borrow::Cow;
 use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -81,6 +82,8 @@
 pub(crate) struct SelectedServer {
     pub(crate) server: Arc<BackendServer>,
     pub(crate) choice: Choice,
+    /// Address of the server from which the choice lets the server fetch parts of the prompt.
+    pub(crate) fetch_from: Option<SocketAddr>,
     /// Cheaper server that was left out because it limits its requests.
     pub(crate) avoided: Option<ServerId>,
     /// Time for which the call waited for a permit or for the end of a rest.
@@ -106,6 +109,7 @@
 struct Tried {
     selection: Selection,
     server: Option<Arc<BackendServer>>,
+    fetch_from: Option<SocketAddr>,
     trial: Option<TrialGuard>,
     availability: PoolAvailability,
 }
@@ -308,6 +312,7 @@
                         return Ok(SelectedServer {
                             server: tried.server.ok_or(SelectError::NoServer)?,
                             choice,
+                            fetch_from: tried.fetch_from,
                             avoided,
                             held: began.elapsed(),
                             _trial: tried.trial,
@@ -408,11 +413,14 @@
             table.settle(now);
             selection = select(&mut load_view, &mut table);
         }
-        let (mut server, mut trial) = (None, None);
+        let (mut server, mut trial, mut fetch_from) = (None, None, None);
         if let Selection::Send { choice, .. } = &selection {
             trial = available.on_send(now, keys(&servers)(&choice.server));
-            load_view.on_start(now, &choice.server, request.number, demand);
+            load_view.on_start_choice(now, choice, request.number, demand);
             server = servers.get(&choice.server).cloned();
+            let source = choice.fetch.as_ref();
+            let source = source.and_then(|fetch| servers.get(&fetch.source));
+            fetch_from = source.map(|source| source.address);
         }
         drop((available, table, load_view));
         let trial = trial.map(|call| TrialGuard {
@@ -426,6 +434,7 @@
         Tried {
             selection,
             server,
+            fetch_from,
             trial,
             availability,
         }
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tanagerford_core::dispatch::{Rank, lower_ranks_latency};
+use tanagerford_core::dispatch::{Rank, TransferLink, lower_ranks_latency};
 use tanagerford_core::ids::{PoolId, WorkspaceId};
 use tanagerford_core::version_history::MIN_RETENTION;
 
@@ -93,6 +93,8 @@
     pub memory_tokens: Option<u64>,
     /// Tokens per event of an engine's stream. With `None`, the cost estimate uses its default.
     pub event_tokens: Option<u32>,
+    /// Means by which the engines copy cached prompt parts from each other; `None` if they do not.
+    pub transfer_link: Option<TransferLink>,
 }
 
 /// Customer of the platform, identified by its API keys.
