Decide when a call is hedged, within a share of the calls

Learns the time to the first byte by pool and kind of call, and keeps an account of hedges that starts empty, so that no fleet exceeds the share. Tests: dispatch_hedge (7, property test with restarts included), dispatch (15), dispatch_budget (8) pass.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -14,6 +14,7 @@
 mod cost;
 mod decay;
 mod health;
+mod hedge;
 mod link_delay;
 mod long_prompt_gate;
 mod overload;
@@ -34,6 +35,10 @@
 pub use cache::PartCache;
 pub use cost::CostSettings;
 pub use health::{CallOutcome, Health};
+pub use hedge::{
+    CallKind, HedgeConditions, HedgeDenial, HedgeShare, InvalidHedgeShare, MAX_SAVED_HEDGES,
+    PoolHedging,
+};
 pub use link_delay::LinkDelay;
 pub use long_prompt_gate::{
     GATE_POLL_INTERVAL, GateDecision, LongPromptGate, LongPromptGateSettings, OVERLOAD_RETRY_AFTER,
@@ -413,6 +418,24 @@
         (best, permitted)
     }
 
+    /// Returns whether the pool has free slots that no call waits for: its servers that are not ejected run and queue fewer
+    /// calls than they have slots.
+    #[must_use]
+    pub fn has_room(&mut self, now: Duration) -> bool {
+        self.expire_peers(now);
+        let healthy = self.servers.iter();
+        let healthy = healthy.filter(|state| !state.health.is_ejected(now));
+        let any_call = Demand::default();
+        let (calls, slots) = healthy.fold((0_u64, 0_u64), |(calls, slots), state| {
+            let running = state.snapshot(now, &any_call).running;
+            (
+                calls + u64::from(running),
+                slots + u64::from(state.spec.slots),
+            )
+        });
+        calls < slots
+    }
+
     /// Records that a call was sent to a server.
     pub fn on_start(&mut self, now: Duration, server: &str, call: CallNumber, demand: &Demand) {
         if let Some(index) = self.by_id.get(server) {
--- a/crates/core/src/dispatch/health.rs
+++ b/crates/core/src/dispatch/health.rs
@@ -28,6 +28,12 @@
         /// range from 1 to 8.
         slowness: f64,
     },
+    /// Another server answered a hedge of the call first, so the call was cancelled. It shows that the server was slow, not
+    /// that it would have answered.
+    Overtaken {
+        /// Time until the call was cancelled, divided by the expected time to the first part of the response.
+        slowness: f64,
+    },
     /// The server refused the request without running it.
     Refused,
     /// The response reports a failure of the server.
@@ -60,12 +66,11 @@
         self.calls += 1.0;
         match outcome {
             CallOutcome::Answered { slowness } => {
-                let slowness = slowness.clamp(1.0, MAX_SLOWNESS);
-                let old = self.slowness.unwrap_or(1.0);
-                self.slowness = Some(old + (slowness - old) * SLOWNESS_WEIGHT);
+                self.record_slowness(slowness);
                 self.consecutive_failures = 0;
                 self.ejected_until = Duration::ZERO;
             }
+            CallOutcome::Overtaken { slowness } => self.record_slowness(slowness),
             CallOutcome::Refused => self.failures += 0.5,
             CallOutcome::Failed => self.failures += 1.0,
             CallOutcome::Broken | CallOutcome::TimedOut => {
@@ -83,6 +88,12 @@
         }
     }
 
+    fn record_slowness(&mut self, slowness: f64) {
+        let slowness = slowness.clamp(1.0, MAX_SLOWNESS);
+        let old = self.slowness.unwrap_or(1.0);
+        self.slowness = Some(old + (slowness - old) * SLOWNESS_WEIGHT);
+    }
+
     fn eject(&mut self, now: Duration, doublings: u32) {
         let factor = 1_u32.checked_shl(doublings).unwrap_or(u32::MAX);
         let ejection = INITIAL_EJECTION.saturating_mul(factor).min(MAX_EJECTION);
