--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use futures_lite::future;
 use http::StatusCode;
-use tanagerford_core::dispatch::{CallNumber, CallOutcome};
+use tanagerford_core::dispatch::{CallKind, CallNumber, CallOutcome};
 use tanagerford_core::ids::ServerId;
 use tanagerford_core::stream_version::VersionId;
 use tanagerford_http::connection_pool::{ExchangeError, PooledResponse};
@@ -42,7 +42,8 @@
     summaries: Arc<Summaries>,
     /// Expected time from sending the call to the first chunk of the response.
     expected_latency: Duration,
-    number: CallNumber,
+    pub(crate) number: CallNumber,
+    pub(crate) kind: CallKind,
     call: Arc<Call>,
     /// Whether the outcome of the attempt was recorded and logged.
     pub(crate) is_end_logged: bool,
@@ -70,7 +71,7 @@
 impl SentCall {
     /// Returns the ratio of the actual to the expected time to the first chunk; ratios below 1.5 count as 1. The delay
     /// of this entry's own processor and link is subtracted from the actual time, since the server is not responsible for it.
-    fn slowness(&self, own_delay: Duration) -> f64 {
+    pub(crate) fn slowness(&self, own_delay: Duration) -> f64 {
         let latency = self.sent_at.elapsed().saturating_sub(own_delay);
         let ratio = latency.as_secs_f64() / self.expected_latency.as_secs_f64();
         if ratio < 1.5 { 1.0 } else { ratio }
@@ -110,7 +111,7 @@
 }
 
 impl AttemptError {
-    fn name(self) -> &'static str {
+    pub(crate) fn name(self) -> &'static str {
         match self {
             Self::Unreachable => "unreachable",
             Self::Withheld => "withheld",
@@ -122,7 +123,7 @@
     }
 
     /// Returns whether anything of the attempt may have arrived at the server.
-    fn may_have_arrived(self) -> bool {
+    pub(crate) fn may_have_arrived(self) -> bool {
         !matches!(self, Self::Unreachable | Self::Withheld)
     }
 
@@ -153,7 +154,7 @@
 }
 
 /// What ends the wait for an attempt.
-enum Awaited {
+pub(crate) enum Awaited {
     /// The result of the attempt; `None` if there is none in time.
     Own(Option<(SentCall, ExchangeResult)>),
     /// A server that was silent before answers.
@@ -161,12 +162,22 @@
 }
 
 /// Server and time of an attempt.
-struct Target {
+pub(crate) struct Target {
     server: Arc<BackendServer>,
     pool: Arc<PoolState>,
     sent_at: Instant,
 }
 
+impl Target {
+    pub(crate) fn of(sent_call: &SentCall) -> Self {
+        Self {
+            server: Arc::clone(&sent_call.server),
+            pool: Arc::clone(&sent_call.pool),
+            sent_at: sent_call.sent_at,
+        }
+    }
+}
+
 impl<C: Codec> Gateway<C> {
     /// Records the late result of an attempt that was recorded as silent; returns the response if there is one.
     pub(crate) fn on_late_result(
@@ -244,16 +255,13 @@
         self.summaries.on_call_sent(&sent_call.server, &call.demand);
         let time_limit = response_timeout(call, remaining, attempts, self.own_delay());
         let number = sent_call.number;
-        let target = Target {
-            server: Arc::clone(&sent_call.server),
-            pool: Arc::clone(pool),
-            sent_at: sent_call.sent_at,
-        };
+        let target = Target::of(&sent_call);
         let exchange =
             Arc::clone(self).send_to_server(Arc::clone(call), target, remaining, resume_after);
         attempts.in_flight.push(Exchange::new(sent_call, exchange));
         let expiry = Instant::now() + time_limit;
-        let newest = match self.await_result(attempts, number, expiry).await {
+        let result = self.await_hedged_result(call, pool, attempts, number, expiry);
+        let newest = match result.await {
             Awaited::Own(result) => result,
             Awaited::Other(started) => return Ok(started),
         };
@@ -292,7 +300,7 @@
         }
         let Some((mut sent_call, result)) = newest else {
             // The exchange stays in flight, since the server may go on.
-            if let Some(sent_call) = attempts.in_flight.newest() {
+            if let Some(sent_call) = attempts.in_flight.call(number) {
                 let result = Err(AttemptError::TimedOut);
                 let outcome = self.record_outcome(sent_call, &result);
                 log_end(sent_call, outcome);
@@ -321,7 +329,7 @@
     }
 
     /// Waits until `expiry` for the result of the attempt `number`, or for the answer of a server that was silent before.
-    async fn await_result(
+    pub(crate) async fn await_result(
         self: &Arc<Self>,
         attempts: &mut Attempts,
         number: CallNumber,
@@ -355,9 +363,12 @@
             Ok((response, _)) if response.head.status().is_server_error() => {
                 Some(CallOutcome::Failed)
             }
-            Ok(_) => Some(CallOutcome::Answered {
-                slowness: sent_call.slowness(self.own_delay()),
-            }),
+            Ok(_) => {
+                self.learn_first_byte_time(sent_call);
+                Some(CallOutcome::Answered {
+                    slowness: sent_call.slowness(self.own_delay()),
+                })
+            }
             Err(error) => error.outcome(),
         };
         if let Some(outcome) = outcome {
@@ -454,7 +465,7 @@
     }
 
     /// Selects a server and adds the call to its load.
-    async fn select_server(
+    pub(crate) async fn select_server(
         &self,
         call: &Arc<Call>,
         pool: &Arc<PoolState>,
@@ -485,6 +496,7 @@
             summaries: Arc::clone(&self.summaries),
             expected_latency,
             number,
+            kind: CallKind::new(call.demand.prompt_tokens, choice.uncached_tokens),
             call: Arc::clone(call),
             is_end_logged: false,
         };
@@ -492,7 +504,7 @@
     }
 
     /// Sends one attempt to its server and returns the checked head and the first chunk of the response.
-    async fn send_to_server(
+    pub(crate) async fn send_to_server(
         self: Arc<Self>,
         call: Arc<Call>,
         target: Target,
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -96,6 +96,7 @@
         self.with_budget(&pool_name, |budget| {
             budget.on_request(now, &self.settings.budget);
         });
+        self.count_call_for_hedges(&pool_name);
         if self.quarantine.refuses(now, &call) {
             return self.refuse_call(&call, Refusal::Quarantined);
         }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -13,7 +13,7 @@
 use http::{HeaderValue, Request, StatusCode, header};
 use hyper::body::{Body as _, Incoming};
 use tanagerford_core::dispatch::{
-    BudgetLimits, LinkDelay, LongPromptGate, RetryBudget, TakenRetry, server_number,
+    BudgetLimits, HedgeShare, LinkDelay, LongPromptGate, RetryBudget, TakenRetry, server_number,
 };
 use tanagerford_core::document::StoredDocument;
 use tanagerford_core::ids::{PoolId, ServerId};
@@ -28,6 +28,7 @@
 use crate::changes::ChangeFeed;
 use crate::codec::{CallHead, Codec};
 use crate::fleet::{BackendServer, Fleet};
+use crate::hedge::Hedging;
 use crate::log::{self, RequestInfo};
 use crate::metrics::{Metrics, RepeatDecision};
 use crate::peers::Summaries;
@@ -57,6 +58,8 @@
     pub vm: String,
     /// Processor share of the VM in thousandths of a core.
     pub cpu_millicores: u32,
+    /// Share of the calls of each pool that may be hedged; `None` if no call is hedged.
+    pub hedge_share: Option<HedgeShare>,
 }
 
 /// Entry that calls backend servers directly.
@@ -76,6 +79,7 @@
     /// Configuration in force and the document that it was decoded from.
     configuration: RwLock<Option<(Arc<RoutingTable>, Arc<StoredDocument>)>>,
     budgets: Mutex<HashMap<PoolId, RetryBudget>>,
+    pub(crate) hedging: Option<Hedging>,
     changes: ChangeFeed,
     /// Number of live entries, including this one.
     entry_count: AtomicUsize,
@@ -110,6 +114,7 @@
             connection_pool: ConnectionPool::new(runtime.clone()),
             fleet,
             entry_count: AtomicUsize::new(settings.initial_entry_count),
+            hedging: settings.hedge_share.and_then(Hedging::new),
             settings,
             metrics,
             processor,
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -8,6 +8,7 @@
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
+use tanagerford_core::dispatch::CallNumber;
 use tanagerford_http::connection_pool::PooledResponse;
 
 use crate::attempt::{AttemptError, SentCall};
@@ -46,9 +47,14 @@
         self.0.is_empty()
     }
 
-    /// Returns the call of the newest exchange.
-    pub(crate) fn newest(&mut self) -> Option<&mut SentCall> {
-        self.0.last_mut().map(|exchange| &mut exchange.sent_call)
+    pub(crate) fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    /// Returns the call of the exchange with this number.
+    pub(crate) fn call(&mut self, number: CallNumber) -> Option<&mut SentCall> {
+        let calls = self.0.iter_mut().map(|exchange| &mut exchange.sent_call);
+        calls.into_iter().find(|call| call.number == number)
     }
 
     /// Ends all exchanges; returns the number of those whose outcome was not recorded.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! A request passes through these modules: [`gateway`] reads it, checks its route and key against the [`table`] and
 //! applies overload control; `dispatch` serves the [`Call`] and decides about retries; `attempt` chooses a server from the
-//! [`fleet`] and sends the call; `in_flight` holds what was sent until a server answers; `relay` and `buffered` return the
+//! [`fleet`] and sends the call; `hedge` sends it to a second server if the first is silent for too long; `in_flight` holds what was sent until a server answers; `relay` and `buffered` return the
 //! response to the caller; `request_end` accounts for the end of each request. Beside this path, [`peers`] exchanges load
 //! summaries with the other entries, [`copies`] reads newer configurations from them, [`changes`] hands on what one of them
 //! read in the key-value service, and [`registry`] tracks the backend servers.
@@ -20,6 +20,7 @@
 pub mod events;
 pub mod fleet;
 pub mod gateway;
+mod hedge;
 mod in_flight;
 pub mod limits;
 mod log;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -62,6 +62,11 @@
     version: String,
 }
 
+#[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct EventLabels {
+    event: &'static str,
+}
+
 #[derive(Debug, Clone, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct DecisionLabels {
     decision: &'static str,
@@ -89,6 +94,31 @@
     }
 }
 
+/// What became of a hedge, the second send of a call whose first server was silent.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum HedgeEvent {
+    /// The hedge was handed to a connection.
+    Sent,
+    /// Its answer was the first usable one.
+    Won,
+    /// It was cancelled, since another server answered first or the caller left.
+    Cancelled,
+    /// The server refused it or failed, or its connection could not be made or broke.
+    Failed,
+}
+
+impl HedgeEvent {
+    /// Returns the name of the event in metrics.
+    fn name(self) -> &'static str {
+        match self {
+            Self::Sent => "sent",
+            Self::Won => "won",
+            Self::Cancelled => "cancelled",
+            Self::Failed => "failed",
+        }
+    }
+}
+
 /// Counts a stream among those of its version until it is dropped.
 #[derive(Debug)]
 pub(crate) struct StreamGuard(Gauge);
@@ -183,6 +213,30 @@
     }
 }
 
+/// Hedges of calls.
+#[derive(Debug)]
+struct HedgeMetrics {
+    events: Family<EventLabels, Counter>,
+    denied: Family<ReasonLabels, Counter>,
+}
+
+impl HedgeMetrics {
+    fn register(registry: &mut Registry) -> Self {
+        Self {
+            events: register(
+                registry,
+                "hedges",
+                "hedges that were sent, and how they ended",
+            ),
+            denied: register(
+                registry,
+                "hedges_denied",
+                "hedges that were due and not sent, by reason",
+            ),
+        }
+    }
+}
+
 #[derive(Debug)]
 pub(crate) struct Metrics {
     registry: Registry,
@@ -192,6 +246,7 @@
     refusals: Family<ReasonLabels, Counter>,
     attempts: Family<ReasonLabels, Counter>,
     repeats: Family<DecisionLabels, Counter>,
+    hedges: HedgeMetrics,
     admissions: Family<AdmissionLabels, Counter>,
     first_chunk: Arc<Histogram>,
     processor_delay: Arc<Histogram>,
@@ -263,6 +318,7 @@
         let servers = ServerMetrics::register(&mut registry);
         let delays = DelayMetrics::register(&mut registry);
         let documents = DocumentMetrics::register(&mut registry);
+        let hedges = HedgeMetrics::register(&mut registry);
         let requests_read = register(
             &mut registry,
             "requests_read",
@@ -294,6 +350,7 @@
             refusals,
             attempts,
             repeats,
+            hedges,
             admissions,
             first_chunk,
             processor_delay,
@@ -358,6 +415,17 @@
             .inc();
     }
 
+    pub(crate) fn on_hedge(&self, event: HedgeEvent) {
+        let event = event.name();
+        let events = &self.hedges.events;
+        events.get_or_create(&EventLabels { event }).inc();
+    }
+
+    pub(crate) fn on_hedge_denied(&self, reason: &'static str) {
+        let denied = &self.hedges.denied;
+        denied.get_or_create(&ReasonLabels { reason }).inc();
+    }
+
     pub(crate) fn on_attempt(&self, reason: &'static str) {
         self.attempts.get_or_create(&ReasonLabels { reason }).inc();
     }
--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -10,7 +10,7 @@
 use hyper::body::Incoming;
 use signal_hook::consts::{SIGHUP, SIGTERM};
 use signal_hook::iterator::Signals;
-use tanagerford_core::dispatch::CostSettings;
+use tanagerford_core::dispatch::{CostSettings, HedgeShare};
 use tanagerford_gateway::Gateway;
 use tanagerford_gateway::copies::ConfigurationCopies;
 use tanagerford_gateway::fleet::Fleet;
@@ -38,6 +38,10 @@
 
 Options:
       --settings FILE        settings file of the platform
+      --hedge-share SHARE    share of the calls of each pool that may be sent to a
+                             second server while the first one is silent, from
+                             0 to 0.05; only calls that may be repeated
+                             (default: 0, off)
   -h, --help                 print this text
 ";
 
@@ -61,7 +65,13 @@
 pub fn run(arguments: &[String]) -> Result<(), Error> {
     let mut options = Options::new();
     options.optopt("", "settings", "", "FILE");
+    options.optopt("", "hedge-share", "", "SHARE");
     let matches = util::parse_options(&mut options, arguments, USAGE)?;
+    let hedge_share = matches.opt_str("hedge-share").map(|text| {
+        text.parse()
+            .map_err(|error| Error::usage(format!("--hedge-share {error}"), USAGE))
+    });
+    let hedge_share: Option<HedgeShare> = hedge_share.transpose()?;
     let path = match matches.opt_str("settings") {
         Some(path) => path,
         None => std::env::var(SETTINGS_VARIABLE).map_err(|_| {
@@ -73,7 +83,7 @@
     };
     let settings = load(&path)?;
     let logs = process::start_queued_logging()?;
-    let result = serve(&path, &settings);
+    let result = serve(&path, &settings, hedge_share);
     logs.flush();
     result
 }
@@ -89,7 +99,11 @@
     })
 }
 
-fn serve(path: &str, settings: &PlatformSettings) -> Result<(), Error> {
+fn serve(
+    path: &str,
+    settings: &PlatformSettings,
+    hedge_share: Option<HedgeShare>,
+) -> Result<(), Error> {
     let missing = |name: &str| Error::failed(format!("{path}: no address for {name}"));
     let callers = settings.caller_address.ok_or_else(|| missing("callers"))?;
     let readiness = settings
@@ -103,6 +117,7 @@
         initial_entry_count: ASSUMED_ENTRIES,
         vm: settings.vm.clone(),
         cpu_millicores: settings.cpu_millicores,
+        hedge_share,
     };
     let gateway = Gateway::new(PlatformCodec, fleet, gateway_settings, runtime.clone());
     let server = Server::bind(callers, runtime.clone())?;
--- a/tests/usage.rs
+++ b/tests/usage.rs
@@ -9,7 +9,7 @@
 fn usage_errors_exit_2_and_help_exits_0() {
     let workdir = Workdir::new("usage");
     workdir.write("sheet.csv", "workspace,tier\n");
-    let wrong: [&[&str]; 9] = [
+    let wrong: [&[&str]; 12] = [
         &[],
         &["unknown"],
         &["check"],
@@ -24,6 +24,9 @@
             "x",
             "sheet.csv",
         ],
+        &["gateway", "--hedge-share", "0.06"],
+        &["gateway", "--hedge-share", "-0.01"],
+        &["gateway", "--hedge-share", "2%"],
         &["config", "status"],
         &["config", "apply"],
         &[
