Let an entry save up ten hedges instead of two

Slow answers come in groups. Where 15 in 1,000 answers stall, p99.9 with a share of 0.02 falls from 488 ms to 58 ms, with two saved hedges to 435 ms (test hedges_cut_answers_that_stall). dispatch_hedge: 9 tests pass.

--- a/crates/core/src/dispatch/hedge.rs
+++ b/crates/core/src/dispatch/hedge.rs
@@ -16,8 +16,9 @@
 /// Millionths of one hedge.
 const MILLIONTHS: u64 = 1_000_000;
 /// Hedges that an entry can save up. In any window, the hedges of an entry exceed the share of its calls by this number at
-/// most, however often the process restarts, since an account is empty at the start.
-pub const MAX_SAVED_HEDGES: u32 = 2;
+/// most, however often the process restarts, since an account is empty at the start. Slow answers come in groups: with two,
+/// a share of 0.02 left p99.9 at 435 ms where 15 in 1,000 answers stall, with ten at 58 ms.
+pub const MAX_SAVED_HEDGES: u32 = 10;
 /// Weight of the observations from which a quantile is used.
 const MIN_OBSERVATIONS: f64 = 20.0;
 /// Half-life of an observation's weight.
--- a/crates/core/tests/dispatch_hedge.rs
+++ b/crates/core/tests/dispatch_hedge.rs
@@ -123,6 +123,87 @@
     assert!(health.is_ejected(now));
 }
 
+/// Returns numbers from 0 to below 1, the same ones in every run (a linear congruential generator).
+fn draws() -> impl FnMut() -> f64 {
+    let mut state = 57_u64;
+    move || {
+        state = state
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1_442_695_040_888_963_407);
+        f64::from(u32::try_from(state >> 32).unwrap()) / 4_294_967_296.0
+    }
+}
+
+/// Times to the first byte in milliseconds (p50, p99, p99.9) and hedges per 1,000 calls.
+type Outcome = (u128, u128, u128, usize);
+
+/// Plays 40,000 calls of one entry, 20 a second, and hedges those that the account allows. `first_byte_ms` returns the time of a
+/// server, by two draws.
+fn play(share_text: &str, first_byte_ms: impl Fn(f64, f64) -> f64) -> Outcome {
+    let mut draw = draws();
+    let mut hedging = PoolHedging::new(share(share_text));
+    let (mut times, mut hedges) = (Vec::new(), 0);
+    for number in 0..40_000 {
+        let now = ms(number * 50);
+        let mut time = || Duration::from_secs_f64(first_byte_ms(draw(), draw()) / 1_000.0);
+        let (first, second) = (time(), time());
+        hedging.on_call();
+        let due = hedging.hedge_after(now, CallKind::Plain);
+        let due = due.filter(|after| *after < first && hedging.try_hedge(IDLE).is_ok());
+        hedges += usize::from(due.is_some());
+        let took = due.map_or(first, |after| first.min(after + second));
+        if due.is_some_and(|after| after + second <= first) {
+            hedging.on_first_byte(now, CallKind::Plain, second);
+        }
+        hedging.on_first_byte(now, CallKind::Plain, took);
+        times.push(took.as_millis());
+    }
+    times.sort_unstable();
+    let at = |per_1_000: usize| times[times.len() * per_1_000 / 1_000];
+    (at(500), at(990), at(999), hedges / 40)
+}
+
+/// Returns the outcomes with 0, 1, 2 and 5 hedges in 100 calls.
+fn outcomes(first_byte_ms: impl Fn(f64, f64) -> f64 + Copy) -> [Outcome; 4] {
+    ["0", "0.01", "0.02", "0.05"].map(|share| play(share, first_byte_ms))
+}
+
+/// Guards against hedges that leave the slowest answers as slow as without them, or exceed the share, where 15 in 1,000 answers
+/// stall for 300 to 500 ms.
+#[test]
+fn hedges_cut_answers_that_stall() {
+    let stalling = |draw: f64, size: f64| {
+        if draw < 0.015 {
+            300.0 + 200.0 * size
+        } else {
+            10.0 + 15.0 * size
+        }
+    };
+    let [off, one, two, five] = outcomes(stalling);
+    assert_eq!(off.3, 0);
+    assert!(one.3 <= 10 && two.3 <= 20 && five.3 <= 50);
+    // The share covers the calls that stall.
+    assert!(two.1 < off.1 / 2 && two.2 < off.2 / 2);
+    assert!(five.1 < off.1 / 2 && five.2 < off.2 / 2);
+}
+
+/// Guards against hedges that exceed the share where one of four servers is ten times slower than the others, so that more
+/// calls are slow than the share covers.
+#[test]
+fn hedges_keep_to_the_share_beside_a_slow_server() {
+    let one_slow = |draw: f64, size: f64| {
+        let usual_ms = 10.0 + 15.0 * size;
+        if draw < 0.25 {
+            10.0 * usual_ms
+        } else {
+            usual_ms
+        }
+    };
+    let [off, one, two, five] = outcomes(one_slow);
+    assert_eq!(off.3, 0);
+    assert!(one.3 <= 10 && two.3 <= 20 && five.3 <= 50);
+}
+
 /// Step of one VM: a number of calls, after which it asks for a number of hedges, and whether its process starts anew before.
 type Step = (u8, u64, u64, bool);
 
