--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -13,7 +13,7 @@
 use http::{HeaderValue, Request, StatusCode, header};
 use hyper::body::{Body as _, Incoming};
 use tanagerford_core::dispatch::{
-    BudgetLimits, LinkDelay, LongPromptGate, RetryBudget, TakenRetry, server_number,
+    BudgetLimits, HedgeShare, LinkDelay, LongPromptGate, RetryBudget, TakenRetry, server_number,
 };
 use tanagerford_core::document::StoredDocument;
 use tanagerford_core::ids::{PoolId, ServerId};
@@ -29,6 +29,7 @@
 use crate::codec::{CallHead, Codec};
 use crate::duty::{DutySettings, UsageDuty};
 use crate::fleet::{BackendServer, Fleet};
+use crate::hedge::Hedging;
 use crate::log::{self, RequestInfo};
 use crate::metrics::{Metrics, RepeatDecision};
 use crate::peers::Summaries;
@@ -60,6 +61,8 @@
     pub cpu_millicores: u32,
     /// Report of usage that one entry makes for all; `None` if there is none.
     pub duty: Option<DutySettings>,
+    /// Share of the calls of each pool that may be hedged; `None` if no call is hedged.
+    pub hedge_share: Option<HedgeShare>,
 }
 
 /// Entry that calls backend servers directly.
@@ -80,6 +83,7 @@
     /// Configuration in force and the document that it was decoded from.
     configuration: RwLock<Option<(Arc<RoutingTable>, Arc<StoredDocument>)>>,
     budgets: Mutex<HashMap<PoolId, RetryBudget>>,
+    pub(crate) hedging: Option<Hedging>,
     changes: ChangeFeed,
     /// Number of live entries, including this one.
     entry_count: AtomicUsize,
@@ -116,6 +120,7 @@
             connection_pool: ConnectionPool::new(runtime.clone()),
             fleet,
             entry_count: AtomicUsize::new(settings.initial_entry_count),
+            hedging: settings.hedge_share.and_then(Hedging::new),
             settings,
             metrics,
             processor,
