Use no server record that lacks a field of the platform's page

Now a record needs all fields with their types (born may be missing), the last valid record holds until it expires, and a counter and a log line tell.

The records of the stand-in in tests/gateway.rs lacked two fields that the page lists; they have them now.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -207,6 +207,11 @@
         tracing::info!(version, bytes, decode_us, "configuration decoded");
     }
 
+    /// Counts a record of a backend server that another program wrote.
+    pub fn on_odd_server_record(&self) {
+        self.metrics.on_odd_server_record();
+    }
+
     /// Returns the version of the configuration in force, or `None` before the first one.
     #[must_use]
     pub fn version(&self) -> Option<Version> {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -105,6 +105,7 @@
     limits: Family<ServerLabels, Gauge<f64, AtomicU64>>,
     at_rest: Gauge<u64, AtomicU64>,
     leaving: Gauge<u64, AtomicU64>,
+    odd_records: Counter,
 }
 
 impl ServerMetrics {
@@ -125,6 +126,11 @@
                 "servers_leaving",
                 "backend servers that told this entry that they leave",
             ),
+            odd_records: register(
+                registry,
+                "odd_server_records",
+                "records of backend servers that lack a field or have one of another type, and are not used",
+            ),
         }
     }
 }
@@ -423,6 +429,10 @@
         }
     }
 
+    pub(crate) fn on_odd_server_record(&self) {
+        self.servers.odd_records.inc();
+    }
+
     /// Sets the numbers of servers at rest and of those that leave.
     pub(crate) fn set_unavailable_servers(&self, (at_rest, leaving): (usize, usize)) {
         let count = |number| u64::try_from(number).unwrap_or(u64::MAX);
--- a/crates/gateway/src/registry.rs
+++ b/crates/gateway/src/registry.rs
@@ -49,6 +49,9 @@
     /// which the record expires unless the server is alive and renews it.
     unconfirmed: BTreeMap<ServerId, (BackendServer, Instant)>,
     departed: BTreeMap<ServerId, Departure>,
+    /// Servers whose records another program has overwritten, with the time at which the last valid record expires unless
+    /// the server renews it.
+    overwritten: BTreeMap<ServerId, Instant>,
 }
 
 impl RegistryView {
@@ -61,6 +64,7 @@
             missing: BTreeMap::new(),
             unconfirmed: BTreeMap::new(),
             departed: BTreeMap::new(),
+            overwritten: BTreeMap::new(),
         }
     }
 
@@ -107,7 +111,7 @@
                     server = id,
                     "restored backup contains the record of a server that has left"
                 );
-                let until = now + self.heartbeat_interval * MISSED_HEARTBEATS + REMOVAL_SLACK;
+                let until = now + self.record_lifetime();
                 self.unconfirmed.insert(id, (server, until));
             } else if let Some((_, until)) = unconfirmed
                 .remove(&id)
@@ -147,12 +151,44 @@
     pub fn set(&mut self, now: Instant, server: BackendServer) {
         self.missing.remove(&server.id);
         self.unconfirmed.remove(&server.id);
+        self.overwritten.remove(&server.id);
         let server = self.with_departure(now, server);
         self.servers.insert(server.id.clone(), server);
     }
 
-    /// Removes one record, which was deleted or is unreadable.
+    /// Records that the value under a server's key is not a valid record, so another program wrote it. Returns the last
+    /// valid record of the server, which holds until it expires. Further invalid records do not prolong that time.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::{Duration, Instant};
+    /// use tanagerford_gateway::registry::RegistryView;
+    ///
+    /// let mut view = RegistryView::new(Duration::from_millis(1_200));
+    /// assert!(view.keep_sound(Instant::now(), "s-1").is_none());
+    /// assert!(view.next_expiry().is_none());
+    /// ```
+    pub fn keep_sound(&mut self, now: Instant, id: &str) -> Option<BackendServer> {
+        let until = now + self.record_lifetime();
+        let server = self.servers.get(id)?.clone();
+        self.overwritten.entry(id.to_owned()).or_insert(until);
+        Some(server)
+    }
+
+    /// Records that the value under a server's key is valid.
+    pub fn confirm(&mut self, id: &str) {
+        self.overwritten.remove(id);
+    }
+
+    /// Returns the time after which the store has removed a record that is not renewed.
+    fn record_lifetime(&self) -> Duration {
+        self.heartbeat_interval * MISSED_HEARTBEATS + REMOVAL_SLACK
+    }
+
+    /// Removes one record, which was deleted.
     pub fn remove(&mut self, now: Instant, id: &str) {
+        self.overwritten.remove(id);
         let missing = self.missing.remove(id).map(|(server, _)| server);
         self.unconfirmed.remove(id);
         if let Some(server) = self.servers.remove(id).or(missing) {
@@ -163,6 +199,15 @@
     /// Ends the grace periods and confirmation periods that are over; returns whether the servers changed.
     pub fn expire(&mut self, now: Instant) -> bool {
         let is_over = |until: &Instant| *until <= now;
+        let expired = self.overwritten.extract_if(.., |_, until| is_over(until));
+        let expired: Vec<_> = expired.map(|(id, _)| id).collect();
+        for id in &expired {
+            tracing::info!(
+                server = id,
+                "server did not renew its record, which another program overwrote"
+            );
+            self.remove(now, id);
+        }
         let gone = self.missing.extract_if(.., |_, (_, until)| is_over(until));
         let gone: Vec<_> = gone.map(|(_, (server, _))| server).collect();
         for server in &gone {
@@ -176,7 +221,7 @@
             .unconfirmed
             .extract_if(.., |_, (_, until)| is_over(until));
         let alive: Vec<_> = alive.map(|(_, (server, _))| server).collect();
-        let is_changed = !gone.is_empty() || !alive.is_empty();
+        let is_changed = !expired.is_empty() || !gone.is_empty() || !alive.is_empty();
         // The record outlived the heartbeats that a dead server would have missed, so the server is alive and renews
         // it.
         for server in alive {
@@ -189,7 +234,8 @@
     #[must_use]
     pub fn next_expiry(&self) -> Option<Instant> {
         let pending = self.missing.values().chain(self.unconfirmed.values());
-        pending.map(|(_, until)| *until).min()
+        let pending = pending.map(|(_, until)| *until);
+        pending.chain(self.overwritten.values().copied()).min()
     }
 
     /// Returns the servers of the corrected view, including those that drain and those in their grace period.
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -22,7 +22,8 @@
 fn registration(pool: &str, worker: &Worker) -> String {
     let address = worker.address;
     format!(
-        r#"{{"service":"{pool}","address":"{address}","zone":"zone-a","slots":4,"state":"ready","sequence":1}}"#
+        r#"{{"service":"{pool}","address":"{address}","zone":"zone-a","version":"v1","slots":4,"state":"ready",
+            "coldRemainingMs":0,"sequence":1}}"#
     )
 }
 
