Leave out servers that give no sign for unusually long

A server with three unanswered calls and no byte for longer than usual in its pool gets only a trial call from time to time.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -20,6 +20,7 @@
 mod pause;
 mod prefill;
 mod processor_delay;
+mod silence;
 mod waiting;
 
 use std::collections::{BTreeMap, HashMap};
@@ -28,6 +29,7 @@
 use crate::ids::{ServerId, ZoneId};
 
 use cost::EngineModel;
+use silence::{FirstSign, Silence};
 
 pub use admission_queue::WaiterNumber;
 pub use budget::{BudgetLimits, EntryShare, MAX_ATTEMPTS_PER_CALL, RetryBudget, TakenRetry};
@@ -215,6 +217,7 @@
     cache: PartCache,
     reported: Option<(Duration, ReportedLoad)>,
     health: Health,
+    silence: Silence,
     pause: ServerPause,
     /// Time until which a connection to the server is likely to be open.
     connected_until: Duration,
@@ -230,6 +233,7 @@
     by_id: HashMap<ServerId, ServerIndex>,
     by_number: HashMap<ServerNumber, ServerIndex>,
     peers: BTreeMap<PeerNumber, Peer>,
+    first_sign: FirstSign,
 }
 
 impl Pool {
@@ -258,6 +262,7 @@
             by_id: HashMap::new(),
             by_number: HashMap::new(),
             peers: BTreeMap::new(),
+            first_sign: FirstSign::default(),
         }
     }
 
@@ -379,6 +384,7 @@
         if candidates.len() * 2 < usable().count() {
             candidates = usable().collect();
         }
+        let candidates = self.without_silent(now, candidates);
         let estimates = candidates.iter().map(|state| {
             let snapshot = state.snapshot(now, demand);
             let cost_ms = state.cost_ms(&self.model, &self.zone, now, demand, snapshot);
@@ -417,6 +423,7 @@
     pub fn on_start(&mut self, now: Duration, server: &str, call: CallNumber, demand: &Demand) {
         if let Some(index) = self.by_id.get(server) {
             self.servers[*index].start(&self.model, now, call, demand);
+            self.record_sent(now, server, call);
         }
     }
 
@@ -448,6 +455,7 @@
         let Some(state) = index.and_then(|index| self.servers.get_mut(index)) else {
             return;
         };
+        state.on_event(now);
         let snapshot = state.snapshot(now, &Demand::default());
         let pause_ms = pause.as_secs_f64() * 1_000.0;
         self.model
@@ -600,6 +608,7 @@
             recent_prefill_at: Duration::ZERO,
             reported: None,
             health: Health::default(),
+            silence: Silence::default(),
             pause: ServerPause::default(),
             connected_until: Duration::ZERO,
         }
