--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -18,6 +18,7 @@
 use crate::dispatch::Attempts;
 use crate::fleet::{BackendServer, PoolState};
 use crate::gateway::Gateway;
+use crate::handover::Handover;
 use crate::in_flight::{Exchange, ExchangeResult};
 use crate::limits::{LimitHeader, SelectError, SelectedServer, ServerRequest};
 use crate::peers::Summaries;
@@ -62,7 +63,10 @@
                 "attempt"
             );
         }
-        self.pool.load_view().on_end(&self.server.id, self.number);
+        let mut load_view = self.pool.load_view();
+        load_view.on_given_up(&self.server.id, self.number, self.sent_at.elapsed());
+        load_view.on_end(&self.server.id, self.number);
+        drop(load_view);
         self.summaries.on_load_change();
     }
 }
@@ -165,6 +169,9 @@
     server: Arc<BackendServer>,
     pool: Arc<PoolState>,
     sent_at: Instant,
+    number: CallNumber,
+    /// Marks that are set when the call is written.
+    handovers: [Arc<Handover>; 2],
 }
 
 impl<C: Codec> Gateway<C> {
@@ -248,10 +255,15 @@
             server: Arc::clone(&sent_call.server),
             pool: Arc::clone(pool),
             sent_at: sent_call.sent_at,
+            number,
+            handovers: [Arc::default(), Arc::clone(&attempts.handover)],
         };
+        let handover = Arc::clone(&target.handovers[0]);
         let exchange =
             Arc::clone(self).send_to_server(Arc::clone(call), target, remaining, resume_after);
-        attempts.in_flight.push(Exchange::new(sent_call, exchange));
+        attempts
+            .in_flight
+            .push(Exchange::new(sent_call, handover, exchange));
         let expiry = Instant::now() + time_limit;
         let newest = match self.await_result(attempts, number, expiry).await {
             Awaited::Own(result) => result,
@@ -512,7 +524,11 @@
             if let Some(took) = connect_time {
                 self.on_connected(&server.id, took);
             }
-            self.summaries.limits().may_send(self.fleet.now(), server)
+            let may_send = self.summaries.limits().may_send(self.fleet.now(), server);
+            if may_send {
+                target.handovers.iter().for_each(|mark| mark.on_written());
+            }
+            may_send
         };
         let sending =
             self.connection_pool
@@ -520,6 +536,11 @@
         let mut response = sending
             .await
             .map_err(|error| attempt_error(&call, &error))?;
+        let (now, took) = (self.fleet.now(), target.sent_at.elapsed());
+        target
+            .pool
+            .load_view()
+            .on_sign(now, &target.server.id, target.number, took);
         let head = self.codec.response_head(&response.head);
         self.check_head(&call, &target, &head, response.head.status())?;
         let first_chunk = response
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -21,6 +21,7 @@
 use crate::codec::Codec;
 use crate::fleet::PoolState;
 use crate::gateway::Gateway;
+use crate::handover::Handover;
 use crate::in_flight::InFlight;
 use crate::log;
 use crate::refusal::Refusal;
@@ -50,6 +51,8 @@
     pub(crate) at_rest: Option<Duration>,
     /// Exchanges with servers that have not begun to answer.
     pub(crate) in_flight: InFlight,
+    /// Marks the time from which other servers work on a stream whose own server is silent.
+    pub(crate) handover: Arc<Handover>,
     /// First failure that a server reported. The caller receives it if no other server succeeds.
     reported_failure: Option<Box<StartedResponse>>,
 }
@@ -103,6 +106,9 @@
             return self.refuse_call(&call, Refusal::Overloaded);
         }
         let mut attempts = Attempts::default();
+        if call.retry_policy() == RetryPolicy::Resumable {
+            attempts.in_flight.set_exclusive();
+        }
         if call.resume_after.is_some() {
             match self.resumed_version(&call, &pool_name, &pool).await {
                 Ok(version) => attempts.keep_version(version),
@@ -152,6 +158,9 @@
                 Err(Some(error)) => last_error = Some(error),
                 Err(None) => break,
             }
+            if attempts.in_flight.is_empty() {
+                attempts.handover.clear();
+            }
         }
         // A failure that a server reported is not held back, since its caller can retry at once.
         if attempts.reported_failure.is_none()
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod events;
 pub mod fleet;
 pub mod gateway;
+mod handover;
 mod in_flight;
 pub mod limits;
 mod log;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -55,6 +55,8 @@
 enum SilenceEnd {
     /// The server goes on, or its connection has ended.
     Own(Result<Option<Bytes>, hyper::Error>),
+    /// Another server has worked on the stream for so long that the own one must end.
+    Overlap,
     /// Another server goes on with the stream; `None` if the own one has failed and no other takes over.
     Other(Option<Box<StartedResponse>>),
 }
@@ -235,7 +237,9 @@
                 self.switch_to(*started);
                 Ok(())
             }
-            Some(SilenceEnd::Own(Err(_)) | SilenceEnd::Other(None)) => Err(RelayError::Broken),
+            Some(SilenceEnd::Own(Err(_)) | SilenceEnd::Overlap | SilenceEnd::Other(None)) => {
+                Err(RelayError::Broken)
+            }
             None => Err(RelayError::IdleTimeout),
         }
     }
@@ -248,6 +252,8 @@
         let (sent_call, response) = (&self.started.sent_call, &mut self.started.response);
         let (pool_name, attempts) = (&sent_call.server.pool, &mut self.attempts);
         let media_type = &self.media_type;
+        let handover = Arc::clone(&attempts.handover);
+        handover.clear();
         let own_has_failed = AtomicBool::new(false);
         let mut taking_over = pin!(async {
             loop {
@@ -258,17 +264,37 @@
                         return Some(Box::new(started));
                     }
                     _ if own_has_failed.load(Ordering::Relaxed) => return None,
-                    _ => sleep(TAKE_OVER_INTERVAL).await,
+                    _ => {
+                        handover.clear();
+                        sleep(TAKE_OVER_INTERVAL).await;
+                    }
                 }
             }
         });
         let own = async { SilenceEnd::Own(response.next_chunk().await) };
         let other = async { SilenceEnd::Other(taking_over.as_mut().await) };
-        let mut end = timeout_at(deadline, future::or(own, other)).await;
+        let overlap = async {
+            handover.expired().await;
+            SilenceEnd::Overlap
+        };
+        let first = future::or(own, future::or(other, overlap));
+        let mut end = timeout_at(deadline, first).await;
+        if let Ok(SilenceEnd::Overlap) = end {
+            tracing::info!(
+                request = call.id,
+                server = sent_call.server.id,
+                "silent server of a stream is given up for the one that was asked after it"
+            );
+            own_has_failed.store(true, Ordering::Relaxed);
+            response.abort();
+            end = timeout_at(deadline, taking_over.as_mut())
+                .await
+                .map(SilenceEnd::Other);
+        }
         if let Ok(SilenceEnd::Own(Err(_))) = end {
             own_has_failed.store(true, Ordering::Relaxed);
             record_failure(gateway, sent_call, CallOutcome::Broken);
-            end = timeout_at(deadline, taking_over)
+            end = timeout_at(deadline, taking_over.as_mut())
                 .await
                 .map(SilenceEnd::Other);
         }
--- a/crates/http/src/connection_pool.rs
+++ b/crates/http/src/connection_pool.rs
@@ -103,7 +103,8 @@
 pub struct PooledResponse {
     /// Status and headers of the response.
     pub head: Response<()>,
-    body: Incoming,
+    /// `None` after [`PooledResponse::abort`].
+    body: Option<Incoming>,
     ends_with_connection: bool,
     connection: Option<Connection>,
     address: SocketAddr,
@@ -173,7 +174,7 @@
         let is_chunked = parts.headers.contains_key(header::TRANSFER_ENCODING);
         PooledResponse {
             head: Response::from_parts(parts, ()),
-            body,
+            body: Some(body),
             ends_with_connection: !has_length && !is_chunked,
             connection: Some(connection),
             address,
@@ -284,7 +285,10 @@
     /// Fails when the connection breaks before the end of the body.
     pub async fn next_chunk(&mut self) -> Result<Option<Bytes>, hyper::Error> {
         loop {
-            let Some(frame) = self.body.frame().await else {
+            let Some(body) = &mut self.body else {
+                return std::future::pending().await;
+            };
+            let Some(frame) = body.frame().await else {
                 self.release_connection();
                 return Ok(None);
             };
@@ -294,6 +298,12 @@
         }
     }
 
+    /// Resets the connection. [`PooledResponse::next_chunk`] never returns afterwards.
+    pub fn abort(&mut self) {
+        self.body = None;
+        self.connection = None;
+    }
+
     fn release_connection(&mut self) {
         let Some(connection) = self.connection.take() else {
             return;
