--- a/crates/core/tests/dispatch_silence.rs
+++ b/crates/core/tests/dispatch_silence.rs
@@ -38,7 +38,7 @@
     let is_dark = |server: &str, now| index(server) < dark && (from..until).contains(&now);
     while now < end || !open.is_empty() {
         open.retain(|(sent_at, server, call)| {
-            let waited = now - *sent_at;
+            let waited = now.saturating_sub(*sent_at);
             let is_answered = waited >= ANSWER_TIME && !is_dark(server, now);
             if is_answered {
                 pool.on_sign(now, server, *call, waited);
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -174,6 +174,18 @@
     handovers: [Arc<Handover>; 2],
 }
 
+impl Target {
+    fn new(sent_call: &SentCall, attempts: &Attempts) -> Self {
+        Self {
+            server: Arc::clone(&sent_call.server),
+            pool: Arc::clone(&sent_call.pool),
+            sent_at: sent_call.sent_at,
+            number: sent_call.number,
+            handovers: [Arc::default(), Arc::clone(&attempts.handover)],
+        }
+    }
+}
+
 impl<C: Codec> Gateway<C> {
     /// Records the late result of an attempt that was recorded as silent; returns the response if there is one.
     pub(crate) fn on_late_result(
@@ -251,13 +263,7 @@
         self.summaries.on_call_sent(&sent_call.server, &call.demand);
         let time_limit = response_timeout(call, remaining, attempts, self.own_delay());
         let number = sent_call.number;
-        let target = Target {
-            server: Arc::clone(&sent_call.server),
-            pool: Arc::clone(pool),
-            sent_at: sent_call.sent_at,
-            number,
-            handovers: [Arc::default(), Arc::clone(&attempts.handover)],
-        };
+        let target = Target::new(&sent_call, attempts);
         let handover = Arc::clone(&target.handovers[0]);
         let exchange =
             Arc::clone(self).send_to_server(Arc::clone(call), target, remaining, resume_after);
