Bound the bodies and buffered answers that an entry holds by the memory of its settings

Now room is taken from a budget before a body is read; who finds none waits for a second and is refused with out_of_memory. Configuration, route, key and length of large bodies are checked by the head alone.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod generation;
 pub mod ids;
 pub mod membership;
+pub mod memory_budget;
 pub mod order;
 pub mod placement;
 pub mod pool;
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -89,7 +89,7 @@
     /// rank of the route.
     #[must_use]
     pub fn priority(&self) -> u8 {
-        self.workspace_rank().saturating_add(self.route.priority)
+        rank_of(&self.route, self.workspace.as_deref())
     }
 
     /// Returns the rank for load shedding by an entry that is short of processor time. A call of a plain service costs
@@ -104,9 +104,18 @@
 
     /// Returns the rank of the workspace, scaled so that the ranks of all routes fit below the next workspace rank.
     fn workspace_rank(&self) -> u8 {
-        let workspace = self.workspace.as_ref().and_then(|w| w.priority);
-        workspace
-            .unwrap_or(0)
-            .saturating_mul(self.route.rank_count.max(1))
+        workspace_rank(&self.route, self.workspace.as_deref())
     }
 }
+
+/// Returns the rank of the calls of a workspace on a route.
+pub(crate) fn rank_of(route: &Route, workspace: Option<&Workspace>) -> u8 {
+    workspace_rank(route, workspace).saturating_add(route.priority)
+}
+
+fn workspace_rank(route: &Route, workspace: Option<&Workspace>) -> u8 {
+    let workspace = workspace.and_then(|w| w.priority);
+    workspace
+        .unwrap_or(0)
+        .saturating_mul(route.rank_count.max(1))
+}
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -345,20 +345,26 @@
         let mut response = BufferedResponse::new(Arc::clone(self), Arc::clone(&call), started);
         self.codec.strip_connection_headers(&mut head);
         let mut body = BytesMut::new();
+        let mut memory = self.memory.hold();
         loop {
-            match response.next_chunk().await {
-                Ok(Some(chunk)) => body.extend_from_slice(&chunk),
+            let has_room = match response.next_chunk().await {
+                Ok(Some(chunk)) => {
+                    body.extend_from_slice(&chunk);
+                    memory.try_grow(chunk.len())
+                }
                 Ok(None) => break,
                 Err(refusal) => {
                     return self.refuse_call(&call, refusal);
                 }
-            }
-            if body.len() > MAX_BUFFERED_BYTES {
-                return self.close_if_stopping(head.map(|()| response.into_body(body.freeze())));
+            };
+            // Without room an answer is forwarded as it arrives, so that its server waits for the caller.
+            if body.len() > MAX_BUFFERED_BYTES || !has_room {
+                let buffered = memory.attach(body);
+                return self.close_if_stopping(head.map(|()| response.into_body(buffered)));
             }
         }
         head.headers_mut().remove(http::header::CONTENT_LENGTH);
-        self.close_if_stopping(head.map(|()| Body::full(body.freeze())))
+        self.close_if_stopping(head.map(|()| Body::full(memory.attach(body))))
     }
 }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -10,25 +10,27 @@
 
 use bytes::Bytes;
 use futures_lite::{FutureExt, future};
-use http::{HeaderValue, Request, StatusCode, header};
+use http::{HeaderValue, Request, header};
 use hyper::body::{Body as _, Incoming};
 use tanagerford_core::dispatch::{
-    BudgetLimits, LinkDelay, LongPromptGate, RetryBudget, TakenRetry, server_number,
+    BudgetLimits, LinkDelay, LongPromptGate, Rank, RetryBudget, TakenRetry, server_number,
 };
 use tanagerford_core::document::StoredDocument;
 use tanagerford_core::ids::{PoolId, ServerId};
+use tanagerford_core::memory_budget::SMALL_BYTES;
+use tanagerford_http::Reply;
 use tanagerford_http::connection_pool::ConnectionPool;
 use tanagerford_http::server::{ServerLimits, Service, UnreadBody};
-use tanagerford_http::{Reply, read_body};
 use tanagerford_sync::{lock, read_lock, write_lock};
 use tokio::runtime::Handle;
 use tokio::time::timeout;
 
-use crate::call::Call;
+use crate::call::{Call, rank_of};
 use crate::changes::ChangeFeed;
 use crate::codec::{CallHead, Codec};
 use crate::fleet::{BackendServer, Fleet};
 use crate::log::{self, RequestInfo};
+use crate::memory::Memory;
 use crate::metrics::{Metrics, RepeatDecision};
 use crate::peers::Summaries;
 use crate::processor::ProcessorMonitor;
@@ -57,6 +59,8 @@
     pub vm: String,
     /// Processor share of the VM in thousandths of a core.
     pub cpu_millicores: u32,
+    /// Memory that the process may use, in bytes. `None` leaves unbounded what the entry holds for others.
+    pub memory_bytes: Option<usize>,
 }
 
 /// Entry that calls backend servers directly.
@@ -66,6 +70,7 @@
     pub(crate) fleet: Arc<Fleet>,
     pub(crate) settings: GatewaySettings,
     pub(crate) metrics: Arc<Metrics>,
+    pub(crate) memory: Arc<Memory>,
     pub(crate) processor: Arc<ProcessorMonitor>,
     pub(crate) summaries: Arc<Summaries>,
     pub(crate) quarantine: Arc<Quarantine>,
@@ -110,6 +115,7 @@
             connection_pool: ConnectionPool::new(runtime.clone()),
             fleet,
             entry_count: AtomicUsize::new(settings.initial_entry_count),
+            memory: Memory::new(settings.memory_bytes),
             settings,
             metrics,
             processor,
@@ -305,6 +311,7 @@
         self.metrics.set_unavailable_servers(unavailable);
         let store_age = self.summaries.store_age();
         self.metrics.set_delays(self.link_delay(), store_age);
+        self.metrics.set_memory(self.memory.usage());
         self.metrics.text()
     }
 
@@ -425,12 +432,24 @@
                 };
             }
         };
-        let limits = self.table().map(|table| table.limits).unwrap_or_default();
+        let table = self.table();
+        let limits = table.as_ref().map(|table| table.limits).unwrap_or_default();
+        let mut rank = Rank::MAX;
+        if self.memory.is_bounded() && is_large(&body) {
+            match early_decision(table.as_deref(), &head, parts.uri.path()) {
+                Ok(known) => rank = known,
+                Err(refusal) => {
+                    let info = RequestInfo::from_head(&head, arrived);
+                    return with_unread_body(self.refuse(info, refusal));
+                }
+            }
+        }
         let body_timeout = head
             .caller_timeout
             .unwrap_or(BODY_TIMEOUT)
             .min(BODY_TIMEOUT);
-        let refusal = match timeout(body_timeout, read_body(body, limits.max_body_bytes)).await {
+        let reading = self.memory.read_body(body, limits.max_body_bytes, rank);
+        let refusal = match timeout(body_timeout, reading).await {
             Ok(Ok(body)) => {
                 let new_guard = RequestGuard::new(&self.metrics, &head, arrived);
                 let record = Arc::clone(new_guard.record());
@@ -444,8 +463,7 @@
                 };
                 return future::or(answer, stopped).await;
             }
-            Ok(Err(StatusCode::PAYLOAD_TOO_LARGE)) => Refusal::TooLarge,
-            Ok(Err(_)) => Refusal::Malformed,
+            Ok(Err(refusal)) => refusal,
             Err(_) => Refusal::SlowBody,
         };
         with_unread_body(self.refuse(RequestInfo::from_head(&head, arrived), refusal))
@@ -592,6 +610,28 @@
     }
 }
 
+/// Returns whether a body is long, or of unknown length.
+fn is_large(body: &Incoming) -> bool {
+    let small = u64::try_from(SMALL_BYTES).unwrap_or(u64::MAX);
+    !body.is_end_stream() && body.size_hint().upper().is_none_or(|bytes| bytes > small)
+}
+
+/// Decides by the head alone whether a large body is read; returns the rank of the call.
+fn early_decision(
+    table: Option<&RoutingTable>,
+    head: &CallHead,
+    path: &str,
+) -> Result<Rank, Refusal> {
+    let table = table.ok_or(Refusal::NoConfiguration)?;
+    let route = table.route(&head.host, path).ok_or(Refusal::NoRoute)?;
+    let mut workspace = None;
+    if table.needs_key() && !route.is_public {
+        workspace = head.key.as_deref().and_then(|key| table.workspace(key));
+        workspace.ok_or(Refusal::UnknownKey)?;
+    }
+    Ok(rank_of(route, workspace.map(|workspace| &**workspace)))
+}
+
 /// Marks the response to a request whose body was not read to its end.
 fn with_unread_body(mut reply: Reply) -> Reply {
     reply.extensions_mut().insert(UnreadBody);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,6 +24,7 @@
 mod in_flight;
 pub mod limits;
 mod log;
+mod memory;
 mod metrics;
 pub mod peers;
 mod processor;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -189,6 +189,36 @@
     }
 }
 
+/// Bytes that the entry holds for others.
+#[derive(Debug)]
+struct MemoryMetrics {
+    capacity: Gauge<u64, AtomicU64>,
+    used: Gauge<u64, AtomicU64>,
+    waiting: Gauge<u64, AtomicU64>,
+}
+
+impl MemoryMetrics {
+    fn register(registry: &mut Registry) -> Self {
+        Self {
+            capacity: register(
+                registry,
+                "memory_budget_bytes",
+                "bytes that the entry may hold for others; 0 if the settings state no memory",
+            ),
+            used: register(
+                registry,
+                "memory_used_bytes",
+                "bytes of bodies and answers that the entry holds for others",
+            ),
+            waiting: register(
+                registry,
+                "memory_waiting",
+                "bodies that wait for room before they are read",
+            ),
+        }
+    }
+}
+
 #[derive(Debug)]
 pub(crate) struct Metrics {
     registry: Registry,
@@ -207,6 +237,7 @@
     quarantined_parts: Gauge<u64, AtomicU64>,
     servers: ServerMetrics,
     delays: DelayMetrics,
+    memory: MemoryMetrics,
     documents: DocumentMetrics,
     streams: Family<VersionLabels, Gauge>,
 }
@@ -268,6 +299,7 @@
         );
         let servers = ServerMetrics::register(&mut registry);
         let delays = DelayMetrics::register(&mut registry);
+        let memory = MemoryMetrics::register(&mut registry);
         let documents = DocumentMetrics::register(&mut registry);
         let requests_read = register(
             &mut registry,
@@ -288,6 +320,7 @@
             streams,
             servers,
             delays,
+            memory,
             documents,
             quarantined_parts,
             deadline_overruns,
@@ -429,6 +462,15 @@
         }
     }
 
+    /// Sets the capacity, the bytes in use and the number of bodies that wait.
+    pub(crate) fn set_memory(&self, usage: Option<(usize, usize, usize)>) {
+        let (capacity, used, waiting) = usage.unwrap_or_default();
+        let count = |number| u64::try_from(number).unwrap_or(u64::MAX);
+        self.memory.capacity.set(count(capacity));
+        self.memory.used.set(count(used));
+        self.memory.waiting.set(count(waiting));
+    }
+
     pub(crate) fn on_odd_server_record(&self) {
         self.servers.odd_records.inc();
     }
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -23,6 +23,8 @@
     TooLarge,
     /// The body did not arrive in time.
     SlowBody,
+    /// The entry has no memory for the request's body.
+    OutOfMemory,
     /// No server of the pool is known, or none could be connected to.
     NoServer,
     /// The servers that were tried refused the call, or no server has room for its long prompt.
@@ -66,6 +68,7 @@
             Self::Malformed => "malformed",
             Self::TooLarge => "too_large",
             Self::SlowBody => "slow_body",
+            Self::OutOfMemory => "out_of_memory",
             Self::NoServer => "no_server",
             Self::Overloaded => "overloaded",
             Self::ServerLimit(_) => "server_limit",
@@ -116,7 +119,8 @@
     pub fn retry_after(self) -> Option<Duration> {
         match self {
             // After an outage of the store, reading the configuration takes up to a second.
-            Self::NoConfiguration => Some(Duration::from_secs(1)),
+            // The largest bodies are read in about a second, too.
+            Self::NoConfiguration | Self::OutOfMemory => Some(Duration::from_secs(1)),
             Self::NoServer => Some(Duration::from_millis(150)),
             Self::Overloaded => Some(OVERLOAD_RETRY_AFTER),
             Self::ServerLimit(wait) | Self::ServersAtRest(wait) => Some(wait),
--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -103,6 +103,7 @@
         initial_entry_count: ASSUMED_ENTRIES,
         vm: settings.vm.clone(),
         cpu_millicores: settings.cpu_millicores,
+        memory_bytes: settings.memory_bytes,
     };
     let gateway = Gateway::new(PlatformCodec, fleet, gateway_settings, runtime.clone());
     let server = Server::bind(callers, runtime.clone())?;
