--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -22,6 +22,7 @@
 mod pause;
 mod prefill;
 mod processor_delay;
+mod silence;
 mod waiting;
 
 use std::collections::{BTreeMap, HashMap};
@@ -31,6 +32,7 @@
 
 use cost::EngineModel;
 use fetch::{ServerTransfers, Sources};
+use silence::{FirstSign, Silence};
 
 pub use admission_queue::WaiterNumber;
 pub use budget::{BudgetLimits, EntryShare, MAX_ATTEMPTS_PER_CALL, RetryBudget, TakenRetry};
@@ -277,6 +279,7 @@
     cache: PartCache,
     reported: Option<(Duration, ReportedLoad)>,
     health: Health,
+    silence: Silence,
     pause: ServerPause,
     transfers: ServerTransfers,
     /// Time until which a connection to the server is likely to be open.
@@ -293,6 +296,7 @@
     by_id: HashMap<ServerId, ServerIndex>,
     by_number: HashMap<ServerNumber, ServerIndex>,
     peers: BTreeMap<PeerNumber, Peer>,
+    first_sign: FirstSign,
 }
 
 impl Pool {
@@ -321,6 +325,7 @@
             by_id: HashMap::new(),
             by_number: HashMap::new(),
             peers: BTreeMap::new(),
+            first_sign: FirstSign::default(),
         }
     }
 
@@ -447,6 +452,7 @@
         if candidates.len() * 2 < usable().count() {
             candidates = usable().collect();
         }
+        let candidates = self.without_silent(now, candidates);
         let sources = self.model.transfer_tokens_per_ms.map(|tokens_per_ms| {
             let servers = candidates.iter().copied();
             Sources::find(tokens_per_ms, now, demand, servers)
@@ -556,6 +562,7 @@
     ) {
         if let Some(index) = self.by_id.get(server) {
             self.servers[*index].start(&self.model, now, call, demand, fetch);
+            self.record_sent(now, server, call);
         }
     }
 
@@ -602,6 +609,7 @@
         let Some(state) = index.and_then(|index| self.servers.get_mut(index)) else {
             return;
         };
+        state.on_event(now);
         let snapshot = state.snapshot(now, &Demand::default());
         let pause_ms = pause.as_secs_f64() * 1_000.0;
         self.model
@@ -756,6 +764,7 @@
             recent_prefill_at: Duration::ZERO,
             reported: None,
             health: Health::default(),
+            silence: Silence::default(),
             pause: ServerPause::default(),
             transfers: ServerTransfers::default(),
             connected_until: Duration::ZERO,
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -19,6 +19,7 @@
 use crate::dispatch::Attempts;
 use crate::fleet::{BackendServer, PoolState};
 use crate::gateway::Gateway;
+use crate::handover::Handover;
 use crate::in_flight::{Exchange, ExchangeResult};
 use crate::limits::{LimitHeader, SelectError, SelectedServer, ServerRequest};
 use crate::peers::Summaries;
@@ -64,7 +65,10 @@
                 "attempt"
             );
         }
-        self.pool.load_view().on_end(&self.server.id, self.number);
+        let mut load_view = self.pool.load_view();
+        load_view.on_given_up(&self.server.id, self.number, self.sent_at.elapsed());
+        load_view.on_end(&self.server.id, self.number);
+        drop(load_view);
         self.summaries.on_load_change();
     }
 }
@@ -169,15 +173,24 @@
     sent_at: Instant,
     /// Server from which parts of the prompt are fetched.
     fetch_from: Option<SocketAddr>,
+    number: CallNumber,
+    /// Marks that are set when the call is written.
+    pub(crate) handovers: [Arc<Handover>; 2],
 }
 
 impl Target {
-    pub(crate) fn new(sent_call: &SentCall, fetch_from: Option<SocketAddr>) -> Self {
+    pub(crate) fn new(
+        sent_call: &SentCall,
+        attempts: &Attempts,
+        fetch_from: Option<SocketAddr>,
+    ) -> Self {
         Self {
             server: Arc::clone(&sent_call.server),
             pool: Arc::clone(&sent_call.pool),
             sent_at: sent_call.sent_at,
             fetch_from,
+            number: sent_call.number,
+            handovers: [Arc::default(), Arc::clone(&attempts.handover)],
         }
     }
 }
@@ -259,10 +272,9 @@
         self.summaries.on_call_sent(&sent_call.server, &call.demand);
         let time_limit = response_timeout(call, remaining, attempts, self.own_delay());
         let number = sent_call.number;
-        let target = Target::new(&sent_call, selected.fetch_from);
-        let exchange =
-            Arc::clone(self).send_to_server(Arc::clone(call), target, remaining, resume_after);
-        attempts.in_flight.push(Exchange::new(sent_call, exchange));
+        let target = Target::new(&sent_call, attempts, selected.fetch_from);
+        let exchange = self.exchange(call, sent_call, target, remaining, resume_after);
+        attempts.in_flight.push(exchange);
         let expiry = Instant::now() + time_limit;
         let result = self.await_hedged_result(call, pool, attempts, number, expiry);
         let newest = match result.await {
@@ -334,6 +346,20 @@
         }
     }
 
+    fn exchange(
+        self: &Arc<Self>,
+        call: &Arc<Call>,
+        sent_call: SentCall,
+        target: Target,
+        remaining: Duration,
+        resume_after: Option<u64>,
+    ) -> Exchange {
+        let handover = Arc::clone(&target.handovers[0]);
+        let result =
+            Arc::clone(self).send_to_server(Arc::clone(call), target, remaining, resume_after);
+        Exchange::new(sent_call, handover, result)
+    }
+
     /// Waits until `expiry` for the result of the attempt `number`, or for the answer of a server that was silent before.
     pub(crate) async fn await_result(
         self: &Arc<Self>,
@@ -532,7 +558,11 @@
             if let Some(took) = connect_time {
                 self.on_connected(&server.id, took);
             }
-            self.summaries.limits().may_send(self.fleet.now(), server)
+            let may_send = self.summaries.limits().may_send(self.fleet.now(), server);
+            if may_send {
+                target.handovers.iter().for_each(|mark| mark.on_written());
+            }
+            may_send
         };
         let sending =
             self.connection_pool
@@ -540,6 +570,11 @@
         let mut response = sending
             .await
             .map_err(|error| attempt_error(&call, &error))?;
+        let (now, took) = (self.fleet.now(), target.sent_at.elapsed());
+        target
+            .pool
+            .load_view()
+            .on_sign(now, &target.server.id, target.number, took);
         let head = self.codec.response_head(&response.head);
         self.check_head(&call, &target, &head, response.head.status())?;
         let first_chunk = response
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -21,6 +21,7 @@
 use crate::codec::Codec;
 use crate::fleet::PoolState;
 use crate::gateway::Gateway;
+use crate::handover::Handover;
 use crate::in_flight::InFlight;
 use crate::log;
 use crate::refusal::Refusal;
@@ -50,6 +51,8 @@
     pub(crate) at_rest: Option<Duration>,
     /// Exchanges with servers that have not begun to answer.
     pub(crate) in_flight: InFlight,
+    /// Marks the time from which other servers work on a stream whose own server is silent.
+    pub(crate) handover: Arc<Handover>,
     /// First failure that a server reported. The caller receives it if no other server succeeds.
     reported_failure: Option<Box<StartedResponse>>,
 }
@@ -104,6 +107,9 @@
             return self.refuse_call(&call, Refusal::Overloaded);
         }
         let mut attempts = Attempts::default();
+        if call.retry_policy() == RetryPolicy::Resumable {
+            attempts.in_flight.set_exclusive();
+        }
         if call.resume_after.is_some() {
             match self.resumed_version(&call, &pool_name, &pool).await {
                 Ok(version) => attempts.keep_version(version),
@@ -153,6 +159,9 @@
                 Err(Some(error)) => last_error = Some(error),
                 Err(None) => break,
             }
+            if attempts.in_flight.is_empty() {
+                attempts.handover.clear();
+            }
         }
         // A failure that a server reported is not held back, since its caller can retry at once.
         if attempts.reported_failure.is_none()
@@ -337,20 +346,26 @@
         let mut response = BufferedResponse::new(Arc::clone(self), Arc::clone(&call), started);
         self.codec.strip_connection_headers(&mut head);
         let mut body = BytesMut::new();
+        let mut memory = self.memory.hold();
         loop {
-            match response.next_chunk().await {
-                Ok(Some(chunk)) => body.extend_from_slice(&chunk),
+            let has_room = match response.next_chunk().await {
+                Ok(Some(chunk)) => {
+                    body.extend_from_slice(&chunk);
+                    memory.try_grow(chunk.len())
+                }
                 Ok(None) => break,
                 Err(refusal) => {
                     return self.refuse_call(&call, refusal);
                 }
-            }
-            if body.len() > MAX_BUFFERED_BYTES {
-                return self.close_if_stopping(head.map(|()| response.into_body(body.freeze())));
+            };
+            // Without room an answer is forwarded as it arrives, so that its server waits for the caller.
+            if body.len() > MAX_BUFFERED_BYTES || !has_room {
+                let buffered = memory.attach(body);
+                return self.close_if_stopping(head.map(|()| response.into_body(buffered)));
             }
         }
         head.headers_mut().remove(http::header::CONTENT_LENGTH);
-        self.close_if_stopping(head.map(|()| Body::full(body.freeze())))
+        self.close_if_stopping(head.map(|()| Body::full(memory.attach(body))))
     }
 }
 
--- a/crates/gateway/src/hedge.rs
+++ b/crates/gateway/src/hedge.rs
@@ -224,7 +224,8 @@
             remaining_ms = remaining.as_millis(),
             "hedge sent"
         );
-        let target = Target::new(&sent_call, None);
+        let target = Target::new(&sent_call, attempts, None);
+        let handover = Arc::clone(&target.handovers[0]);
         let exchange = Arc::clone(self).send_to_server(Arc::clone(call), target, remaining, None);
         let hedge = TakenHedge {
             gateway: Arc::clone(self),
@@ -238,7 +239,9 @@
             hedge.end(&result);
             result
         };
-        attempts.in_flight.push(Exchange::new(sent_call, exchange));
+        attempts
+            .in_flight
+            .push(Exchange::new(sent_call, handover, exchange));
         Ok(())
     }
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -136,6 +136,7 @@
     at_rest: Gauge<u64, AtomicU64>,
     leaving: Gauge<u64, AtomicU64>,
     invalid_loads: Counter,
+    odd_records: Counter,
 }
 
 impl ServerMetrics {
@@ -161,6 +162,11 @@
                 "invalid_load_reports",
                 "answers of backend servers whose report of their load was ignored, since it was unreadable or absurd",
             ),
+            odd_records: register(
+                registry,
+                "odd_server_records",
+                "records of backend servers that lack a field or have one of another type, and are not used",
+            ),
         }
     }
 }
@@ -267,6 +273,36 @@
     }
 }
 
+/// Bytes that the entry holds for others.
+#[derive(Debug)]
+struct MemoryMetrics {
+    capacity: Gauge<u64, AtomicU64>,
+    used: Gauge<u64, AtomicU64>,
+    waiting: Gauge<u64, AtomicU64>,
+}
+
+impl MemoryMetrics {
+    fn register(registry: &mut Registry) -> Self {
+        Self {
+            capacity: register(
+                registry,
+                "memory_budget_bytes",
+                "bytes that the entry may hold for others; 0 if the settings state no memory",
+            ),
+            used: register(
+                registry,
+                "memory_used_bytes",
+                "bytes of bodies and answers that the entry holds for others",
+            ),
+            waiting: register(
+                registry,
+                "memory_waiting",
+                "bodies that wait for room before they are read",
+            ),
+        }
+    }
+}
+
 #[derive(Debug)]
 pub(crate) struct Metrics {
     registry: Registry,
@@ -286,6 +322,7 @@
     quarantined_parts: Gauge<u64, AtomicU64>,
     servers: ServerMetrics,
     delays: DelayMetrics,
+    memory: MemoryMetrics,
     documents: DocumentMetrics,
     duty: DutyMetrics,
     streams: Family<VersionLabels, Gauge>,
@@ -348,6 +385,7 @@
         );
         let servers = ServerMetrics::register(&mut registry);
         let delays = DelayMetrics::register(&mut registry);
+        let memory = MemoryMetrics::register(&mut registry);
         let documents = DocumentMetrics::register(&mut registry);
         let duty = DutyMetrics::register(&mut registry);
         let hedges = HedgeMetrics::register(&mut registry);
@@ -370,6 +408,7 @@
             streams,
             servers,
             delays,
+            memory,
             documents,
             duty,
             quarantined_parts,
@@ -528,6 +567,19 @@
         }
     }
 
+    /// Sets the capacity, the bytes in use and the number of bodies that wait.
+    pub(crate) fn set_memory(&self, usage: Option<(usize, usize, usize)>) {
+        let (capacity, used, waiting) = usage.unwrap_or_default();
+        let count = |number| u64::try_from(number).unwrap_or(u64::MAX);
+        self.memory.capacity.set(count(capacity));
+        self.memory.used.set(count(used));
+        self.memory.waiting.set(count(waiting));
+    }
+
+    pub(crate) fn on_odd_server_record(&self) {
+        self.servers.odd_records.inc();
+    }
+
     /// Sets the numbers of servers at rest and of those that leave.
     pub(crate) fn set_unavailable_servers(&self, (at_rest, leaving): (usize, usize)) {
         let count = |number| u64::try_from(number).unwrap_or(u64::MAX);
--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -121,6 +121,7 @@
         cpu_millicores: settings.cpu_millicores,
         duty: settings.usage_report.as_ref().map(|report| report.duty),
         hedge_share,
+        memory_bytes: settings.memory_bytes,
     };
     let gateway = Gateway::new(PlatformCodec, fleet, gateway_settings, runtime.clone());
     let server = Server::bind(callers, runtime.clone())?;
