Preview where a request would go, without sending it

Operators asked for a command that explains where a request would go now, and why. An entry answers it at its readiness listener from the configuration, the load view and the limits, which the preview does not change. The cost of a server is split into its parts; their sum is computed in the same order as before, so choices stay equal.

Weighed: a dry run through the path of calls, which would take permits and count load; and the log of past attempts, which shows no other candidates. Refusals for want of room are not foreseen.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -11,6 +11,7 @@
 mod admission_queue;
 mod budget;
 mod cache;
+mod candidates;
 mod cost;
 mod decay;
 mod health;
@@ -32,6 +33,7 @@
 pub use admission_queue::WaiterNumber;
 pub use budget::{BudgetLimits, EntryShare, MAX_ATTEMPTS_PER_CALL, RetryBudget, TakenRetry};
 pub use cache::PartCache;
+pub use candidates::{Candidate, CostParts};
 pub use cost::CostSettings;
 pub use health::{CallOutcome, Health};
 pub use link_delay::LinkDelay;
--- a/crates/core/src/dispatch/cost.rs
+++ b/crates/core/src/dispatch/cost.rs
@@ -5,8 +5,8 @@
 use serde::Deserialize;
 
 use super::{
-    CallNumber, Demand, EntryLoad, InFlightCall, PauseComponents, PauseModel, PrefillModel,
-    ServerPause, ServerState, WaitingTokens, decay,
+    CallNumber, CostParts, Demand, EntryLoad, InFlightCall, PauseComponents, PauseModel,
+    PrefillModel, ServerPause, ServerState, WaitingTokens, decay,
 };
 
 /// Half-life of the recent prefill work.
@@ -289,21 +289,36 @@
         demand: &Demand,
         snapshot: LoadSnapshot,
     ) -> f64 {
+        self.cost_parts(model, zone, now, demand, snapshot)
+            .total_ms()
+    }
+
+    pub(super) fn cost_parts(
+        &self,
+        model: &EngineModel,
+        zone: &str,
+        now: Duration,
+        demand: &Demand,
+        snapshot: LoadSnapshot,
+    ) -> CostParts {
         let settings = &model.settings;
         let work_ms = if demand.prompt_tokens == 0 {
             self.plain_service_ms(snapshot)
         } else {
             self.engine_ms(model, now, demand, snapshot)
         };
-        let slowness = self.health.slowness(now).max(snapshot.pause_factor);
-        let failing_ms = self.health.failure_rate(now) * settings.failing_ms;
         let connecting_ms = if now < self.connected_until {
             0.0
         } else {
             settings.new_connection_ms
         };
-        let cross_zone_ms = self.cross_zone_ms(settings, zone, demand);
-        work_ms * slowness + failing_ms + cross_zone_ms + connecting_ms
+        CostParts {
+            work_ms,
+            slowness: self.health.slowness(now).max(snapshot.pause_factor),
+            failing_ms: self.health.failure_rate(now) * settings.failing_ms,
+            other_zone_ms: self.cross_zone_ms(settings, zone, demand),
+            connecting_ms,
+        }
     }
 
     /// Returns the cost on a plain service, which depends on the share of its slots that are taken.
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -89,7 +89,7 @@
     /// rank of the route.
     #[must_use]
     pub fn priority(&self) -> u8 {
-        self.workspace_rank().saturating_add(self.route.priority)
+        self.route.rank(self.workspace.as_deref())
     }
 
     /// Returns the rank for load shedding by an entry that is short of processor time. A call of a plain service costs
@@ -102,11 +102,7 @@
         }
     }
 
-    /// Returns the rank of the workspace, scaled so that the ranks of all routes fit below the next workspace rank.
     fn workspace_rank(&self) -> u8 {
-        let workspace = self.workspace.as_ref().and_then(|w| w.priority);
-        workspace
-            .unwrap_or(0)
-            .saturating_mul(self.route.rank_count.max(1))
+        self.route.workspace_rank(self.workspace.as_deref())
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod log;
 mod metrics;
 pub mod peers;
+pub mod preview;
 mod processor;
 pub mod quarantine;
 pub mod refusal;
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -340,6 +340,19 @@
 }
 
 impl Route {
+    /// Returns the rank of calls of a workspace; 0 is served first. Calls are ordered by the rank of the workspace, then by
+    /// the rank of the route.
+    #[must_use]
+    pub fn rank(&self, workspace: Option<&Workspace>) -> Rank {
+        self.workspace_rank(workspace).saturating_add(self.priority)
+    }
+
+    /// Returns the rank of the workspace, scaled so that the ranks of all routes fit below the next workspace rank.
+    pub(crate) fn workspace_rank(&self, workspace: Option<&Workspace>) -> Rank {
+        let rank = workspace.and_then(|workspace| workspace.priority);
+        rank.unwrap_or(0).saturating_mul(self.rank_count.max(1))
+    }
+
     /// Returns one of the route's pools, chosen by weight; the same one for the same `hash`. Returns `None` if all
     /// weights are 0.
     ///
--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -16,8 +16,9 @@
 use tanagerford_gateway::fleet::Fleet;
 use tanagerford_gateway::gateway::{CallerService, GatewaySettings};
 use tanagerford_gateway::peers::PeerExchange;
+use tanagerford_gateway::preview::RouteQuery;
 use tanagerford_http::server::{Server, ServerLimits, ServerStopHandle, Service};
-use tanagerford_http::{Body, Reply};
+use tanagerford_http::{Body, Reply, read_body};
 use tanagerford_operator::check::FileFindings;
 use tanagerford_platform::READINESS_PATH;
 use tanagerford_platform::codec::PlatformCodec;
@@ -56,6 +57,9 @@
 /// Number of entries among which the retry budget is divided until their actual number is known.
 const ASSUMED_ENTRIES: usize = 16;
 
+/// Size limit of a request for a preview in bytes; the largest part is the list of a prompt's parts.
+const MAX_QUERY_BYTES: usize = 64 * 1024;
+
 type PlatformGateway = Gateway<PlatformCodec>;
 
 pub fn run(arguments: &[String]) -> Result<(), Error> {
@@ -189,12 +193,30 @@
 
 struct Readiness(Arc<PlatformGateway>);
 
+impl Readiness {
+    /// Answers where a request would go, which changes nothing.
+    async fn preview_route(&self, request: Request<Incoming>) -> (StatusCode, String) {
+        let body = match read_body(request.into_body(), MAX_QUERY_BYTES).await {
+            Ok(body) => body,
+            Err(status) => return (status, String::new()),
+        };
+        match serde_json::from_slice::<RouteQuery>(&body) {
+            Ok(query) => {
+                let preview = serde_json::json!(self.0.preview_route(&query));
+                (StatusCode::OK, preview.to_string())
+            }
+            Err(error) => (StatusCode::BAD_REQUEST, error.to_string()),
+        }
+    }
+}
+
 impl Service for Readiness {
     async fn handle(&self, request: Request<Incoming>, _peer: SocketAddr) -> Reply {
         let (status, body) = match request.uri().path() {
             READINESS_PATH if self.0.is_ready() => (StatusCode::OK, String::new()),
             READINESS_PATH => (StatusCode::SERVICE_UNAVAILABLE, String::new()),
             "/metrics" => (StatusCode::OK, self.0.metrics_text()),
+            "/route" => self.preview_route(request).await,
             _ => (StatusCode::NOT_FOUND, String::new()),
         };
         let mut reply = Reply::new(Body::full(body));
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -8,6 +8,7 @@
 pub mod explain;
 pub mod gateway;
 pub mod order;
+pub mod route;
 pub mod sheet;
 pub mod sidecar;
 pub mod standalone;
--- a/src/main.rs
+++ b/src/main.rs
@@ -19,6 +19,7 @@
   entry                      run an entry
   gateway                    run an entry of the users' platform
   explain ID [FILE...]       tell from logs what became of a request
+  route ADDRESS HOST PATH    tell where a request would go now, and why
   experiment FILE            play a load file against emulated servers
   sidecar                    run the sidecar of a backend server
   standalone                 run everything with stand-ins in one process
@@ -53,6 +54,7 @@
         "explain" => cmd::explain::run(rest),
         "experiment" => cmd::experiment::run(rest),
         "order" => cmd::order::run(rest),
+        "route" => cmd::route::run(rest),
         "sidecar" => cmd::sidecar::run(rest),
         "standalone" => cmd::standalone::run(rest),
         "state" => cmd::state::run(rest),
