Bound what a preview of a route costs and read its key from a file

The review of the command found that a body with thousands of parts makes the entry search all servers under locks that calls need, that a slow body is not bounded in time, that a key on the command line is visible to others, and that resting servers and waits were not told. A preview takes at most 64 parts and 8 KiB within 1 s, only by POST.

--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -256,6 +256,12 @@
         )
     }
 
+    /// Returns the servers of a pool that get no calls now, since they are at rest or leave.
+    pub(crate) fn unavailable_servers(&self, now: Duration, pool: &PoolState) -> Vec<ServerId> {
+        let availability = lock(&self.availability);
+        Self::pool_availability(&availability, now, &pool.servers(), &[]).unavailable
+    }
+
     /// Returns the server that a call would get now, if any.
     pub(crate) fn preview(
         &self,
--- a/crates/gateway/src/preview.rs
+++ b/crates/gateway/src/preview.rs
@@ -13,6 +13,10 @@
 use crate::refusal::Refusal;
 use crate::table::{Route, Version};
 
+/// Largest number of prompt parts of a previewed request. The work of a preview grows with the parts times the servers, and it
+/// holds locks that calls need.
+const MAX_PARTS: usize = 64;
+
 /// Request to preview.
 #[derive(Debug, Clone, Default, PartialEq, Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
@@ -59,11 +63,12 @@
     pub pool: PoolId,
     /// Share of the route's requests that go to the pool, relative to the weights of its other pools.
     pub weight: u32,
-    /// Server that the request would be sent to; `None` if no server may take it now.
+    /// Server that the request would be sent to, if need be after it has waited for a permit or the end of a rest; `None` if
+    /// the pool has no server.
     pub server: Option<ServerId>,
     /// Calls of this entry that wait for a permit of a server or for the end of a rest.
     pub waiting_calls: usize,
-    /// Whether the prompt is long enough to wait for room beside the running streams.
+    /// Whether the prompt is so long that it may wait for room beside the running streams.
     pub is_long_prompt: bool,
     /// Estimates for all servers of the pool, the cheapest first.
     pub candidates: Vec<CandidatePreview>,
@@ -100,8 +105,10 @@
     pub first_token_ms: f64,
     /// Expected number of streams that the request would make late.
     pub late_streams: f64,
-    /// Whether recent failures exclude the server.
+    /// Whether recent failures exclude the server, unless they exclude most servers of the pool.
     pub is_ejected: bool,
+    /// Whether the server is at rest or leaves, so that it gets no calls.
+    pub is_unavailable: bool,
 }
 
 impl From<Candidate> for CandidatePreview {
@@ -123,11 +130,19 @@
             first_token_ms: candidate.first_token_ms,
             late_streams: candidate.late_streams,
             is_ejected: candidate.is_ejected,
+            is_unavailable: false,
         }
     }
 }
 
 impl RouteQuery {
+    /// Returns whether the parts are few and no longer than the prompt.
+    #[must_use]
+    pub fn is_valid(&self) -> bool {
+        let tokens = self.parts.iter().map(|(_, tokens)| u64::from(*tokens));
+        self.parts.len() <= MAX_PARTS && tokens.sum::<u64>() <= u64::from(self.prompt_tokens)
+    }
+
     fn demand(&self, rank: Rank) -> Demand {
         let parts = self.parts.iter();
         Demand {
@@ -196,16 +211,22 @@
 
     fn preview_pool(&self, pool: &PoolState, demand: &Demand) -> PoolPreview {
         let now = self.fleet.now();
-        let choice = self.summaries.limits().preview(now, pool, demand);
+        let limits = self.summaries.limits();
+        let choice = limits.preview(now, pool, demand);
+        let unavailable = limits.unavailable_servers(now, pool);
         let load_view = pool.load_view();
-        let candidates = load_view.candidates(now, demand);
+        let candidates = load_view.candidates(now, demand).into_iter();
+        let candidates = candidates.map(|candidate| CandidatePreview {
+            is_unavailable: unavailable.contains(&candidate.server),
+            ..candidate.into()
+        });
         PoolPreview {
             pool: PoolId::default(),
             weight: 0,
             server: choice.map(|choice| choice.server),
             waiting_calls: pool.waiting_calls(),
             is_long_prompt: load_view.is_long(demand),
-            candidates: candidates.into_iter().map(Into::into).collect(),
+            candidates: candidates.collect(),
         }
     }
 }
--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use getopts::Options;
-use http::{Request, StatusCode};
+use http::{Method, Request, StatusCode};
 use hyper::body::Incoming;
 use signal_hook::consts::{SIGHUP, SIGTERM};
 use signal_hook::iterator::Signals;
@@ -27,6 +27,7 @@
 use tanagerford_platform::settings::{self, PlatformSettings, SETTINGS_VARIABLE};
 use tanagerford_platform::store::Store;
 use tokio::runtime::{self, Handle};
+use tokio::time::timeout;
 
 use crate::error::Error;
 use crate::{process, util};
@@ -58,7 +59,9 @@
 const ASSUMED_ENTRIES: usize = 16;
 
 /// Size limit of a request for a preview in bytes; the largest part is the list of a prompt's parts.
-const MAX_QUERY_BYTES: usize = 64 * 1024;
+const MAX_QUERY_BYTES: usize = 8 * 1024;
+/// Timeout for reading a request for a preview.
+const QUERY_TIMEOUT: Duration = Duration::from_secs(1);
 
 type PlatformGateway = Gateway<PlatformCodec>;
 
@@ -196,15 +199,24 @@
 impl Readiness {
     /// Answers where a request would go, which changes nothing.
     async fn preview_route(&self, request: Request<Incoming>) -> (StatusCode, String) {
-        let body = match read_body(request.into_body(), MAX_QUERY_BYTES).await {
-            Ok(body) => body,
-            Err(status) => return (status, String::new()),
+        if request.method() != Method::POST {
+            return (StatusCode::METHOD_NOT_ALLOWED, String::new());
+        }
+        let reading = read_body(request.into_body(), MAX_QUERY_BYTES);
+        let body = match timeout(QUERY_TIMEOUT, reading).await {
+            Ok(Ok(body)) => body,
+            Ok(Err(status)) => return (status, String::new()),
+            Err(_) => return (StatusCode::REQUEST_TIMEOUT, String::new()),
         };
         match serde_json::from_slice::<RouteQuery>(&body) {
-            Ok(query) => {
+            Ok(query) if query.is_valid() => {
                 let preview = serde_json::json!(self.0.preview_route(&query));
                 (StatusCode::OK, preview.to_string())
             }
+            Ok(_) => {
+                let message = "too many parts, or more tokens in parts than in the prompt";
+                (StatusCode::BAD_REQUEST, message.to_owned())
+            }
             Err(error) => (StatusCode::BAD_REQUEST, error.to_string()),
         }
     }
--- a/src/cmd/route.rs
+++ b/src/cmd/route.rs
@@ -3,7 +3,7 @@
 use std::fmt::Write;
 
 use getopts::Options;
-use tanagerford_gateway::preview::{PoolPreview, RoutePreview, RouteQuery};
+use tanagerford_gateway::preview::{CandidatePreview, PoolPreview, RoutePreview, RouteQuery};
 
 use crate::error::Error;
 use crate::util;
@@ -16,7 +16,7 @@
 nothing changes at the entry.
 
 Options:
-      --key KEY              API key of the caller
+      --key-file FILE        file with the API key of the caller
       --tokens PROMPT,OUTPUT tokens of the prompt and of the expected answer
       --parts ID:TOKENS,...  parts of the prompt in order, with hexadecimal ids
       --body-bytes N         size of the body in bytes
@@ -40,7 +40,7 @@
 impl Args {
     fn parse(arguments: &[String]) -> Result<Self, Error> {
         let mut options = Options::new();
-        options.optopt("", "key", "", "KEY");
+        options.optopt("", "key-file", "", "FILE");
         options.optopt("", "tokens", "", "PROMPT,OUTPUT");
         options.optopt("", "parts", "", "ID:TOKENS,...");
         options.optopt("", "body-bytes", "", "N");
@@ -61,10 +61,14 @@
             Some(parts) => parts.ok_or_else(|| invalid("parts"))?,
             None => Vec::new(),
         };
+        let key = match matches.opt_str("key-file") {
+            Some(path) => Some(read_key(&path)?),
+            None => None,
+        };
         let query = RouteQuery {
             host: host.clone(),
             path: path.clone(),
-            key: matches.opt_str("key"),
+            key,
             prompt_tokens,
             output_tokens,
             body_bytes: util::numeric_option(&matches, "body-bytes", USAGE)?.unwrap_or(0),
@@ -104,6 +108,13 @@
     }
 }
 
+/// Reads an API key from a file. On the command line other users of the machine could see it.
+fn read_key(path: &str) -> Result<String, Error> {
+    let key = String::from_utf8(util::read_file(path)?);
+    let key = key.map_err(|error| Error::failed(format!("{path}: {error}")))?;
+    Ok(key.trim().to_owned())
+}
+
 fn parse_tokens(text: &str) -> Option<(u32, u32)> {
     let (prompt, output) = text.split_once(',')?;
     Some((prompt.trim().parse().ok()?, output.trim().parse().ok()?))
@@ -147,7 +158,7 @@
         pool.weight,
         pool.waiting_calls,
         if pool.is_long_prompt {
-            "; a long prompt waits for room beside streams"
+            "; a long prompt may wait for room beside streams"
         } else {
             ""
         }
@@ -170,10 +181,15 @@
             candidate.waiting_tokens,
             candidate.uncached_tokens,
             candidate.first_token_ms,
-            if candidate.is_ejected {
-                "; excluded after failures"
-            } else {
-                ""
+            match candidate {
+                CandidatePreview {
+                    is_unavailable: true,
+                    ..
+                } => "; at rest or leaving",
+                CandidatePreview {
+                    is_ejected: true, ..
+                } => "; avoided after failures",
+                _ => "",
             }
         );
     }
--- a/tests/route.rs
+++ b/tests/route.rs
@@ -41,16 +41,18 @@
         "settings.toml",
         platform_settings("front-1", "zone-a", store.address, 100),
     );
+    workdir.write("key", "key-1\n");
+    workdir.write("other-key", "key-3\n");
     let arguments = ["gateway", "--settings", "settings.toml"];
     let mut process = Process::start(&workdir, &arguments, STARTED);
     let readiness = process.address(STARTED, "readiness");
     wait_until(|| is_ready(readiness));
     let address = readiness.to_string();
     let run = |options: &[&str], path: &str| {
-        let key = if options.contains(&"--key") {
+        let key = if options.contains(&"--key-file") {
             &[][..]
         } else {
-            &["--key", "key-1"]
+            &["--key-file", "key"]
         };
         let mut arguments = vec!["route"];
         arguments.extend(key);
@@ -70,7 +72,9 @@
         run(&["--tokens", "9000,50"], "/drafts/1"),
         run(&[], "/orders/1"),
         run(&[], "/unknown/1"),
-        run(&["--key", "key-3"], "/orders/1"),
+        run(&["--key-file", "other-key"], "/orders/1"),
+        // More tokens in parts than in the prompt.
+        run(&["--tokens", "10,1", "--parts", "a:11"], "/chat/1"),
     ];
     insta::assert_snapshot!(results.join("\n"));
     assert!(near.received().is_empty() && far.received().is_empty());
