--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -11,6 +11,7 @@
 mod admission_queue;
 mod budget;
 mod cache;
+mod candidates;
 mod cost;
 mod decay;
 mod fetch;
@@ -37,6 +38,7 @@
 pub use admission_queue::WaiterNumber;
 pub use budget::{BudgetLimits, EntryShare, MAX_ATTEMPTS_PER_CALL, RetryBudget, TakenRetry};
 pub use cache::PartCache;
+pub use candidates::{Candidate, CostParts};
 pub use cost::CostSettings;
 pub use fetch::TransferLink;
 pub use health::{CallOutcome, Health};
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -26,7 +26,7 @@
 use tokio::runtime::Handle;
 use tokio::time::timeout;
 
-use crate::call::{Call, rank_of};
+use crate::call::Call;
 use crate::changes::ChangeFeed;
 use crate::codec::{CallHead, Codec};
 use crate::duty::{DutySettings, UsageDuty};
@@ -642,7 +642,7 @@
         workspace = head.key.as_deref().and_then(|key| table.workspace(key));
         workspace.ok_or(Refusal::UnknownKey)?;
     }
-    Ok(rank_of(route, workspace.map(|workspace| &**workspace)))
+    Ok(route.rank(workspace.map(|workspace| &**workspace)))
 }
 
 /// Marks the response to a request whose body was not read to its end.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,6 +30,7 @@
 mod memory;
 mod metrics;
 pub mod peers;
+pub mod preview;
 mod processor;
 pub mod quarantine;
 pub mod refusal;
--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use getopts::Options;
-use http::{Request, StatusCode};
+use http::{Method, Request, StatusCode};
 use hyper::body::Incoming;
 use signal_hook::consts::{SIGHUP, SIGTERM};
 use signal_hook::iterator::Signals;
@@ -17,8 +17,9 @@
 use tanagerford_gateway::fleet::Fleet;
 use tanagerford_gateway::gateway::{CallerService, GatewaySettings};
 use tanagerford_gateway::peers::PeerExchange;
+use tanagerford_gateway::preview::RouteQuery;
 use tanagerford_http::server::{Server, ServerLimits, ServerStopHandle, Service};
-use tanagerford_http::{Body, Reply};
+use tanagerford_http::{Body, Reply, read_body};
 use tanagerford_operator::check::FileFindings;
 use tanagerford_platform::READINESS_PATH;
 use tanagerford_platform::cloud::PlatformDuty;
@@ -28,6 +29,7 @@
 use tanagerford_platform::settings::{self, PlatformSettings, SETTINGS_VARIABLE};
 use tanagerford_platform::store::Store;
 use tokio::runtime::{self, Handle};
+use tokio::time::timeout;
 
 use crate::error::Error;
 use crate::{process, util};
@@ -62,6 +64,11 @@
 /// Number of entries among which the retry budget is divided until their actual number is known.
 const ASSUMED_ENTRIES: usize = 16;
 
+/// Size limit of a request for a preview in bytes; the largest part is the list of a prompt's parts.
+const MAX_QUERY_BYTES: usize = 8 * 1024;
+/// Timeout for reading a request for a preview.
+const QUERY_TIMEOUT: Duration = Duration::from_secs(1);
+
 type PlatformGateway = Gateway<PlatformCodec>;
 
 pub fn run(arguments: &[String]) -> Result<(), Error> {
@@ -211,12 +218,39 @@
 
 struct Readiness(Arc<PlatformGateway>);
 
+impl Readiness {
+    /// Answers where a request would go, which changes nothing.
+    async fn preview_route(&self, request: Request<Incoming>) -> (StatusCode, String) {
+        if request.method() != Method::POST {
+            return (StatusCode::METHOD_NOT_ALLOWED, String::new());
+        }
+        let reading = read_body(request.into_body(), MAX_QUERY_BYTES);
+        let body = match timeout(QUERY_TIMEOUT, reading).await {
+            Ok(Ok(body)) => body,
+            Ok(Err(status)) => return (status, String::new()),
+            Err(_) => return (StatusCode::REQUEST_TIMEOUT, String::new()),
+        };
+        match serde_json::from_slice::<RouteQuery>(&body) {
+            Ok(query) if query.is_valid() => {
+                let preview = serde_json::json!(self.0.preview_route(&query));
+                (StatusCode::OK, preview.to_string())
+            }
+            Ok(_) => {
+                let message = "too many parts, or more tokens in parts than in the prompt";
+                (StatusCode::BAD_REQUEST, message.to_owned())
+            }
+            Err(error) => (StatusCode::BAD_REQUEST, error.to_string()),
+        }
+    }
+}
+
 impl Service for Readiness {
     async fn handle(&self, request: Request<Incoming>, _peer: SocketAddr) -> Reply {
         let (status, body) = match request.uri().path() {
             READINESS_PATH if self.0.is_ready() => (StatusCode::OK, String::new()),
             READINESS_PATH => (StatusCode::SERVICE_UNAVAILABLE, String::new()),
             "/metrics" => (StatusCode::OK, self.0.metrics_text()),
+            "/route" => self.preview_route(request).await,
             _ => (StatusCode::NOT_FOUND, String::new()),
         };
         let mut reply = Reply::new(Body::full(body));
