--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -221,7 +221,7 @@
 ) {
     let version = VERSIONS[usize::from(index == 1)];
     let entry = format!(
-        r#"{{"service":"{pool}","address":"{}","zone":"zone-{index}","slots":16,"state":"ready","version":"{version}","sequence":1,"born":{started_unix_ms}}}"#,
+        r#"{{"service":"{pool}","address":"{}","zone":"zone-{index}","slots":16,"state":"ready","version":"{version}","coldRemainingMs":0,"sequence":1,"born":{started_unix_ms}}}"#,
         proxy.address
     );
     store.put(&format!("servers/{pool}-{index}"), &entry);
