--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -338,7 +338,7 @@
                 let limits = self.summaries.limits();
                 if has_not_run && !limits.may_send(self.fleet.now(), &server) {
                     // The server may take the call when its rest has ended.
-                    attempts.tried_servers.pop();
+                    attempts.tried_servers.retain(|tried| *tried != server.id);
                 }
                 attempts.possible_runs += u32::from(error == AttemptError::Broken);
                 Err(Some(error))
--- a/crates/gateway/src/hedge.rs
+++ b/crates/gateway/src/hedge.rs
@@ -224,7 +224,7 @@
             remaining_ms = remaining.as_millis(),
             "hedge sent"
         );
-        let target = Target::new(&sent_call, attempts, None);
+        let target = Target::new(&sent_call, attempts, selected.fetch_from);
         let handover = Arc::clone(&target.handovers[0]);
         let exchange = Arc::clone(self).send_to_server(Arc::clone(call), target, remaining, None);
         let hedge = TakenHedge {
