Give back the room that a body does not need, and bound unread connections by the memory

Found in the review: a body in chunks took 64 KiB until its call ended, 512 unread connections could hold 64 MB outside of the budget, and a body waited for a second, by which callers of plain services have left. A body now takes 4 KiB first and keeps its size; the wait is 250 ms.

--- a/crates/core/src/memory_budget.rs
+++ b/crates/core/src/memory_budget.rs
@@ -11,8 +11,10 @@
 pub const SMALL_BYTES: usize = 64 * 1024;
 /// Share of the capacity that only small amounts may use, as a divisor.
 const SMALL_SHARE_DIVISOR: usize = 8;
-/// Most waiters. Each is a connection that is not read, so the bound is on the time that a release takes.
+/// Most waiters, which bounds the time that a release takes.
 const MAX_WAITING: usize = 512;
+/// Bytes of a waiter that the kernel holds for a connection which is not read; they count as memory of the process.
+const UNREAD_BYTES: usize = 128 * 1024;
 /// Memory that a process needs for itself: code, configuration and the kernel's view of its threads.
 const OWN_BYTES: usize = 24 * 1024 * 1024;
 /// Share of the memory that is left to connections, their buffers and the allocator's losses, as a divisor.
@@ -41,6 +43,7 @@
     used_bytes: usize,
     /// Those that wait for a large amount.
     waiting: BTreeSet<Place>,
+    max_waiting: usize,
     next_arrival: u64,
 }
 
@@ -52,6 +55,7 @@
             capacity_bytes,
             used_bytes: 0,
             waiting: BTreeSet::new(),
+            max_waiting: MAX_WAITING,
             next_arrival: 0,
         }
     }
@@ -68,8 +72,14 @@
     /// ```
     #[must_use]
     pub fn of_process(memory_bytes: usize) -> Self {
-        let overhead = memory_bytes / OVERHEAD_DIVISOR + OWN_BYTES;
-        Self::new(memory_bytes.saturating_sub(overhead))
+        let connections = memory_bytes / OVERHEAD_DIVISOR;
+        let capacity_bytes = memory_bytes.saturating_sub(connections + OWN_BYTES);
+        // Half of the memory of connections is left to those that are read.
+        let max_waiting = connections / 2 / UNREAD_BYTES;
+        Self {
+            max_waiting: max_waiting.clamp(1, MAX_WAITING),
+            ..Self::new(capacity_bytes)
+        }
     }
 
     /// Returns the size of the budget in bytes.
@@ -132,7 +142,7 @@
         let place = (rank, self.next_arrival);
         self.next_arrival += 1;
         self.waiting.insert(place);
-        if self.waiting.len() > MAX_WAITING {
+        if self.waiting.len() > self.max_waiting {
             self.waiting.pop_last();
         }
         place
--- a/crates/gateway/src/memory.rs
+++ b/crates/gateway/src/memory.rs
@@ -7,15 +7,18 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
 use tanagerford_core::dispatch::Rank;
-use tanagerford_core::memory_budget::{MemoryBudget, Place, SMALL_BYTES};
+use tanagerford_core::memory_budget::{MemoryBudget, Place};
 use tanagerford_sync::lock;
 use tokio::sync::Notify;
 use tokio::time::{Instant, timeout_at};
 
 use crate::refusal::Refusal;
 
-/// Longest time for which a caller's body waits for room before it is read on.
-const MAX_WAIT: Duration = Duration::from_secs(1);
+/// Longest time for which a caller's body waits for room before it is read on. Callers of plain services allow about a second for
+/// the whole call, and give up a request that is not read for a third of their time.
+const MAX_WAIT: Duration = Duration::from_millis(250);
+/// Room that a body without a length takes first.
+const FIRST_PIECE_BYTES: usize = 4 * 1024;
 /// Longest time between looks at the budget, since a place can be lost without a notification.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -89,6 +92,18 @@
         is_taken
     }
 
+    /// Gives back all but this amount.
+    fn shrink(&mut self, bytes: usize) {
+        let surplus = self.bytes.saturating_sub(bytes);
+        if let Some(budget) = &self.memory.budget
+            && surplus > 0
+        {
+            lock(budget).give_back(surplus);
+            self.bytes -= surplus;
+            self.memory.changed.notify_waiters();
+        }
+    }
+
     /// Takes more; waits for room.
     async fn grow(&mut self, rank: Rank, bytes: usize) -> Result<(), Refusal> {
         let memory = Arc::clone(&self.memory);
@@ -172,7 +187,7 @@
             return Err(Refusal::TooLarge);
         }
         // The room of a body without a length doubles, since what was read is copied into the larger buffer.
-        let first = length.unwrap_or(SMALL_BYTES).min(max_bytes);
+        let first = length.unwrap_or(FIRST_PIECE_BYTES).min(max_bytes);
         held.grow(rank, first).await?;
         let mut read = BytesMut::with_capacity(first);
         while let Some(frame) = body.frame().await {
@@ -193,6 +208,10 @@
             }
             read.extend_from_slice(&data);
         }
+        if read.len() < read.capacity() {
+            read = BytesMut::from(&read[..]);
+            held.shrink(read.len());
+        }
         Ok(held.attach(read))
     }
 }
