--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -581,37 +581,28 @@
             state.own_load = state.own_load.subtract(waited);
             let tokens = in_flight_call.tokens_before;
             let fetch = in_flight_call.fetch.take();
-            if tokens > 0 || fetch.is_some() {
+            if tokens > 0 {
                 let first_token_ms =
                     now.saturating_sub(in_flight_call.sent_at).as_secs_f64() * 1_000.0;
                 let transfer_ms = fetch.map_or(0.0, |fetch| fetch.transfer_ms);
                 // The shared model must not learn the slowness of a single server.
                 let normalized_ms = first_token_ms / state.health.slowness(now);
                 let processing_ms = (normalized_ms - transfer_ms).max(0.0);
-                // A fetch without effect made the server process more tokens than the model assumes.
-                let is_as_assumed =
-                    fetch.is_none_or(|fetch| self.on_fetched(now, fetch, tokens, processing_ms));
-                if tokens > 0 && is_as_assumed {
-                    self.model.on_first_token(now, tokens, processing_ms);
+                if let Some(fetch) = fetch {
+                    self.on_fetched(now, fetch, tokens, processing_ms);
                 }
+                self.model.on_first_token(now, tokens, processing_ms);
             }
         }
     }
 
-    /// Judges by the time to the first token whether the source of a fetch had the parts; returns whether it had.
-    fn on_fetched(
-        &mut self,
-        now: Duration,
-        fetch: PendingFetch,
-        tokens: u32,
-        processing_ms: f64,
-    ) -> bool {
+    /// Judges by the time to the first token whether the source of a fetch had the parts.
+    fn on_fetched(&mut self, now: Duration, fetch: PendingFetch, tokens: u32, processing_ms: f64) {
         let had_effect = self.model.had_effect(fetch.tokens, tokens, processing_ms);
         if let Some(index) = self.by_number.get(&fetch.source) {
             let transfers = &mut self.servers[*index].transfers;
             transfers.record_effect(now, had_effect);
         }
-        had_effect
     }
 
     /// Records the pause between two events of a stream.
