Check a caller's key on a route in one place

The check stood three times: where a call is admitted, before a large body is read, and in the preview of a route. A difference between them would admit a body that is refused afterwards. RoutingTable::caller_workspace serves all three; behaviour is the same.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -499,14 +499,10 @@
         let Some(route) = route else {
             return self.refuse_read(&record, info, Refusal::NoRoute);
         };
-        let mut workspace = None;
-        if table.needs_key() && !route.is_public {
-            workspace = head.key.as_deref().and_then(|key| table.workspace(key));
-            if workspace.is_none() {
-                return self.refuse_read(&record, info, Refusal::UnknownKey);
-            }
-        }
-        let workspace = workspace.cloned();
+        let workspace = match table.caller_workspace(route, head.key.as_deref()) {
+            Ok(workspace) => workspace.cloned(),
+            Err(refusal) => return self.refuse_read(&record, info, refusal),
+        };
         // The lines of a request that ends in no regular way name both, too.
         let _ = record.route.set((Arc::clone(route), workspace.clone()));
         let mut demand = head.demand;
@@ -637,11 +633,7 @@
 ) -> Result<Rank, Refusal> {
     let table = table.ok_or(Refusal::NoConfiguration)?;
     let route = table.route(&head.host, path).ok_or(Refusal::NoRoute)?;
-    let mut workspace = None;
-    if table.needs_key() && !route.is_public {
-        workspace = head.key.as_deref().and_then(|key| table.workspace(key));
-        workspace.ok_or(Refusal::UnknownKey)?;
-    }
+    let workspace = table.caller_workspace(route, head.key.as_deref())?;
     Ok(route.rank(workspace.map(|workspace| &**workspace)))
 }
 
--- a/crates/gateway/src/preview.rs
+++ b/crates/gateway/src/preview.rs
@@ -180,13 +180,10 @@
             return refused(Refusal::NoRoute, preview);
         };
         preview.route = Some(route.name.clone());
-        let mut workspace = None;
-        if table.needs_key() && !route.is_public {
-            workspace = query.key.as_deref().and_then(|key| table.workspace(key));
-            if workspace.is_none() {
-                return refused(Refusal::UnknownKey, preview);
-            }
-        }
+        let workspace = match table.caller_workspace(route, query.key.as_deref()) {
+            Ok(workspace) => workspace,
+            Err(refusal) => return refused(refusal, preview),
+        };
         preview.workspace = workspace.map(|workspace| workspace.name.clone());
         preview.rank = route.rank(workspace.map(|workspace| &**workspace));
         preview.pools = self.preview_pools(route, &query.demand(preview.rank));
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -9,6 +9,7 @@
 use tanagerford_core::version_history::MIN_RETENTION;
 
 use crate::call::RetryPolicy;
+use crate::refusal::Refusal;
 
 /// Version of a configuration; a newer configuration has a larger one.
 pub type Version = u64;
@@ -300,7 +301,7 @@
     }
 
     /// Returns whether requests to routes that are not public need an API key.
-    pub(crate) fn needs_key(&self) -> bool {
+    fn needs_key(&self) -> bool {
         self.workspaces.is_some()
     }
 
@@ -315,6 +316,23 @@
         self.workspaces.iter().flat_map(HashMap::values)
     }
 
+    /// Returns the workspace of a caller on a route; `None` if the route needs no key.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Refusal::UnknownKey`] if the route needs a key and no workspace owns this one.
+    pub(crate) fn caller_workspace(
+        &self,
+        route: &Route,
+        key: Option<&str>,
+    ) -> Result<Option<&Arc<Workspace>>, Refusal> {
+        if !self.needs_key() || route.is_public {
+            return Ok(None);
+        }
+        let workspace = key.and_then(|key| self.workspace(key));
+        workspace.map(Some).ok_or(Refusal::UnknownKey)
+    }
+
     pub(crate) fn route_count(&self) -> usize {
         self.summary.count
     }
