review: case 8, a new version in use before all entries know it

When the old servers drain, those of a new version get calls at once. An entry that the store turns away takes the old version for the only one for 1.5 s.

--- a/review/standins-2/kit.rs
+++ b/review/standins-2/kit.rs
@@ -219,6 +219,38 @@
     }
 }
 
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+enum LinkState {
+    #[default]
+    Open,
+    /// Calls get no response.
+    Silent,
+    /// Responses are held up until the partition has healed; calls that are made meanwhile get none.
+    Partitioned,
+}
+
+/// Way of one entry to the store.
+#[derive(Debug, Default)]
+pub struct StoreLink(Mutex<LinkState>);
+
+impl StoreLink {
+    fn state(&self) -> LinkState {
+        *lock(&self.0)
+    }
+
+    pub fn silence(&self) {
+        *lock(&self.0) = LinkState::Silent;
+    }
+
+    pub fn partition(&self) {
+        *lock(&self.0) = LinkState::Partitioned;
+    }
+
+    pub fn heal(&self) {
+        *lock(&self.0) = LinkState::Open;
+    }
+}
+
 /// The platform's store.
 pub struct Store {
     pub address: SocketAddr,
@@ -230,10 +262,17 @@
         let state = StoreState { revision: 10, next_lease: 1, ..StoreState::default() };
         let shared = Arc::new((Mutex::new(state), Condvar::new()));
         let served = Arc::clone(&shared);
-        let address = listen(move |stream| serve_store(&served, stream));
+        let address = listen(move |stream| serve_store(&served, stream, &StoreLink::default()));
         Self { address, shared }
     }
 
+    /// Returns another address of the same store, with the link that leads there.
+    pub fn second_address(&self) -> (SocketAddr, Arc<StoreLink>) {
+        let (shared, link) = (Arc::clone(&self.shared), Arc::<StoreLink>::default());
+        let served = Arc::clone(&link);
+        (listen(move |stream| serve_store(&shared, stream, &served)), link)
+    }
+
     /// Writes an item as the operator or a server; the return is the confirmation.
     pub fn put(&self, key: &str, value: &str) {
         lock(&self.shared.0).put(key, value.as_bytes().to_vec());
@@ -251,7 +290,7 @@
     }
 }
 
-fn serve_store(shared: &(Mutex<StoreState>, Condvar), stream: TcpStream) {
+fn serve_store(shared: &(Mutex<StoreState>, Condvar), stream: TcpStream, link: &StoreLink) {
     let Ok(reader) = stream.try_clone() else { return };
     let mut reader = BufReader::new(reader);
     let mut writer = stream;
@@ -264,7 +303,17 @@
             .filter_map(|field| field.split_once('='))
             .map(|(name, value)| (name.to_owned(), percent_decoded(value)))
             .collect();
+        if link.state() != LinkState::Open {
+            // A connection on which a response is lost returns nothing further.
+            break;
+        }
         let (status, body) = answer_store(shared, method, path, &query, &request.body);
+        while link.state() == LinkState::Partitioned {
+            thread::sleep(Duration::from_millis(2));
+        }
+        if link.state() == LinkState::Silent {
+            break;
+        }
         let answer = format!(
             "HTTP/1.1 {status} S\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
             body.len()
@@ -273,6 +322,9 @@
             return;
         }
     }
+    // The other side finds out by its own timeout.
+    let mut rest = [0; 1024];
+    while reader.read(&mut rest).is_ok_and(|length| length > 0) {}
 }
 
 fn answer_store(
@@ -552,8 +604,13 @@
 
 /// Returns the record of a backend server.
 pub fn server_record(service: &str, address: SocketAddr, state: &str, slots: u32) -> String {
+    versioned_record(service, address, state, slots, "v1")
+}
+
+/// Returns the record of a backend server whose software has this version.
+pub fn versioned_record(service: &str, address: SocketAddr, state: &str, slots: u32, version: &str) -> String {
     format!(
-        r#"{{"service":"{service}","address":"{address}","zone":"luzon-a","version":"v1","slots":{slots},"state":"{state}","coldRemainingMs":0,"sequence":4}}"#
+        r#"{{"service":"{service}","address":"{address}","zone":"luzon-a","version":"{version}","slots":{slots},"state":"{state}","coldRemainingMs":0,"sequence":4}}"#
     )
 }
 
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -1,6 +1,8 @@
 //! Cases of the second review: `review-2 NUMBER DIRECTORY` runs one and writes `record.txt` in its directory. It ends with 1 if
 //! the rule was broken, 0 if it held and 2 if the case could not run. With `TROUBLE=0` it does without the disruption.
 
+mod early_use;
+mod held_answer;
 mod kit;
 mod spoiled_event;
 
@@ -29,6 +31,8 @@
         return ExitCode::from(2);
     };
     let run: fn(&Arc<Record>, bool) -> Outcome = match number.as_str() {
+        "6" => held_answer::run,
+        "8" => early_use::run,
         "7" => spoiled_event::run,
         _ => {
             eprintln!("no case {number}");
