review: case 9, a restarted entry trusts a store that came back from a copy

After a restart the entry takes the record of versions for complete, though the store has just lost the version that began the callers' streams.

--- a/review/standins-2/early_use.rs
+++ b/review/standins-2/early_use.rs
@@ -188,7 +188,7 @@
 }
 
 /// Serves the requests of one connection. The text of each event names the version of the server.
-fn serve(name: &'static str, stream: TcpStream, record: &Record) {
+pub fn serve(name: &'static str, stream: TcpStream, record: &Record) {
     let version = if OLD.contains(&name) { "v1" } else { "v2" };
     let Ok(reader) = stream.try_clone() else { return };
     let (mut reader, mut writer) = (BufReader::new(reader), stream);
--- a/review/standins-2/kit.rs
+++ b/review/standins-2/kit.rs
@@ -200,6 +200,10 @@
     /// All changes in order; `None` for a removal.
     history: Vec<(u64, String, Option<Vec<u8>>)>,
     next_lease: u64,
+    /// Number of times that the store came back from a copy; sent in each answer once it is above 0.
+    era: u64,
+    /// First revision that a watch may begin after.
+    first_revision: u64,
 }
 
 impl StoreState {
@@ -251,6 +255,12 @@
     }
 }
 
+/// Content of the store at some moment.
+pub struct StoreCopy {
+    items: BTreeMap<String, Item>,
+    revision: u64,
+}
+
 /// The platform's store.
 pub struct Store {
     pub address: SocketAddr,
@@ -273,6 +283,23 @@
         (listen(move |stream| serve_store(&shared, stream, &served)), link)
     }
 
+    /// Returns a copy of the store's content, of which one can be made again.
+    pub fn copy(&self) -> StoreCopy {
+        let state = lock(&self.shared.0);
+        StoreCopy { items: state.items.clone(), revision: state.revision }
+    }
+
+    /// Goes on from a copy: what was written since is gone, and revisions are given out again.
+    pub fn restore(&self, copy: StoreCopy) {
+        let mut state = lock(&self.shared.0);
+        state.items = copy.items;
+        state.revision = copy.revision;
+        state.first_revision = copy.revision;
+        state.history.clear();
+        state.era += 1;
+        self.shared.1.notify_all();
+    }
+
     /// Writes an item as the operator or a server; the return is the confirmation.
     pub fn put(&self, key: &str, value: &str) {
         lock(&self.shared.0).put(key, value.as_bytes().to_vec());
@@ -284,6 +311,14 @@
         self.shared.1.notify_all();
     }
 
+    /// Returns the value of a key; an empty text if there is none.
+    pub fn value(&self, key: &str) -> String {
+        let state = lock(&self.shared.0);
+        let item = state.items.get(key);
+        item.map(|item| String::from_utf8_lossy(&item.value).into_owned()).unwrap_or_default()
+    }
+
+    /// Returns the number of keys with a prefix.
     pub fn contains(&self, prefix: &str) -> usize {
         let state = lock(&self.shared.0);
         state.items.keys().filter(|key| key.starts_with(prefix)).count()
@@ -314,8 +349,12 @@
         if link.state() == LinkState::Silent {
             break;
         }
+        let era = match lock(&shared.0).era {
+            0 => String::new(),
+            era => format!("Store-Era: {era}\r\n"),
+        };
         let answer = format!(
-            "HTTP/1.1 {status} S\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
+            "HTTP/1.1 {status} S\r\nContent-Type: application/json\r\n{era}Content-Length: {}\r\n\r\n{body}",
             body.len()
         );
         if writer.write_all(answer.as_bytes()).is_err() {
@@ -360,6 +399,9 @@
             let (prefix, after) = (text("pathPrefix"), number("after"));
             let end = Instant::now() + Duration::from_millis(number("waitMs").min(30_000));
             loop {
+                if after > state.revision || after < state.first_revision {
+                    return (410, "{}".to_owned());
+                }
                 let news = state.history.iter();
                 let news = news.filter(|(revision, key, _)| *revision > after && key.starts_with(&prefix));
                 let events: Vec<_> = news
@@ -620,6 +662,7 @@
     pub readiness: SocketAddr,
     process: Child,
     directory: PathBuf,
+    settings: PathBuf,
 }
 
 impl Entry {
@@ -630,16 +673,8 @@
         let (callers, readiness, peers) = (free_address(), free_address(), free_address());
         let settings = directory.join("local.toml");
         fs::write(&settings, settings_text(node, store, callers, readiness, peers.port())).ok()?;
-        let log = File::create(directory.join("log.json")).ok()?;
-        let process = Command::new("target/deploy/tanagerford")
-            .arg("gateway")
-            .env("TANAGERFORD_NODE_FILE", &settings)
-            .stdin(Stdio::null())
-            .stdout(log.try_clone().ok()?)
-            .stderr(log)
-            .spawn()
-            .ok()?;
-        let entry = Self { callers, readiness, process, directory };
+        let process = start_process(&directory, &settings).ok()?;
+        let entry = Self { callers, readiness, process, directory, settings };
         let end = Instant::now() + START_TIMEOUT;
         while Instant::now() < end {
             if entry.is_ready() {
@@ -651,6 +686,17 @@
         None
     }
 
+    /// Kills the process, which is started again after `pause`, no longer as the first start of the whole system.
+    pub fn kill_and_restart(&mut self, pause: Duration) -> io::Result<()> {
+        self.process.kill()?;
+        self.process.wait()?;
+        let text = fs::read_to_string(&self.settings)?;
+        fs::write(&self.settings, text.replace("bootstrap = true", "bootstrap = false"))?;
+        thread::sleep(pause);
+        self.process = start_process(&self.directory, &self.settings)?;
+        Ok(())
+    }
+
     pub fn is_ready(&self) -> bool {
         let Ok(mut stream) = TcpStream::connect(self.readiness) else {
             return false;
@@ -698,6 +744,17 @@
     }
 }
 
+fn start_process(directory: &Path, settings: &Path) -> io::Result<Child> {
+    let log = fs::OpenOptions::new().create(true).append(true).open(directory.join("log.json"))?;
+    Command::new("target/deploy/tanagerford")
+        .arg("gateway")
+        .env("TANAGERFORD_NODE_FILE", settings)
+        .stdin(Stdio::null())
+        .stdout(log.try_clone()?)
+        .stderr(log)
+        .spawn()
+}
+
 fn settings_text(node: &str, store: SocketAddr, callers: SocketAddr, readiness: SocketAddr, peers: u16) -> String {
     format!(
         r#"node = "{node}"
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -4,6 +4,7 @@
 mod early_use;
 mod held_answer;
 mod kit;
+mod restored_store;
 mod spoiled_event;
 
 use std::path::Path;
@@ -32,6 +33,7 @@
     };
     let run: fn(&Arc<Record>, bool) -> Outcome = match number.as_str() {
         "6" => held_answer::run,
+        "9" => restored_store::run,
         "8" => early_use::run,
         "7" => spoiled_event::run,
         _ => {
