review: case 10, streams of a split route are taken up at the other service

The pool is picked by the id of the attempt, and a take-up has a new one. The version is checked against the pool that was picked, not the one that began the stream.

--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -5,6 +5,7 @@
 mod held_answer;
 mod kit;
 mod restored_store;
+mod split_route;
 mod spoiled_event;
 
 use std::path::Path;
@@ -33,6 +34,7 @@
     };
     let run: fn(&Arc<Record>, bool) -> Outcome = match number.as_str() {
         "6" => held_answer::run,
+        "10" => split_route::run,
         "9" => restored_store::run,
         "8" => early_use::run,
         "7" => spoiled_event::run,
