--- a/review/standins-2/kit.rs
+++ b/review/standins-2/kit.rs
@@ -18,6 +18,7 @@
 const IO_TIMEOUT: Duration = Duration::from_secs(60);
 /// Time in which an entry must be ready.
 const START_TIMEOUT: Duration = Duration::from_secs(15);
+const START_ATTEMPTS: u32 = 3;
 /// API key of the only workspace.
 pub const KEY: &str = "key-of-the-review";
 
@@ -229,6 +230,8 @@
     Open,
     /// Calls get no response.
     Silent,
+    /// Calls end with a closed connection.
+    Away,
     /// Responses are held up until the partition has healed; calls that are made meanwhile get none.
     Partitioned,
 }
@@ -246,6 +249,10 @@
         *lock(&self.0) = LinkState::Silent;
     }
 
+    pub fn take_away(&self) {
+        *lock(&self.0) = LinkState::Away;
+    }
+
     pub fn partition(&self) {
         *lock(&self.0) = LinkState::Partitioned;
     }
@@ -338,6 +345,9 @@
             .filter_map(|field| field.split_once('='))
             .map(|(name, value)| (name.to_owned(), percent_decoded(value)))
             .collect();
+        if link.state() == LinkState::Away {
+            return;
+        }
         if link.state() != LinkState::Open {
             // A connection on which a response is lost returns nothing further.
             break;
@@ -346,8 +356,10 @@
         while link.state() == LinkState::Partitioned {
             thread::sleep(Duration::from_millis(2));
         }
-        if link.state() == LinkState::Silent {
-            break;
+        match link.state() {
+            LinkState::Away => return,
+            LinkState::Silent => break,
+            LinkState::Open | LinkState::Partitioned => {}
         }
         let era = match lock(&shared.0).era {
             0 => String::new(),
@@ -666,17 +678,22 @@
 }
 
 impl Entry {
-    /// Starts an entry in a temporary directory and waits until it is ready.
+    /// Starts an entry in a temporary directory and waits until it is ready. Tries again with other ports, since another process
+    /// may have taken one meanwhile.
     pub fn start(node: &str, store: SocketAddr) -> Option<Self> {
+        (0..START_ATTEMPTS).find_map(|_| Self::try_start(node, store))
+    }
+
+    fn try_start(node: &str, store: SocketAddr) -> Option<Self> {
         let directory = std::env::temp_dir().join(format!("review-2-{}-{node}", std::process::id()));
         fs::create_dir_all(&directory).ok()?;
         let (callers, readiness, peers) = (free_address(), free_address(), free_address());
         let settings = directory.join("local.toml");
         fs::write(&settings, settings_text(node, store, callers, readiness, peers.port())).ok()?;
         let process = start_process(&directory, &settings).ok()?;
-        let entry = Self { callers, readiness, process, directory, settings };
+        let mut entry = Self { callers, readiness, process, directory, settings };
         let end = Instant::now() + START_TIMEOUT;
-        while Instant::now() < end {
+        while Instant::now() < end && matches!(entry.process.try_wait(), Ok(None)) {
             if entry.is_ready() {
                 return Some(entry);
             }
--- a/review/standins-2/restored_store.rs
+++ b/review/standins-2/restored_store.rs
@@ -93,7 +93,7 @@
             .collect();
         if has_trouble {
             wait_until(STORE_AWAY);
-            link.silence();
+            link.take_away();
             record.note("the store is away");
             wait_until(ENTRY_KILLED);
             record.note("the entry is killed");
