--- a/review/standins-2/kit.rs
+++ b/review/standins-2/kit.rs
@@ -8,6 +8,7 @@
 use std::fs::{self, File};
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
@@ -24,6 +25,7 @@
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, ...) -> i32;
 }
 
 pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -762,8 +764,19 @@
 }
 
 fn start_process(directory: &Path, settings: &Path) -> io::Result<Child> {
+    const PR_SET_PDEATHSIG: i32 = 1;
+    const SIGKILL: u64 = 9;
     let log = fs::OpenOptions::new().create(true).append(true).open(directory.join("log.json"))?;
-    Command::new("target/deploy/tanagerford")
+    let mut command = Command::new("target/deploy/tanagerford");
+    // The entry ends with the case, also if that is killed.
+    // SAFETY: the call only sets an attribute of the new process and allocates nothing.
+    unsafe {
+        command.pre_exec(|| {
+            prctl(PR_SET_PDEATHSIG, SIGKILL);
+            Ok(())
+        });
+    }
+    command
         .arg("gateway")
         .env("TANAGERFORD_NODE_FILE", settings)
         .stdin(Stdio::null())
