--- a/review/standins-2/held_answer.rs
+++ b/review/standins-2/held_answer.rs
@@ -1,4 +1,4 @@
-//! Case 6: an entry is cut off from the store while the servers of a pool are replaced by ones of a newer version.
+//! Case 7: an entry is cut off from the store while the servers of a pool are replaced by ones of a newer version.
 
 use std::sync::Arc;
 use std::thread;
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -33,11 +33,11 @@
         return ExitCode::from(2);
     };
     let run: fn(&Arc<Record>, bool) -> Outcome = match number.as_str() {
-        "6" => held_answer::run,
-        "10" => split_route::run,
-        "9" => restored_store::run,
+        "6" => split_route::run,
+        "7" => held_answer::run,
         "8" => early_use::run,
-        "7" => spoiled_event::run,
+        "9" => restored_store::run,
+        "10" => spoiled_event::run,
         _ => {
             eprintln!("no case {number}");
             return ExitCode::from(2);
--- a/review/standins-2/split_route.rs
+++ b/review/standins-2/split_route.rs
@@ -1,4 +1,4 @@
-//! Case 10: a route of resumable streams is split between two services.
+//! Case 6: a route of resumable streams is split between two services.
 
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
--- a/review/standins-2/spoiled_event.rs
+++ b/review/standins-2/spoiled_event.rs
@@ -1,4 +1,4 @@
-//! Case 7: one event of a resumable stream is spoiled while its server goes on with the stream, and the server that takes the
+//! Case 10: one event of a resumable stream is spoiled while its server goes on with the stream, and the server that takes the
 //! stream up has just turned slow.
 
 use std::collections::BTreeMap;
