Count what other entries confirm by the sender's clock

What could be wrong, each found by reading and by a test or mutation that fails: - A summary carries the age of its sender's last confirmation, and the receiver applied it as if the message had just been sent. One that waits in the socket while the receiver is frozen makes a view of seconds ago current. - Entries passed on what they had learned from others, so a confirmation grew younger by the transit time with each hop. - Position and age were read under two locks: a newer read in between confirmed the older position. - `behind_since` was cleared whenever the position moved, so an entry that followed too slowly never counted as behind.

`core::store_view` now owns these decisions. A summary names its time of sending by the sender's clock, and the receiver keeps the smallest difference of the two clocks, so what the sender knew is placed in the receiver's time to within the delay of the fastest message, for which `ACTIVATION_DELAY` leaves half a second. A clock counts after 2 s, since messages that waited together tell nothing of their delay. Only a sender's own confirmations are passed on.

Older entries send no time, so nothing is taken over from them.

--- a/crates/core/src/exchange.rs
+++ b/crates/core/src/exchange.rs
@@ -101,8 +101,10 @@
     pub version: u64,
     /// Position up to which the sender has received all changes of the key-value service.
     pub store: StorePosition,
-    /// Time since the sender last knew that `store` is the newest position; `None` if it never knew.
+    /// Time since the service last confirmed to the sender itself that `store` was the newest position; `None` if it never did.
     pub store_age: Option<Duration>,
+    /// Time of sending by the clock of the incarnation; `None` if an older version sent the summary.
+    pub sent_at: Option<Duration>,
     /// Whether `loads` is complete. If so, servers that are not in `loads` have no load, otherwise their load is
     /// unchanged.
     pub is_full: bool,
@@ -142,7 +144,8 @@
     pub version: u64,
     /// Position up to which this entry has received all changes of the key-value service.
     pub store: StorePosition,
-    /// Time since this entry last knew that `store` is the newest position; `None` if it never knew.
+    /// Time since the service last confirmed to this entry itself that `store` was the newest position; `None` if it never
+    /// did.
     pub store_age: Option<Duration>,
     /// Load of this entry by server.
     pub loads: Vec<(ServerNumber, EntryLoad)>,
@@ -452,12 +455,12 @@
             if is_same_zone_due {
                 let (receivers, to_relay) = self.same_zone_receivers(now);
                 let update = self.same_zone.take(now, &content.loads);
-                outgoing.push(self.own_message(receivers, to_relay, update, &content));
+                outgoing.push(self.own_message(now, receivers, to_relay, update, &content));
             }
             if is_cross_zone_due {
                 let receivers = self.cross_zone_receivers(now);
                 let update = self.cross_zone.take(now, &content.loads);
-                outgoing.push(self.own_message(receivers, true, update, &content));
+                outgoing.push(self.own_message(now, receivers, true, update, &content));
             }
         }
         let bundles = (self.relay.take_due(now), self.busy_relay.take_due(now));
@@ -473,6 +476,7 @@
 
     fn own_message(
         &mut self,
+        now: Duration,
         receivers: Vec<EntryNumber>,
         to_relay: bool,
         update: PendingUpdate,
@@ -495,6 +499,7 @@
             version: content.version,
             store: content.store,
             store_age: content.store_age,
+            sent_at: Some(now),
             is_full: update.is_full,
             loads: update.loads,
             parts: update.parts,
--- a/crates/core/src/exchange/wire.rs
+++ b/crates/core/src/exchange/wire.rs
@@ -49,6 +49,8 @@
     limits: Vec<u8>,
     #[prost(uint32, optional, tag = "14")]
     store_age_ms: Option<u32>,
+    #[prost(uint64, optional, tag = "15")]
+    sent_at_ms: Option<u64>,
 }
 
 #[derive(Clone, PartialEq, Eq, prost::Message)]
@@ -104,6 +106,9 @@
             store_age_ms: summary
                 .store_age
                 .map(|age| u32::try_from(age.as_millis()).unwrap_or(u32::MAX)),
+            sent_at_ms: summary
+                .sent_at
+                .and_then(|at| u64::try_from(at.as_millis()).ok()),
         }
     }
 }
@@ -144,6 +149,7 @@
             store_age: wire
                 .store_age_ms
                 .map(|age_ms| Duration::from_millis(age_ms.into())),
+            sent_at: wire.sent_at_ms.map(Duration::from_millis),
         }
     }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod routing;
 pub mod server_limit;
 pub mod store_position;
+pub mod store_view;
 pub mod straggler;
 pub mod stream_version;
 pub mod subset;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -22,6 +22,7 @@
 use tanagerford_core::ids::ZoneId;
 use tanagerford_core::server_limit;
 use tanagerford_core::store_position::StorePosition;
+use tanagerford_core::store_view::{PeerReport, StoreView};
 use tanagerford_core::stream_version::{self, VersionId};
 use tanagerford_sync::{lock, spawn_restarting};
 use tokio::runtime::Handle;
@@ -72,14 +73,8 @@
     stream_versions: StreamVersions,
     /// Version of the configuration in force; 0 for none.
     version: AtomicU64,
-    /// Position up to which this entry has read the changes of the store.
-    store_position: Mutex<StorePosition>,
-    /// Time at which this entry last knew that its position is the newest one; `None` before the first read.
-    store_confirmed_at: Mutex<Option<Duration>>,
-    /// Newest position of the store that another entry reported.
-    peer_store_position: Mutex<StorePosition>,
-    /// Time since which another entry has known a newer position of the store.
-    behind_since: Mutex<Option<Duration>>,
+    /// How far this entry's copy of the store is known to be complete.
+    store_view: Mutex<StoreView>,
     /// Processor share of this entry's VM in thousandths of a core.
     own_millicores: u32,
     /// Largest number of entries, including this one, that the key-value service has named as registered.
@@ -116,10 +111,7 @@
             limits,
             stream_versions: StreamVersions::new(number),
             version: AtomicU64::new(0),
-            store_position: Mutex::default(),
-            store_confirmed_at: Mutex::default(),
-            peer_store_position: Mutex::default(),
-            behind_since: Mutex::default(),
+            store_view: Mutex::default(),
             own_millicores,
             registered_count: AtomicUsize::new(1),
             is_first_process: OnceLock::new(),
@@ -155,12 +147,7 @@
 
     /// Sets the position up to which this entry has read the changes of the store.
     pub fn set_store_position(&self, position: StorePosition) {
-        let before = std::mem::replace(&mut *lock(&self.store_position), position);
-        if before != position {
-            *lock(&self.behind_since) = None;
-        }
-        self.update_lag();
-        if before != position {
+        if lock(&self.store_view).set_position(position) {
             self.on_load_change();
         }
     }
@@ -196,50 +183,32 @@
 
     /// Returns whether other entries have known for some time of changes of the store that this one does not know.
     pub(crate) fn is_behind(&self) -> bool {
-        let since = *lock(&self.behind_since);
-        since.is_some_and(|since| self.now().saturating_sub(since) > MAX_LAG)
-    }
-
-    fn update_lag(&self) {
-        let is_behind = self.peer_store_position() > self.store_position();
-        let mut since = lock(&self.behind_since);
-        *since = is_behind.then(|| since.unwrap_or_else(|| self.now()));
+        lock(&self.store_view).lag(self.now()) > MAX_LAG
     }
 
     /// Returns the position up to which this entry has read the changes of the store.
     pub(crate) fn store_position(&self) -> StorePosition {
-        *lock(&self.store_position)
+        lock(&self.store_view).position()
     }
 
     /// Records that all changes of the store up to `age` ago are known here, and tells the other entries.
     pub fn confirm_store_position(&self, age: Duration) {
-        if self.raise_store_confirmation(age) {
+        let until = self.now().checked_sub(age);
+        if until.is_some_and(|until| lock(&self.store_view).confirm(until)) {
             self.on_load_change();
         }
     }
 
-    /// Returns the time since this entry last knew that no change of the store was missing here; `None` before the first read.
+    /// Returns the time for which changes of the store can be unknown here; `None` before the first read.
     #[must_use]
     pub fn store_age(&self) -> Option<Duration> {
-        let confirmed_at = *lock(&self.store_confirmed_at);
-        confirmed_at.map(|at| self.now().saturating_sub(at))
+        lock(&self.store_view).age(self.now())
     }
 
-    /// Returns whether the confirmation is newer than the known one.
-    fn raise_store_confirmation(&self, age: Duration) -> bool {
-        let confirmed_at = self.now().checked_sub(age);
-        let mut known = lock(&self.store_confirmed_at);
-        let is_newer = confirmed_at > *known;
-        if is_newer {
-            *known = confirmed_at;
-        }
-        is_newer
-    }
-
-    /// Returns the newest position of the store that another entry reported.
+    /// Returns the newest position of the store that another entry reported, if it is not known here yet.
     #[must_use]
-    pub fn peer_store_position(&self) -> StorePosition {
-        *lock(&self.peer_store_position)
+    pub fn newest_store_position_ahead(&self) -> Option<StorePosition> {
+        lock(&self.store_view).newest_ahead()
     }
 
     /// Changes the exchange and sends the messages that are due. The sending task sends those that become due later.
@@ -354,6 +323,7 @@
         let registered = exchange.registered_entries();
         drop(exchange);
         self.limits.set_entries(&registered, &live);
+        lock(&self.store_view).retain(self.now(), &registered);
         self.stream_versions.set_entries(registered);
     }
 
@@ -362,10 +332,15 @@
         for (_, pool) in self.fleet.pools() {
             loads.extend(pool.load_view().busy_loads());
         }
+        // Read together: a position that another thread replaces in between would be confirmed by a later read.
+        let (store, store_age) = {
+            let view = lock(&self.store_view);
+            (view.position(), view.confirmed_age(self.now()))
+        };
         SummaryContent {
             version: self.version.load(Ordering::Acquire),
-            store: *lock(&self.store_position),
-            store_age: self.store_age(),
+            store,
+            store_age,
             loads,
             suspects: self.quarantine.summary(self.fleet.now()),
             suspect_parts: self.quarantine.part_summary(self.fleet.now()),
@@ -542,17 +517,14 @@
             {
                 self.copies.copy_unless_stored(address, summary.version);
             }
-            let mut newest = lock(&summaries.peer_store_position);
-            *newest = summary.store.max(*newest);
-            drop(newest);
-            summaries.update_lag();
-            // What the sender knew to be complete is complete here, too, unless it knows more.
-            if let Some(age) = summary
-                .store_age
-                .filter(|_| summary.store <= summaries.store_position())
-            {
-                summaries.raise_store_confirmation(age);
-            }
+            let report = PeerReport {
+                entry: summary.entry,
+                boot: summary.boot,
+                sent_at: summary.sent_at,
+                position: summary.store,
+                confirmed_age: summary.store_age,
+            };
+            lock(&summaries.store_view).on_report(summaries.now(), &report);
             self.apply_summary(&summary);
         }
     }
