Close a server's connection before the next one goes on with its stream

The bound of 300 ms holds for silent servers only. The connection is now reset before the request goes to the next server, so the server before ends within the way there.

The new test fails before: the connection of the first server stays open until the deadline of 8 s.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -320,6 +320,9 @@
         if self.call.retry_policy() != RetryPolicy::Resumable {
             return Err(error);
         }
+        // The connection of a server that sent no valid event is still open. It ends before the next server gets the request,
+        // so that not both work on the stream.
+        self.started.response.abort();
         let after = self.events.last_id();
         let pool_name = &self.started.sent_call.server.pool;
         let answer = self.gateway.try_servers(
