Take a stream of a split route up at the pool that began it

The pool of a call follows from a hash of the attempt's id, which a take-up has anew, and whether it may go on was asked of the pool that was picked: it had one version. Keepers held a hash of the version's name, which does not tell pools apart.

What keepers hold now names pool and version, and the call goes to the pool that began its stream. On a route with several pools, whatever their weights, the keepers are always asked; a caller that names no first attempt is refused as not run, since nothing tells which pool began its stream. With one pool nothing changes.

All tests pass.

--- a/crates/core/src/stream_version.rs
+++ b/crates/core/src/stream_version.rs
@@ -29,7 +29,8 @@
 /// Hash of a workspace and of the attempt that brought the first event of a stream.
 pub type StreamKey = u64;
 
-/// Hash of a software version, the same at every entry.
+/// Hash of a pool and a software version of its servers, the same at every entry. Pools of a split route may have versions of
+/// the same name.
 pub type VersionId = u64;
 
 /// Returns the key of a stream. Only callers of the same workspace find it.
@@ -39,10 +40,11 @@
     xxhash_rust::xxh3::xxh3_64_with_seed(first_attempt.as_bytes(), seed)
 }
 
-/// Returns the identifier of a version.
+/// Returns the identifier of a version of a pool.
 #[must_use]
-pub fn version_id(version: &str) -> VersionId {
-    xxhash_rust::xxh3::xxh3_64(version.as_bytes())
+pub fn version_id(pool: &str, version: &str) -> VersionId {
+    let seed = xxhash_rust::xxh3::xxh3_64(pool.as_bytes());
+    xxhash_rust::xxh3::xxh3_64_with_seed(version.as_bytes(), seed)
 }
 
 /// Message between two entries about the version of a stream.
--- a/crates/core/tests/stream_version.rs
+++ b/crates/core/tests/stream_version.rs
@@ -26,11 +26,15 @@
 fn the_first_record_of_a_stream_holds_until_it_expires() {
     let (now, stream) = (Duration::from_secs(1), stream_key("harbour", "id-1"));
     let mut table = VersionTable::default();
-    table.record(now, stream, version_id("v1"));
-    table.record(now, stream, version_id("v2"));
-    assert_eq!(table.version(stream), Some(version_id("v1")));
+    table.record(now, stream, version_id("engines", "v1"));
+    table.record(now, stream, version_id("engines", "v2"));
+    assert_eq!(table.version(stream), Some(version_id("engines", "v1")));
     assert_eq!(table.version(stream_key("quay", "id-1")), None);
     let later = now + Duration::from_mins(1);
-    table.record(later, stream_key("harbour", "id-2"), version_id("v1"));
+    table.record(
+        later,
+        stream_key("harbour", "id-2"),
+        version_id("engines", "v1"),
+    );
     assert_eq!(table.version(stream), None);
 }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -26,6 +26,7 @@
 use crate::log;
 use crate::refusal::Refusal;
 use crate::relay::Relay;
+use crate::table::Route;
 
 /// Target of this module's log lines. Operators' filters match it, so it is independent of the module's name.
 const LOG_TARGET: &str = "tanagerford_gateway::attempt";
@@ -57,6 +58,12 @@
     reported_failure: Option<Box<StartedResponse>>,
 }
 
+/// Pool and version at which a stream began.
+struct StreamOrigin {
+    pool: (PoolId, Arc<PoolState>),
+    version: VersionId,
+}
+
 impl Attempts {
     /// Allows only servers of this version from now on.
     pub(crate) fn keep_version(&mut self, version: VersionId) {
@@ -92,7 +99,7 @@
             .route
             .pick_pool(hash)
             .and_then(|name| self.fleet.pool(name).map(|pool| (name.clone(), pool)));
-        let Some((pool_name, pool)) = pool else {
+        let Some((mut pool_name, mut pool)) = pool else {
             return self.refuse_call(&call, Refusal::NoServer);
         };
         let now = self.fleet.now();
@@ -103,19 +110,22 @@
         if self.quarantine.refuses(now, &call) {
             return self.refuse_call(&call, Refusal::Quarantined);
         }
-        if !self.wait_for_long_prompt_gate(&call, &pool).await {
-            return self.refuse_call(&call, Refusal::Overloaded);
-        }
         let mut attempts = Attempts::default();
         if call.retry_policy() == RetryPolicy::Resumable {
             attempts.in_flight.set_exclusive();
         }
         if call.resume_after.is_some() {
-            match self.resumed_version(&call, &pool_name, &pool).await {
-                Ok(version) => attempts.keep_version(version),
+            match self.stream_origin(&call).await {
+                Ok(origin) => {
+                    attempts.keep_version(origin.version);
+                    (pool_name, pool) = origin.pool;
+                }
                 Err(refusal) => return self.refuse_call(&call, refusal),
             }
         }
+        if !self.wait_for_long_prompt_gate(&call, &pool).await {
+            return self.refuse_call(&call, Refusal::Overloaded);
+        }
         let resume_after = call.resume_after;
         let answer = self.try_servers(&call, &pool, &pool_name, &mut attempts, resume_after, None);
         match answer.await {
@@ -231,15 +241,10 @@
         }
     }
 
-    /// Returns the version at which the stream began that the call resumes. If only one comes into question, the keepers
+    /// Returns where the stream began that the call resumes. If only one version of one pool comes into question, the keepers
     /// need not be asked.
-    async fn resumed_version(
-        &self,
-        call: &Call,
-        pool_name: &PoolId,
-        pool: &PoolState,
-    ) -> Result<VersionId, Refusal> {
-        let known = match (self.only_version(pool_name), &call.resumed_attempt) {
+    async fn stream_origin(&self, call: &Call) -> Result<StreamOrigin, Refusal> {
+        let known = match (self.only_origin(&call.route), &call.resumed_attempt) {
             (Some(version), _) => Some(version),
             (None, Some(first)) => {
                 let lookup = self.summaries.lookup_version(call.workspace_name(), first);
@@ -247,17 +252,42 @@
             }
             (None, None) => None,
         };
+        let pools = call.route.pools.iter().filter_map(|weighted| {
+            let pool = self.fleet.pool(&weighted.pool)?;
+            Some((weighted.pool.clone(), pool))
+        });
+        let mut pools: Vec<_> = pools.collect();
+        let versions: Vec<_> = pools
+            .iter()
+            .map(|(name, pool)| (name.clone(), pool.recent_versions()))
+            .collect();
         let limits = self.summaries.limits();
-        let is_served = |version| pool.has_version(version, |server| limits.is_leaving(server));
         let result = match known {
             None => Err(Refusal::StreamVersionUnknown),
-            Some(version) if is_served(version) => Ok(version),
-            Some(_) => Err(Refusal::StreamVersionGone),
+            Some(version) => {
+                let mut serving = pools.extract_if(.., |(_, pool)| {
+                    pool.has_version(version, |server| limits.is_leaving(server))
+                });
+                let origin = serving.next().map(|pool| StreamOrigin { pool, version });
+                origin.ok_or(Refusal::StreamVersionGone)
+            }
         };
-        log::stream_taken_up(call, &pool.recent_versions(), result.ok());
+        let version = result.as_ref().ok().map(|origin| origin.version);
+        log::stream_taken_up(call, &versions, version);
         result
     }
 
+    /// Returns the version at which all streams of a route began that can still be resumed; `None` if several come into
+    /// question. Which of a route's pools began a stream cannot be told from the registry, whatever the weights are now.
+    fn only_origin(&self, route: &Route) -> Option<VersionId> {
+        let (first, others) = route.pools.split_first()?;
+        let is_split = others.iter().any(|other| other.pool != first.pool);
+        if is_split {
+            return None;
+        }
+        self.only_version(&first.pool)
+    }
+
     /// Returns the version at which all streams of a pool began that can still be resumed; `None` if there are several, or
     /// if this entry may not know the newest changes of the registry.
     fn only_version(&self, pool: &PoolId) -> Option<VersionId> {
@@ -268,7 +298,7 @@
         // Without the key-value service there is one fixed set of servers.
         let view_age = self.summaries.store_age().unwrap_or_default();
         let version = history.only_version(self.fleet.now(), pool, view_age)?;
-        Some(version_id(version))
+        Some(version_id(pool, version))
     }
 
     /// Waits until a server can take the call without making other streams late; returns whether one can.
@@ -358,7 +388,7 @@
             let mut head = clone_head(&started.response.head);
             self.codec.strip_connection_headers(&mut head);
             head.headers_mut().remove(http::header::CONTENT_LENGTH);
-            let version = version_id(&started.sent_call.server.version);
+            let version = started.sent_call.server.version_id();
             attempts.keep_version(version);
             if call.resume_after.is_none() && call.retry_policy() == RetryPolicy::Resumable {
                 self.summaries.record_version(&call, version);
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -8,7 +8,7 @@
 use tanagerford_core::dispatch::{CostSettings, Pool, ServerSpec};
 use tanagerford_core::ids::{PoolId, ServerId, ZoneId};
 use tanagerford_core::server_limit::PermitQueue;
-use tanagerford_core::stream_version::{VersionId, version_id};
+use tanagerford_core::stream_version::{self, VersionId};
 use tanagerford_core::version_history::{RegisteredVersion, VersionHistory};
 use tanagerford_sync::{lock, read_lock, write_lock};
 
@@ -37,6 +37,13 @@
     pub version: String,
 }
 
+impl BackendServer {
+    /// Returns the identifier of the version at which streams of the server begin.
+    pub(crate) fn version_id(&self) -> VersionId {
+        stream_version::version_id(&self.pool, &self.version)
+    }
+}
+
 /// Servers that accept new calls, by name.
 pub type ServersById = BTreeMap<ServerId, Arc<BackendServer>>;
 
@@ -212,7 +219,7 @@
     ) -> bool {
         let servers = self.servers();
         let mut servers = servers.values();
-        servers.any(|server| version_id(&server.version) == version && !is_leaving(server))
+        servers.any(|server| server.version_id() == version && !is_leaving(server))
     }
 
     /// Returns the number of calls that wait because all servers limit their requests or are at rest.
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -17,7 +17,7 @@
     self, CallNeed, GRANT_WAIT, LimitChange, LimitStatement, LimitTable, PermitMessage, Place,
     RequestRate, Selection, ServerKey, server_key, wire,
 };
-use tanagerford_core::stream_version::{VersionId, version_id};
+use tanagerford_core::stream_version::VersionId;
 use tanagerford_sync::lock;
 use tokio::sync::Notify;
 use tokio::time::timeout;
@@ -71,7 +71,7 @@
         };
         let others = servers
             .values()
-            .filter(|server| version_id(&server.version) != version);
+            .filter(|server| server.version_id() != version);
         let others = others.map(|server| server.id.clone());
         Cow::Owned(self.tried_servers.iter().cloned().chain(others).collect())
     }
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -7,10 +7,12 @@
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use tanagerford_core::dispatch::{Rank, ShedReason};
 use tanagerford_core::document::UnpackError;
+use tanagerford_core::ids::PoolId;
 use tanagerford_core::stream_version::{VersionId, version_id};
 
 use crate::call::Call;
@@ -125,21 +127,25 @@
     );
 }
 
-/// Logs a caller that resumes a stream of an earlier attempt. `version` is the one at which the stream began, and
-/// `versions` are those of the pool's servers.
+/// Logs a caller that resumes a stream of an earlier attempt. `version` is the one at which the stream began, and `versions`
+/// are those of the servers of each pool of the route.
 pub(crate) fn stream_taken_up(
     call: &Call,
-    versions: &BTreeSet<String>,
+    versions: &[(PoolId, Arc<BTreeSet<String>>)],
     version: Option<VersionId>,
 ) {
-    let is_it = |name: &&String| version == Some(version_id(name));
+    let names = versions.iter();
+    let mut names = names.flat_map(|(pool, names)| names.iter().map(move |name| (pool, name)));
+    let began = names.find(|(pool, name)| version == Some(version_id(pool, name)));
+    let versions: BTreeSet<&String> = versions.iter().flat_map(|(_, names)| &**names).collect();
     tracing::info!(
         request = call.id,
         route = call.route.name,
         workspace = call.workspace_name(),
         first_attempt = call.resumed_attempt,
         after_event = call.resume_after,
-        version = versions.iter().find(is_it),
+        pool = began.map(|(pool, _)| pool),
+        version = began.map(|(_, name)| name),
         ?versions,
         "stream is taken up"
     );
