--- a/crates/core/src/store_view.rs
+++ b/crates/core/src/store_view.rs
@@ -131,10 +131,10 @@
         self.registered = Some(position);
     }
 
-    /// Returns whether every entry that uses a change unknown here had to wait for this one: those that read the change know
-    /// that this entry is registered, or else it is known here, too.
+    /// Returns whether this entry has read past its own registration. Another entry that uses a change before all registered
+    /// ones have reported it may not know this entry until then.
     #[must_use]
-    pub fn is_waited_for(&self) -> bool {
+    pub fn has_read_own_registration(&self) -> bool {
         self.registered
             .is_some_and(|registered| registered <= self.position)
     }
--- a/crates/core/src/version_history.rs
+++ b/crates/core/src/version_history.rs
@@ -86,9 +86,9 @@
     earlier.count()
 }
 
-/// Version that this entry learned of a short time ago, while streams may have begun at others.
+/// Time in which the other entries learn of a version, while streams may have begun at others.
 #[derive(Debug)]
-struct Introduction {
+struct Propagation {
     /// Time from which all entries know of the version, or know that they are out of step.
     until: Duration,
     /// Position of the key-value service at which this entry learned of the version.
@@ -104,7 +104,7 @@
     /// Versions of servers that accept new calls.
     ready: BTreeSet<Version>,
     /// Recent versions that other entries may not know of yet.
-    introductions: BTreeMap<Version, Introduction>,
+    propagations: BTreeMap<Version, Propagation>,
     /// Time for which a version stays recent.
     retention: Duration,
     /// Time until which callers may resume streams that began before this process started, at versions it cannot know.
@@ -112,9 +112,9 @@
 }
 
 impl PoolVersions {
-    /// Records versions that this entry has just learned of. The first version of a pool whose earlier ones are known needs no
-    /// introduction: no stream began at another one.
-    fn introduce(
+    /// Lets the other entries learn of versions that this entry has just learned of. There is no need to wait for the first
+    /// version of a pool whose earlier ones are known: no stream began at another one.
+    fn propagate(
         &mut self,
         now: Duration,
         position: StorePosition,
@@ -124,10 +124,10 @@
             return;
         }
         let until = now + ACTIVATION_DELAY;
-        let introductions = versions
+        let propagations = versions
             .into_iter()
-            .map(|version| (version, Introduction { until, position }));
-        self.introductions.extend(introductions);
+            .map(|version| (version, Propagation { until, position }));
+        self.propagations.extend(propagations);
     }
 }
 
@@ -173,13 +173,13 @@
     /// Sets the position that all other registered entries have reached; returns whether servers may receive their first calls now.
     pub fn set_known_by_others(&mut self, position: StorePosition) -> bool {
         let before = std::mem::replace(&mut self.known_by_others, position);
-        let mut introductions = self.introductions();
-        introductions.any(|version| before < version.position && version.position <= position)
+        let mut propagations = self.propagations();
+        propagations.any(|version| before < version.position && version.position <= position)
     }
 
-    fn introductions(&self) -> impl Iterator<Item = &Introduction> {
+    fn propagations(&self) -> impl Iterator<Item = &Propagation> {
         let pools = self.pools.values();
-        pools.flat_map(|state| state.introductions.values())
+        pools.flat_map(|state| state.propagations.values())
     }
 
     /// Sets the content of the record; `None` if it is missing or unreadable. The versions that it names count as recent,
@@ -212,7 +212,7 @@
                 });
             }
             if !is_first_read {
-                state.introduce(now, self.position, new);
+                state.propagate(now, self.position, new);
             }
         }
         if is_removal_known {
@@ -264,19 +264,17 @@
     /// Returns the time at which the next version may receive its first calls.
     #[must_use]
     pub fn next_activation(&self) -> Option<Duration> {
-        let introductions = self.introductions().map(|version| version.until);
-        introductions
-            .chain(self.activations.values().copied())
-            .min()
+        let propagations = self.propagations().map(|version| version.until);
+        propagations.chain(self.activations.values().copied()).min()
     }
 
     /// Returns whether versions may receive their first calls since the last call of this function.
     pub fn take_activated(&mut self, now: Duration) -> bool {
-        let count = |history: &Self| history.activations.len() + history.introductions().count();
+        let count = |history: &Self| history.activations.len() + history.propagations().count();
         let before = count(self);
         self.activations.retain(|_, at| *at > now);
         for state in self.pools.values_mut() {
-            state.introductions.retain(|_, version| version.until > now);
+            state.propagations.retain(|_, version| version.until > now);
         }
         count(self) < before
     }
@@ -326,7 +324,7 @@
         }
         for (pool, versions) in new {
             if let Some(state) = self.pools.get_mut(pool) {
-                state.introduce(now, self.position, versions);
+                state.propagate(now, self.position, versions);
             }
         }
         self.pools.retain(|pool, state| {
@@ -336,7 +334,7 @@
             });
             let recent = &state.recent;
             state
-                .introductions
+                .propagations
                 .retain(|version, _| recent.contains_key(version));
             retentions.contains_key(pool) || !state.recent.is_empty()
         });
@@ -385,17 +383,17 @@
         }
         let mut ready = state.ready.iter();
         ready.any(|ready| self.is_active(now, pool, ready))
-            || self.introduced_at(now, pool, version).is_some()
+            || self.propagated_by(now, pool, version).is_some()
     }
 
-    /// Returns the time from which a version needs no introduction any more; `None` if it needs none.
-    fn introduced_at(&self, now: Duration, pool: &str, version: &str) -> Option<Duration> {
+    /// Returns the time by which all entries know of a version, or are out of step; `None` if they do already.
+    fn propagated_by(&self, now: Duration, pool: &str, version: &str) -> Option<Duration> {
         let state = self.pools.get(pool)?;
-        let introduction = state.introductions.get(version)?;
+        let propagation = state.propagations.get(version)?;
         // After a restart of all entries only the record tells of streams that began at servers that have left.
         let is_restart_safe = self.is_recorded(pool, version) || now < state.unknown_until;
-        let is_known = self.known_by_others >= introduction.position && is_restart_safe;
-        (!is_known && now < introduction.until).then_some(introduction.until)
+        let is_known = self.known_by_others >= propagation.position && is_restart_safe;
+        (!is_known && now < propagation.until).then_some(propagation.until)
     }
 
     /// Returns the time by which a pool has servers that receive calls again, if all of its ready ones wait until the other
@@ -405,7 +403,7 @@
         let ready = self.pools.get(pool)?.ready.iter();
         let ends = ready.map(|version| {
             let is_withheld = self.is_withheld(now, pool, version);
-            let until = self.introduced_at(now, pool, version);
+            let until = self.propagated_by(now, pool, version);
             until.filter(|_| is_withheld)
         });
         ends.min()?
--- a/crates/core/tests/version_history.rs
+++ b/crates/core/tests/version_history.rs
@@ -482,7 +482,10 @@
                 let left_at = self.left.get(*version);
                 left_at.is_none_or(|at| system.now.saturating_sub(*at) < SERVES_ON)
             };
-            let Some(only) = only.filter(|_| view.is_waited_for()).filter(serves) else {
+            let Some(only) = only
+                .filter(|_| view.has_read_own_registration())
+                .filter(serves)
+            else {
                 continue;
             };
             let resumable = system.streams.iter();
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -380,7 +380,7 @@
         let now = self.now();
         // Without the key-value service there is one fixed set of servers.
         let is_without_store = view.age(now).is_none();
-        is_without_store || (view.is_waited_for() && view.lag(now) <= MAX_LAG)
+        is_without_store || (view.has_read_own_registration() && view.lag(now) <= MAX_LAG)
     }
 
     /// Records that this entry is registered, and whether no process of its VM was registered before.
