--- a/review/standins-3/platform_standins.py
+++ b/review/standins-3/platform_standins.py
@@ -182,14 +182,23 @@
     """Worker of a service. `act(worker, conn, line, headers, body, n)` answers; it returns False to end the connection."""
     def __init__(self, wid, service, rec, act=None, **kw):
         self.id, self.service, self.rec, self.act = wid, service, rec, act or good; self.runs = []; self.lock = threading.Lock()
+        self.conns = set()
         super().__init__(**kw)
     def beat(self, state="ready", version="v1", zone="zone-a", slots=6, born=1700000000000, **kw):
         return dict({"service": self.service, "address": self.address, "zone": zone, "version": version, "slots": slots,
                      "state": state, "coldRemainingMs": 0, "sequence": 1, "born": born}, **kw)
     def serve(self, c, peer, n):
+        self.conns.add(c)
         while True:
             line, hs = c.head(); body = c.body(hs)
             if self.act(self, c, line, hs, body, n) is False: return
+    def end(self):
+        """The process ends: nothing listens any more, and its connections are reset."""
+        self.l.shutdown(socket.SHUT_RDWR); self.close()
+        for c in list(self.conns):
+            try:
+                c.s.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)); c.s.shutdown(socket.SHUT_RD); c.s.close()
+            except OSError: pass
     def ran(self, line, hs):
         with self.lock: self.runs.append((now(), hs.get("x-tanagerford-attempt-id"), line, hs))
         self.rec("run", worker=self.id, id=hs.get("x-tanagerford-attempt-id"), request=line.rsplit(" ", 1)[0].replace(" ", ":"), after=hs.get("last-event-id"))
