--- a/review/standins-3/platform_standins.py
+++ b/review/standins-3/platform_standins.py
@@ -94,7 +94,7 @@
 class Store(Listener):
     """Store of the platform: key-value pairs with revisions, ranges, watches and transactions."""
     def __init__(self, **kw):
-        self.cv = threading.Condition(); self.rev = 100; self.items = {}; self.hist = []; self.compacted = 0
+        self.cv = threading.Condition(); self.rev = kw.pop("revision", 100); self.items = {}; self.hist = []; self.compacted = 0
         self.down = None; self.cuts = 0; self.delay = lambda path, n: 0.0; self.calls = []; self.socks = set(); self.era = None
         super().__init__(**kw)
     def put(self, key, value):
@@ -113,7 +113,7 @@
     def item(self, key, rev, value):
         if value is None: return {"key": key, "modRevision": rev, "removed": True}
         return {"key": key, "value": base64.b64encode(value).decode(), "modRevision": rev, "created": rev, "lease": 0}
-    def serve(self, c, peer, n):
+    def serve(self, c, peer, n, door=None):
         self.socks.add(c)
         try:
             while True:
@@ -127,6 +127,9 @@
                 if self.down: status, out = 503, {}
                 else: status, out = self.answer(path, q, body)
                 if status is None: c.reset(); return
+                if door and door.is_shut:
+                    while door.is_shut: time.sleep(0.02)
+                    return
                 d = self.delay(path, n)
                 if d: time.sleep(d)
                 data = json.dumps(out).encode()
@@ -178,6 +181,14 @@
                 return 200, {"modRevision": self.rev}
             return 404, {}
 
+class Door(Listener):
+    """Another address of a store, for one entry. While it is shut, the store answers nothing there and serves all others."""
+    def __init__(self, store, **kw):
+        self.store, self.is_shut = store, False
+        super().__init__(**kw)
+    def serve(self, c, peer, n):
+        self.store.serve(c, peer, n, self)
+
 class Worker(Listener):
     """Worker of a service. `act(worker, conn, line, headers, body, n)` answers; it returns False to end the connection."""
     def __init__(self, wid, service, rec, act=None, **kw):
