--- a/review/14/case.py
+++ b/review/14/case.py
@@ -69,7 +69,7 @@
     store.put("op/config", config(1))
     for worker in workers[:2]:
         register(worker)
-    folder = tempfile.mkdtemp()
+    folder = temporary_folder()
     doors = [Door(store) for _ in range(3)]
     entries = [Entry(f"front-{i + 1}", doors[i].address, folder, memory=96) for i in range(3)]
     if not all(entry.wait_ready() for entry in entries):
--- a/review/15/case.py
+++ b/review/15/case.py
@@ -71,7 +71,7 @@
     store.put("op/config", config(1))
     for worker in [*workers, Worker("a-1", "app", rec)]:
         store.put("servers/" + worker.id, worker.beat(slots=64))
-    folder = tempfile.mkdtemp()
+    folder = temporary_folder()
     entries = [Entry(f"front-{i}", store, folder) for i in (1, 2)]
     if not all(entry.wait_ready() for entry in entries):
         finish(rec, [], could_run=False)
--- a/review/standins-3/platform_standins.py
+++ b/review/standins-3/platform_standins.py
@@ -3,8 +3,11 @@
 Everything listens on loopback addresses and free ports.
 """
 import base64
+import ctypes
 import json
 import os
+import re
+import shutil
 import signal
 import socket
 import struct
@@ -13,12 +16,13 @@
 import tempfile
 import threading
 import time
-import tomllib
 import urllib.parse
 
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
 HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 T0 = time.monotonic()
+# Longest time of a script.
+MAX_S = 110
 
 def now():
     return time.monotonic() - T0
@@ -289,8 +293,12 @@
 
 def deploy_command():
     """The command of the deploy file."""
-    with open(os.path.join(ROOT, "deploy/system.toml"), "rb") as f:
-        return tomllib.load(f)["roles"]["entry"]["run"].split(" ")
+    with open(os.path.join(ROOT, "deploy/system.toml")) as f:
+        return re.search(r'^run = "(.*)"$', f.read(), re.M).group(1).split(" ")
+
+def end_with_parent():
+    """Ends the process if the script is killed (PR_SET_PDEATHSIG)."""
+    ctypes.CDLL(None).prctl(1, signal.SIGKILL)
 
 class Entry:
     """Process of the entry, with the settings of a small deployment."""
@@ -307,7 +315,8 @@
         env = {k: os.environ[k] for k in ("PATH", "HOME", "LANG") if k in os.environ}
         env["TANAGERFORD_NODE_FILE"] = self.path
         with open(self.log, "ab") as log:
-            self.p = subprocess.Popen(deploy_command(), cwd=ROOT, env=env, stdout=log, stderr=subprocess.STDOUT)
+            self.p = subprocess.Popen(deploy_command(), cwd=ROOT, env=env, stdout=log, stderr=subprocess.STDOUT,
+                                      preexec_fn=end_with_parent)
     def is_ready(self):
         try:
             r = call((self.ip, self.ready), "GET /tanagerford/ready HTTP/1.1\r\nHost: r\r\nContent-Length: 0\r\n\r\n", 1)
@@ -380,6 +389,12 @@
                 s.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)); s.shutdown(socket.SHUT_RD); s.close()
             except OSError: pass
 
+folders = []
+
+def temporary_folder():
+    folders.append(tempfile.mkdtemp())
+    return folders[-1]
+
 class Finished(Exception):
     pass
 
@@ -392,6 +407,13 @@
 
 def run(main):
     """Runs a case and ends all its processes. An error of the case itself is no verdict."""
+    def on_signal(number, frame):
+        raise SystemExit(f"ended by signal {number}")
+    # Threads of consumers fail when the entries end.
+    threading.excepthook = lambda args: None if issubclass(args.exc_type, (OSError, EOFError)) else threading.__excepthook__(args)
+    signal.signal(signal.SIGTERM, on_signal)
+    signal.signal(signal.SIGALRM, on_signal)
+    signal.alarm(MAX_S)
     code = 2
     try: main()
     except Finished as end: code = end.args[0]
@@ -399,5 +421,6 @@
         import traceback
         traceback.print_exc()
     for entry in Entry.all: entry.kill()
+    for folder in folders: shutil.rmtree(folder, ignore_errors=True)
     print("exit", code, flush=True)
     os._exit(code)
