--- a/review/standins-3/platform_standins.py
+++ b/review/standins-3/platform_standins.py
@@ -308,6 +308,7 @@
         self.front, self.ready, self.ports = free_port(ip), free_port(ip), free_port(ip)
         self.path = os.path.join(d, name + ".toml"); self.log = os.path.join(d, name + ".log")
         self.store = store if isinstance(store, str) else store.address; self.kw = kw
+        self.p = None
         Entry.all.append(self)
         self.start()
     def start(self, **kw):
@@ -331,7 +332,7 @@
     @property
     def addr(self): return (self.ip, self.front)
     def kill(self):
-        if self.p.poll() is None: self.p.kill(); self.p.wait()
+        if self.p and self.p.poll() is None: self.p.kill(); self.p.wait()
 
 def call(addr, text, timeout=5, conn=None):
     if conn is None:
@@ -420,7 +421,9 @@
     except BaseException:
         import traceback
         traceback.print_exc()
-    for entry in Entry.all: entry.kill()
+    for entry in Entry.all:
+        try: entry.kill()
+        except OSError: code = 2
     for folder in folders: shutil.rmtree(folder, ignore_errors=True)
     print("exit", code, flush=True)
     os._exit(code)
