Let a starting entry wait with versions that may be unknown to others

Cause: the delay before the first calls to a version applied only to an entry that saw the record change while it ran. The other entries rely on it while their view is up to 1.5 s old. Related: the same exception held when no server of the old version is ready, and at the first start of the whole system; a pool whose servers all wait answered no_server without a time to return.

The record now also names the versions that have propagated, added 2 s after an entry learned that they are recorded. A starting entry uses those at once and waits for any other one of a pool with several, until all registered entries know of it or for 2 s. A propagated version is known to every entry, or the entry is out of step, so restarts in quiet times wait for nothing. Waiting for all versions at each start had been ruled out before: it refused streams for up to a second after each restart.

One more write to the store for each release.

--- a/crates/core/src/version_history.rs
+++ b/crates/core/src/version_history.rs
@@ -28,8 +28,33 @@
 /// Software version of a server.
 pub type Version = String;
 
-/// Versions by pool, as the record in the key-value service states them.
-pub type VersionRecord = BTreeMap<PoolId, BTreeSet<Version>>;
+/// Versions by pool.
+pub type VersionsByPool = BTreeMap<PoolId, BTreeSet<Version>>;
+
+/// Content of the record in the key-value service.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct VersionRecord {
+    /// Versions at which streams may have begun.
+    pub versions: VersionsByPool,
+    /// Those of them that every entry knows of, or knows that it is out of step. A process that starts may use them at once.
+    pub propagated: VersionsByPool,
+}
+
+impl VersionRecord {
+    fn names(&self, pool: &str, version: &str) -> bool {
+        names(&self.versions, pool, version)
+    }
+
+    fn is_propagated(&self, pool: &str, version: &str) -> bool {
+        names(&self.propagated, pool, version)
+    }
+}
+
+fn names(versions: &VersionsByPool, pool: &str, version: &str) -> bool {
+    versions
+        .get(pool)
+        .is_some_and(|versions| versions.contains(version))
+}
 
 /// Origin of the record that a process reads.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -138,12 +163,15 @@
 /// ```
 /// use std::collections::BTreeMap;
 /// use std::time::Duration;
-/// use tanagerford_core::version_history::{RecordOrigin, RegisteredVersion, VersionHistory};
+/// use tanagerford_core::version_history::{
+///     RecordOrigin, RegisteredVersion, VersionHistory, VersionRecord,
+/// };
 ///
 /// let mut history = VersionHistory::default();
 /// let now = Duration::ZERO;
 /// // A process starts after the servers of v1 have left.
-/// let record = BTreeMap::from([("engines".to_owned(), ["v1".to_owned()].into())]);
+/// let versions = BTreeMap::from([("engines".to_owned(), ["v1".to_owned()].into())]);
+/// let record = VersionRecord { versions, ..VersionRecord::default() };
 /// history.set_record(now, Some(record), RecordOrigin::Restart);
 /// let server = RegisteredVersion { pool: "engines".into(), version: "v2".into(), is_ready: true };
 /// history.observe(now, &BTreeMap::from([("engines".into(), Duration::from_mins(1))]), &[server]);
@@ -154,7 +182,8 @@
     pools: BTreeMap<PoolId, PoolVersions>,
     /// Content of the record; `None` before the first read, and without a key-value service.
     record: Option<VersionRecord>,
-    /// Times at which versions may receive their first calls that joined a recorded pool while this process ran.
+    /// Times at which versions may receive their first calls that joined a recorded pool, unless the record says that they have
+    /// propagated.
     activations: BTreeMap<(PoolId, Version), Duration>,
     /// Time of the first read of the record by a process that starts while the system is in service.
     restarted_at: Option<Duration>,
@@ -195,41 +224,43 @@
             self.restarted_at = Some(now);
         }
         let is_removal_known = record.is_some() && origin == RecordOrigin::Written;
-        let record = record.unwrap_or_default();
-        let before = self.record.replace(record.clone()).unwrap_or_default();
+        let mut record = record.unwrap_or_default();
+        let before = self.record.take().unwrap_or_default();
+        if origin == RecordOrigin::Restored {
+            // A version that the backup names may have left and come back since.
+            let is_known = |pool: &str, version: &Version| before.is_propagated(pool, version);
+            for (pool, versions) in &mut record.propagated {
+                versions.retain(|version| is_known(pool, version));
+            }
+        }
+        self.record = Some(record.clone());
         self.set_activations(now, &before, &record, origin);
-        for (pool, versions) in &record {
+        for (pool, versions) in &record.versions {
             let state = self.pools.entry(pool.clone()).or_default();
             // Only an entry that knows the earlier versions of a pool records it.
             state.unknown_until = Duration::ZERO;
-            // A process that starts cannot tell which versions are new.
-            let is_first_read = matches!(origin, RecordOrigin::FirstStart | RecordOrigin::Restart);
             let mut new = Vec::new();
             for version in versions {
                 state.recent.entry(version.clone()).or_insert_with(|| {
-                    new.push(version.clone());
+                    if !record.is_propagated(pool, version) {
+                        new.push(version.clone());
+                    }
                     Some(now)
                 });
             }
-            if !is_first_read {
-                state.propagate(now, self.position, new);
-            }
+            state.propagate(now, self.position, new);
         }
         if is_removal_known {
             for (pool, state) in &mut self.pools {
-                let names = |record: &VersionRecord, version: &Version| {
-                    record
-                        .get(pool)
-                        .is_some_and(|names| names.contains(version))
-                };
                 state.recent.retain(|version, left_at| {
-                    left_at.is_none() || !names(&before, version) || names(&record, version)
+                    left_at.is_none() || !before.names(pool, version) || record.names(pool, version)
                 });
             }
         }
     }
 
-    /// Delays the first calls to versions that joined those of a pool.
+    /// Delays the first calls to versions that joined those of a pool and may be unknown to other entries. A process that starts
+    /// cannot tell which versions joined, so it takes all that have not propagated for new ones if there are several.
     fn set_activations(
         &mut self,
         now: Duration,
@@ -237,26 +268,25 @@
         record: &VersionRecord,
         origin: RecordOrigin,
     ) {
-        let names = |record: &VersionRecord, pool: &PoolId, version: &Version| {
-            record
-                .get(pool)
-                .is_some_and(|names| names.contains(version))
-        };
-        self.activations
-            .retain(|(pool, version), at| *at > now && names(record, pool, version));
-        if origin != RecordOrigin::Written {
-            return;
-        }
-        for (pool, versions) in record {
-            let is_new = |version: &&Version| !names(before, pool, version);
-            for version in versions.iter().filter(is_new) {
-                if before
+        self.activations.retain(|(pool, version), at| {
+            *at > now && record.names(pool, version) && !record.is_propagated(pool, version)
+        });
+        for (pool, versions) in &record.versions {
+            let has_others = match origin {
+                RecordOrigin::FirstStart | RecordOrigin::Restart => versions.len() > 1,
+                RecordOrigin::Written => before
+                    .versions
                     .get(pool)
-                    .is_some_and(|versions| !versions.is_empty())
-                {
-                    let key = (pool.clone(), version.clone());
-                    self.activations.insert(key, now + ACTIVATION_DELAY);
-                }
+                    .is_some_and(|versions| !versions.is_empty()),
+                // The entries have used these versions before.
+                RecordOrigin::Restored => false,
+            };
+            let is_new = |version: &&Version| {
+                has_others && !before.names(pool, version) && !record.is_propagated(pool, version)
+            };
+            for version in versions.iter().filter(is_new) {
+                let key = (pool.clone(), version.clone());
+                self.activations.insert(key, now + ACTIVATION_DELAY);
             }
         }
     }
@@ -371,7 +401,7 @@
     /// version to servers of an earlier one.
     ///
     /// While the pool has ready servers of a version in use, one that the record does not name, or has named for less than
-    /// [`ACTIVATION_DELAY`], waits. Without such servers it waits only until all registered entries know of it, and for at
+    /// [`ACTIVATION_DELAY`] without saying that it has propagated, waits. Without such servers it waits only until all registered entries know of it, and for at
     /// most that delay: an entry that still does not know of it is out of step by then, and takes no version for the only one.
     #[must_use]
     pub fn is_withheld(&self, now: Duration, pool: &str, version: &str) -> bool {
@@ -416,8 +446,24 @@
     }
 
     fn is_recorded(&self, pool: &str, version: &str) -> bool {
-        let recorded = self.record.as_ref().and_then(|record| record.get(pool));
-        recorded.is_some_and(|versions| versions.contains(version))
+        let record = self.record.as_ref();
+        record.is_some_and(|record| record.names(pool, version))
+    }
+
+    /// Returns whether every entry knows of a version, or knows that it is out of step.
+    fn is_propagated(&self, now: Duration, pool: &str, version: &str) -> bool {
+        let Some(record) = &self.record else {
+            return false;
+        };
+        if record.is_propagated(pool, version) {
+            return true;
+        }
+        let state = self.pools.get(pool);
+        let propagation = state.and_then(|state| state.propagations.get(version));
+        // The first version of a pool needs no propagation.
+        let is_activated =
+            !record.versions.contains_key(pool) || self.is_active(now, pool, version);
+        is_activated && propagation.is_none_or(|propagation| propagation.until <= now)
     }
 
     /// Returns the change of the record that is due; `None` if it names what it should. A pool whose earlier versions are
@@ -432,13 +478,23 @@
         let versions = |(pool, state): (&PoolId, &PoolVersions)| {
             (pool.clone(), state.recent.keys().cloned().collect())
         };
-        let record: VersionRecord = known.map(versions).collect();
+        let versions: VersionsByPool = known.map(versions).collect();
+        let propagated = versions.iter().map(|(pool, versions)| {
+            let propagated = versions.iter();
+            let propagated = propagated.filter(|version| self.is_propagated(now, pool, version));
+            (pool.clone(), propagated.cloned().collect::<BTreeSet<_>>())
+        });
+        let propagated = propagated.filter(|(_, versions)| !versions.is_empty());
+        let record = VersionRecord {
+            propagated: propagated.collect(),
+            versions,
+        };
         if *recorded == record {
             return None;
         }
         let is_urgent = self.pools.iter().any(|(pool, state)| {
             let is_recorded = |version: &Version| self.is_recorded(pool, version);
-            recorded.contains_key(pool)
+            recorded.versions.contains_key(pool)
                 && !state.ready.is_empty()
                 && !state.ready.iter().any(is_recorded)
         });
--- a/crates/core/tests/version_history.rs
+++ b/crates/core/tests/version_history.rs
@@ -7,7 +7,8 @@
 use tanagerford_core::store_position::StorePosition;
 use tanagerford_core::store_view::{PeerReport, StoreView};
 use tanagerford_core::version_history::{
-    ACTIVATION_DELAY, RecordOrigin, RegisteredVersion, VersionHistory, VersionRecord, writer_rank,
+    ACTIVATION_DELAY, RecordOrigin, RegisteredVersion, VersionHistory, VersionRecord,
+    VersionsByPool, writer_rank,
 };
 
 const POOL: &str = "engines";
@@ -196,8 +197,12 @@
     system.apply(&Step::Restart(2));
     system.apply(&Step::Wait(31));
     system.apply(&Step::Write(0));
-    let v1 = VersionRecord::from([(POOL.to_owned(), BTreeSet::from(["v1".to_owned()]))]);
-    assert_eq!(system.record, Some(v1));
+    let v1 = VersionsByPool::from([(POOL.to_owned(), BTreeSet::from(["v1".to_owned()]))]);
+    let expected = VersionRecord {
+        versions: v1.clone(),
+        propagated: v1,
+    };
+    assert_eq!(system.record, Some(expected));
     assert!(
         system
             .entries
@@ -221,7 +226,7 @@
     }
     let entry = &mut system.entries[0];
     for (lost, origin) in [
-        (Some(VersionRecord::new()), RecordOrigin::Restored),
+        (Some(VersionRecord::default()), RecordOrigin::Restored),
         (None, RecordOrigin::Written),
     ] {
         let before = entry.recent(POOL);
@@ -229,7 +234,7 @@
         assert_eq!(
             entry
                 .pending(system.now)
-                .map(|pending| pending.record[POOL].clone()),
+                .map(|pending| pending.record.versions[POOL].clone()),
             Some(before)
         );
     }
@@ -306,6 +311,8 @@
     Begin(usize),
     /// The entry learns all changes and writes the record if a change is due.
     Write(usize),
+    /// The entry starts again and knows only what the store says.
+    Restart(usize),
     /// Milliseconds pass.
     Wait(u64),
 }
@@ -321,6 +328,7 @@
         3 => pairs().prop_map(|(entry, other)| LateStep::Hear(entry, other)),
         3 => (0..3_usize).prop_map(LateStep::Begin),
         2 => (0..3_usize).prop_map(LateStep::Write),
+        1 => (0..3_usize).prop_map(LateStep::Restart),
         3 => (1..2_500_u64).prop_map(LateStep::Wait),
     ]
 }
@@ -333,6 +341,8 @@
     system: System,
     /// Number of changes of the store so far.
     revision: u64,
+    /// Number of each entry's running process.
+    boots: [u64; 3],
     views: Vec<StoreView>,
     /// Entries whose registration is stored.
     stored: BTreeSet<u64>,
@@ -350,6 +360,7 @@
         let mut late = Self {
             system: System::new(),
             revision: 1,
+            boots: [0, 1, 2],
             views: (0..3).map(|_| StoreView::default()).collect(),
             stored: BTreeSet::new(),
             known_entries: vec![BTreeSet::new(); 3],
@@ -380,11 +391,24 @@
     }
 
     fn learn(&mut self, index: usize) {
+        self.read(index, RecordOrigin::Written);
+    }
+
+    /// Starts the entry again. Its registration of before is still stored, and it registers anew.
+    fn restart(&mut self, index: usize) {
+        self.boots[index] += 3;
+        self.views[index] = StoreView::default();
+        self.system.entries[index] = VersionHistory::default();
+        self.read(index, RecordOrigin::Restart);
+        self.register(index);
+    }
+
+    fn read(&mut self, index: usize, origin: RecordOrigin) {
         let position = self.position();
         let system = &mut self.system;
         let mut entry = std::mem::take(&mut system.entries[index]);
         entry.set_position(position);
-        entry.set_record(system.now, system.record.clone(), RecordOrigin::Written);
+        entry.set_record(system.now, system.record.clone(), origin);
         system.observe(&mut entry);
         system.entries[index] = entry;
         let view = &mut self.views[index];
@@ -409,7 +433,7 @@
         let number = u64::try_from(other).unwrap();
         let report = PeerReport {
             entry: number,
-            boot: number,
+            boot: self.boots[other],
             sent_at: None,
             position: self.views[other].position(),
             confirmed_age: None,
@@ -468,6 +492,7 @@
             LateStep::Hear(index, other) => self.hear(*index, *other),
             LateStep::Begin(index) => self.begin(*index),
             LateStep::Write(index) => self.write(*index),
+            LateStep::Restart(index) => self.restart(*index),
             LateStep::Wait(ms) => system.now += Duration::from_millis(*ms),
         }
     }
@@ -504,7 +529,8 @@
     #![proptest_config(ProptestConfig { cases: 20_000, ..ProptestConfig::default() })]
 
     /// Guards against streams that go on at another version at an entry which was cut off or frozen while servers of a new version
-    /// joined, also if the old ones drain or leave at once, and if the entry is not registered yet.
+    /// joined, also if the old ones drain or leave at once, if the entry is not registered yet, and if another one starts
+    /// meanwhile and cannot tell which versions are new.
     #[test]
     fn an_entry_out_of_step_takes_no_version_for_the_only_one(
         stored in prop::collection::btree_set(0..3_u64, 1..=3),
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -131,9 +131,10 @@
         let now = self.now();
         versions.observe(now, &table.version_retentions(), &registered);
         let mut by_pool: HashMap<PoolId, BTreeMap<ServerId, Arc<BackendServer>>> = HashMap::new();
-        for server in servers {
-            if server.is_ready && !versions.is_withheld(now, &server.pool, &server.version) {
-                let pool = by_pool.entry(server.pool.clone()).or_default();
+        for server in servers.into_iter().filter(|server| server.is_ready) {
+            // A pool whose servers are all withheld exists as well, so that its callers learn when to return.
+            let pool = by_pool.entry(server.pool.clone()).or_default();
+            if !versions.is_withheld(now, &server.pool, &server.version) {
                 pool.insert(server.id.clone(), Arc::new(server));
             }
         }
