Delay a version that the first record of a pool names beside another one

Callers could get a stream joined from two software versions in the first seconds of a pool: servers of v2 registered before v1 was recorded, the first record named both, and an entry without news still took v1 for the only one.

Cause: a version counted as joined only if the record before named the pool.

--- a/crates/core/src/version_history.rs
+++ b/crates/core/src/version_history.rs
@@ -234,7 +234,6 @@
             }
         }
         self.record = Some(record.clone());
-        self.set_activations(now, &before, &record, origin);
         for (pool, versions) in &record.versions {
             let state = self.pools.entry(pool.clone()).or_default();
             // Only an entry that knows the earlier versions of a pool records it.
@@ -242,6 +241,7 @@
             let mut new = Vec::new();
             for version in versions {
                 state.recent.entry(version.clone()).or_insert_with(|| {
+                    // A process that starts takes all for new that have not propagated.
                     if !record.is_propagated(pool, version) {
                         new.push(version.clone());
                     }
@@ -250,6 +250,7 @@
             }
             state.propagate(now, self.position, new);
         }
+        self.set_activations(now, &before, &record, origin);
         if is_removal_known {
             for (pool, state) in &mut self.pools {
                 state.recent.retain(|version, left_at| {
@@ -259,8 +260,7 @@
         }
     }
 
-    /// Delays the first calls to versions that joined those of a pool and may be unknown to other entries. A process that starts
-    /// cannot tell which versions joined, so it takes all that have not propagated for new ones if there are several.
+    /// Delays the first calls to versions that joined those of a pool and may be unknown to other entries.
     fn set_activations(
         &mut self,
         now: Duration,
@@ -272,17 +272,19 @@
             *at > now && record.names(pool, version) && !record.is_propagated(pool, version)
         });
         for (pool, versions) in &record.versions {
-            let has_others = match origin {
-                RecordOrigin::FirstStart | RecordOrigin::Restart => versions.len() > 1,
-                RecordOrigin::Written => before
-                    .versions
-                    .get(pool)
-                    .is_some_and(|versions| !versions.is_empty()),
-                // The entries have used these versions before.
-                RecordOrigin::Restored => false,
+            let before_pool = before.versions.get(pool);
+            // After a restoration the entries have used the versions that they knew before.
+            let has_others = origin == RecordOrigin::Written
+                && before_pool.is_some_and(|versions| !versions.is_empty());
+            let state = self.pools.get(pool);
+            let propagates = |version: &str| {
+                let propagation = state.and_then(|state| state.propagations.get(version));
+                propagation.is_some_and(|propagation| propagation.until > now)
             };
             let is_new = |version: &&Version| {
-                has_others && !before.names(pool, version) && !record.is_propagated(pool, version)
+                !before.names(pool, version)
+                    && !record.is_propagated(pool, version)
+                    && (has_others || propagates(version))
             };
             for version in versions.iter().filter(is_new) {
                 let key = (pool.clone(), version.clone());
--- a/crates/core/tests/version_history.rs
+++ b/crates/core/tests/version_history.rs
@@ -294,6 +294,31 @@
     assert!(system.entries[1].take_activated(system.now));
 }
 
+/// Guards against streams at a version that joined before the first one of its pool was recorded: the record names both at once,
+/// so none seemed to have joined.
+#[test]
+fn a_version_that_the_first_record_names_beside_another_one_waits() {
+    let mut system = System::new();
+    system.apply(&Step::Join(0));
+    let late = system.start(RecordOrigin::FirstStart);
+    system.apply(&Step::Join(1));
+    system.write(0);
+    let record = system.record.clone().unwrap();
+    assert!(record.versions[POOL].contains("v1"));
+    assert!(!record.propagated[POOL].contains("v1"));
+    // This entry learns of the version and of the record at once.
+    system.entries.push(late);
+    system.entries[3].set_record(system.now, Some(record), RecordOrigin::Written);
+    for entry in &system.entries {
+        assert!(entry.is_withheld(system.now, POOL, "v1"));
+        assert!(!entry.is_withheld(system.now, POOL, "v0"));
+    }
+    system.now += ACTIVATION_DELAY;
+    for entry in &system.entries {
+        assert!(!entry.is_withheld(system.now, POOL, "v1"));
+    }
+}
+
 /// Event in the life of a pool whose entries learn of changes late.
 #[derive(Debug, Clone)]
 enum LateStep {
