Refuse a server record without a start, or of an earlier one

Cause: a departure contradicts only a record with the same start, and a missing or earlier start is not the same. Ruled out: to require `born`, which the deployments in force may leave out.

--- a/crates/gateway/src/registry.rs
+++ b/crates/gateway/src/registry.rs
@@ -147,6 +147,47 @@
         self.missing.retain(|id, _| !self.servers.contains_key(id));
     }
 
+    /// Returns whether a record can be that of the server which it names. A server states its start always or never, so one
+    /// without it is another program's, and one of an earlier start is a late write.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::{Duration, Instant};
+    /// use tanagerford_gateway::fleet::BackendServer;
+    /// use tanagerford_gateway::registry::RegistryView;
+    ///
+    /// let server = |started_unix_ms| BackendServer {
+    ///     id: "s-1".to_owned(),
+    ///     pool: "engines".to_owned(),
+    ///     address: "127.0.0.1:9".parse().unwrap(),
+    ///     zone: "zone-a".to_owned(),
+    ///     slots: 4,
+    ///     is_ready: true,
+    ///     started_unix_ms,
+    ///     version: "v1".to_owned(),
+    /// };
+    /// let mut view = RegistryView::new(Duration::from_millis(1_200));
+    /// view.set(Instant::now(), server(Some(1_790_000_000_000)));
+    /// assert!(!view.accepts(&server(None)));
+    /// assert!(view.accepts(&server(Some(1_790_000_000_001))));
+    /// ```
+    #[must_use]
+    pub fn accepts(&self, server: &BackendServer) -> bool {
+        let present = self.servers.get(&server.id);
+        let missing = self.missing.get(&server.id).map(|(server, _)| server);
+        let known = present.into_iter().chain(missing);
+        let known = known.filter_map(|known| known.started_unix_ms);
+        let departed = self.departed.get(&server.id);
+        let departed = departed.and_then(|departure| departure.started_unix_ms);
+        let newest = known.chain(departed).max();
+        newest.is_none_or(|newest| {
+            server
+                .started_unix_ms
+                .is_some_and(|started| started >= newest)
+        })
+    }
+
     /// Adds or updates one record.
     pub fn set(&mut self, now: Instant, server: BackendServer) {
         self.missing.remove(&server.id);
--- a/crates/gateway/tests/registry.rs
+++ b/crates/gateway/tests/registry.rs
@@ -56,6 +56,32 @@
     assert!(ready_ids(&view).is_empty());
 }
 
+fn started(server: BackendServer, started_unix_ms: Option<u64>) -> BackendServer {
+    BackendServer {
+        started_unix_ms,
+        ..server
+    }
+}
+
+/// Guards against a draining server that a record of another writer, or a late one of an earlier start, brings back into use.
+#[test]
+fn a_record_without_start_or_of_an_earlier_one_is_not_the_servers() {
+    let now = Instant::now();
+    let ready = |born| started(server("a", true), born);
+    let mut view = RegistryView::new(HEARTBEAT_INTERVAL);
+    assert!(view.accepts(&ready(None)));
+    view.set(now, ready(None));
+    assert!(view.accepts(&ready(Some(20))));
+    view.set(now, started(server("a", false), Some(20)));
+    let accepted = |view: &RegistryView| {
+        let starts = [None, Some(19), Some(20), Some(21)];
+        starts.map(|born| view.accepts(&ready(born)))
+    };
+    assert_eq!(accepted(&view), [false, false, true, true]);
+    view.remove(now, "a");
+    assert_eq!(accepted(&view), [false, false, true, true]);
+}
+
 /// Guards against a live server that is treated as departed after its registration expired in an outage of the store.
 #[test]
 fn a_server_whose_entry_expired_can_register_again() {
