Take no answer without the call's id for the answer to it

Cause: the id was wanted only of successes and of refusals that say that the call was not run. Related: any other status, and the load, limit and rest that such bytes name.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -592,12 +592,14 @@
         head: &ResponseHead,
         status: StatusCode,
     ) -> Result<(), AttemptError> {
-        if head.id.as_ref().is_some_and(|id| *id != call.id) {
+        // Bytes that a server adds after an answer bear no ID, or that of an earlier call. What they say counts for no call.
+        if head.id.as_ref() != Some(&call.id) {
             tracing::warn!(
                 request = call.id,
                 server = target.server.id,
                 other = head.id,
-                "response belongs to another call"
+                status = status.as_u16(),
+                "response does not belong to the call"
             );
             return Err(AttemptError::Broken);
         }
@@ -615,21 +617,12 @@
             let limits = self.summaries.limits();
             limits.on_answer(&target.server, head.limit, requested_at, now);
         }
-        if !head.is_wrong_server && head.id.is_some() {
+        if !head.is_wrong_server {
             let now = self.fleet.now();
             let requested_at = now.saturating_sub(target.sent_at.elapsed());
             let limits = self.summaries.limits();
             limits.on_server_state(&target.server, head.availability, requested_at, now);
         }
-        if (head.is_wrong_server || head.is_not_run) && head.id.is_none() {
-            tracing::warn!(
-                request = call.id,
-                server = target.server.id,
-                status = status.as_u16(),
-                "refusal does not name its call"
-            );
-            return Err(AttemptError::Broken);
-        }
         if head.is_wrong_server {
             target.pool.load_view().on_outcome(
                 self.fleet.now(),
@@ -641,7 +634,7 @@
         if head.is_not_run {
             return Err(AttemptError::NotRun);
         }
-        if status.is_success() && (!head.is_authentic || head.id.is_none()) {
+        if status.is_success() && !head.is_authentic {
             return Err(AttemptError::Broken);
         }
         Ok(())
