Do not let new versions wait for servers that the store lacks

Cause: a kept server counted as a ready one of a version in use. It is still used, but new versions no longer wait for it; they come into use as when servers drain, once all entries know of them or after 2 s.

That a slow store is taken for one that returned remains.

--- a/crates/core/src/version_history.rs
+++ b/crates/core/src/version_history.rs
@@ -76,7 +76,7 @@
     pub pool: PoolId,
     /// Version of the server's software.
     pub version: Version,
-    /// Whether the server accepts new calls.
+    /// Whether the server is registered and accepts new calls.
     pub is_ready: bool,
 }
 
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -35,6 +35,8 @@
     /// Version of the server's software; empty if the registry does not state it. A stream may go on only at the version
     /// that began it.
     pub version: String,
+    /// Whether the registry names the server. One that it lacks after an outage is used for a grace period.
+    pub is_registered: bool,
 }
 
 impl BackendServer {
@@ -124,7 +126,8 @@
         let registered = servers.iter().map(|server| RegisteredVersion {
             pool: server.pool.clone(),
             version: server.version.clone(),
-            is_ready: server.is_ready,
+            // Servers of the next version do not wait for one that may have left.
+            is_ready: server.is_ready && server.is_registered,
         });
         let registered: Vec<_> = registered.collect();
         let mut versions = self.version_history();
--- a/crates/gateway/src/registry.rs
+++ b/crates/gateway/src/registry.rs
@@ -166,6 +166,7 @@
     ///     is_ready: true,
     ///     started_unix_ms,
     ///     version: "v1".to_owned(),
+    ///     is_registered: true,
     /// };
     /// let mut view = RegistryView::new(Duration::from_millis(1_200));
     /// view.set(Instant::now(), server(Some(1_790_000_000_000)));
@@ -281,8 +282,11 @@
 
     /// Returns the servers of the corrected view, including those that drain and those in their grace period.
     pub fn servers(&self) -> impl Iterator<Item = BackendServer> {
-        let missing = self.missing.values().map(|(server, _)| server);
-        self.servers.values().chain(missing).cloned()
+        let missing = self.missing.values().map(|(server, _)| BackendServer {
+            is_registered: false,
+            ..server.clone()
+        });
+        self.servers.values().cloned().chain(missing)
     }
 
     fn record_departure(&mut self, now: Instant, server: &BackendServer, is_draining: bool) {
--- a/crates/gateway/tests/registry.rs
+++ b/crates/gateway/tests/registry.rs
@@ -19,6 +19,7 @@
         is_ready,
         started_unix_ms: Some(1_790_000_000_000),
         version: "v1".to_owned(),
+        is_registered: true,
     }
 }
 
