--- a/crates/core/src/version_history.rs
+++ b/crates/core/src/version_history.rs
@@ -403,8 +403,9 @@
     /// version to servers of an earlier one.
     ///
     /// While the pool has ready servers of a version in use, one that the record does not name, or has named for less than
-    /// [`ACTIVATION_DELAY`] without saying that it has propagated, waits. Without such servers it waits only until all registered entries know of it, and for at
-    /// most that delay: an entry that still does not know of it is out of step by then, and takes no version for the only one.
+    /// [`ACTIVATION_DELAY`] without saying that it has propagated, waits. Without such servers it waits only until all registered
+    /// entries know of it, and for at most that delay: an entry that still does not know of it is out of step by then, and takes
+    /// no version for the only one.
     #[must_use]
     pub fn is_withheld(&self, now: Duration, pool: &str, version: &str) -> bool {
         let Some(state) = self.pools.get(pool) else {
